Libraries: Name the types that the parts share

Cause: the parts are written at the same time and meet at these types. Measured: nothing yet; headers only.

--- /dev/null
+++ b/Libraries/LibConfig/Model.h
@@ -0,0 +1,104 @@
+// What a configuration is made of once it has been read and checked: services with their routes, cut into
+// sections that are named by their content, and the manifests that say which sections make up a version.
+#pragma once
+
+#include <LibCore/EnumNames.h>
+#include <LibCore/Time.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Sagecrank {
+
+// Decides who waits for whom. An idempotent call may be sent again; the other two facts are independent of it.
+enum class CallClass : std::uint8_t {
+    Interactive,   // Someone waits for the answer.
+    NonIdempotent, // Runs at most once and is never lost silently.
+    Batch,         // May wait; never delays the others.
+};
+
+inline constexpr EnumNames<CallClass, 3> callClassNames { {
+    { CallClass::Interactive, "interactive" },
+    { CallClass::NonIdempotent, "non_idempotent" },
+    { CallClass::Batch, "batch" },
+} };
+
+// A 128-bit content hash. It finds damage and names content; it is no defence against a forger.
+struct Digest
+{
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    auto operator<=>(const Digest &) const = default;
+};
+
+struct Route
+{
+    std::string name;                 // Unique within a site.
+    std::string prefix;               // Path prefix; the longest match wins.
+    std::vector<std::string> methods; // Empty means every method.
+    CallClass callClass = CallClass::Interactive;
+    bool idempotent = true;
+    Milliseconds timeout { 1000 };
+    std::uint32_t maximumRetries = 1; // Only used for idempotent calls.
+    bool hedged = false;              // Only allowed for idempotent calls.
+
+    bool operator==(const Route &) const = default;
+};
+
+// One service of one site with all of its routes. A route lives in the section of the service it points at,
+// so a section that is present brings its own cluster along.
+struct Section
+{
+    std::string cluster; // The service's name.
+    std::uint32_t maximumQueue = 64;
+    std::vector<Route> routes;
+
+    bool operator==(const Section &) const = default;
+};
+
+struct SectionReference
+{
+    std::string cluster;
+    Digest digest;
+
+    bool operator==(const SectionReference &) const = default;
+};
+
+// The whole of one site at one version. Invariant: sections are sorted by cluster, each named once.
+struct SiteManifest
+{
+    std::uint64_t version = 0;
+    std::string site;
+    std::vector<SectionReference> sections;
+
+    bool operator==(const SiteManifest &) const = default;
+};
+
+// What the head row points at: every site's manifest by digest. Invariant: sites are sorted and unique.
+struct VersionManifest
+{
+    struct SiteReference
+    {
+        std::string site;
+        Digest digest; // Of the site's section list without the version, so an unchanged site keeps it.
+
+        bool operator==(const SiteReference &) const = default;
+    };
+
+    std::uint64_t version = 0;
+    std::string publishId; // Names one attempt to publish, so that a lost answer can be read back.
+    std::vector<SiteReference> sites;
+
+    bool operator==(const VersionManifest &) const = default;
+};
+
+// One site at one version with its content: what a node holds and swaps as one. Never changed once built.
+struct SiteConfiguration
+{
+    SiteManifest manifest;
+    std::vector<Section> sections; // In the manifest's order.
+};
+
+} // namespace Sagecrank
