--- /dev/null
+++ b/Libraries/LibHistory/HistoryEvents.h
@@ -0,0 +1,429 @@
+// The catalogue of history events: what callers, gates, upstreams, nodes, publishers and the driver of a run
+// write down so that a checker can judge the run afterwards. Each event is one struct; its fields are named
+// once, in visitFields(), which both the recorder and the reader go through.
+//
+// An event is written before the step that it names goes on. A process that is killed right after a step has
+// therefore always recorded it, and a checker may take the absence of an event for the absence of the step.
+#pragma once
+
+#include <LibCore/EnumNames.h>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Sagecrank {
+
+enum class HistoryEventKind : std::uint8_t {
+    ProcessStarted,
+    CallerSent,
+    CallerAnswered,
+    CallerLost,
+    GateAdmitted,
+    GateStarted,
+    GateFinished,
+    GateRefused,
+    UpstreamBegan,
+    UpstreamEnded,
+    UpstreamDraining,
+    NodePlaced,
+    NodeOffered,
+    NodeSwapped,
+    NodeMember,
+    PublishAccepted,
+    PublishRefused,
+    ProcessLaunched,
+    ProcessExited,
+    FaultBegan,
+    FaultEnded,
+};
+
+inline constexpr EnumNames<HistoryEventKind, 21> historyEventKindNames{{
+    {HistoryEventKind::ProcessStarted, "process.started"},
+    {HistoryEventKind::CallerSent, "caller.sent"},
+    {HistoryEventKind::CallerAnswered, "caller.answered"},
+    {HistoryEventKind::CallerLost, "caller.lost"},
+    {HistoryEventKind::GateAdmitted, "gate.admitted"},
+    {HistoryEventKind::GateStarted, "gate.started"},
+    {HistoryEventKind::GateFinished, "gate.finished"},
+    {HistoryEventKind::GateRefused, "gate.refused"},
+    {HistoryEventKind::UpstreamBegan, "upstream.began"},
+    {HistoryEventKind::UpstreamEnded, "upstream.ended"},
+    {HistoryEventKind::UpstreamDraining, "upstream.draining"},
+    {HistoryEventKind::NodePlaced, "node.placed"},
+    {HistoryEventKind::NodeOffered, "node.offered"},
+    {HistoryEventKind::NodeSwapped, "node.swapped"},
+    {HistoryEventKind::NodeMember, "node.member"},
+    {HistoryEventKind::PublishAccepted, "publish.accepted"},
+    {HistoryEventKind::PublishRefused, "publish.refused"},
+    {HistoryEventKind::ProcessLaunched, "process.launched"},
+    {HistoryEventKind::ProcessExited, "process.exited"},
+    {HistoryEventKind::FaultBegan, "fault.began"},
+    {HistoryEventKind::FaultEnded, "fault.ended"},
+}};
+
+// Written by the recorder itself as the first event of each process, so that a reader can tell the lifetimes
+// of one process name apart.
+struct ProcessStarted
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::ProcessStarted;
+    std::uint64_t pid = 0;
+
+    static void visitFields(auto &self, auto &&visit) { visit("pid", self.pid); }
+};
+
+// Call ids are unique to one HTTP request; a caller that tries again with the same key takes a new call id.
+struct CallerSent
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::CallerSent;
+    std::string call; // Header Sagecrank-Call-Id.
+    std::string key;  // Idempotency key; empty when there is none.
+    std::string method;
+    std::string target;
+    std::string callClass; // Name out of callClassNames.
+    bool idempotent = false;
+    std::uint64_t deadlineMilliseconds = 0; // Zero when the call names none.
+    std::string node;                       // "ip:port" that the request goes to.
+    std::string body;                       // historyDigest() of the request's body.
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("call", self.call);
+        visit("key", self.key);
+        visit("method", self.method);
+        visit("target", self.target);
+        visit("class", self.callClass);
+        visit("idempotent", self.idempotent);
+        visit("deadline_ms", self.deadlineMilliseconds);
+        visit("node", self.node);
+        visit("body", self.body);
+    }
+};
+
+// A whole HTTP answer arrived at the caller.
+struct CallerAnswered
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::CallerAnswered;
+    std::string call;
+    std::uint64_t status = 0;
+    std::string outcome; // "done", "not-run" or "unknown", as in the header Sagecrank-Outcome.
+    std::string reason;
+    bool replayed = false;
+    std::string echo; // The call id that the answer itself carries (header Sagecrank-Call-Id); may be empty.
+    std::string body; // historyDigest() of the body as received.
+    std::uint64_t retryAfterMilliseconds = 0;
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("call", self.call);
+        visit("status", self.status);
+        visit("outcome", self.outcome);
+        visit("reason", self.reason);
+        visit("replayed", self.replayed);
+        visit("echo", self.echo);
+        visit("body", self.body);
+        visit("retry_after_ms", self.retryAfterMilliseconds);
+    }
+};
+
+// The caller gave up without an answer: its connection broke, was refused or stayed silent.
+struct CallerLost
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::CallerLost;
+    std::string call;
+    std::string reason;
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("call", self.call);
+        visit("reason", self.reason);
+    }
+};
+
+// An attempt is one try to run a call at one upstream; its id is the header Sagecrank-Attempt.
+struct GateAdmitted
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::GateAdmitted;
+    std::string call;
+    std::string attempt;
+    std::string key;
+    std::string callClass;
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("call", self.call);
+        visit("attempt", self.attempt);
+        visit("key", self.key);
+        visit("class", self.callClass);
+    }
+};
+
+// The attempt holds a slot and is about to be written to the upstream.
+struct GateStarted
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::GateStarted;
+    std::string call;
+    std::string attempt;
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("call", self.call);
+        visit("attempt", self.attempt);
+    }
+};
+
+struct GateFinished
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::GateFinished;
+    std::string call;
+    std::string attempt;
+    std::string outcome; // "done", "not-run" or "unknown".
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("call", self.call);
+        visit("attempt", self.attempt);
+        visit("outcome", self.outcome);
+    }
+};
+
+// The gate promises that this attempt has not run and will not.
+struct GateRefused
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::GateRefused;
+    std::string call;
+    std::string attempt;
+    std::string reason;
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("call", self.call);
+        visit("attempt", self.attempt);
+        visit("reason", self.reason);
+    }
+};
+
+// The upstream took the request up; a request that it sheds is not recorded as begun.
+struct UpstreamBegan
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::UpstreamBegan;
+    std::string call;
+    std::string attempt;
+    std::string key;
+    std::string body; // historyDigest() of the request's body as received.
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("call", self.call);
+        visit("attempt", self.attempt);
+        visit("key", self.key);
+        visit("body", self.body);
+    }
+};
+
+struct UpstreamEnded
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::UpstreamEnded;
+    std::string call;
+    std::string attempt;
+    std::uint64_t status = 0; // Zero when it was cancelled.
+    std::string body;         // historyDigest() of the answer's body as sent.
+    bool cancelled = false;   // The connection closed before the work was done.
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("call", self.call);
+        visit("attempt", self.attempt);
+        visit("status", self.status);
+        visit("body", self.body);
+        visit("cancelled", self.cancelled);
+    }
+};
+
+// Written by the upstream itself when it is told to leave.
+struct UpstreamDraining
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::UpstreamDraining;
+    std::string cluster;
+    std::string upstream; // "ip:port" at which it takes requests.
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("cluster", self.cluster);
+        visit("upstream", self.upstream);
+    }
+};
+
+// A node chose the member whose upstream shall run the attempt.
+struct NodePlaced
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::NodePlaced;
+    std::string call;
+    std::string attempt;
+    std::string cluster;
+    std::string member; // Node id.
+    std::uint64_t version = 0;
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("call", self.call);
+        visit("attempt", self.attempt);
+        visit("cluster", self.cluster);
+        visit("member", self.member);
+        visit("version", self.version);
+    }
+};
+
+// A version reached the node and was checked; only a valid one may be swapped in.
+struct NodeOffered
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::NodeOffered;
+    std::uint64_t version = 0;
+    std::string digest; // Of the site's content, in hex.
+    bool valid = false;
+    std::string reason; // Why it was refused; empty when valid.
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("version", self.version);
+        visit("digest", self.digest);
+        visit("valid", self.valid);
+        visit("reason", self.reason);
+    }
+};
+
+// The picture that the request path reads from here on.
+struct NodeSwapped
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::NodeSwapped;
+    std::uint64_t version = 0;
+    std::uint64_t previous = 0; // Zero when nothing was held.
+    std::string site;
+    std::string digest;                     // Of the site's content, in hex.
+    std::vector<std::string> clusters;      // Every cluster that the node now has.
+    std::vector<std::string> routeClusters; // For each route, the cluster that it points at.
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("version", self.version);
+        visit("previous", self.previous);
+        visit("site", self.site);
+        visit("digest", self.digest);
+        visit("clusters", self.clusters);
+        visit("routes", self.routeClusters);
+    }
+};
+
+// What a node now believes of one member, written at each change.
+struct NodeMember
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::NodeMember;
+    std::string member;
+    std::uint64_t incarnation = 0;
+    std::string state;    // Name out of memberStateNames.
+    std::string upstream; // Name out of upstreamStateNames.
+    std::string cluster;
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("member", self.member);
+        visit("incarnation", self.incarnation);
+        visit("state", self.state);
+        visit("upstream", self.upstream);
+        visit("cluster", self.cluster);
+    }
+};
+
+// Written once the head row is known to have moved.
+struct PublishAccepted
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::PublishAccepted;
+    std::uint64_t version = 0;
+    std::string publish; // Publish id.
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("version", self.version);
+        visit("publish", self.publish);
+    }
+};
+
+struct PublishRefused
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::PublishRefused;
+    std::uint64_t version = 0; // That it tried to publish.
+    std::string publish;
+    std::string winner; // Publish id that holds the version; empty when it was refused for another reason.
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("version", self.version);
+        visit("publish", self.publish);
+        visit("winner", self.winner);
+    }
+};
+
+// The four below are written by the driver of a run, which alone knows them.
+struct ProcessLaunched
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::ProcessLaunched;
+    std::string target;  // Process name.
+    std::string role;    // "node", "upstream", "caller", "platform" or "relay".
+    std::string address; // Callers' "ip:port" of a node; may be empty.
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("target", self.target);
+        visit("role", self.role);
+        visit("address", self.address);
+    }
+};
+
+struct ProcessExited
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::ProcessExited;
+    std::string target;
+    std::int64_t status = 0; // Negative for the signal that ended it.
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("target", self.target);
+        visit("status", self.status);
+    }
+};
+
+// The driver disturbs the target from here on.
+struct FaultBegan
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::FaultBegan;
+    std::string fault;
+    std::string target; // Process name.
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("fault", self.fault);
+        visit("target", self.target);
+    }
+};
+
+struct FaultEnded
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::FaultEnded;
+    std::string fault;
+    std::string target;
+
+    static void visitFields(auto &self, auto &&visit)
+    {
+        visit("fault", self.fault);
+        visit("target", self.target);
+    }
+};
+
+using HistoryEvent =
+    std::variant<ProcessStarted, CallerSent, CallerAnswered, CallerLost, GateAdmitted, GateStarted,
+                 GateFinished, GateRefused, UpstreamBegan, UpstreamEnded, UpstreamDraining, NodePlaced,
+                 NodeOffered, NodeSwapped, NodeMember, PublishAccepted, PublishRefused, ProcessLaunched,
+                 ProcessExited, FaultBegan, FaultEnded>;
+
+} // namespace Sagecrank
