LibDecide: Lay gate, placer and retry rules

The node is coded against these interfaces, so they come first in a simple working form. Differences from the agreed shape: Gate::offer() also takes the vector of actions, since a call that displaces a queued batch call must report that one; Placer::ended() also takes the call's class, since run times are kept by class; Placer::forget() drops upstreams that are gone. A new gate is NotReady until setState() is called. Not measured yet.

--- a/Libraries/LibConfig/Model.h
+++ b/Libraries/LibConfig/Model.h
@@ -11,18 +11,19 @@
 
 namespace Sagecrank {
 
-// Decides who waits for whom. An idempotent call may be sent again; the other two facts are independent of it.
+// Decides who waits for whom. An idempotent call may be sent again; the other two facts are independent of
+// it.
 enum class CallClass : std::uint8_t {
     Interactive,   // Someone waits for the answer.
     NonIdempotent, // Runs at most once and is never lost silently.
     Batch,         // May wait; never delays the others.
 };
 
-inline constexpr EnumNames<CallClass, 3> callClassNames { {
-    { CallClass::Interactive, "interactive" },
-    { CallClass::NonIdempotent, "non_idempotent" },
-    { CallClass::Batch, "batch" },
-} };
+inline constexpr EnumNames<CallClass, 3> callClassNames{{
+    {CallClass::Interactive, "interactive"},
+    {CallClass::NonIdempotent, "non_idempotent"},
+    {CallClass::Batch, "batch"},
+}};
 
 // A 128-bit content hash. It finds damage and names content; it is no defence against a forger.
 struct Digest
@@ -40,7 +41,7 @@
     std::vector<std::string> methods; // Empty means every method.
     CallClass callClass = CallClass::Interactive;
     bool idempotent = true;
-    Milliseconds timeout { 1000 };
+    Milliseconds timeout{1000};
     std::uint32_t maximumRetries = 1; // Only used for idempotent calls.
     bool hedged = false;              // Only allowed for idempotent calls.
 
--- /dev/null
+++ b/Libraries/LibDecide/Gate.cpp
@@ -0,0 +1,382 @@
+// Admission, queueing and refusing at one upstream.
+#include <LibDecide/Gate.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Sagecrank {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Load: sustained demand above what the slots bear, in which the class that goes first could take every slot.
+// Harm: an invoice or reservation waits until its deadline, is refused, and so never lands. While calls of
+// the class wait, the class is owed this share of recent slot time, ahead of the class order. A quarter keeps
+// invoices moving and costs interactive calls at most a quarter when both are in excess. Batch is owed so
+// little that the others do not feel it, yet a night job ends at last.
+constexpr std::array<double, 3> owedShares{0.0, 0.25, 0.02};
+
+// Slot time counts for about this long: long against one call, short against a caller's patience.
+constexpr double usageWindow = 1.0;
+
+// Load: a batch job of long calls beside short interactive ones. Harm: once a long call has a slot, nothing
+// takes it back, so a burst of batch work would make every interactive call wait for it. While others have
+// been seen lately, batch holds at most one slot in six (and at least one, or it would starve).
+constexpr std::uint32_t slotsPerBatchSlot = 6;
+constexpr Duration othersRemembered = 1s;
+
+// Where to come back to is not known any better when the upstream is leaving or absent: by then the callers'
+// nodes have heard of it, which takes them about a second.
+constexpr Duration absentRetryAfter = 1s;
+
+// A refused caller is never sent away for longer: the backlog seen now says little about later.
+constexpr Duration longestRetryAfter = 10s;
+constexpr Duration shortestRetryAfter = 5ms;
+
+std::size_t indexOf(CallClass callClass)
+{
+    return static_cast<std::size_t>(callClass);
+}
+
+double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+Duration scaled(Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(toSeconds(duration) * factor));
+}
+
+constexpr std::array<CallClass, 3> classOrder{CallClass::Interactive, CallClass::NonIdempotent,
+                                              CallClass::Batch};
+
+} // namespace
+
+Gate::Gate(GateSettings settings)
+    : settings(settings)
+    , limit(settings.slots)
+    , jitterState(settings.jitterSeed)
+{
+}
+
+GateDecision Gate::offer(Instant now, const CallFacts &facts, std::vector<GateAction> &actions)
+{
+    this->decayUsage(now);
+    if (facts.callClass != CallClass::Batch)
+        this->othersSeenAt = now;
+    const RefusalReason reason = this->refusal(now, facts);
+    if (reason != RefusalReason::None)
+        return this->refuse(now, facts.callClass, reason);
+
+    const Ticket ticket = this->nextTicket++;
+    if (this->mayStartNow(now, facts.callClass)) {
+        this->begin(now, ticket, facts.callClass);
+        return GateDecision{GateVerdict::Start, ticket, RefusalReason::None, Duration::zero()};
+    }
+    if (this->queued() >= this->settings.maximumQueue)
+        this->displaceBatch(now, actions);
+    this->queueOf(facts.callClass).push_back(Waiting{ticket, facts.deadline});
+    return GateDecision{GateVerdict::Queue, ticket, RefusalReason::None, Duration::zero()};
+}
+
+void Gate::finish(Instant now, Ticket ticket, CallEnd end, std::vector<GateAction> &actions)
+{
+    const auto found =
+        std::find_if(this->runningCalls.begin(), this->runningCalls.end(),
+                     [ticket](const Running &candidate) { return candidate.ticket == ticket; });
+    if (found == this->runningCalls.end())
+        return;
+    this->decayUsage(now);
+    const Running ended = *found;
+    const bool busy = this->running() >= this->limit.value();
+    *found = this->runningCalls.back();
+    this->runningCalls.pop_back();
+
+    const Duration took = now - ended.startedAt;
+    this->usage[indexOf(ended.callClass)] += toSeconds(took - ended.charged);
+    if (end == CallEnd::Succeeded) {
+        this->runTimes.observed(ended.callClass, took);
+        this->limit.succeeded(busy);
+    }
+    if (end == CallEnd::Shed)
+        this->limit.shed(now, this->runTimes.mean(ended.callClass));
+    this->startWaiting(now, actions);
+}
+
+void Gate::cancel(Instant now, Ticket ticket, std::vector<GateAction> &actions)
+{
+    for (auto &queue : this->queues)
+        std::erase_if(queue, [ticket](const Waiting &waiting) { return waiting.ticket == ticket; });
+    this->startWaiting(now, actions);
+}
+
+void Gate::advance(Instant now, std::vector<GateAction> &actions)
+{
+    this->decayUsage(now);
+    for (const CallClass callClass : classOrder) {
+        const Instant latest = now + this->runTimes.quick(callClass);
+        std::erase_if(this->queueOf(callClass), [&](const Waiting &waiting) {
+            if (waiting.deadline > latest)
+                return false;
+            const RefusalReason reason = RefusalReason::DeadlinePassed;
+            actions.push_back(
+                GateAction{waiting.ticket, false, reason, this->retryAfter(now, callClass, reason)});
+            return true;
+        });
+    }
+    this->startWaiting(now, actions);
+}
+
+void Gate::setState(Instant now, UpstreamCondition condition, std::uint32_t slots,
+                    std::vector<GateAction> &actions)
+{
+    const bool wasAbsent = this->state == UpstreamCondition::NotReady;
+    const bool takes = condition == UpstreamCondition::Warming || condition == UpstreamCondition::Ready;
+    this->limit.setSlots(slots);
+    this->state = condition;
+    if (condition == UpstreamCondition::Warming && wasAbsent)
+        this->limit.restartCold();
+    if (takes) {
+        this->startWaiting(now, actions);
+        return;
+    }
+    const bool draining = condition == UpstreamCondition::Draining;
+    this->refuseQueue(now, draining ? RefusalReason::Draining : RefusalReason::NotReady, actions);
+}
+
+bool Gate::wouldAdmit(Instant now, const CallFacts &facts) const
+{
+    return this->refusal(now, facts) == RefusalReason::None;
+}
+
+std::uint32_t Gate::running() const
+{
+    return static_cast<std::uint32_t>(this->runningCalls.size());
+}
+
+std::uint32_t Gate::queued() const
+{
+    std::size_t total = 0;
+    for (const auto &queue : this->queues)
+        total += queue.size();
+    return static_cast<std::uint32_t>(total);
+}
+
+std::uint32_t Gate::freeSlots() const
+{
+    if (!this->takesCalls() || this->running() >= this->limit.value())
+        return 0;
+    return this->limit.value() - this->running();
+}
+
+bool Gate::idle() const
+{
+    return this->running() == 0 && this->queued() == 0;
+}
+
+UpstreamCondition Gate::condition() const
+{
+    return this->state;
+}
+
+Duration Gate::expectedRunTime(CallClass callClass) const
+{
+    return this->runTimes.mean(callClass);
+}
+
+// The calls that go first, and one more for the slot itself, each take their run time from the slots
+// together.
+Duration Gate::expectedWait(Instant now, CallClass callClass) const
+{
+    if (this->mayStartNow(now, callClass))
+        return Duration::zero();
+    Duration work = this->runTimes.mean(callClass);
+    for (const CallClass ahead : classOrder) {
+        if (ahead > callClass)
+            break;
+        work += this->runTimes.mean(ahead) * static_cast<Duration::rep>(this->queueOf(ahead).size());
+    }
+    return work / std::max(1U, this->limit.value());
+}
+
+std::optional<Instant> Gate::nextDeadline() const
+{
+    std::optional<Instant> next;
+    for (const CallClass callClass : classOrder) {
+        const Duration quick = this->runTimes.quick(callClass);
+        for (const Waiting &waiting : this->queueOf(callClass))
+            next = std::min(next.value_or(Instant::max()), waiting.deadline - quick);
+    }
+    return next;
+}
+
+std::deque<Gate::Waiting> &Gate::queueOf(CallClass callClass)
+{
+    return this->queues[indexOf(callClass)];
+}
+
+const std::deque<Gate::Waiting> &Gate::queueOf(CallClass callClass) const
+{
+    return this->queues[indexOf(callClass)];
+}
+
+bool Gate::takesCalls() const
+{
+    return this->state == UpstreamCondition::Warming || this->state == UpstreamCondition::Ready;
+}
+
+bool Gate::batchMayStart(Instant now) const
+{
+    const bool othersPresent =
+        this->othersSeenAt != Instant::min() && now - this->othersSeenAt < othersRemembered;
+    if (!othersPresent)
+        return true;
+    const auto batchRunning =
+        std::count_if(this->runningCalls.begin(), this->runningCalls.end(),
+                      [](const Running &call) { return call.callClass == CallClass::Batch; });
+    return batchRunning < std::max(1U, this->limit.value() / slotsPerBatchSlot);
+}
+
+bool Gate::mayStartNow(Instant now, CallClass callClass) const
+{
+    if (this->freeSlots() == 0)
+        return false;
+    if (callClass == CallClass::Batch && !this->batchMayStart(now))
+        return false;
+    return this->queueOf(callClass).empty();
+}
+
+bool Gate::inTime(Instant now, const CallFacts &facts, Duration wait) const
+{
+    return now + wait + this->runTimes.quick(facts.callClass) < facts.deadline;
+}
+
+// Load: more calls than the slots bear. Harm: a call that waits past its deadline costs its caller the whole
+// patience and, when it starts late, a slot for an answer that nobody reads. It is refused at once instead,
+// while its caller can still go elsewhere. The queue's bound is the second line: it holds when run times are
+// not known yet and deadlines are long.
+RefusalReason Gate::refusal(Instant now, const CallFacts &facts) const
+{
+    if (this->state == UpstreamCondition::Draining)
+        return RefusalReason::Draining;
+    if (!this->takesCalls() || this->limit.slots() == 0)
+        return RefusalReason::NotReady;
+    if (!this->inTime(now, facts, this->expectedWait(now, facts.callClass)))
+        return RefusalReason::DeadlineTooNear;
+    if (this->mayStartNow(now, facts.callClass) || this->queued() < this->settings.maximumQueue)
+        return RefusalReason::None;
+    const bool mayDisplace = facts.callClass != CallClass::Batch && !this->queueOf(CallClass::Batch).empty();
+    return mayDisplace ? RefusalReason::None : RefusalReason::QueueFull;
+}
+
+GateDecision Gate::refuse(Instant now, CallClass callClass, RefusalReason reason)
+{
+    return GateDecision{GateVerdict::Refuse, 0, reason, this->retryAfter(now, callClass, reason)};
+}
+
+// Load: a burst that is refused together. Harm: told the same moment, all of it returns together and is
+// refused again. Each refused caller is given a turn of its own, one run time of a slot after the last one's,
+// so that they return at the rate the slots bear, with jitter against those whom other gates refused.
+Duration Gate::retryAfter(Instant now, CallClass callClass, RefusalReason reason)
+{
+    if (reason == RefusalReason::Draining || reason == RefusalReason::NotReady)
+        return this->jittered(absentRetryAfter);
+    const Duration turn = this->runTimes.mean(callClass) / std::max(1U, this->limit.value());
+    const Instant drained = now + this->expectedWait(now, callClass);
+    this->nextReturn = std::max(this->nextReturn, drained) + turn;
+    this->nextReturn = std::min(this->nextReturn, now + longestRetryAfter);
+    return std::max(shortestRetryAfter, this->jittered(this->nextReturn - now));
+}
+
+// Between three quarters and five quarters of the span.
+Duration Gate::jittered(Duration span)
+{
+    this->jitterState = this->jitterState * 6364136223846793005ULL + 1442695040888963407ULL;
+    const double uniform = static_cast<double>(this->jitterState >> 11U) * 0x1p-53;
+    return scaled(span, 0.75 + 0.5 * uniform);
+}
+
+void Gate::begin(Instant now, Ticket ticket, CallClass callClass)
+{
+    const Duration charged = this->runTimes.mean(callClass);
+    this->usage[indexOf(callClass)] += toSeconds(charged);
+    this->runningCalls.push_back(Running{ticket, callClass, now, charged});
+}
+
+std::optional<CallClass> Gate::nextClass(Instant now) const
+{
+    const auto mayGo = [&](CallClass callClass) {
+        return !this->queueOf(callClass).empty()
+               && (callClass != CallClass::Batch || this->batchMayStart(now));
+    };
+    for (const CallClass callClass : classOrder) {
+        if (mayGo(callClass) && this->belowShare(callClass))
+            return callClass;
+    }
+    for (const CallClass callClass : classOrder) {
+        if (mayGo(callClass))
+            return callClass;
+    }
+    return std::nullopt;
+}
+
+bool Gate::belowShare(CallClass callClass) const
+{
+    double total = 0;
+    for (const double used : this->usage)
+        total += used;
+    return this->usage[indexOf(callClass)] < owedShares[indexOf(callClass)] * total;
+}
+
+void Gate::startWaiting(Instant now, std::vector<GateAction> &actions)
+{
+    while (this->freeSlots() > 0) {
+        const std::optional<CallClass> callClass = this->nextClass(now);
+        if (!callClass)
+            return;
+        const Waiting waiting = this->queueOf(*callClass).front();
+        this->queueOf(*callClass).pop_front();
+        if (waiting.deadline <= now + this->runTimes.quick(*callClass)) {
+            const RefusalReason reason = RefusalReason::DeadlinePassed;
+            actions.push_back(
+                GateAction{waiting.ticket, false, reason, this->retryAfter(now, *callClass, reason)});
+            continue;
+        }
+        this->begin(now, waiting.ticket, *callClass);
+        actions.push_back(GateAction{waiting.ticket, true, RefusalReason::None, Duration::zero()});
+    }
+}
+
+// The newest goes: it has waited least, and the older ones keep their turn.
+void Gate::displaceBatch(Instant now, std::vector<GateAction> &actions)
+{
+    auto &batch = this->queueOf(CallClass::Batch);
+    const Waiting displaced = batch.back();
+    batch.pop_back();
+    const RefusalReason reason = RefusalReason::Displaced;
+    actions.push_back(
+        GateAction{displaced.ticket, false, reason, this->retryAfter(now, CallClass::Batch, reason)});
+}
+
+void Gate::refuseQueue(Instant now, RefusalReason reason, std::vector<GateAction> &actions)
+{
+    for (const CallClass callClass : classOrder) {
+        for (const Waiting &waiting : this->queueOf(callClass))
+            actions.push_back(
+                GateAction{waiting.ticket, false, reason, this->retryAfter(now, callClass, reason)});
+        this->queueOf(callClass).clear();
+    }
+}
+
+void Gate::decayUsage(Instant now)
+{
+    const double elapsed = toSeconds(now - this->usageDecayedAt);
+    this->usageDecayedAt = now;
+    const double factor = std::exp(-elapsed / usageWindow);
+    for (double &used : this->usage)
+        used = std::max(0.0, used * factor);
+}
+
+} // namespace Sagecrank
--- a/Libraries/LibDecide/Gate.h
+++ b/Libraries/LibDecide/Gate.h
@@ -6,7 +6,14 @@
 #include <LibCore/EnumNames.h>
 #include <LibCore/Time.h>
 
+#include <LibDecide/ConcurrencyLimit.h>
+#include <LibDecide/RunTimes.h>
+
+#include <array>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <optional>
 #include <vector>
 
 namespace Sagecrank {
@@ -15,23 +22,23 @@
 
 enum class RefusalReason : std::uint8_t {
     None,
-    Draining,       // The upstream takes nothing new.
-    NotReady,       // No upstream is announced, or it is gone.
+    Draining, // The upstream takes nothing new.
+    NotReady, // No upstream is announced, or it is gone.
     QueueFull,
     DeadlineTooNear, // It could not start and finish in time.
     Displaced,       // A call of a class that goes first took its place in the queue.
     DeadlinePassed,  // It waited, and its time ran out before it started.
 };
 
-inline constexpr EnumNames<RefusalReason, 7> refusalReasonNames { {
-    { RefusalReason::None, "none" },
-    { RefusalReason::Draining, "draining" },
-    { RefusalReason::NotReady, "not_ready" },
-    { RefusalReason::QueueFull, "queue_full" },
-    { RefusalReason::DeadlineTooNear, "deadline_too_near" },
-    { RefusalReason::Displaced, "displaced" },
-    { RefusalReason::DeadlinePassed, "deadline_passed" },
-} };
+inline constexpr EnumNames<RefusalReason, 7> refusalReasonNames{{
+    {RefusalReason::None, "none"},
+    {RefusalReason::Draining, "draining"},
+    {RefusalReason::NotReady, "not_ready"},
+    {RefusalReason::QueueFull, "queue_full"},
+    {RefusalReason::DeadlineTooNear, "deadline_too_near"},
+    {RefusalReason::Displaced, "displaced"},
+    {RefusalReason::DeadlinePassed, "deadline_passed"},
+}};
 
 enum class CallEnd : std::uint8_t {
     Succeeded,
@@ -53,7 +60,7 @@
     GateVerdict verdict = GateVerdict::Refuse;
     Ticket ticket = 0; // Zero when refused.
     RefusalReason reason = RefusalReason::None;
-    Duration retryAfter {}; // When a refused caller should come back; positive whenever it is refused.
+    Duration retryAfter{}; // When a refused caller should come back; positive whenever it is refused.
 };
 
 // What became of a call that waited.
@@ -62,13 +69,113 @@
     Ticket ticket = 0;
     bool start = false; // Otherwise it is refused, and it did not run.
     RefusalReason reason = RefusalReason::None;
-    Duration retryAfter {};
+    Duration retryAfter{};
 };
 
 struct GateSettings
 {
     std::uint32_t slots = 1;
     std::uint32_t maximumQueue = 64;
+    std::uint64_t jitterSeed = 1; // Differs from gate to gate, so that their refused callers do not agree.
+};
+
+enum class UpstreamCondition : std::uint8_t {
+    NotReady, // Not announced, or gone.
+    Warming,  // Takes calls but is slow: it gets few at first.
+    Ready,
+    Draining, // Finishes what it runs and takes nothing new.
+};
+
+inline constexpr EnumNames<UpstreamCondition, 4> upstreamConditionNames{{
+    {UpstreamCondition::NotReady, "not_ready"},
+    {UpstreamCondition::Warming, "warming"},
+    {UpstreamCondition::Ready, "ready"},
+    {UpstreamCondition::Draining, "draining"},
+}};
+
+// Not thread-safe. A new gate is NotReady until setState says otherwise. Every ticket that offer() gave out
+// ends exactly once: by finish() after it started, by cancel() while it waits, or by a refusing GateAction.
+class Gate
+{
+public:
+    explicit Gate(GateSettings settings);
+
+    // Commands. Each appends to `actions` the calls that start or are refused because of it, never the
+    // call it is about.
+
+    // A call of a class that goes first may displace a queued batch call; that one is in `actions`.
+    GateDecision offer(Instant now, const CallFacts &facts, std::vector<GateAction> &actions);
+    // Frees the slot of a started call. An unknown ticket is ignored.
+    void finish(Instant now, Ticket ticket, CallEnd end, std::vector<GateAction> &actions);
+    // Takes a queued call out whose caller gave up. Does nothing to a started one: its slot is taken until
+    // finish().
+    void cancel(Instant now, Ticket ticket, std::vector<GateAction> &actions);
+    // Refuses queued calls that cannot be answered in time any more.
+    void advance(Instant now, std::vector<GateAction> &actions);
+    // NotReady and Draining refuse the queue at once; running calls finish.
+    void setState(Instant now, UpstreamCondition condition, std::uint32_t slots,
+                  std::vector<GateAction> &actions);
+
+    // Queries.
+
+    // What offer() would say now, without taking a place. Asked before an idempotency key is claimed.
+    bool wouldAdmit(Instant now, const CallFacts &facts) const;
+    std::uint32_t running() const;
+    std::uint32_t queued() const;
+    std::uint32_t freeSlots() const;
+    bool idle() const;
+    UpstreamCondition condition() const;
+    Duration expectedRunTime(CallClass callClass) const;
+    Duration expectedWait(Instant now, CallClass callClass) const;
+    std::optional<Instant> nextDeadline() const; // When advance() must be called next.
+
+private:
+    static constexpr std::size_t classCount = 3;
+
+    struct Waiting
+    {
+        Ticket ticket = 0;
+        Instant deadline;
+    };
+
+    struct Running
+    {
+        Ticket ticket = 0;
+        CallClass callClass = CallClass::Interactive;
+        Instant startedAt;
+        Duration charged{}; // Slot time that was charged to its class when it started.
+    };
+
+    std::deque<Waiting> &queueOf(CallClass callClass);
+    const std::deque<Waiting> &queueOf(CallClass callClass) const;
+    bool takesCalls() const;
+    bool batchMayStart(Instant now) const;
+    bool mayStartNow(Instant now, CallClass callClass) const;
+    bool inTime(Instant now, const CallFacts &facts, Duration wait) const;
+    RefusalReason refusal(Instant now, const CallFacts &facts) const;
+    GateDecision refuse(Instant now, CallClass callClass, RefusalReason reason);
+    Duration retryAfter(Instant now, CallClass callClass, RefusalReason reason);
+    Duration jittered(Duration span);
+    void begin(Instant now, Ticket ticket, CallClass callClass);
+    std::optional<CallClass> nextClass(Instant now) const;
+    bool belowShare(CallClass callClass) const;
+    void startWaiting(Instant now, std::vector<GateAction> &actions);
+    void displaceBatch(Instant now, std::vector<GateAction> &actions);
+    void refuseQueue(Instant now, RefusalReason reason, std::vector<GateAction> &actions);
+    void decayUsage(Instant now);
+
+    GateSettings settings;
+    UpstreamCondition state = UpstreamCondition::NotReady;
+    ConcurrencyLimit limit;
+    RunTimes runTimes;
+    Ticket nextTicket = 1;
+    std::vector<Running> runningCalls;                  // Never more than the announced slots.
+    std::array<std::deque<Waiting>, classCount> queues; // In order of arrival.
+    std::array<double, classCount> usage{};             // Recent slot time by class, in seconds, decaying.
+    Instant usageDecayedAt;
+    Instant othersSeenAt = Instant::min(); // When a call that is not batch was last offered.
+    Instant nextReturn = Instant::min();   // When the next refused caller is told to come back.
+    std::uint64_t jitterState;
 };
 
 } // namespace Sagecrank
--- /dev/null
+++ b/Libraries/LibDecide/Placer.h
@@ -0,0 +1,130 @@
+// Which upstream of a service a call goes to. One placer stands for one service in one node and is fed by
+// what that node saw of its own calls; what upstreams and gates say about themselves counts for less, because
+// it lags and misleads. Not thread-safe: the node holds a short mutex for each service. place() allocates
+// nothing.
+#pragma once
+
+#include <LibDecide/Gate.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace Sagecrank {
+
+// What membership says about one upstream.
+struct UpstreamFacts
+{
+    std::string_view id;
+    bool sameZone = false;
+    bool sameHost = false;
+    UpstreamCondition condition = UpstreamCondition::Ready;
+    std::uint32_t slots = 1;
+};
+
+// How a call ended as its sender saw it.
+enum class PlacedEnd : std::uint8_t {
+    Succeeded,
+    Failed,        // The upstream answered with a failure of its own or broke the connection.
+    RefusedNotRun, // The gate refused it.
+    Unknown,       // No answer in time.
+    Cancelled,     // The caller gave up; it says nothing about the upstream.
+};
+
+inline constexpr EnumNames<PlacedEnd, 5> placedEndNames{{
+    {PlacedEnd::Succeeded, "succeeded"},
+    {PlacedEnd::Failed, "failed"},
+    {PlacedEnd::RefusedNotRun, "refused_not_run"},
+    {PlacedEnd::Unknown, "unknown"},
+    {PlacedEnd::Cancelled, "cancelled"},
+}};
+
+struct PlacerSettings
+{
+    Duration otherZoneCost = std::chrono::milliseconds(1);  // Round trip to another zone beyond one's own.
+    double ejectedShare = 0.5;                              // At most this share is ejected at once.
+    Duration toldLoadLife = std::chrono::milliseconds(100); // Told load loses most of its weight after this.
+    Duration slowStart = std::chrono::seconds(2); // A returned upstream gets its full part after this.
+};
+
+class Placer
+{
+public:
+    // `random` returns uniformly distributed numbers.
+    Placer(PlacerSettings settings, std::function<std::uint64_t()> random);
+
+    // Commands.
+
+    // The index of the candidate that the call goes to, or nothing when none may take it. `tried` holds the
+    // indices that this call was already sent to. Draining and absent upstreams get nothing, whatever else is
+    // so.
+    std::optional<std::size_t> place(Instant now, std::span<const UpstreamFacts> candidates,
+                                     CallClass callClass, std::span<const std::size_t> tried);
+    void started(std::string_view id, Instant now);
+    void ended(std::string_view id, Instant now, CallClass callClass, Duration took, PlacedEnd end);
+    // The load that the gate put on its last answer.
+    void told(std::string_view id, Instant now, std::uint32_t freeSlots, std::uint32_t queued, bool draining);
+    // Drops what is known of upstreams that have not been used since `before`.
+    void forget(Instant before);
+
+    // Queries.
+
+    bool ejected(std::string_view id) const;
+    std::uint32_t outstanding(std::string_view id) const;
+
+private:
+    enum class Standing : std::uint8_t { Trusted, Ejected, Probing };
+
+    struct Upstream
+    {
+        std::uint32_t outstanding = 0; // Calls of this node that have not ended.
+        std::array<double, 3> took{};  // Mean seconds of successes by class; zero is unknown.
+        double toldExcess = 0;         // Queued minus free slots when told, less this node's part since.
+        Instant toldAt = Instant::min();
+        bool toldDraining = false;
+        double failures = 0; // Recent failures and recent ends, decaying by count.
+        double ends = 0;
+        std::uint32_t consecutiveFailures = 0;
+        std::uint32_t probesPassed = 0;
+        std::uint32_t ejections = 0; // In a row; the time out grows with it.
+        Standing standing = Standing::Trusted;
+        Instant probeAt = Instant::min(); // When an ejected one is tried again.
+        Instant since = Instant::min();   // When it was first seen or came back.
+        Instant usedAt = Instant::min();
+    };
+
+    struct TextHash
+    {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view text) const { return std::hash<std::string_view>{}(text); }
+    };
+
+    static bool takesCalls(const UpstreamFacts &facts);
+    Upstream *find(std::string_view id);
+    const Upstream *find(std::string_view id) const;
+    Upstream &obtain(std::string_view id, Instant now);
+    bool usable(const UpstreamFacts &facts, const Upstream *upstream, CallClass callClass, Instant now) const;
+    double score(const UpstreamFacts &facts, const Upstream *upstream, CallClass callClass,
+                 Instant now) const;
+    double usableSlots(const UpstreamFacts &facts, const Upstream *upstream, Instant now) const;
+    std::optional<std::size_t> chooseAmong(Instant now, std::span<const UpstreamFacts> candidates,
+                                           CallClass callClass, std::span<const std::size_t> tried,
+                                           bool trustedOnly);
+    void noteFailure(Upstream &upstream, Instant now);
+    void noteSuccess(Upstream &upstream, Instant now);
+    void eject(Upstream &upstream, Instant now);
+
+    PlacerSettings settings;
+    std::function<std::uint64_t()> random;
+    std::unordered_map<std::string, Upstream, TextHash, std::equal_to<>> upstreams;
+    std::size_t ejectedCount = 0;      // Upstreams whose standing is not Trusted.
+    std::array<double, 3> usualTook{}; // Over all upstreams, for those not seen yet.
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Libraries/LibDecide/RunTimes.cpp
@@ -0,0 +1,56 @@
+// Exponentially weighted means and deviations of run times.
+#include <LibDecide/RunTimes.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Sagecrank {
+
+namespace {
+
+// A class is taken for this quick before any call of it has ended: a guess that admits rather than refuses.
+constexpr double firstGuess = 0.002;
+
+// One observation moves the estimates by this share, so about the last twenty calls count. Fewer would let
+// one long call refuse its successors; more would take long to notice that an upstream turned slow.
+constexpr double weight = 0.1;
+
+Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace
+
+void RunTimes::observed(CallClass callClass, Duration took)
+{
+    Estimate &estimate = this->estimates[static_cast<std::size_t>(callClass)];
+    const double seconds = std::chrono::duration<double>(took).count();
+    if (!estimate.known) {
+        estimate = Estimate{seconds, seconds / 2, true};
+        return;
+    }
+    const double distance = std::abs(seconds - estimate.mean);
+    estimate.mean += weight * (seconds - estimate.mean);
+    estimate.deviation += weight * (distance - estimate.deviation);
+}
+
+Duration RunTimes::mean(CallClass callClass) const
+{
+    return fromSeconds(this->of(callClass).known ? this->of(callClass).mean : firstGuess);
+}
+
+Duration RunTimes::quick(CallClass callClass) const
+{
+    const Estimate &estimate = this->of(callClass);
+    if (!estimate.known)
+        return Duration::zero();
+    return fromSeconds(std::max(0.0, estimate.mean - 2 * estimate.deviation));
+}
+
+const RunTimes::Estimate &RunTimes::of(CallClass callClass) const
+{
+    return this->estimates[static_cast<std::size_t>(callClass)];
+}
+
+} // namespace Sagecrank
--- a/Libraries/LibMembership/Member.h
+++ b/Libraries/LibMembership/Member.h
@@ -16,12 +16,12 @@
     Left, // Said goodbye; final for this incarnation.
 };
 
-inline constexpr EnumNames<MemberState, 4> memberStateNames { {
-    { MemberState::Alive, "alive" },
-    { MemberState::Suspect, "suspect" },
-    { MemberState::Dead, "dead" },
-    { MemberState::Left, "left" },
-} };
+inline constexpr EnumNames<MemberState, 4> memberStateNames{{
+    {MemberState::Alive, "alive"},
+    {MemberState::Suspect, "suspect"},
+    {MemberState::Dead, "dead"},
+    {MemberState::Left, "left"},
+}};
 
 // What the upstream beside the node said of itself last.
 enum class UpstreamState : std::uint8_t {
@@ -32,13 +32,13 @@
     Gone,
 };
 
-inline constexpr EnumNames<UpstreamState, 5> upstreamStateNames { {
-    { UpstreamState::None, "none" },
-    { UpstreamState::Warming, "warming" },
-    { UpstreamState::Ready, "ready" },
-    { UpstreamState::Draining, "draining" },
-    { UpstreamState::Gone, "gone" },
-} };
+inline constexpr EnumNames<UpstreamState, 5> upstreamStateNames{{
+    {UpstreamState::None, "none"},
+    {UpstreamState::Warming, "warming"},
+    {UpstreamState::Ready, "ready"},
+    {UpstreamState::Draining, "draining"},
+    {UpstreamState::Gone, "gone"},
+}};
 
 // Addresses are "ip:port". Only the node itself raises its incarnation; a higher one always wins.
 struct Member
--- /dev/null
+++ b/Tests/LibDecide/TestRetry.cpp
@@ -0,0 +1,58 @@
+// When a call may be sent again, and how often.
+#include <LibDecide/Retry.h>
+
+#include <Support/TableTest.h>
+
+using namespace Sagecrank;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct SendAgainRow
+{
+    CallPhase phase;
+    bool idempotent;
+    bool refusedNotRun;
+    bool expected;
+};
+
+const SendAgainRow sendAgainRows[] = {
+    {CallPhase::NotSent, false, false, true},    {CallPhase::NotSent, true, false, true},
+    {CallPhase::MaybeSent, false, false, false}, {CallPhase::MaybeSent, true, false, true},
+    {CallPhase::Answered, false, false, false},  {CallPhase::Answered, true, false, true},
+    {CallPhase::Answered, false, true, true},    {CallPhase::Answered, true, true, true},
+};
+
+} // namespace
+
+TABLE_TEST(retry, sendsAgainOnlyWhatCannotRunTwice, sendAgainRows)
+{
+    cr_assert_eq(maySendAgain(row.phase, row.idempotent, row.refusedNotRun), row.expected);
+}
+
+// Callers see every call to a dead zone fail for a while. Each of the node's calls is tried again at once.
+// The budget must keep what is added to the rest of the fleet within its share, since the rest would fail
+// too.
+Test(retry, budgetKeepsRetriesWithinItsShare)
+{
+    RetryBudget budget(0.1, 5);
+    Instant now{};
+    int retries = 0;
+    for (int call = 0; call < 10'000; ++call) {
+        now += 1ms;
+        budget.firstTry(now);
+        retries += budget.tryRetry(now) ? 1 : 0;
+    }
+    cr_assert_leq(retries, 10'000 / 10 + 2 * 5);
+    cr_assert_geq(retries, 10'000 / 10 - 1);
+}
+
+Test(retry, hedgesOnlyTheSlowest)
+{
+    HedgeDelay hedge;
+    cr_assert(!hedge.delay());
+    for (int call = 0; call < 1000; ++call)
+        hedge.observed(call % 25 == 0 ? 50ms : 2ms);
+    cr_assert(hedge.delay() >= 2ms);
+    cr_assert(hedge.delay() < 3ms);
+}
