LibNet: Add an HTTP server and client as plain values

Change: one server and one client file behind plain request and answer values; the server watches for callers that go away, the client says whether a request may have left.

--- a/Libraries/LibNet/FramedConnection.cpp
+++ b/Libraries/LibNet/FramedConnection.cpp
@@ -1,5 +1,4 @@
 // Reading, writing and connecting for frames.
-#include <LibCore/Time.h>
 #include <LibNet/FramedConnection.h>
 
 #include <boost/asio/buffer.hpp>
--- a/Libraries/LibNet/FramedConnection.h
+++ b/Libraries/LibNet/FramedConnection.h
@@ -2,6 +2,7 @@
 // happen there. It closes itself on any error and says so once.
 #pragma once
 
+#include <LibCore/Time.h>
 #include <LibWire/Frame.h>
 
 #include <boost/asio/ip/tcp.hpp>
--- /dev/null
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -0,0 +1,229 @@
+// The client's side of HTTP/1.1 by Beast.
+#include <LibNet/FramedConnection.h>
+#include <LibNet/HttpClient.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <sys/socket.h>
+
+#include <deque>
+#include <optional>
+#include <unordered_map>
+
+namespace Sagecrank {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+struct HttpClient::Pool
+{
+    struct IdleConnection
+    {
+        std::unique_ptr<beast::tcp_stream> stream;
+        Instant since;
+    };
+
+    Pool(boost::asio::io_context &context, HttpClientSettings settings)
+        : context(context)
+        , settings(settings)
+    {
+    }
+
+    std::unique_ptr<beast::tcp_stream> take(const std::string &address);
+    void keep(const std::string &address, std::unique_ptr<beast::tcp_stream> stream);
+
+    boost::asio::io_context &context;
+    HttpClientSettings settings;
+    std::unordered_map<std::string, std::deque<IdleConnection>> idle; // The newest is at the back.
+};
+
+namespace {
+
+// The other side may close a kept connection at any time. One that has been closed, or that has bytes nobody
+// asked for, is not used again: a request sent on it would have an unknown outcome for no reason.
+bool stillUsable(beast::tcp_stream &stream)
+{
+    char byte = 0;
+    const ssize_t size = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+std::unique_ptr<beast::tcp_stream> HttpClient::Pool::take(const std::string &address)
+{
+    const auto found = this->idle.find(address);
+    if (found == this->idle.end())
+        return nullptr;
+    const Instant oldest = SteadyClock::now() - this->settings.idleTimeout;
+    while (!found->second.empty()) {
+        IdleConnection connection = std::move(found->second.back());
+        found->second.pop_back();
+        if (connection.since > oldest && stillUsable(*connection.stream))
+            return std::move(connection.stream);
+    }
+    return nullptr;
+}
+
+void HttpClient::Pool::keep(const std::string &address, std::unique_ptr<beast::tcp_stream> stream)
+{
+    std::deque<IdleConnection> &connections = this->idle[address];
+    if (connections.size() >= this->settings.maximumIdleConnections)
+        connections.pop_front();
+    connections.push_back({std::move(stream), SteadyClock::now()});
+}
+
+class HttpClientCall : public std::enable_shared_from_this<HttpClientCall>
+{
+public:
+    HttpClientCall(std::shared_ptr<HttpClient::Pool> pool, std::string address, HttpRequest request,
+                   HttpClient::AnswerHook done)
+        : pool(std::move(pool))
+        , address(std::move(address))
+        , done(std::move(done))
+    {
+        this->message.version(11);
+        this->message.method_string(request.method);
+        this->message.target(request.target);
+        for (Header &header : request.headers)
+            this->message.insert(header.name, header.value);
+        if (!this->message.count(http::field::host))
+            this->message.set(http::field::host, this->address);
+        this->message.keep_alive(true);
+        this->message.body() = std::move(request.body);
+        this->message.prepare_payload();
+    }
+
+    void start(Duration timeout)
+    {
+        this->stream = this->pool->take(this->address);
+        if (this->stream) {
+            this->stream->expires_after(timeout);
+            return this->write();
+        }
+        const Result<tcp::endpoint> endpoint = parseTcpEndpoint(this->address);
+        if (!endpoint)
+            return this->failLater(endpoint.error());
+        this->stream = std::make_unique<beast::tcp_stream>(this->pool->context);
+        this->stream->expires_after(timeout);
+        this->stream->async_connect(endpoint.value(),
+                                    [self = this->shared_from_this()](const beast::error_code &error) {
+                                        if (error)
+                                            return self->fail("connect", error);
+                                        beast::error_code ignored;
+                                        self->stream->socket().set_option(tcp::no_delay(true), ignored);
+                                        self->write();
+                                    });
+    }
+
+    // Closing the connection is what tells the other side; the pending operation then ends with an error.
+    void cancel()
+    {
+        if (this->stream && this->done)
+            this->stream->close();
+    }
+
+private:
+    void write()
+    {
+        this->sent = true;
+        http::async_write(*this->stream, this->message,
+                          [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
+                              if (error)
+                                  return self->fail("send request", error);
+                              self->read();
+                          });
+    }
+
+    void read()
+    {
+        this->parser.emplace();
+        this->parser->body_limit(this->pool->settings.maximumBodyBytes);
+        if (this->message.method() == http::verb::head)
+            this->parser->skip(true);
+        http::async_read(*this->stream, this->buffer, *this->parser,
+                         [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
+                             if (error)
+                                 return self->fail("read answer", error);
+                             self->finish();
+                         });
+    }
+
+    void finish()
+    {
+        http::response<http::string_body> message = this->parser->release();
+        HttpResponse response;
+        response.status = message.result_int();
+        response.headers.reserve(8);
+        for (const auto &field : message)
+            response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+        response.body = std::move(message.body());
+        this->stream->expires_never();
+        if (message.keep_alive() && this->buffer.size() == 0)
+            this->pool->keep(this->address, std::move(this->stream));
+        const HttpClient::AnswerHook hook = std::move(this->done);
+        this->done = nullptr;
+        hook(nullptr, std::move(response));
+    }
+
+    void fail(std::string_view step, const beast::error_code &error)
+    {
+        const bool late = error == beast::error::timeout;
+        const ErrorKind kind = late || this->sent ? ErrorKind::Timeout : ErrorKind::Unavailable;
+        this->give(makeError(kind, std::string(step), this->address, error.message()));
+    }
+
+    void failLater(const Error &error)
+    {
+        boost::asio::post(this->pool->context,
+                          [self = this->shared_from_this(), error] { self->give(error); });
+    }
+
+    void give(const Error &error)
+    {
+        if (!this->done)
+            return;
+        const HttpClient::AnswerHook hook = std::move(this->done);
+        this->done = nullptr;
+        if (this->stream)
+            this->stream->close();
+        const HttpFailure failure{error, this->sent};
+        hook(&failure, {});
+    }
+
+    std::shared_ptr<HttpClient::Pool> pool;
+    std::string address;
+    HttpClient::AnswerHook done; // Empty once the answer has been given.
+    http::request<http::string_body> message;
+    std::unique_ptr<beast::tcp_stream> stream;
+    beast::flat_buffer buffer;
+    std::optional<http::response_parser<http::string_body>> parser;
+    bool sent = false; // Set before the first byte may leave.
+};
+
+void HttpClient::Handle::cancel()
+{
+    if (const auto running = this->call.lock())
+        running->cancel();
+}
+
+HttpClient::HttpClient(boost::asio::io_context &context, HttpClientSettings settings)
+    : pool(std::make_shared<Pool>(context, settings))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpClient::Handle HttpClient::send(const std::string &address, HttpRequest request, Duration timeout,
+                                    AnswerHook done)
+{
+    const auto call =
+        std::make_shared<HttpClientCall>(this->pool, address, std::move(request), std::move(done));
+    call->start(timeout);
+    return Handle(call);
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Libraries/LibNet/HttpClient.h
@@ -0,0 +1,65 @@
+// An HTTP/1.1 client with kept connections for one io_context that one thread runs. An error says whether the
+// request may have reached the other side, which decides whether it may be sent again.
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibNet/HttpMessages.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Sagecrank {
+
+struct HttpFailure
+{
+    Error error;
+    bool mayHaveBeenSent = true; // False only when no byte of the request left.
+};
+
+struct HttpClientSettings
+{
+    std::uint32_t maximumIdleConnections = 16; // Kept for each address.
+    std::uint64_t maximumBodyBytes = 1024 * 1024;
+    Milliseconds idleTimeout{30000};
+};
+
+class HttpClientCall;
+
+class HttpClient
+{
+public:
+    using AnswerHook = std::function<void(const HttpFailure *failure, HttpResponse response)>;
+
+    // Ends the call it stands for when cancel() is called; the hook then gets a failure.
+    class Handle
+    {
+    public:
+        Handle() = default;
+        explicit Handle(std::weak_ptr<HttpClientCall> call)
+            : call(std::move(call))
+        {
+        }
+        void cancel();
+
+    private:
+        std::weak_ptr<HttpClientCall> call;
+    };
+
+    HttpClient(boost::asio::io_context &context, HttpClientSettings settings);
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    // The hook is called once, from the io_context. The time limit spans connecting, sending and the answer.
+    Handle send(const std::string &address, HttpRequest request, Duration timeout, AnswerHook done);
+
+    struct Pool; // Only the .cpp file knows what is in it.
+
+private:
+    std::shared_ptr<Pool> pool;
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Libraries/LibNet/HttpMessages.h
@@ -0,0 +1,38 @@
+// Requests and answers of HTTP/1.1 as plain values, so that Beast's headers stay in the two files that speak
+// it.
+#pragma once
+
+#include <LibCore/Error.h>
+#include <LibWire/PeerMessages.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Sagecrank {
+
+// Compares as HTTP compares header names: without regard to case.
+bool sameHeaderName(std::string_view left, std::string_view right);
+
+// The first value with this name, or an empty view.
+std::string_view findHeader(const std::vector<Header> &headers, std::string_view name);
+
+struct HttpRequest
+{
+    std::string method;
+    std::string target;
+    std::vector<Header> headers;
+    std::string body;
+};
+
+struct HttpResponse
+{
+    std::uint32_t status = 200;
+    std::vector<Header> headers;
+    std::string body;
+};
+
+HttpResponse makeResponse(std::uint32_t status, std::string_view contentType, std::string body);
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -0,0 +1,303 @@
+// The server's side of HTTP/1.1 by Beast.
+#include <LibNet/FramedConnection.h>
+#include <LibNet/HttpServer.h>
+
+#include <boost/asio/socket_base.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <sys/socket.h>
+
+#include <optional>
+#include <unordered_set>
+
+namespace Sagecrank {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+namespace {
+
+class Session;
+
+} // namespace
+
+struct HttpServer::State
+{
+    State(boost::asio::io_context &context, HttpServerSettings settings, HttpHandler handler)
+        : settings(settings)
+        , handler(std::move(handler))
+        , acceptor(context)
+    {
+    }
+
+    HttpServerSettings settings;
+    HttpHandler handler;
+    tcp::acceptor acceptor;
+    std::unordered_set<Session *> sessions; // Open ones; each takes itself out when it ends.
+    bool closing = false;
+};
+
+namespace {
+
+// What Beast found wrong with a request, as the status that says so; zero when the connection just ended.
+std::uint32_t statusOfReadError(const beast::error_code &error)
+{
+    if (error == http::error::header_limit)
+        return 431;
+    if (error == http::error::body_limit)
+        return 413;
+    if (error.category() == beast::error_code(http::error::bad_method).category()
+        && error != http::error::end_of_stream && error != http::error::partial_message)
+        return 400;
+    return 0;
+}
+
+class Session : public std::enable_shared_from_this<Session>
+{
+public:
+    Session(tcp::socket socket, std::shared_ptr<HttpServer::State> server);
+    ~Session() { this->server->sessions.erase(this); }
+    Session(const Session &) = delete;
+    Session &operator=(const Session &) = delete;
+
+    void readRequest();
+    void respond(std::uint64_t exchange, HttpResponse response);
+    void onAbandoned(std::uint64_t exchange, std::function<void()> hook);
+    void close();
+
+private:
+    void handleRequest();
+    void watchForClose();
+    void checkForClose();
+    void refuse(std::uint32_t status, std::string_view message);
+    void writeResponse(HttpResponse response, bool keepAlive);
+
+    beast::tcp_stream stream;
+    std::shared_ptr<HttpServer::State> server;
+    beast::flat_buffer buffer;
+    std::optional<http::request_parser<http::string_body>> parser;
+    std::optional<http::response<http::string_body>> response; // Alive while it is written.
+    std::function<void()> abandoned;
+    std::uint64_t currentExchange = 0; // Counts requests, so that a late or second answer is told apart.
+    bool waitingForAnswer = false;
+    bool callerKeepsAlive = false;
+    bool watching = false;
+};
+
+class SessionExchange : public HttpExchange
+{
+public:
+    SessionExchange(std::shared_ptr<Session> session, std::uint64_t number)
+        : session(std::move(session))
+        , number(number)
+    {
+    }
+
+    void respond(HttpResponse response) override
+    {
+        this->session->respond(this->number, std::move(response));
+    }
+    void onAbandoned(std::function<void()> hook) override
+    {
+        this->session->onAbandoned(this->number, std::move(hook));
+    }
+
+private:
+    std::shared_ptr<Session> session;
+    std::uint64_t number;
+};
+
+Session::Session(tcp::socket socket, std::shared_ptr<HttpServer::State> server)
+    : stream(std::move(socket))
+    , server(std::move(server))
+{
+    this->server->sessions.insert(this);
+}
+
+void Session::readRequest()
+{
+    this->parser.emplace();
+    this->parser->header_limit(this->server->settings.maximumHeaderBytes);
+    this->parser->body_limit(this->server->settings.maximumBodyBytes);
+    this->stream.expires_after(this->server->settings.idleTimeout);
+    http::async_read(this->stream, this->buffer, *this->parser,
+                     [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
+                         if (!error)
+                             return self->handleRequest();
+                         const std::uint32_t status = statusOfReadError(error);
+                         if (status != 0)
+                             return self->refuse(status, error.message());
+                         self->close();
+                     });
+}
+
+void Session::handleRequest()
+{
+    this->stream.expires_never();
+    http::request<http::string_body> message = this->parser->release();
+    HttpRequest request;
+    request.method = message.method_string();
+    request.target = message.target();
+    request.headers.reserve(8);
+    for (const auto &field : message)
+        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    request.body = std::move(message.body());
+
+    this->callerKeepsAlive = message.keep_alive();
+    this->waitingForAnswer = true;
+    ++this->currentExchange;
+    this->server->handler(std::move(request),
+                          std::make_shared<SessionExchange>(this->shared_from_this(), this->currentExchange));
+    this->watchForClose();
+}
+
+void Session::respond(std::uint64_t exchange, HttpResponse response)
+{
+    if (!this->waitingForAnswer || exchange != this->currentExchange)
+        return;
+    this->waitingForAnswer = false;
+    this->abandoned = nullptr;
+    this->writeResponse(std::move(response), this->callerKeepsAlive && !this->server->closing);
+}
+
+void Session::onAbandoned(std::uint64_t exchange, std::function<void()> hook)
+{
+    if (this->waitingForAnswer && exchange == this->currentExchange)
+        this->abandoned = std::move(hook);
+}
+
+// A caller that gives up closes its connection; without a watch its call would hold a slot to the end.
+void Session::watchForClose()
+{
+    if (!this->waitingForAnswer || this->watching)
+        return;
+    this->watching = true;
+    this->stream.socket().async_wait(tcp::socket::wait_read,
+                                     [self = this->shared_from_this()](const beast::error_code &error) {
+                                         self->watching = false;
+                                         if (!error && self->waitingForAnswer)
+                                             self->checkForClose();
+                                     });
+}
+
+void Session::checkForClose()
+{
+    char byte = 0;
+    const ssize_t size = ::recv(this->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool closed = size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    // Bytes of a next request are left alone until this one is answered. With none there, the event was for
+    // bytes that have been read since, and the watch goes on.
+    if (!closed)
+        return size < 0 ? this->watchForClose() : void();
+    this->waitingForAnswer = false;
+    const std::function<void()> hook = std::move(this->abandoned);
+    this->abandoned = nullptr;
+    this->close();
+    if (hook)
+        hook();
+}
+
+void Session::refuse(std::uint32_t status, std::string_view message)
+{
+    HttpResponse response = makeResponse(status, "text/plain", std::string(message) + "\n");
+    response.headers.push_back({"Sagecrank-Outcome", std::string(outcomeNames.name(Outcome::NotRun))});
+    this->writeResponse(std::move(response), false);
+}
+
+void Session::writeResponse(HttpResponse response, bool keepAlive)
+{
+    http::response<http::string_body> &message = this->response.emplace();
+    message.version(11);
+    message.result(response.status);
+    for (Header &header : response.headers)
+        message.insert(header.name, header.value);
+    message.keep_alive(keepAlive);
+    message.body() = std::move(response.body);
+    message.prepare_payload();
+    this->stream.expires_after(this->server->settings.idleTimeout);
+    http::async_write(
+        this->stream, message,
+        [self = this->shared_from_this(), keepAlive](const beast::error_code &error, std::size_t) {
+            self->response.reset();
+            if (error || !keepAlive)
+                return self->close();
+            self->readRequest();
+        });
+}
+
+void Session::close()
+{
+    beast::error_code ignored;
+    this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    this->stream.close();
+}
+
+void acceptNext(const std::shared_ptr<HttpServer::State> &state)
+{
+    state->acceptor.async_accept([state](const beast::error_code &error, tcp::socket socket) {
+        if (!state->acceptor.is_open())
+            return;
+        // Above the limit a connection is closed at once: those that are served keep their memory.
+        const bool room = state->sessions.size() < state->settings.maximumConnections;
+        if (!error && room) {
+            beast::error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            std::make_shared<Session>(std::move(socket), state)->readRequest();
+        }
+        acceptNext(state);
+    });
+}
+
+} // namespace
+
+HttpServer::HttpServer(boost::asio::io_context &context, HttpServerSettings settings, HttpHandler handler)
+    : state(std::make_shared<State>(context, settings, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    this->stopAccepting();
+}
+
+Result<void> HttpServer::listen(const std::string &address)
+{
+    const tcp::endpoint endpoint = TRY(parseTcpEndpoint(address));
+    using ReusePort = boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+    try {
+        this->state->acceptor.open(endpoint.protocol());
+        this->state->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        if (this->state->settings.sharePort)
+            this->state->acceptor.set_option(ReusePort(true));
+        this->state->acceptor.bind(endpoint);
+        this->state->acceptor.listen();
+    } catch (const boost::system::system_error &error) {
+        return makeError(ErrorKind::Unavailable, "listen", address, error.code().message());
+    }
+    acceptNext(this->state);
+    return success();
+}
+
+void HttpServer::stopAccepting()
+{
+    this->state->closing = true;
+    beast::error_code ignored;
+    this->state->acceptor.close(ignored);
+}
+
+void HttpServer::closeAll()
+{
+    this->stopAccepting();
+    const std::unordered_set<Session *> open = this->state->sessions;
+    for (Session *session : open)
+        session->close();
+}
+
+std::size_t HttpServer::connections() const
+{
+    return this->state->sessions.size();
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Libraries/LibNet/HttpServer.h
@@ -0,0 +1,64 @@
+// An HTTP/1.1 server on one io_context that one thread runs. Bad input is answered with a clear error and
+// costs only its own connection.
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibNet/HttpMessages.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace Sagecrank {
+
+struct HttpServerSettings
+{
+    std::uint32_t maximumHeaderBytes = 16 * 1024;
+    std::uint64_t maximumBodyBytes = 1024 * 1024;
+    std::uint32_t maximumConnections = 4096;
+    Milliseconds idleTimeout{60000}; // Also bounds how slowly a request may come in.
+    bool sharePort = false;          // Lets several threads listen on the same address.
+};
+
+// One request that waits for its answer. Belongs to its connection's thread.
+class HttpExchange
+{
+public:
+    virtual ~HttpExchange() = default;
+
+    // Once; later ones are ignored. Harmless when the caller has gone.
+    virtual void respond(HttpResponse response) = 0;
+
+    // Called when the caller closes its connection before the answer.
+    virtual void onAbandoned(std::function<void()> hook) = 0;
+};
+
+using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpExchange>)>;
+
+class HttpServer
+{
+public:
+    HttpServer(boost::asio::io_context &context, HttpServerSettings settings, HttpHandler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    Result<void> listen(const std::string &address);
+
+    // No new connections; those that are open are told to close with their next answer.
+    void stopAccepting();
+
+    // Ends idle connections too. Runs on the server's thread.
+    void closeAll();
+
+    std::size_t connections() const;
+
+    struct State; // Only the .cpp file knows what is in it.
+
+private:
+    std::shared_ptr<State> state; // Outlives the server while connections end.
+};
+
+} // namespace Sagecrank
