PlatformEmulator: Stand in for the table service and the object store

The whole path needs a platform before anything can be published. A table (DynamoDB's JSON subset with conditions and transactions) and an object store (S3's path-style subset) in memory, on one thread and so serializable, with limits as the platform has them and faults switched on by command: down, slow, answers lost after the write took effect, writes that take effect after they were given up on, writes rejected.

--- /dev/null
+++ b/Services/PlatformEmulator/Main.cpp
@@ -0,0 +1,86 @@
+// sagecrank-platform-emulator: stands in for the platform's table service and object store in tests and on
+// a developer's machine. Keeps everything in memory and forgets it when it ends.
+#include <PlatformEmulator/PlatformService.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <iostream>
+
+using namespace Sagecrank;
+namespace asio = boost::asio;
+namespace options = boost::program_options;
+
+namespace {
+
+constexpr int exitFailure = 1;
+constexpr int exitUsage = 2;
+
+void runAfter(asio::io_context &context, Milliseconds delay, std::function<void()> step)
+{
+    auto timer = std::make_shared<asio::steady_timer>(context, delay);
+    timer->async_wait([timer, step = std::move(step)](const boost::system::error_code &error) {
+        if (!error)
+            step();
+    });
+}
+
+int run(const std::string &listen, PlatformSettings settings)
+{
+    const Result<asio::ip::tcp::endpoint> endpoint = parseEndpoint(listen);
+    if (!endpoint) {
+        std::cerr << endpoint.error().describe() << "\n";
+        return exitUsage;
+    }
+    asio::io_context context(1);
+    PlatformService service(
+        settings,
+        [&context](Milliseconds delay, std::function<void()> step) {
+            runAfter(context, delay, std::move(step));
+        },
+        [] { return SteadyClock::now(); });
+    HttpServer server(
+        {&context}, [&service](const std::shared_ptr<HttpExchange> &exchange) { service.handle(exchange); });
+    const Result<void> listening = server.listen(endpoint.value());
+    if (!listening) {
+        std::cerr << listening.error().describe() << "\n";
+        return exitFailure;
+    }
+    asio::signal_set signals(context, SIGINT, SIGTERM);
+    signals.async_wait([&context](const boost::system::error_code &, int) { context.stop(); });
+    std::cerr << "platform emulator listens on " << listen << "\n";
+    context.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int count, char **arguments)
+{
+    std::string listen;
+    PlatformSettings settings;
+    options::options_description description(
+        "sagecrank-platform-emulator: a table and an object store in memory");
+    auto add = description.add_options();
+    add("help", "print this text");
+    add("listen", options::value(&listen)->default_value("127.0.0.1:9000"), "address to serve, ip:port");
+    add("write-rate", options::value(&settings.writeRate)->default_value(settings.writeRate),
+        "items written a second, table and objects together");
+    add("read-rate", options::value(&settings.readRate)->default_value(settings.readRate),
+        "items read a second, table and objects together");
+    options::variables_map values;
+    try {
+        options::store(options::parse_command_line(count, arguments, description), values);
+        options::notify(values);
+    } catch (const options::error &error) {
+        std::cerr << error.what() << "\n" << description;
+        return exitUsage;
+    }
+    if (values.count("help") != 0) {
+        std::cout << description;
+        return 0;
+    }
+    return run(listen, settings);
+}
--- /dev/null
+++ b/Services/PlatformEmulator/Operation.h
@@ -0,0 +1,19 @@
+// One request to the platform after it was read: what it costs and what it does. Reading a request and
+// doing it are apart, because limits, delays and lost answers come between the two.
+#pragma once
+
+#include <EmulatorHttp/HttpServer.h>
+
+#include <cstdint>
+#include <functional>
+
+namespace Sagecrank {
+
+struct Operation
+{
+    bool write = false;
+    std::uint32_t units = 1; // Items read or written; what the limits count.
+    std::function<HttpResponse()> apply;
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/PlatformEmulator/PlatformService.h
@@ -0,0 +1,74 @@
+// The platform's front: takes each HTTP request through faults and limits to the table or the object store.
+#pragma once
+
+#include <EmulatorHttp/HttpServer.h>
+#include <PlatformEmulator/Faults.h>
+#include <PlatformEmulator/ObjectApi.h>
+#include <PlatformEmulator/TableApi.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Sagecrank {
+
+struct PlatformSettings
+{
+    double writeRate = 500; // Units a second; "several hundred".
+    double readRate = 2000;
+};
+
+struct OperationCount
+{
+    std::uint64_t requests = 0;
+    std::uint64_t units = 0;
+    std::uint64_t bytesIn = 0;
+    std::uint64_t bytesOut = 0;
+    std::uint64_t throttled = 0;
+};
+
+struct PlatformCounters
+{
+    OperationCount tableReads;
+    OperationCount tableWrites;
+    OperationCount objectReads;
+    OperationCount objectWrites;
+    std::uint64_t refusedDown = 0;
+    std::uint64_t rejectedWrites = 0;
+    std::uint64_t lostAnswers = 0;
+    std::uint64_t lateWrites = 0;
+};
+
+// Runs on one thread.
+class PlatformService
+{
+public:
+    // Runs the step after the delay, on the service's thread.
+    using After = std::function<void(Milliseconds delay, std::function<void()> step)>;
+    using Now = std::function<Instant()>;
+
+    PlatformService(PlatformSettings settings, After after, Now now);
+
+    void handle(const std::shared_ptr<HttpExchange> &exchange);
+
+private:
+    void control(HttpExchange &exchange);
+    void refuseDown(HttpExchange &exchange);
+    void run(const std::shared_ptr<HttpExchange> &exchange, Operation operation, bool table,
+             OperationCount &count);
+    void finish(const std::shared_ptr<HttpExchange> &exchange, const Operation &operation, WriteFate fate,
+                OperationCount &count);
+    std::string countersJson() const;
+
+    After after;
+    Now now;
+    Faults faults;
+    RateLimit writes; // Shared by table and objects: the stricter reading of the platform's limit.
+    RateLimit reads;
+    TableApi tableApi;
+    ObjectApi objectApi;
+    PlatformCounters counters;
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/PlatformEmulator/TableApi.h
@@ -0,0 +1,44 @@
+// The table's JSON protocol: the subset of DynamoDB's API that the system uses. Reads a request into an
+// Operation; the operation's answer is the protocol's JSON.
+#pragma once
+
+#include <PlatformEmulator/Operation.h>
+#include <PlatformEmulator/TableStore.h>
+
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace Sagecrank {
+
+class TableApi
+{
+public:
+    // `target` is the X-Amz-Target field. A request that does not check becomes a read whose answer is the
+    // protocol's ValidationException.
+    Operation operation(std::string_view target, std::string_view body);
+
+    static HttpResponse error(std::string_view type, std::string_view message);
+
+private:
+    friend class TableRequest;
+
+    struct Remembered
+    {
+        std::string body;
+        HttpResponse response;
+    };
+
+    TableStore &table(const std::string &name) { return this->tables[name]; }
+    HttpResponse once(const std::string &token, const std::string &body,
+                      const std::function<HttpResponse()> &apply);
+
+    std::map<std::string, TableStore> tables;
+    // Transactions that carried a token and took effect: the same token again answers the same and writes
+    // nothing. Bounded by dropping the oldest.
+    std::map<std::string, Remembered> tokens;
+    std::deque<std::string> tokenOrder;
+};
+
+} // namespace Sagecrank
