--- /dev/null
+++ b/Libraries/LibMembership/Datagram.cpp
@@ -0,0 +1,191 @@
+// Encoding by cereal. Texts and lists carry lengths of one byte: they take less room, and are checked before
+// anything is allocated.
+#include <LibMembership/Datagram.h>
+
+#include <LibWire/Archive.h>
+
+#include <algorithm>
+
+namespace Sagecrank {
+
+namespace {
+
+constexpr std::uint8_t protocolVersion = 1;
+
+using Writer = MemoryOutputArchive;
+using Reader = MemoryInputArchive;
+
+void transferText(Writer &archive, const std::string &text)
+{
+    const auto length = static_cast<std::uint8_t>(std::min(text.size(), maximumTextBytes));
+    archive(length);
+    archive(cereal::binary_data(text.data(), length));
+}
+
+void transferText(Reader &archive, std::string &text)
+{
+    std::uint8_t length = 0;
+    archive(length);
+    if (length > maximumTextBytes)
+        throw cereal::Exception("a text is too long");
+    text.resize(length);
+    archive(cereal::binary_data(text.data(), length));
+}
+
+template <typename Enum>
+void transferEnum(Writer &archive, const Enum &value, Enum)
+{
+    archive(static_cast<std::uint8_t>(value));
+}
+
+template <typename Enum>
+void transferEnum(Reader &archive, Enum &value, Enum last)
+{
+    std::uint8_t raw = 0;
+    archive(raw);
+    if (raw > static_cast<std::uint8_t>(last))
+        throw cereal::Exception("a value is out of range");
+    value = static_cast<Enum>(raw);
+}
+
+template <typename Archive, typename Brief>
+void transferBrief(Archive &archive, Brief &brief)
+{
+    archive(brief.idHash, brief.incarnation, brief.fixedHash, brief.slots);
+    transferEnum(archive, brief.state, MemberState::Left);
+    transferEnum(archive, brief.upstream, UpstreamState::Gone);
+}
+
+template <typename Archive, typename Entry>
+void transferEntry(Archive &archive, Entry &entry)
+{
+    archive(entry.idHash, entry.incarnation);
+    transferEnum(archive, entry.state, MemberState::Left);
+}
+
+std::string_view hostOf(std::string_view address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+// A node's listeners share its IP number, so the later addresses travel as ":port" when they do.
+std::string shortAddress(const std::string &address, const std::string &first)
+{
+    const std::string_view host = hostOf(first);
+    const bool shared = !address.empty() && !host.empty() && hostOf(address) == host;
+    return shared ? address.substr(host.size()) : address;
+}
+
+void transferAddress(Writer &archive, const std::string &address, const std::string &first)
+{
+    transferText(archive, shortAddress(address, first));
+}
+
+void transferAddress(Reader &archive, std::string &address, const std::string &first)
+{
+    transferText(archive, address);
+    if (!address.empty() && address.front() == ':')
+        address.insert(0, hostOf(first));
+    if (address.size() > maximumTextBytes)
+        throw cereal::Exception("an address is too long");
+}
+
+template <typename Archive, typename AnyMember>
+void transferMember(Archive &archive, AnyMember &member)
+{
+    transferText(archive, member.id);
+    archive(member.incarnation, member.slots);
+    transferEnum(archive, member.state, MemberState::Left);
+    transferEnum(archive, member.upstream, UpstreamState::Gone);
+    transferText(archive, member.region);
+    transferText(archive, member.zone);
+    transferText(archive, member.site);
+    transferText(archive, member.gossipAddress);
+    transferAddress(archive, member.peerAddress, member.gossipAddress);
+    transferAddress(archive, member.controlAddress, member.gossipAddress);
+    transferText(archive, member.cluster);
+}
+
+template <typename Item, typename Transfer>
+void transferList(Writer &archive, const std::vector<Item> &items, const Transfer &transfer)
+{
+    archive(static_cast<std::uint8_t>(items.size()));
+    for (const Item &item : items)
+        transfer(archive, item);
+}
+
+// Grows by what is really read, so that a false count ends at the end of the datagram.
+template <typename Item, typename Transfer>
+void transferList(Reader &archive, std::vector<Item> &items, const Transfer &transfer)
+{
+    std::uint8_t count = 0;
+    archive(count);
+    for (std::uint8_t i = 0; i < count; ++i)
+        transfer(archive, items.emplace_back());
+}
+
+template <typename Archive, typename AnyDatagram>
+void transferDatagram(Archive &archive, AnyDatagram &datagram)
+{
+    const auto plain = [](auto &any, auto &value) { any(value); };
+    transferEnum(archive, datagram.kind, DatagramKind::SyncRequest);
+    archive(datagram.sequence);
+    transferText(archive, datagram.sender);
+    archive(datagram.senderIncarnation, datagram.heldVersion);
+    archive(datagram.head.version, datagram.head.digestHigh, datagram.head.digestLow);
+    transferText(archive, datagram.target);
+    transferText(archive, datagram.targetAddress);
+    transferList(archive, datagram.bucketHashes, plain);
+    transferList(archive, datagram.buckets, plain);
+    transferList(archive, datagram.entries, [](auto &any, auto &entry) { transferEntry(any, entry); });
+    transferList(archive, datagram.wanted, plain);
+    transferList(archive, datagram.briefs, [](auto &any, auto &brief) { transferBrief(any, brief); });
+    transferList(archive, datagram.members, [](auto &any, auto &member) { transferMember(any, member); });
+}
+
+} // namespace
+
+std::string encodeDatagram(const Datagram &datagram)
+{
+    Bytes bytes;
+    bytes.reserve(maximumDatagramBytes);
+    Writer archive(bytes);
+    archive(protocolVersion);
+    transferDatagram(archive, datagram);
+    return {bytes.begin(), bytes.end()};
+}
+
+std::size_t encodedSize(const Member &member)
+{
+    constexpr std::size_t fixedBytes = 8 + 4 + 2;
+    constexpr std::size_t texts = 8;
+    return fixedBytes + texts + member.id.size() + member.region.size() + member.zone.size()
+           + member.site.size() + member.gossipAddress.size()
+           + shortAddress(member.peerAddress, member.gossipAddress).size()
+           + shortAddress(member.controlAddress, member.gossipAddress).size() + member.cluster.size();
+}
+
+Result<Datagram> decodeDatagram(std::string_view bytes, const std::string &peer)
+{
+    const std::string step = "decode gossip datagram";
+    if (bytes.size() > maximumDatagramBytes)
+        return makeError(ErrorKind::TooLarge, step, peer, "the datagram is too large");
+    try {
+        Reader archive(bytes);
+        std::uint8_t version = 0;
+        archive(version);
+        if (version != protocolVersion)
+            return makeError(ErrorKind::InvalidInput, step, peer, "unknown protocol version");
+        Datagram datagram;
+        transferDatagram(archive, datagram);
+        if (archive.remaining() != 0)
+            return makeError(ErrorKind::InvalidInput, step, peer, "bytes are left over");
+        if (datagram.sender.empty())
+            return makeError(ErrorKind::InvalidInput, step, peer, "the sender has no name");
+        return datagram;
+    } catch (const cereal::Exception &exception) {
+        return makeError(ErrorKind::InvalidInput, step, peer, exception.what());
+    }
+}
+
+} // namespace Sagecrank
--- a/Libraries/LibMembership/Member.h
+++ b/Libraries/LibMembership/Member.h
@@ -40,7 +40,9 @@
     {UpstreamState::Gone, "gone"},
 }};
 
-// Addresses are "ip:port". Only the node itself raises its incarnation; a higher one always wins.
+// Addresses are "ip:port". Only the node itself raises its incarnation; a higher one always wins, and at the
+// same incarnation the stronger state does. The held version is what the node told this one directly: it
+// changes far too often to be spread as a change of the record.
 struct Member
 {
     std::string id;
@@ -48,6 +50,7 @@
     MemberState state = MemberState::Alive;
     std::string region;
     std::string zone;
+    std::string site; // Which overlay's configuration it holds; only peers of one site can serve each other.
     std::string gossipAddress;  // UDP, membership.
     std::string peerAddress;    // TCP, calls between nodes.
     std::string controlAddress; // TCP, configuration pulls.
--- /dev/null
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -0,0 +1,267 @@
+// Merging, bucket hashes and the peer lists.
+#include <LibMembership/MemberTable.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace Sagecrank {
+
+namespace {
+
+std::size_t bucketOf(std::uint64_t idHash)
+{
+    return idHash % bucketCount;
+}
+
+// A suspicion is left out: it is short-lived and spreads by itself, and two tables that differ only by it
+// should not exchange a bucket.
+std::uint32_t hashForDigest(const MemberRecord &record)
+{
+    const std::uint64_t words[] = {record.idHash, record.member.incarnation};
+    return static_cast<std::uint32_t>(XXH3_64bits(words, sizeof words));
+}
+
+void appendText(std::string &text, const std::string &part)
+{
+    text += part;
+    text.push_back('\0');
+}
+
+} // namespace
+
+std::uint64_t hashId(std::string_view id)
+{
+    return XXH3_64bits(id.data(), id.size());
+}
+
+std::uint32_t hashFixedFacts(const Member &member)
+{
+    std::string text;
+    for (const std::string *part : {&member.region, &member.zone, &member.site, &member.gossipAddress,
+                                    &member.peerAddress, &member.controlAddress, &member.cluster})
+        appendText(text, *part);
+    return static_cast<std::uint32_t>(XXH3_64bits(text.data(), text.size()));
+}
+
+MemberTable::MemberTable(std::string zone)
+    : zone(std::move(zone))
+{
+}
+
+// Load: a heal after a split, when each side tells the other that all of its members are dead. Harm: taking
+// it at its word would empty the view of the whole mesh until each owner had refuted. So a death that comes
+// without the suspicion before it becomes a suspicion here, which the owner has time to refute.
+MergeOutcome MemberTable::apply(MemberRecord &record, std::uint64_t incarnation, MemberState state,
+                                Instant now)
+{
+    Member &member = record.member;
+    if (incarnation < member.incarnation)
+        return MergeOutcome::Ignored;
+    if (incarnation == member.incarnation && state <= member.state)
+        return MergeOutcome::Ignored;
+    const bool softened = state == MemberState::Dead && member.state == MemberState::Alive;
+    this->reindex(record, false);
+    member.incarnation = incarnation;
+    this->setState(record, softened ? MemberState::Suspect : state, now);
+    this->reindex(record, true);
+    return softened ? MergeOutcome::Softened : MergeOutcome::Changed;
+}
+
+MergeOutcome MemberTable::merge(const Member &member, Instant now)
+{
+    const std::uint64_t idHash = hashId(member.id);
+    const auto found = this->records.find(idHash);
+    if (found == this->records.end()) {
+        // A grave of a member that was never known says nothing that anyone here needs.
+        if (!isPresent(member.state))
+            return MergeOutcome::Ignored;
+        MemberRecord record{member, idHash, hashFixedFacts(member), now, {}};
+        record.member.state = MemberState::Alive;
+        record.member.configurationVersion = 0;
+        MemberRecord &stored = this->records.emplace(idHash, std::move(record)).first->second;
+        this->buckets[bucketOf(idHash)].push_back(idHash);
+        this->reindex(stored, true);
+        this->peersStale = true;
+        if (member.state == MemberState::Suspect)
+            this->setState(stored, MemberState::Suspect, now);
+        return MergeOutcome::Changed;
+    }
+    MemberRecord &record = found->second;
+    const std::uint64_t before = record.member.incarnation;
+    const MergeOutcome outcome = this->apply(record, member.incarnation, member.state, now);
+    if (outcome != MergeOutcome::Ignored && member.incarnation > before) {
+        const Member old = record.member;
+        record.member = member;
+        record.member.state = old.state;
+        record.member.configurationVersion = old.configurationVersion;
+        record.fixedHash = hashFixedFacts(member);
+        this->peersStale = true;
+    }
+    return outcome;
+}
+
+MergeOutcome MemberTable::merge(const MemberBrief &brief, Instant now)
+{
+    const auto found = this->records.find(brief.idHash);
+    if (found == this->records.end())
+        return isPresent(brief.state) ? MergeOutcome::Unknown : MergeOutcome::Ignored;
+    MemberRecord &record = found->second;
+    const std::uint64_t before = record.member.incarnation;
+    if (brief.incarnation > before && brief.fixedHash != record.fixedHash)
+        return MergeOutcome::Unknown;
+    const MergeOutcome outcome = this->apply(record, brief.incarnation, brief.state, now);
+    if (outcome != MergeOutcome::Ignored && brief.incarnation > before) {
+        record.member.upstream = brief.upstream;
+        record.member.slots = brief.slots;
+    }
+    return outcome;
+}
+
+void MemberTable::replaceOwn(const Member &member, Instant now)
+{
+    this->ownHash = hashId(member.id);
+    const auto found = this->records.find(this->ownHash);
+    if (found == this->records.end()) {
+        this->merge(member, now);
+        return;
+    }
+    MemberRecord &record = found->second;
+    this->reindex(record, false);
+    const MemberState state = member.state;
+    record.member = member;
+    record.member.state = MemberState::Alive;
+    record.fixedHash = hashFixedFacts(member);
+    record.changed = now;
+    this->setState(record, state, now);
+    this->reindex(record, true);
+    this->peersStale = true;
+}
+
+void MemberTable::noteHeldVersion(std::uint64_t idHash, std::uint64_t version)
+{
+    const auto found = this->records.find(idHash);
+    if (found != this->records.end())
+        found->second.member.configurationVersion = version;
+}
+
+void MemberTable::setSuspectDeadline(std::uint64_t idHash, Instant deadline)
+{
+    const auto found = this->records.find(idHash);
+    if (found != this->records.end())
+        found->second.suspectDeadline = deadline;
+}
+
+std::size_t MemberTable::forget(Instant changedBefore)
+{
+    std::size_t forgotten = 0;
+    for (auto entry = this->records.begin(); entry != this->records.end();) {
+        const MemberRecord &record = entry->second;
+        if (isPresent(record.member.state) || record.changed >= changedBefore) {
+            ++entry;
+            continue;
+        }
+        std::erase(this->buckets[bucketOf(record.idHash)], record.idHash);
+        entry = this->records.erase(entry);
+        this->peersStale = true;
+        ++forgotten;
+    }
+    return forgotten;
+}
+
+const MemberRecord *MemberTable::find(std::uint64_t idHash) const
+{
+    const auto found = this->records.find(idHash);
+    return found == this->records.end() ? nullptr : &found->second;
+}
+
+std::vector<Member> MemberTable::members() const
+{
+    std::vector<Member> list;
+    list.reserve(this->records.size());
+    for (const auto &[idHash, record] : this->records)
+        list.push_back(record.member);
+    return list;
+}
+
+void MemberTable::forEach(const std::function<void(const MemberRecord &)> &visit) const
+{
+    for (const auto &[idHash, record] : this->records)
+        visit(record);
+}
+
+const std::vector<std::uint64_t> &MemberTable::zonePeers() const
+{
+    this->rebuildPeers();
+    return this->zoneList;
+}
+
+const std::vector<std::uint64_t> &MemberTable::otherPeers() const
+{
+    this->rebuildPeers();
+    return this->otherList;
+}
+
+const std::vector<std::uint64_t> &MemberTable::deadMembers() const
+{
+    this->rebuildPeers();
+    return this->deadList;
+}
+
+std::vector<const MemberRecord *> MemberTable::bucket(std::uint8_t index) const
+{
+    std::vector<const MemberRecord *> list;
+    for (const std::uint64_t idHash : this->buckets[index % bucketCount])
+        list.push_back(this->find(idHash));
+    return list;
+}
+
+MemberBrief MemberTable::briefOf(const MemberRecord &record)
+{
+    const Member &member = record.member;
+    const auto slots = static_cast<std::uint16_t>(std::min<std::uint32_t>(member.slots, 0xFFFF));
+    return {record.idHash, member.incarnation, record.fixedHash, member.state, member.upstream, slots};
+}
+
+void MemberTable::reindex(const MemberRecord &record, bool adding)
+{
+    if (!isPresent(record.member.state))
+        return;
+    this->hashes[bucketOf(record.idHash)] ^= hashForDigest(record);
+    this->present += adding ? 1 : static_cast<std::size_t>(-1);
+}
+
+void MemberTable::setState(MemberRecord &record, MemberState state, Instant now)
+{
+    const MemberState before = record.member.state;
+    if (before == state)
+        return;
+    record.member.state = state;
+    record.changed = now;
+    if (before == MemberState::Suspect)
+        std::erase(this->suspectHashes, record.idHash);
+    if (state == MemberState::Suspect)
+        this->suspectHashes.push_back(record.idHash);
+    if (isPresent(before) != isPresent(state) || !isPresent(state))
+        this->peersStale = true;
+}
+
+void MemberTable::rebuildPeers() const
+{
+    if (!this->peersStale)
+        return;
+    this->peersStale = false;
+    this->zoneList.clear();
+    this->otherList.clear();
+    this->deadList.clear();
+    for (const auto &[idHash, record] : this->records) {
+        if (idHash == this->ownHash)
+            continue;
+        if (record.member.state == MemberState::Dead)
+            this->deadList.push_back(idHash);
+        else if (isPresent(record.member.state))
+            (record.member.zone == this->zone ? this->zoneList : this->otherList).push_back(idHash);
+    }
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Libraries/LibMembership/Membership.cpp
@@ -0,0 +1,331 @@
+// Commands, receiving and sending.
+#include <LibMembership/Membership.h>
+
+#include <algorithm>
+
+namespace Sagecrank {
+
+namespace {
+
+constexpr std::uint32_t goodbyes = 5; // Rounds of gossip after a leave; each goes to the whole fan-out.
+constexpr Duration firstJoinBackoff = Milliseconds(500);
+constexpr Duration requestAgainAfter = Milliseconds(1000);
+
+} // namespace
+
+std::uint64_t MembershipCounters::sentBytes() const
+{
+    std::uint64_t sum = 0;
+    for (const KindCounters &kind : this->kinds)
+        sum += kind.sentBytes;
+    return sum;
+}
+
+std::uint64_t MembershipCounters::receivedBytes() const
+{
+    std::uint64_t sum = 0;
+    for (const KindCounters &kind : this->kinds)
+        sum += kind.receivedBytes;
+    return sum;
+}
+
+Membership::Membership(MembershipSettings settings, Member self, MembershipHooks hooks, std::uint64_t seed)
+    : settings(std::move(settings))
+    , own(std::move(self))
+    , ownHash(hashId(this->own.id))
+    , hooks(std::move(hooks))
+    , random(seed)
+    , table(this->own.zone)
+    , budget(this->settings.bytesPerSecond, this->settings.burstBytes)
+    , joinBackoff(firstJoinBackoff)
+{
+    this->own.state = MemberState::Alive;
+    this->table.replaceOwn(this->own, Instant{});
+}
+
+void Membership::tick(Instant now)
+{
+    this->budget.refill(now);
+    if (this->lastTick != Instant{} && now - this->lastTick > this->settings.pauseThreshold)
+        this->wake(now);
+    this->lastTick = now;
+    this->checkProbes(now);
+    this->checkSuspects(now);
+    if (!this->leaving && now >= this->nextJoin)
+        this->join(now);
+    if (now >= this->nextGossip) {
+        this->nextGossip = now + this->settings.gossipInterval;
+        this->gossip(now);
+    }
+    if (!this->leaving && now >= this->nextProbe) {
+        this->nextProbe = now + this->jittered(this->settings.probeInterval);
+        this->probeNext(now);
+    }
+    if (!this->leaving && now >= this->nextSync) {
+        this->nextSync = now + this->jittered(this->settings.syncInterval);
+        this->startSync(now);
+    }
+    if (!this->leaving && now >= this->nextReconnect) {
+        this->nextReconnect = now + this->jittered(this->settings.reconnectInterval);
+        this->reconnect(now);
+    }
+    if (now >= this->nextForget) {
+        this->nextForget = now + std::chrono::minutes(1);
+        this->counts.forgotten += this->table.forget(now - this->settings.forgetAfter);
+        std::erase_if(this->requested,
+                      [&](const auto &entry) { return now - entry.second > requestAgainAfter; });
+    }
+}
+
+void Membership::receive(Instant now, const std::string &from, std::string_view bytes)
+{
+    const Result<Datagram> decoded = decodeDatagram(bytes, from);
+    if (!decoded) {
+        ++this->counts.malformed;
+        return;
+    }
+    const Datagram &datagram = decoded.value();
+    KindCounters &kind = this->counts.kinds[static_cast<std::size_t>(datagram.kind)];
+    ++kind.received;
+    kind.receivedBytes += bytes.size() + datagramOverheadBytes;
+    if (datagram.sender == this->own.id)
+        return;
+    this->budget.refill(now);
+    this->handle(now, from, datagram);
+}
+
+void Membership::handle(Instant now, const std::string &from, const Datagram &datagram)
+{
+    this->heardAnyone = true;
+    this->takeChanges(now, from, datagram);
+    this->noteSender(now, from, datagram);
+    switch (datagram.kind) {
+    case DatagramKind::Ping:
+        this->handlePing(now, from, datagram);
+        break;
+    case DatagramKind::Ack:
+        this->handleAck(now, datagram);
+        break;
+    case DatagramKind::PingRequest:
+        this->handlePingRequest(now, datagram, from);
+        break;
+    case DatagramKind::Gossip:
+        break;
+    case DatagramKind::Join:
+        this->handleJoin(now, from, datagram);
+        break;
+    case DatagramKind::SyncDigest:
+        this->handleSyncDigest(now, from, datagram);
+        break;
+    case DatagramKind::SyncEntries:
+        this->handleSyncEntries(now, from, datagram);
+        break;
+    case DatagramKind::SyncRequest:
+        this->handleSyncRequest(now, from, datagram);
+        break;
+    }
+}
+
+void Membership::noteSender(Instant now, const std::string &from, const Datagram &datagram)
+{
+    this->noteHead(datagram.head);
+    const std::uint64_t senderHash = hashId(datagram.sender);
+    const MemberRecord *record = this->table.find(senderHash);
+    if (record == nullptr || record->member.incarnation < datagram.senderIncarnation) {
+        this->request(now, from, {senderHash});
+        return;
+    }
+    const std::uint64_t heldBefore = record->member.configurationVersion;
+    this->table.noteHeldVersion(senderHash, datagram.heldVersion);
+    if (datagram.heldVersion > heldBefore && this->hooks.heldRaised)
+        this->hooks.heldRaised(record->member);
+    // It speaks, but it is held for suspect or dead here: tell it so, for only it can refute that.
+    const bool wronged =
+        record->member.state == MemberState::Suspect || record->member.state == MemberState::Dead;
+    if (wronged && datagram.kind != DatagramKind::Ping) {
+        Datagram notice = this->makeDatagram(DatagramKind::Gossip);
+        notice.briefs.push_back(MemberTable::briefOf(*record));
+        this->transmit(from, notice);
+    }
+}
+
+void Membership::takeChanges(Instant now, const std::string &from, const Datagram &datagram)
+{
+    for (const Member &member : datagram.members) {
+        const std::uint64_t idHash = hashId(member.id);
+        if (this->concernsOwn(now, idHash, member.incarnation, member.state))
+            continue;
+        const MemberRecord *before = this->table.find(idHash);
+        const bool whole = before == nullptr || before->fixedHash != hashFixedFacts(member);
+        this->afterMerge(now, idHash, this->table.merge(member, now), whole);
+    }
+    std::vector<std::uint64_t> unknown;
+    for (const MemberBrief &brief : datagram.briefs) {
+        if (this->concernsOwn(now, brief.idHash, brief.incarnation, brief.state))
+            continue;
+        const MergeOutcome outcome = this->table.merge(brief, now);
+        if (outcome == MergeOutcome::Unknown)
+            unknown.push_back(brief.idHash);
+        else
+            this->afterMerge(now, brief.idHash, outcome, false);
+    }
+    this->request(now, from, unknown);
+    const bool answersSync = datagram.kind == DatagramKind::Gossip && datagram.sequence != 0;
+    if (answersSync && !datagram.members.empty())
+        this->nextSync = std::min(this->nextSync, now + this->jittered(this->settings.catchUpInterval));
+}
+
+// Load: a false suspicion, a pause, a split, or a restart whose clock was set back. Harm: the mesh would go
+// on believing an older word about this node than its own. Only the owner raises its incarnation, so one
+// step above whatever is claimed ends the matter everywhere.
+bool Membership::concernsOwn(Instant now, std::uint64_t idHash, std::uint64_t incarnation, MemberState state)
+{
+    if (idHash != this->ownHash)
+        return false;
+    const bool outlived = incarnation > this->own.incarnation;
+    const bool accused = incarnation == this->own.incarnation && state != MemberState::Alive;
+    if (this->leaving || (!outlived && !accused))
+        return true;
+    this->own.incarnation = incarnation + 1;
+    ++this->counts.refutations;
+    if (state == MemberState::Suspect)
+        this->raiseHealth(1);
+    this->publishOwn(now, true, false);
+    return true;
+}
+
+void Membership::afterMerge(Instant now, std::uint64_t idHash, MergeOutcome outcome, bool whole)
+{
+    if (outcome == MergeOutcome::Ignored || outcome == MergeOutcome::Unknown)
+        return;
+    const MemberRecord *record = this->table.find(idHash);
+    const Member &member = record->member;
+    if (member.state == MemberState::Suspect)
+        this->table.setSuspectDeadline(idHash, now + this->suspicionTime());
+    const bool stopsWork = !isPresent(member.state) || member.upstream == UpstreamState::Draining
+                           || member.upstream == UpstreamState::Gone;
+    this->changes.add(idHash, stopsWork, whole);
+    if (this->hooks.memberChanged)
+        this->hooks.memberChanged(member);
+}
+
+void Membership::noteHead(const ConfigurationMark &head)
+{
+    if (head.version <= this->headMark.version)
+        return;
+    this->headMark = head;
+    this->headTold = 0;
+    if (this->hooks.headRaised)
+        this->hooks.headRaised(head);
+}
+
+void Membership::publishOwn(Instant now, bool urgent, bool whole)
+{
+    this->table.replaceOwn(this->own, now);
+    this->changes.add(this->ownHash, urgent, whole);
+    this->nextGossip = std::min(this->nextGossip, now);
+    if (this->hooks.memberChanged)
+        this->hooks.memberChanged(this->own);
+}
+
+void Membership::setUpstream(Instant now, const std::string &cluster, UpstreamState state,
+                             std::uint32_t slots)
+{
+    const bool same = this->own.cluster == cluster && this->own.upstream == state && this->own.slots == slots;
+    if (same || this->leaving)
+        return;
+    const bool whole = this->own.cluster != cluster;
+    this->own.cluster = cluster;
+    this->own.upstream = state;
+    this->own.slots = slots;
+    ++this->own.incarnation;
+    const bool urgent = state == UpstreamState::Draining || state == UpstreamState::Gone;
+    this->publishOwn(now, urgent, whole);
+}
+
+void Membership::setConfiguration(std::uint64_t held, const ConfigurationMark &head)
+{
+    if (held > this->heldVersion) {
+        this->heldVersion = held;
+        this->headTold = 0;
+        this->own.configurationVersion = held;
+        this->table.noteHeldVersion(this->ownHash, held);
+    }
+    this->noteHead(head);
+}
+
+void Membership::addSeeds(const std::vector<std::string> &addresses)
+{
+    for (const std::string &address : addresses) {
+        const bool known = std::find(this->settings.seeds.begin(), this->settings.seeds.end(), address)
+                           != this->settings.seeds.end();
+        if (!known && address != this->own.gossipAddress)
+            this->settings.seeds.push_back(address);
+    }
+}
+
+void Membership::leave(Instant now)
+{
+    if (this->leaving)
+        return;
+    this->leaving = true;
+    this->goodbyeRounds = goodbyes;
+    this->own.state = MemberState::Left;
+    this->publishOwn(now, true, false);
+}
+
+bool Membership::hasView() const
+{
+    return this->heardAnyone || this->settings.seeds.empty();
+}
+
+bool Membership::mayspend(double share) const
+{
+    return this->budget.available() > this->budget.capacity() * share;
+}
+
+Datagram Membership::makeDatagram(DatagramKind kind, std::uint32_t sequence) const
+{
+    Datagram datagram;
+    datagram.kind = kind;
+    datagram.sequence = sequence;
+    datagram.sender = this->own.id;
+    datagram.senderIncarnation = this->own.incarnation;
+    datagram.heldVersion = this->heldVersion;
+    datagram.head = this->headMark;
+    return datagram;
+}
+
+void Membership::sendWithChanges(const std::string &address, Datagram datagram)
+{
+    constexpr std::size_t headRoom = 200; // More than an empty datagram with the longest names it may carry.
+    constexpr std::size_t smallest = 200;
+    const double spendable = std::max(0.0, this->budget.available());
+    const std::size_t room =
+        std::min<std::size_t>(maximumDatagramBytes - headRoom, static_cast<std::size_t>(spendable));
+    if (room >= smallest && !this->changes.empty())
+        this->changes.fill(datagram, room, this->table);
+    this->transmit(address, datagram);
+}
+
+void Membership::transmit(const std::string &address, const Datagram &datagram)
+{
+    const std::string bytes = encodeDatagram(datagram);
+    if (address.empty() || bytes.size() > maximumDatagramBytes) {
+        ++this->counts.heldBack;
+        return;
+    }
+    this->budget.take(bytes.size() + datagramOverheadBytes);
+    KindCounters &kind = this->counts.kinds[static_cast<std::size_t>(datagram.kind)];
+    ++kind.sent;
+    kind.sentBytes += bytes.size() + datagramOverheadBytes;
+    this->hooks.send(address, bytes);
+}
+
+Duration Membership::jittered(Duration interval)
+{
+    std::uniform_real_distribution<double> share(0.8, 1.2);
+    return std::chrono::duration_cast<Duration>(interval * share(this->random));
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Libraries/LibMembership/Membership.h
@@ -0,0 +1,206 @@
+// Who is part of the mesh, as one node sees it: a gossip protocol as a state machine without sockets, clocks
+// or threads. It is driven by datagrams and ticks, and answers through hooks.
+//
+// Each node probes one member a period, mostly of its own zone and now and then of another. A member that
+// answers neither directly nor through others becomes suspect and, when it does not refute that in time,
+// dead. Changes ride on every datagram; tables are compared now and then, so that a node that missed changes
+// catches up. All of it is paid for from one budget of bytes a second.
+#pragma once
+
+#include <LibMembership/Dissemination.h>
+#include <LibMembership/MemberTable.h>
+#include <LibMembership/TokenBucket.h>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Sagecrank {
+
+struct MembershipSettings
+{
+    Duration probeInterval = Milliseconds(1000);
+    // Well above the round trip between regions; a loaded node is given more by its own health score.
+    Duration probeTimeout = Milliseconds(300);
+    std::uint32_t indirectProbes = 3;
+    // Every fourth period another zone's member is probed too: a lost zone has nobody left inside to notice.
+    std::uint32_t crossZoneEvery = 4;
+    // Suspicion lasts this many periods times the decimal logarithm of the members, so that a refutation has
+    // the rounds it needs to travel both ways.
+    double suspicionFactor = 3;
+    Duration gossipInterval = Milliseconds(200);
+    std::uint32_t gossipFanout = 3; // All but one stay in the zone.
+    Duration syncInterval = Milliseconds(10000);
+    Duration catchUpInterval = Milliseconds(500);
+    Duration reconnectInterval = Milliseconds(5000);
+    // Longer than the longest split expected (an hour), so that a split member is still known when it heals
+    // and an old record from a paused node is still recognised as old.
+    Duration forgetAfter = std::chrono::hours(2);
+    // A tick this late means that the process was paused: what it thinks of others is out of date.
+    Duration pauseThreshold = Milliseconds(3000);
+    // Sent bytes. Under half of a node's 13 KB a second, because as many arrive as leave.
+    double bytesPerSecond = 6000;
+    double burstBytes = 12000;
+    std::vector<std::string> seeds; // Gossip addresses.
+};
+
+struct MembershipHooks
+{
+    std::function<void(const std::string &address, const std::string &bytes)> send;
+    // A record changed: state, upstream or facts. Not called for the held version.
+    std::function<void(const Member &)> memberChanged;
+    std::function<void(const ConfigurationMark &)> headRaised;
+    std::function<void(const Member &holder)> heldRaised;
+};
+
+struct KindCounters
+{
+    std::uint64_t sent = 0;
+    std::uint64_t sentBytes = 0;
+    std::uint64_t received = 0;
+    std::uint64_t receivedBytes = 0;
+};
+
+struct MembershipCounters
+{
+    std::array<KindCounters, 8> kinds{}; // By DatagramKind; bytes include the network's headers.
+    std::uint64_t malformed = 0;
+    std::uint64_t heldBack = 0; // Datagrams not sent because the budget was spent.
+    std::uint64_t suspicions = 0;
+    std::uint64_t deaths = 0;
+    std::uint64_t refutations = 0;
+    std::uint64_t pauses = 0;
+    std::uint64_t forgotten = 0;
+
+    std::uint64_t sentBytes() const;
+    std::uint64_t receivedBytes() const;
+};
+
+class Membership
+{
+public:
+    // `self.incarnation` must be above every earlier one of the same id; wall clock time in milliseconds
+    // serves, and a clock that was set back is mended by refutation as soon as a peer answers.
+    Membership(MembershipSettings settings, Member self, MembershipHooks hooks, std::uint64_t seed);
+
+    // Commands.
+    void tick(Instant now); // Every 100 ms or so.
+    void receive(Instant now, const std::string &from, std::string_view bytes);
+    void setUpstream(Instant now, const std::string &cluster, UpstreamState state, std::uint32_t slots);
+    void setConfiguration(std::uint64_t heldVersion, const ConfigurationMark &head);
+    void addSeeds(const std::vector<std::string> &addresses);
+    void leave(Instant now); // Says goodbye; keep ticking until saidGoodbye().
+
+    // Queries.
+    const MemberTable &members() const { return this->table; }
+    const Member &self() const { return this->own; }
+    const ConfigurationMark &head() const { return this->headMark; }
+    const MembershipCounters &counters() const { return this->counts; }
+    bool hasView() const; // Somebody answered, or there is nobody to ask.
+    bool saidGoodbye() const { return this->leaving && this->goodbyeRounds == 0; }
+    std::uint32_t healthScore() const { return this->health; }
+    Duration suspicionTime() const;
+
+private:
+    struct Probe
+    {
+        std::uint64_t target = 0;
+        Instant started;
+        bool askedOthers = false;
+    };
+    struct Relay
+    {
+        std::string requester; // Address.
+        std::uint32_t sequence = 0;
+        Instant started;
+    };
+
+    // Receiving (Membership.cpp).
+    void handle(Instant now, const std::string &from, const Datagram &datagram);
+    void noteSender(Instant now, const std::string &from, const Datagram &datagram);
+    void takeChanges(Instant now, const std::string &from, const Datagram &datagram);
+    bool concernsOwn(Instant now, std::uint64_t idHash, std::uint64_t incarnation, MemberState state);
+    void afterMerge(Instant now, std::uint64_t idHash, MergeOutcome outcome, bool whole);
+    void noteHead(const ConfigurationMark &head);
+    void publishOwn(Instant now, bool urgent, bool whole);
+
+    // Probing (MembershipProbe.cpp).
+    void startProbe(Instant now, std::uint64_t target);
+    void probeNext(Instant now);
+    std::uint64_t nextInRing(std::vector<std::uint64_t> &ring, const std::vector<std::uint64_t> &members);
+    void checkProbes(Instant now);
+    void askOthers(Instant now, std::uint32_t sequence, const Probe &probe);
+    void suspect(Instant now, std::uint64_t target);
+    void checkSuspects(Instant now);
+    void reconnect(Instant now);
+    void handlePing(Instant now, const std::string &from, const Datagram &datagram);
+    void handlePingRequest(Instant now, const Datagram &datagram, const std::string &from);
+    void handleAck(Instant now, const Datagram &datagram);
+    void wake(Instant now);
+    void raiseHealth(std::uint32_t by);
+
+    // Spreading and comparing (MembershipSync.cpp).
+    void gossip(Instant now);
+    void join(Instant now);
+    void startSync(Instant now);
+    void handleJoin(Instant now, const std::string &from, const Datagram &datagram);
+    void handleSyncDigest(Instant now, const std::string &from, const Datagram &datagram);
+    void handleSyncEntries(Instant now, const std::string &from, const Datagram &datagram);
+    void handleSyncRequest(Instant now, const std::string &from, const Datagram &datagram);
+    void request(Instant now, const std::string &address, const std::vector<std::uint64_t> &wanted);
+    void sendRecords(const std::string &address, const std::vector<const MemberRecord *> &records,
+                     std::size_t maximumDatagrams);
+    std::uint64_t pickPeer(bool ownZone);
+
+    // Sending (Membership.cpp). A datagram that is not owed to anyone is held back when the budget is spent.
+    bool mayspend(double share) const;
+    Datagram makeDatagram(DatagramKind kind, std::uint32_t sequence = 0) const;
+    void sendWithChanges(const std::string &address, Datagram datagram);
+    void transmit(const std::string &address, const Datagram &datagram);
+    Duration jittered(Duration interval);
+
+    MembershipSettings settings;
+    Member own; // The only record whose incarnation this node raises.
+    std::uint64_t ownHash;
+    MembershipHooks hooks;
+    std::mt19937_64 random;
+    MemberTable table;
+    Dissemination changes;
+    TokenBucket budget;
+    MembershipCounters counts;
+
+    ConfigurationMark headMark; // Never goes down.
+    std::uint64_t heldVersion = 0;
+    std::uint32_t headTold = 0; // Gossip datagrams since the head or the held version rose.
+
+    std::map<std::uint32_t, Probe> probes; // By sequence.
+    std::map<std::uint32_t, Relay> relays; // By the sequence of the ping sent on another's behalf.
+    std::unordered_map<std::uint64_t, Instant> requested; // When a record was last asked for.
+    std::uint32_t lastSequence = 0;
+    std::uint32_t probeRounds = 0;
+    std::vector<std::uint64_t> zoneRing; // Still to be probed in this pass; each pass is shuffled anew.
+    std::vector<std::uint64_t> otherRing;
+
+    // From 0 (well) to 8: raised by its own failed probes, by refutations and pauses, lowered by answers. A
+    // node that is itself slow waits longer before it suspects others.
+    std::uint32_t health = 0;
+
+    Instant lastTick{};
+    Instant nextProbe{};
+    Instant nextGossip{};
+    Instant nextSync{};
+    Instant nextReconnect{};
+    Instant nextForget{};
+    Instant nextJoin{};
+    Duration joinBackoff;
+    bool heardAnyone = false;
+    bool leaving = false;
+    std::uint32_t goodbyeRounds = 0;
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Libraries/LibMembership/MembershipSync.cpp
@@ -0,0 +1,251 @@
+// Spreading of changes, the first view of a node that joins, and the comparison of tables.
+#include <LibMembership/Membership.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Sagecrank {
+
+namespace {
+
+constexpr Duration longestJoinBackoff = Milliseconds(10000);
+constexpr Duration rejoinInterval = std::chrono::minutes(1);
+constexpr std::uint32_t joinTargets = 3;
+constexpr std::size_t joinAnswerDatagrams = 4;
+constexpr std::size_t syncAnswerDatagrams = 4;
+constexpr std::size_t maximumWanted = 100;
+constexpr Duration requestAgainAfter = Milliseconds(1000);
+// What may be put off leaves a part of the budget to probes and changes.
+constexpr double syncReserve = 0.3;
+constexpr std::uint32_t headTellFactor = 4;
+constexpr std::uint32_t leastHeadTells = 8;
+
+} // namespace
+
+std::uint64_t Membership::pickPeer(bool ownZone)
+{
+    const std::vector<std::uint64_t> &wanted = ownZone ? this->table.zonePeers() : this->table.otherPeers();
+    const std::vector<std::uint64_t> &other = ownZone ? this->table.otherPeers() : this->table.zonePeers();
+    const std::vector<std::uint64_t> &peers = wanted.empty() ? other : wanted;
+    if (peers.empty())
+        return 0;
+    std::uniform_int_distribution<std::size_t> any(0, peers.size() - 1);
+    return peers[any(this->random)];
+}
+
+// Load: a drain must be seen by 6,500 nodes within seconds. Rounds five times a second to three members each
+// reach all of them in about nine rounds; the one target outside the zone carries it across.
+void Membership::gossip(Instant /*now*/)
+{
+    if (this->goodbyeRounds > 0)
+        --this->goodbyeRounds;
+    const double members = static_cast<double>(this->table.presentCount()) + 1;
+    const auto rounds = static_cast<std::uint32_t>(std::ceil(std::log10(members)));
+    const std::uint32_t headLimit = std::max(leastHeadTells, headTellFactor * rounds);
+    for (std::uint32_t i = 0; i < this->settings.gossipFanout; ++i) {
+        const bool headIsNews = this->headMark.version != 0 && this->headTold < headLimit;
+        if (this->changes.empty() && !headIsNews)
+            return;
+        if (!this->mayspend(0)) {
+            ++this->counts.heldBack;
+            return;
+        }
+        const MemberRecord *peer = this->table.find(this->pickPeer(i != 0));
+        if (peer == nullptr)
+            return;
+        ++this->headTold;
+        this->sendWithChanges(peer->member.gossipAddress, this->makeDatagram(DatagramKind::Gossip));
+    }
+}
+
+// Asks seeds for a first view until somebody answers, then goes on at a slow pace: two halves of a mesh that
+// no longer know each other meet again through the seeds.
+void Membership::join(Instant now)
+{
+    if (this->heardAnyone && this->table.presentCount() > 1) {
+        this->joinBackoff = rejoinInterval;
+    } else {
+        this->joinBackoff = std::min(this->joinBackoff * 2, longestJoinBackoff);
+    }
+    this->nextJoin = now + this->jittered(this->joinBackoff);
+    std::vector<std::string> addresses = this->settings.seeds;
+    std::shuffle(addresses.begin(), addresses.end(), this->random);
+    std::erase(addresses, this->own.gossipAddress);
+    if (addresses.size() > joinTargets)
+        addresses.resize(joinTargets);
+    for (const std::string &address : addresses) {
+        Datagram datagram = this->makeDatagram(DatagramKind::Join);
+        datagram.members.push_back(this->own);
+        this->transmit(address, datagram);
+    }
+    this->nextSync = std::min(this->nextSync, now + this->settings.catchUpInterval);
+}
+
+// A joining node gets members of its own zone first, for it calls those most; the rest comes by comparison.
+void Membership::handleJoin(Instant /*now*/, const std::string &from, const Datagram &datagram)
+{
+    const MemberRecord *joiner = this->table.find(datagram.sender);
+    if (joiner == nullptr)
+        return;
+    std::vector<const MemberRecord *> near;
+    std::vector<const MemberRecord *> far;
+    this->table.forEach([&](const MemberRecord &record) {
+        if (isPresent(record.member.state) && record.idHash != joiner->idHash)
+            (record.member.zone == joiner->member.zone ? near : far).push_back(&record);
+    });
+    std::shuffle(near.begin(), near.end(), this->random);
+    std::shuffle(far.begin(), far.end(), this->random);
+    near.insert(near.end(), far.begin(), far.end());
+    // This node's own record is in the list or not by chance; the header's incarnation makes up for it.
+    this->sendRecords(from, near, joinAnswerDatagrams);
+    if (joiner->member.incarnation > datagram.senderIncarnation || !isPresent(joiner->member.state)) {
+        Datagram notice = this->makeDatagram(DatagramKind::Gossip);
+        notice.briefs.push_back(MemberTable::briefOf(*joiner));
+        this->transmit(from, notice);
+    }
+}
+
+void Membership::startSync(Instant /*now*/)
+{
+    if (!this->mayspend(syncReserve)) {
+        ++this->counts.heldBack;
+        return;
+    }
+    std::uniform_int_distribution<int> quarter(0, 3);
+    const MemberRecord *peer = this->table.find(this->pickPeer(quarter(this->random) != 0));
+    if (peer == nullptr)
+        return;
+    Datagram digest = this->makeDatagram(DatagramKind::SyncDigest, ++this->lastSequence);
+    const BucketHashes &hashes = this->table.bucketHashes();
+    digest.bucketHashes.assign(hashes.begin(), hashes.end());
+    this->transmit(peer->member.gossipAddress, digest);
+}
+
+void Membership::handleSyncDigest(Instant /*now*/, const std::string &from, const Datagram &datagram)
+{
+    if (datagram.bucketHashes.size() != bucketCount || !this->mayspend(syncReserve))
+        return;
+    std::vector<std::uint8_t> differing;
+    std::vector<const MemberRecord *> missing;
+    const BucketHashes &hashes = this->table.bucketHashes();
+    for (std::size_t i = 0; i < bucketCount; ++i) {
+        if (hashes[i] != datagram.bucketHashes[i])
+            differing.push_back(static_cast<std::uint8_t>(i));
+    }
+    std::shuffle(differing.begin(), differing.end(), this->random);
+    Datagram reply = this->makeDatagram(DatagramKind::SyncEntries, datagram.sequence);
+    constexpr std::size_t headRoom = 200;
+    std::size_t used = headRoom;
+    for (const std::uint8_t index : differing) {
+        const std::vector<const MemberRecord *> bucket = this->table.bucket(index);
+        // The other side has nothing there: the records themselves save a round trip.
+        if (datagram.bucketHashes[index] == 0) {
+            for (const MemberRecord *record : bucket) {
+                if (isPresent(record->member.state))
+                    missing.push_back(record);
+            }
+            continue;
+        }
+        const std::size_t size = bucket.size() * encodedEntrySize + 1;
+        if (used + size > maximumDatagramBytes || reply.entries.size() + bucket.size() > 255)
+            continue;
+        used += size;
+        reply.buckets.push_back(index);
+        for (const MemberRecord *record : bucket)
+            reply.entries.push_back({record->idHash, record->member.incarnation, record->member.state});
+    }
+    if (!reply.buckets.empty())
+        this->transmit(from, reply);
+    this->sendRecords(from, missing, syncAnswerDatagrams);
+}
+
+void Membership::handleSyncEntries(Instant now, const std::string &from, const Datagram &datagram)
+{
+    std::unordered_map<std::uint64_t, const SyncEntry *> theirs;
+    std::vector<std::uint64_t> wanted;
+    std::vector<const MemberRecord *> offered;
+    for (const SyncEntry &entry : datagram.entries) {
+        theirs[entry.idHash] = &entry;
+        if (this->concernsOwn(now, entry.idHash, entry.incarnation, entry.state))
+            continue;
+        const MemberRecord *record = this->table.find(entry.idHash);
+        const bool unknown = record == nullptr && isPresent(entry.state);
+        const bool newer =
+            record != nullptr
+            && (entry.incarnation > record->member.incarnation
+                || (entry.incarnation == record->member.incarnation && entry.state > record->member.state));
+        if (unknown || newer)
+            wanted.push_back(entry.idHash);
+    }
+    for (const std::uint8_t index : datagram.buckets) {
+        for (const MemberRecord *record : this->table.bucket(index)) {
+            const auto found = theirs.find(record->idHash);
+            const bool unknown = found == theirs.end() && isPresent(record->member.state);
+            const bool newer = found != theirs.end()
+                               && (record->member.incarnation > found->second->incarnation
+                                   || (record->member.incarnation == found->second->incarnation
+                                       && record->member.state > found->second->state));
+            if (unknown || newer)
+                offered.push_back(record);
+        }
+    }
+    this->request(now, from, wanted);
+    this->sendRecords(from, offered, syncAnswerDatagrams);
+    if (!wanted.empty() || !offered.empty())
+        this->nextSync = std::min(this->nextSync, now + this->jittered(this->settings.catchUpInterval));
+}
+
+void Membership::handleSyncRequest(Instant /*now*/, const std::string &from, const Datagram &datagram)
+{
+    std::vector<const MemberRecord *> records;
+    for (const std::uint64_t idHash : datagram.wanted) {
+        const MemberRecord *record = this->table.find(idHash);
+        if (record != nullptr)
+            records.push_back(record);
+    }
+    this->sendRecords(from, records, syncAnswerDatagrams);
+}
+
+void Membership::request(Instant now, const std::string &address, const std::vector<std::uint64_t> &wanted)
+{
+    Datagram datagram = this->makeDatagram(DatagramKind::SyncRequest);
+    for (const std::uint64_t idHash : wanted) {
+        const auto asked = this->requested.find(idHash);
+        if (asked != this->requested.end() && now - asked->second < requestAgainAfter)
+            continue;
+        if (datagram.wanted.size() >= maximumWanted)
+            break;
+        this->requested[idHash] = now;
+        datagram.wanted.push_back(idHash);
+    }
+    if (datagram.wanted.empty() || !this->mayspend(0))
+        return;
+    this->transmit(address, datagram);
+}
+
+void Membership::sendRecords(const std::string &address, const std::vector<const MemberRecord *> &records,
+                             std::size_t maximumDatagrams)
+{
+    constexpr std::size_t headRoom = 200;
+    std::size_t next = 0;
+    for (std::size_t sent = 0; sent < maximumDatagrams && next < records.size(); ++sent) {
+        if (!this->mayspend(syncReserve)) {
+            ++this->counts.heldBack;
+            return;
+        }
+        // A sequence marks an answer: whoever gets one has more to catch up on.
+        Datagram answer = this->makeDatagram(DatagramKind::Gossip, 1);
+        std::size_t used = headRoom;
+        while (next < records.size()) {
+            const std::size_t size = encodedSize(records[next]->member);
+            if (used + size > maximumDatagramBytes)
+                break;
+            used += size;
+            answer.members.push_back(records[next]->member);
+            ++next;
+        }
+        this->transmit(address, answer);
+    }
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Libraries/LibMembership/TokenBucket.h
@@ -0,0 +1,43 @@
+// A budget of bytes a second with a bounded burst.
+#pragma once
+
+#include <LibCore/Time.h>
+
+#include <algorithm>
+#include <cstddef>
+
+namespace Sagecrank {
+
+class TokenBucket
+{
+public:
+    TokenBucket(double bytesPerSecond, double burstBytes)
+        : rate(bytesPerSecond)
+        , burst(burstBytes)
+        , tokens(burstBytes)
+    {
+    }
+
+    void refill(Instant now)
+    {
+        if (this->last != Instant{} && now > this->last) {
+            const double seconds = std::chrono::duration<double>(now - this->last).count();
+            this->tokens = std::min(this->burst, this->tokens + seconds * this->rate);
+        }
+        this->last = now;
+    }
+
+    // May go below zero: what must be sent, such as an acknowledgement, is sent and paid back later.
+    void take(std::size_t bytes) { this->tokens -= static_cast<double>(bytes); }
+
+    double available() const { return this->tokens; }
+    double capacity() const { return this->burst; }
+
+private:
+    double rate;
+    double burst;
+    double tokens; // Never above burst.
+    Instant last{};
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Tests/LibMembership/FakeNetwork.h
@@ -0,0 +1,194 @@
+// Many Membership instances joined by an in-memory network with delay, loss, cuts and pauses, in fake time.
+// Everything random comes from one seed, so a run repeats exactly.
+#pragma once
+
+#include <LibMembership/Membership.h>
+
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Sagecrank::Testing {
+
+struct FakeNode
+{
+    std::unique_ptr<Membership> membership;
+    std::string region;
+    bool running = true;
+    bool paused = false;
+    std::size_t events = 0; // Changes of members that it was told.
+};
+
+class FakeNetwork
+{
+public:
+    struct Shape
+    {
+        std::size_t nodes = 10;
+        std::size_t zones = 1;
+        std::size_t regions = 1;
+        std::uint64_t seed = 1;
+        double loss = 0;
+    };
+
+    static constexpr Duration step = Milliseconds(50);
+
+    explicit FakeNetwork(Shape shape, MembershipSettings settings = {})
+        : settings(std::move(settings))
+        , loss(shape.loss)
+        , random(shape.seed)
+    {
+        this->settings.seeds = {addressOf(0), addressOf(1), addressOf(2)};
+        for (std::size_t i = 0; i < shape.nodes; ++i) {
+            FakeNode node;
+            node.region = "r" + std::to_string(i % shape.regions);
+            this->nodes.push_back(std::move(node));
+            this->zones.push_back("z" + std::to_string(i % shape.zones));
+            this->start(i, 1);
+        }
+    }
+
+    void start(std::size_t index, std::uint64_t incarnation)
+    {
+        Member self;
+        self.id = idOf(index);
+        self.incarnation = incarnation;
+        self.region = this->nodes[index].region;
+        self.zone = this->zones[index];
+        self.site = self.zone;
+        self.gossipAddress = addressOf(index);
+        self.peerAddress = "10.0.0.1:" + std::to_string(20000 + index);
+        self.controlAddress = "10.0.0.1:" + std::to_string(30000 + index);
+        MembershipHooks hooks;
+        hooks.send = [this, index](const std::string &to, const std::string &bytes) {
+            this->send(index, to, bytes);
+        };
+        hooks.memberChanged = [this, index](const Member &) { ++this->nodes[index].events; };
+        this->nodes[index].membership =
+            std::make_unique<Membership>(this->settings, self, std::move(hooks), this->random());
+        this->nodes[index].running = true;
+    }
+
+    void run(Duration time)
+    {
+        const Instant end = this->now + time;
+        while (this->now < end)
+            this->advance();
+    }
+
+    // Runs until the condition holds; the time that it took, or the limit.
+    Duration runUntil(const std::function<bool()> &condition, Duration limit)
+    {
+        const Instant begin = this->now;
+        while (this->now - begin < limit && !condition())
+            this->advance();
+        return this->now - begin;
+    }
+
+    bool allRunning(const std::function<bool(const Membership &)> &condition) const
+    {
+        for (const FakeNode &node : this->nodes) {
+            if (node.running && !node.paused && !condition(*node.membership))
+                return false;
+        }
+        return true;
+    }
+
+    // Every running node counts exactly the running nodes as present.
+    bool converged() const
+    {
+        std::size_t running = 0;
+        for (const FakeNode &node : this->nodes)
+            running += node.running ? 1 : 0;
+        return this->allRunning([&](const Membership &m) { return m.members().presentCount() == running; });
+    }
+
+    MemberState stateOf(std::size_t viewer, std::size_t member) const
+    {
+        const MemberRecord *record = this->nodes[viewer].membership->members().find(idOf(member));
+        return record == nullptr ? MemberState::Left : record->member.state;
+    }
+
+    static std::string idOf(std::size_t index) { return "n" + std::to_string(index); }
+    static std::string addressOf(std::size_t index) { return "10.0.0.1:" + std::to_string(10000 + index); }
+
+    Instant now = Instant(std::chrono::hours(1));
+    std::vector<FakeNode> nodes;
+    std::vector<std::string> zones;
+    MembershipSettings settings;
+    double loss;
+    // True when nothing passes from the first node to the second.
+    std::function<bool(std::size_t from, std::size_t to)> cut;
+    std::mt19937_64 random;
+
+private:
+    struct Packet
+    {
+        Instant due;
+        std::uint64_t order;
+        std::size_t from;
+        std::size_t to;
+        std::string bytes;
+
+        bool operator>(const Packet &other) const
+        {
+            return std::tie(this->due, this->order) > std::tie(other.due, other.order);
+        }
+    };
+
+    void send(std::size_t from, const std::string &address, const std::string &bytes)
+    {
+        const std::size_t to = std::stoul(address.substr(address.rfind(':') + 1)) - 10000;
+        std::uniform_real_distribution<double> share(0, 1);
+        if (to >= this->nodes.size() || share(this->random) < this->loss)
+            return;
+        if (this->cut && this->cut(from, to))
+            return;
+        const auto delay =
+            std::chrono::duration_cast<Duration>(Microseconds(500) * (1 + share(this->random)));
+        this->packets.push({this->now + delay, ++this->order, from, to, bytes});
+    }
+
+    // A paused node's packets wait in its socket's buffer and are read when it goes on.
+    void deliver(const Packet &packet)
+    {
+        FakeNode &node = this->nodes[packet.to];
+        if (!node.running)
+            return;
+        if (node.paused) {
+            if (this->held.size() < 256)
+                this->held.push_back(packet);
+            return;
+        }
+        node.membership->receive(packet.due, addressOf(packet.from), packet.bytes);
+    }
+
+    void advance()
+    {
+        const Instant end = this->now + step;
+        std::vector<Packet> waiting;
+        waiting.swap(this->held);
+        for (const Packet &packet : waiting)
+            this->deliver(packet);
+        while (!this->packets.empty() && this->packets.top().due <= end) {
+            const Packet packet = this->packets.top();
+            this->packets.pop();
+            this->now = std::max(this->now, packet.due);
+            this->deliver(packet);
+        }
+        this->now = end;
+        for (FakeNode &node : this->nodes) {
+            if (node.running && !node.paused)
+                node.membership->tick(this->now);
+        }
+    }
+
+    std::uint64_t order = 0;
+    std::priority_queue<Packet, std::vector<Packet>, std::greater<>> packets;
+    std::vector<Packet> held;
+};
+
+} // namespace Sagecrank::Testing
--- /dev/null
+++ b/Tests/LibMembership/TestMembership.cpp
@@ -0,0 +1,219 @@
+// The gossip state machine among many nodes on a fake network: who sees whom, and when.
+#include "FakeNetwork.h"
+
+#include <Support/TableTest.h>
+
+using namespace Sagecrank;
+using std::chrono::minutes;
+using std::chrono::seconds;
+using Testing::FakeNetwork;
+
+namespace {
+
+struct ShapeRow
+{
+    std::size_t nodes;
+    std::size_t zones;
+    double loss;
+};
+
+const ShapeRow shapeRows[] = {
+    {2, 1, 0}, {3, 3, 0}, {8, 3, 0.1}, {60, 3, 0}, {60, 25, 0.05},
+};
+
+bool seesUpstream(const Membership &viewer, std::size_t member, UpstreamState state)
+{
+    const MemberRecord *record = viewer.members().find(FakeNetwork::idOf(member));
+    return record != nullptr && record->member.upstream == state;
+}
+
+std::uint64_t deaths(const FakeNetwork &network)
+{
+    std::uint64_t sum = 0;
+    for (const auto &node : network.nodes)
+        sum += node.membership->counters().deaths;
+    return sum;
+}
+
+} // namespace
+
+TABLE_TEST(membership, everyNodeSeesEveryNode, shapeRows)
+{
+    FakeNetwork network({row.nodes, row.zones, 1, 7, row.loss});
+    const Duration took = network.runUntil([&] { return network.converged(); }, seconds(60));
+    cr_assert(took < seconds(30), "%zu nodes took longer than 30 s", row.nodes);
+}
+
+// A drain is announced by one node. Its callers on other nodes keep choosing it until they hear of it, so
+// every node, in every zone, must hear within seconds, also when one datagram in ten is lost.
+TABLE_TEST(membership, aDrainIsSeenEverywhereWithinSeconds, shapeRows)
+{
+    FakeNetwork network({row.nodes, row.zones, 1, 11, row.loss});
+    network.runUntil([&] { return network.converged(); }, seconds(60));
+    network.nodes[0].membership->setUpstream(network.now, "booking", UpstreamState::Ready, 6);
+    network.run(seconds(20));
+    network.nodes[0].membership->setUpstream(network.now, "booking", UpstreamState::Draining, 6);
+    const auto seen = [&] {
+        return network.allRunning(
+            [](const Membership &m) { return seesUpstream(m, 0, UpstreamState::Draining); });
+    };
+    const Duration took = network.runUntil(seen, seconds(30));
+    cr_assert(took <= seconds(4), "the drain took longer than 4 s");
+}
+
+// A process dies without a word. Callers go on choosing its upstream until the mesh holds it for dead: first
+// its probes go unanswered, then those through others, then the suspicion runs out unrefuted.
+TABLE_TEST(membership, aSilentDeathIsSeenEverywhere, shapeRows)
+{
+    FakeNetwork network({row.nodes, row.zones, 1, 13, row.loss});
+    network.runUntil([&] { return network.converged(); }, seconds(60));
+    network.nodes[row.nodes - 1].running = false;
+    const Duration took = network.runUntil([&] { return network.converged(); }, minutes(3));
+    cr_assert(took < seconds(60), "the death was not seen within 60 s");
+}
+
+// One datagram in ten is lost for ten minutes and nobody dies. A node that is falsely held for dead would
+// lose its callers for no reason: indirect probes and refutation must keep every one in.
+Test(membership, lossAloneKillsNobody)
+{
+    FakeNetwork network({40, 4, 2, 17, 0.1});
+    network.runUntil([&] { return network.converged(); }, seconds(60));
+    network.run(minutes(10));
+    cr_assert(deaths(network) == 0, "%lu false deaths", static_cast<unsigned long>(deaths(network)));
+}
+
+// A process is frozen for a minute, the others hold it for dead, and it wakes with suspicions and probes that
+// all lapsed while it slept. It must not bring dead members back or declare living ones dead, and its own
+// callers must find it again: it hears what is said of it, refutes that and learns the rest anew.
+Test(membership, aPausedNodeCannotUndoNewerState)
+{
+    FakeNetwork network({20, 4, 1, 19, 0});
+    network.runUntil([&] { return network.converged(); }, seconds(60));
+    network.nodes[4].membership->setUpstream(network.now, "booking", UpstreamState::Ready, 6);
+    network.run(seconds(10));
+    network.nodes[5].paused = true;
+    network.run(seconds(30));
+    cr_assert(network.stateOf(0, 5) == MemberState::Dead);
+    network.nodes[4].membership->setUpstream(network.now, "booking", UpstreamState::Draining, 6);
+    network.nodes[6].running = false;
+    network.run(seconds(30));
+    cr_assert(network.stateOf(0, 6) == MemberState::Dead);
+
+    const std::uint64_t before = deaths(network);
+    network.nodes[5].paused = false;
+    const Duration took = network.runUntil([&] { return network.converged(); }, seconds(60));
+    cr_assert(took < seconds(30), "the woken node is not back after 30 s");
+    network.run(seconds(10));
+    cr_assert(
+        network.allRunning([](const Membership &m) { return seesUpstream(m, 4, UpstreamState::Draining); }));
+    cr_assert(deaths(network) == before, "the woken node declared living nodes dead");
+    cr_assert(network.nodes[5].membership->counters().refutations > 0);
+    cr_assert(network.nodes[5].membership->counters().pauses == 1);
+}
+
+// Two regions lose each other for an hour and hold each other for dead. When the link is back, neither may
+// empty its view of its own members because the other side says that they died, and both must be whole again
+// within minutes without anyone's help.
+Test(membership, regionsThatLostEachOtherHeal)
+{
+    FakeNetwork network({24, 6, 2, 23, 0});
+    network.runUntil([&] { return network.converged(); }, seconds(60));
+    network.cut = [&](std::size_t from, std::size_t to) {
+        return network.nodes[from].region != network.nodes[to].region;
+    };
+    network.run(minutes(60));
+    cr_assert(network.allRunning([](const Membership &m) { return m.members().presentCount() == 12; }));
+    network.cut = nullptr;
+    std::size_t fewest = 24;
+    const auto healed = [&] {
+        for (const auto &node : network.nodes)
+            fewest = std::min(fewest, node.membership->members().presentCount());
+        return network.converged();
+    };
+    const Duration took = network.runUntil(healed, minutes(5));
+    cr_assert(took < minutes(1), "the halves are not one after a minute");
+    cr_assert(fewest >= 12, "a node's view fell to %zu members while healing", fewest);
+}
+
+// A zone dies as one and comes back as one with new processes. The survivors must see both, and no node may
+// send more than its budget while a third of the mesh changes at once.
+Test(membership, aLostZoneReturnsWithinTheBudget)
+{
+    MembershipSettings settings;
+    FakeNetwork network({90, 3, 1, 29, 0}, settings);
+    network.runUntil([&] { return network.converged(); }, seconds(60));
+    for (std::size_t i = 2; i < 90; i += 3)
+        network.nodes[i].running = false;
+    cr_assert(network.runUntil([&] { return network.converged(); }, minutes(3)) < minutes(1));
+    std::vector<std::uint64_t> before;
+    for (std::size_t i = 0; i < 90; ++i)
+        before.push_back(i % 3 == 2 ? 0 : network.nodes[i].membership->counters().sentBytes());
+    for (std::size_t i = 2; i < 90; i += 3)
+        network.start(i, 1000);
+    const Instant begin = network.now;
+    cr_assert(network.runUntil([&] { return network.converged(); }, minutes(3)) < seconds(40));
+    network.run(seconds(20));
+    const double time = std::chrono::duration<double>(network.now - begin).count();
+    for (std::size_t i = 0; i < 90; ++i) {
+        const auto sent =
+            static_cast<double>(network.nodes[i].membership->counters().sentBytes() - before[i]);
+        cr_assert(sent <= settings.burstBytes + settings.bytesPerSecond * time, "node %zu sent %f bytes", i,
+                  sent);
+    }
+}
+
+// A restart on a host whose wall clock was set back claims a lower incarnation than the mesh remembers. The
+// mesh would ignore all it says; it must hear of the higher one and rise above it.
+Test(membership, aRestartWithALowerIncarnationIsTakenBack)
+{
+    FakeNetwork network({10, 2, 1, 31, 0});
+    network.runUntil([&] { return network.converged(); }, seconds(60));
+    network.nodes[7].running = false;
+    network.run(seconds(30));
+    network.start(7, 0);
+    network.nodes[7].membership->setUpstream(network.now, "entry", UpstreamState::Ready, 6);
+    const auto seen = [&] {
+        return network.allRunning(
+            [](const Membership &m) { return seesUpstream(m, 7, UpstreamState::Ready); });
+    };
+    cr_assert(network.runUntil(seen, minutes(1)) < seconds(30));
+}
+
+// A node says goodbye and ends. Nobody may take that for a death that needs suspicion, and it must be out of
+// every view within seconds.
+Test(membership, aGoodbyeIsSeenWithoutSuspicion)
+{
+    FakeNetwork network({30, 3, 1, 37, 0});
+    network.runUntil([&] { return network.converged(); }, seconds(60));
+    network.nodes[9].membership->leave(network.now);
+    network.runUntil([&] { return network.nodes[9].membership->saidGoodbye(); }, seconds(10));
+    network.nodes[9].running = false;
+    cr_assert(network.runUntil([&] { return network.converged(); }, minutes(1)) <= seconds(4));
+    cr_assert(network.stateOf(0, 9) == MemberState::Left);
+    cr_assert(deaths(network) == 0);
+}
+
+Test(membership, theDeadAreForgotten)
+{
+    FakeNetwork network({6, 1, 1, 41, 0});
+    network.runUntil([&] { return network.converged(); }, seconds(60));
+    network.nodes[5].running = false;
+    network.run(minutes(60));
+    cr_assert(network.nodes[0].membership->members().size() == 6);
+    network.run(minutes(70));
+    cr_assert(network.allRunning([](const Membership &m) { return m.members().size() == 5; }));
+}
+
+Test(membership, theHighestConfigurationMarkReachesAll)
+{
+    FakeNetwork network({40, 4, 2, 43, 0});
+    network.runUntil([&] { return network.converged(); }, seconds(60));
+    network.nodes[3].membership->setConfiguration(9, {9, 1, 2});
+    const auto seen = [&] {
+        return network.allRunning([](const Membership &m) { return m.head() == ConfigurationMark{9, 1, 2}; });
+    };
+    cr_assert(network.runUntil(seen, minutes(1)) <= seconds(4));
+    network.nodes[3].membership->setConfiguration(8, {8, 3, 4});
+    network.run(seconds(5));
+    cr_assert(seen(), "a lower mark replaced a higher one");
+}
