--- /dev/null
+++ b/Libraries/LibHistory/Checkers.cpp
@@ -0,0 +1,79 @@
+#include <LibHistory/Checkers.h>
+
+#include <map>
+
+namespace Sagecrank {
+
+namespace {
+
+struct CheckerRow
+{
+    PromisePoint point;
+    Verdict (*check)(const History &, const CheckLimits &);
+};
+
+constexpr CheckerRow checkerRows[] = {
+    {PromisePoint::VersionNeverBack, checkVersionNeverBack},
+    {PromisePoint::NoDanglingRoute, checkNoDanglingRoute},
+    {PromisePoint::WholeVersions, checkWholeVersions},
+    {PromisePoint::OwnWholeAnswer, checkOwnWholeAnswer},
+    {PromisePoint::NotRunNeverRan, checkNotRunNeverRan},
+    {PromisePoint::AtMostOnce, checkAtMostOnce},
+    {PromisePoint::LeavingGetsNoWork, checkLeavingGetsNoWork},
+    {PromisePoint::ShutdownCutsNothing, checkShutdownCutsNothing},
+    {PromisePoint::AcceptedInForce, checkAcceptedInForce},
+};
+
+void countAnswer(CallTotals &totals, const CallerAnswered &answered)
+{
+    if (answered.outcome == "done") {
+        ++totals.done;
+        totals.replayed += answered.replayed ? 1 : 0;
+    } else if (answered.outcome == "not-run") {
+        ++totals.notRun;
+    } else {
+        ++totals.unknown;
+    }
+}
+
+// Attempts that run in each process lifetime at the moment.
+using RunningByLifetime = std::map<std::size_t, std::size_t>;
+
+} // namespace
+
+Verdict checkPromise(PromisePoint point, const History &history, const CheckLimits &limits)
+{
+    for (const CheckerRow &row : checkerRows) {
+        if (row.point == point)
+            return row.check(history, limits);
+    }
+    return Verdict{point, 0, {}, {}};
+}
+
+CallTotals countCalls(const History &history)
+{
+    CallTotals totals;
+    RunningByLifetime running;
+    for (const HistoryRecord &record : history.records) {
+        if (const auto *sent = std::get_if<CallerSent>(&record.event)) {
+            ++totals.sent;
+            totals.keyed += sent->key.empty() ? 0 : 1;
+        } else if (const auto *answered = std::get_if<CallerAnswered>(&record.event)) {
+            countAnswer(totals, *answered);
+        } else if (std::holds_alternative<CallerLost>(record.event)) {
+            ++totals.lost;
+        } else if (std::holds_alternative<UpstreamBegan>(record.event)) {
+            ++running[record.lifetime];
+        } else if (std::holds_alternative<UpstreamEnded>(record.event)) {
+            --running[record.lifetime];
+        } else if (std::holds_alternative<UpstreamDraining>(record.event)) {
+            ++totals.drains;
+            totals.inFlightAtDrain += running[record.lifetime];
+        } else if (std::holds_alternative<PublishAccepted>(record.event)) {
+            ++totals.versionsAccepted;
+        }
+    }
+    return totals;
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Libraries/LibHistory/Checkers.h
@@ -0,0 +1,99 @@
+// One checker for each promise that must always hold. A checker is a pure function over a merged history; it
+// gives the violations it found with the events that show each, and how many events it judged. One that
+// judged none proves nothing and counts as failed.
+#pragma once
+
+#include <LibCore/EnumNames.h>
+#include <LibHistory/History.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Sagecrank {
+
+enum class PromisePoint : std::uint8_t {
+    VersionNeverBack,    // No node moves back to an older version than one it has held.
+    NoDanglingRoute,     // No route points at a cluster or upstream that the node does not have.
+    WholeVersions,       // A node holds all of a version or none of it; a bad one is never applied.
+    OwnWholeAnswer,      // Each caller gets the whole answer to its own request.
+    NotRunNeverRan,      // What was refused as "not run" did not run and does not run later.
+    AtMostOnce,          // Non-idempotent work runs at most once.
+    LeavingGetsNoWork,   // A leaving upstream receives no new work after a few seconds.
+    ShutdownCutsNothing, // A graceful shutdown cuts no request in flight.
+    AcceptedInForce,     // An accepted version is in force on every node in time and never reverts.
+};
+
+inline constexpr EnumNames<PromisePoint, 9> promisePointNames{{
+    {PromisePoint::VersionNeverBack, "version-never-back"},
+    {PromisePoint::NoDanglingRoute, "no-dangling-route"},
+    {PromisePoint::WholeVersions, "whole-versions"},
+    {PromisePoint::OwnWholeAnswer, "own-whole-answer"},
+    {PromisePoint::NotRunNeverRan, "not-run-never-ran"},
+    {PromisePoint::AtMostOnce, "at-most-once"},
+    {PromisePoint::LeavingGetsNoWork, "leaving-gets-no-work"},
+    {PromisePoint::ShutdownCutsNothing, "shutdown-cuts-nothing"},
+    {PromisePoint::AcceptedInForce, "accepted-in-force"},
+}};
+
+struct CheckLimits
+{
+    // After it has said that it leaves, an upstream may still be given work for this long: the news has to
+    // travel, and the promise says "a few seconds".
+    std::chrono::nanoseconds drain = std::chrono::seconds(3);
+    // From acceptance until a version must be in force on every node that is up and reachable.
+    std::chrono::nanoseconds convergence = std::chrono::seconds(7);
+    // A request thread may still act on the picture that another thread has just replaced.
+    std::chrono::nanoseconds staleRead = std::chrono::milliseconds(100);
+};
+
+struct Violation
+{
+    std::string text;
+    std::vector<const HistoryRecord *> evidence; // Into the checked history, in order of time.
+};
+
+struct Verdict
+{
+    PromisePoint point = PromisePoint::VersionNeverBack;
+    std::size_t eventsJudged = 0;
+    std::vector<Violation> violations;
+    std::string note; // Figures to show beside the verdict; may be empty.
+
+    bool vacuous() const { return this->eventsJudged == 0; }
+    bool holds() const { return !this->vacuous() && this->violations.empty(); }
+};
+
+Verdict checkVersionNeverBack(const History &history, const CheckLimits &limits);
+Verdict checkNoDanglingRoute(const History &history, const CheckLimits &limits);
+Verdict checkWholeVersions(const History &history, const CheckLimits &limits);
+Verdict checkOwnWholeAnswer(const History &history, const CheckLimits &limits);
+Verdict checkNotRunNeverRan(const History &history, const CheckLimits &limits);
+Verdict checkAtMostOnce(const History &history, const CheckLimits &limits);
+Verdict checkLeavingGetsNoWork(const History &history, const CheckLimits &limits);
+Verdict checkShutdownCutsNothing(const History &history, const CheckLimits &limits);
+Verdict checkAcceptedInForce(const History &history, const CheckLimits &limits);
+
+// Runs the checker of one point.
+Verdict checkPromise(PromisePoint point, const History &history, const CheckLimits &limits);
+
+// What the callers saw; goes beside the verdicts, since a run in which nothing was done proves little.
+struct CallTotals
+{
+    std::size_t sent = 0;
+    std::size_t keyed = 0; // Sent with an idempotency key.
+    std::size_t done = 0;
+    std::size_t replayed = 0; // Part of done.
+    std::size_t notRun = 0;
+    std::size_t unknown = 0;
+    std::size_t lost = 0;
+    std::size_t drains = 0;
+    std::size_t inFlightAtDrain = 0; // Calls that ran on an upstream when it began to leave.
+    std::size_t versionsAccepted = 0;
+};
+
+CallTotals countCalls(const History &history);
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Libraries/LibHistory/DrainCheckers.cpp
@@ -0,0 +1,203 @@
+// Judges upstreams that leave: they get no new work after a few seconds, and what they have is not cut.
+#include <LibHistory/CallIndex.h>
+#include <LibHistory/Checkers.h>
+
+#include <algorithm>
+#include <map>
+#include <string_view>
+
+namespace Sagecrank {
+
+namespace {
+
+// One upstream process that was told to leave.
+struct Drain
+{
+    const HistoryRecord *record = nullptr;
+    std::string_view upstream;             // Process name.
+    std::string_view node;                 // The node beside it; empty when the driver did not say.
+    std::uint64_t replaced = 0;            // When the next upstream was launched beside the same node.
+    const HistoryRecord *exited = nullptr; // The driver's record of its end.
+};
+
+std::vector<Drain> collectDrains(const History &history)
+{
+    std::vector<Drain> drains;
+    std::map<std::string_view, std::string_view> nodeByUpstream;
+    for (const HistoryRecord &record : history.records) {
+        if (const auto *launched = std::get_if<ProcessLaunched>(&record.event)) {
+            if (launched->role != "upstream")
+                continue;
+            nodeByUpstream[launched->target] = launched->node;
+            for (Drain &drain : drains) {
+                if (drain.node == launched->node && drain.replaced == history.endTime())
+                    drain.replaced = record.time;
+            }
+        } else if (std::holds_alternative<UpstreamDraining>(record.event)) {
+            drains.push_back(
+                {&record, record.process, nodeByUpstream[record.process], history.endTime(), nullptr});
+        } else if (const auto *exited = std::get_if<ProcessExited>(&record.event)) {
+            for (Drain &drain : drains) {
+                if (drain.upstream == exited->target && drain.exited == nullptr)
+                    drain.exited = &record;
+            }
+        }
+    }
+    return drains;
+}
+
+void judgeLateWork(Verdict &verdict, const History &history, const Drain &drain, std::uint64_t allowed)
+{
+    const std::uint64_t due = drain.record->time + allowed;
+    bool loadWentOn = false;
+    for (const HistoryRecord &record : history.records) {
+        if (record.time <= due)
+            continue;
+        if (std::holds_alternative<CallerSent>(record.event)) {
+            loadWentOn = true;
+        } else if (std::holds_alternative<UpstreamBegan>(record.event)) {
+            if (record.lifetime == drain.record->lifetime)
+                verdict.violations.push_back(
+                    {std::string(drain.upstream) + " was given work after it had left",
+                     {drain.record, &record}});
+        } else if (std::holds_alternative<GateStarted>(record.event)) {
+            if (!drain.node.empty() && record.process == drain.node && record.time < drain.replaced)
+                verdict.violations.push_back({std::string(drain.node) + " started work for "
+                                                  + std::string(drain.upstream) + " after it had left",
+                                              {drain.record, &record}});
+        }
+    }
+    // Without load nothing could have been sent to it, so such a drain proves nothing.
+    if (loadWentOn)
+        ++verdict.eventsJudged;
+}
+
+class ShutdownJudge
+{
+public:
+    explicit ShutdownJudge(const History &history)
+        : history(history)
+        , index(history)
+        , faults(faultWindows(history))
+    {
+        for (const HistoryRecord &record : history.records) {
+            const auto *launched = std::get_if<ProcessLaunched>(&record.event);
+            if (launched != nullptr && !launched->address.empty())
+                this->nodeByAddress[launched->address] = launched->target;
+        }
+    }
+
+    // Attempts that were running when the upstream was told to leave, or began after that.
+    CallIndex::Records openAttempts(const Drain &drain) const
+    {
+        CallIndex::Records open;
+        for (const HistoryRecord &record : this->history.records) {
+            const auto *began = std::get_if<UpstreamBegan>(&record.event);
+            if (began == nullptr || record.lifetime != drain.record->lifetime)
+                continue;
+            const HistoryRecord *ended = this->endOf(*began);
+            if (ended == nullptr || ended->time > drain.record->time)
+                open.push_back(&record);
+        }
+        return open;
+    }
+
+    void judgeAttempt(Verdict &verdict, const Drain &drain, const HistoryRecord &record) const
+    {
+        ++verdict.eventsJudged;
+        const auto &began = std::get<UpstreamBegan>(record.event);
+        const HistoryRecord *ended = this->endOf(began);
+        const HistoryRecord *sent = first(CallIndex::find(this->index.sentByCall, began.call));
+        const HistoryRecord *closed = first(CallIndex::find(this->index.closedByCall, began.call));
+        const auto *answered = closed ? std::get_if<CallerAnswered>(&closed->event) : nullptr;
+        const bool answeredDone = answered != nullptr && answered->outcome == "done";
+        if (answeredDone && ended != nullptr)
+            return; // The answer arrived; an attempt that was cancelled lost against a hedge.
+        if (sent != nullptr && closed != nullptr && this->excused(drain, *sent, *closed))
+            return;
+        std::vector<const HistoryRecord *> evidence;
+        for (const HistoryRecord *each : {sent, &record, drain.record, ended, closed}) {
+            if (each != nullptr)
+                evidence.push_back(each);
+        }
+        std::sort(evidence.begin(), evidence.end(),
+                  [](const auto *left, const auto *right) { return left->time < right->time; });
+        verdict.violations.push_back(
+            {"call " + began.call + " was cut when " + std::string(drain.upstream) + " left",
+             std::move(evidence)});
+    }
+
+    void judgeExit(Verdict &verdict, const Drain &drain) const
+    {
+        if (drain.exited == nullptr || std::get<ProcessExited>(drain.exited->event).status == 0)
+            return;
+        if (!this->disturbed(drain.upstream, drain.record->time, drain.exited->time))
+            verdict.violations.push_back(
+                {std::string(drain.upstream) + " did not end in good order", {drain.record, drain.exited}});
+    }
+
+private:
+    static const HistoryRecord *first(const CallIndex::Records &records)
+    {
+        return records.empty() ? nullptr : records.front();
+    }
+
+    const HistoryRecord *endOf(const UpstreamBegan &began) const
+    {
+        return first(CallIndex::find(this->index.endedByAttempt, {began.call, began.attempt}));
+    }
+
+    bool disturbed(std::string_view process, std::uint64_t from, std::uint64_t until) const
+    {
+        return std::any_of(this->faults.begin(), this->faults.end(), [&](const FaultWindow &window) {
+            return window.target == process && window.began <= until && window.ended >= from;
+        });
+    }
+
+    // The caller's own deadline, or a fault of a process on the call's path, may end a call early; the
+    // upstream's leaving may not.
+    bool excused(const Drain &drain, const HistoryRecord &sentRecord, const HistoryRecord &closed) const
+    {
+        constexpr std::uint64_t nanosecondsPerMillisecond = 1'000'000;
+        const auto &sent = std::get<CallerSent>(sentRecord.event);
+        const std::uint64_t allowed = sent.deadlineMilliseconds * nanosecondsPerMillisecond;
+        if (allowed != 0 && closed.time >= sentRecord.time + allowed)
+            return true;
+        const auto entry = this->nodeByAddress.find(sent.node);
+        const auto from = sentRecord.time;
+        return this->disturbed(drain.upstream, from, closed.time)
+               || this->disturbed(drain.node, from, closed.time)
+               || (entry != this->nodeByAddress.end() && this->disturbed(entry->second, from, closed.time));
+    }
+
+    const History &history;
+    CallIndex index;
+    std::vector<FaultWindow> faults;
+    std::map<std::string_view, std::string_view> nodeByAddress;
+};
+
+} // namespace
+
+Verdict checkLeavingGetsNoWork(const History &history, const CheckLimits &limits)
+{
+    Verdict verdict{PromisePoint::LeavingGetsNoWork, 0, {}, {}};
+    for (const Drain &drain : collectDrains(history))
+        judgeLateWork(verdict, history, drain, std::uint64_t(limits.drain.count()));
+    return verdict;
+}
+
+Verdict checkShutdownCutsNothing(const History &history, const CheckLimits &)
+{
+    Verdict verdict{PromisePoint::ShutdownCutsNothing, 0, {}, {}};
+    const ShutdownJudge judge(history);
+    const std::vector<Drain> drains = collectDrains(history);
+    for (const Drain &drain : drains) {
+        for (const HistoryRecord *attempt : judge.openAttempts(drain))
+            judge.judgeAttempt(verdict, drain, *attempt);
+        judge.judgeExit(verdict, drain);
+    }
+    verdict.note = std::to_string(drains.size()) + " drains";
+    return verdict;
+}
+
+} // namespace Sagecrank
--- a/Libraries/LibHistory/HistoryEvents.h
+++ b/Libraries/LibHistory/HistoryEvents.h
@@ -370,13 +370,15 @@
     static constexpr HistoryEventKind kind = HistoryEventKind::ProcessLaunched;
     std::string target;  // Process name.
     std::string role;    // "node", "upstream", "caller", "platform" or "relay".
-    std::string address; // Callers' "ip:port" of a node; may be empty.
+    std::string address; // "ip:port" at which a node takes callers' requests; otherwise may be empty.
+    std::string node;    // The node that an upstream stands beside; otherwise empty.
 
     static void visitFields(auto &self, auto &&visit)
     {
         visit("target", self.target);
         visit("role", self.role);
         visit("address", self.address);
+        visit("node", self.node);
     }
 };
 
--- /dev/null
+++ b/Libraries/LibHistory/VersionCheckers.cpp
@@ -0,0 +1,216 @@
+// Judges what each node holds: versions only go up, come whole, and point at nothing that is missing.
+#include <LibHistory/Checkers.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace Sagecrank {
+
+namespace {
+
+std::string versionText(std::uint64_t version)
+{
+    return "version " + std::to_string(version);
+}
+
+// What one node has in its current lifetime.
+struct NodePicture
+{
+    struct KnownMember
+    {
+        const HistoryRecord *record = nullptr; // Of the latest node.member.
+        std::string_view cluster;              // Empty when it cannot be sent work.
+        std::string_view previousCluster;      // That it had until the latest record.
+    };
+
+    std::map<std::uint64_t, const HistoryRecord *> swaps; // By version.
+    const HistoryRecord *latestSwap = nullptr;
+    std::map<std::string_view, KnownMember> members;
+};
+
+// The cluster that a member can be sent work for; empty when it is dead, has left or has no upstream.
+std::string_view usableCluster(const NodeMember &member)
+{
+    const bool present = member.state == "alive" || member.state == "suspect";
+    const bool hasUpstream = member.upstream != "none" && member.upstream != "gone";
+    return present && hasUpstream ? std::string_view(member.cluster) : std::string_view();
+}
+
+void learnMember(NodePicture &picture, const HistoryRecord &record, const NodeMember &member)
+{
+    NodePicture::KnownMember &known = picture.members[member.member];
+    known.previousCluster = known.cluster;
+    known.cluster = usableCluster(member);
+    known.record = &record;
+}
+
+void judgeSwapTargets(Verdict &verdict, const HistoryRecord &record, const NodeSwapped &swap)
+{
+    const std::set<std::string_view> clusters(swap.clusters.begin(), swap.clusters.end());
+    for (const std::string &target : swap.routeClusters) {
+        if (!clusters.contains(target)) {
+            verdict.violations.push_back({versionText(swap.version) + " on " + record.process
+                                              + " has a route to " + target + ", which it does not have",
+                                          {&record}});
+        }
+    }
+}
+
+void judgePlacement(Verdict &verdict, const NodePicture &picture, const HistoryRecord &record,
+                    const NodePlaced &placed, std::uint64_t staleRead)
+{
+    const auto found = picture.swaps.find(placed.version);
+    if (found == picture.swaps.end()) {
+        verdict.violations.push_back(
+            {record.process + " routed by " + versionText(placed.version) + ", which it never held",
+             {&record}});
+        return;
+    }
+    const auto &clusters = std::get<NodeSwapped>(found->second->event).clusters;
+    if (std::find(clusters.begin(), clusters.end(), placed.cluster) == clusters.end()) {
+        verdict.violations.push_back(
+            {record.process + " routed to cluster " + placed.cluster + ", which its version does not have",
+             {found->second, &record}});
+    }
+    if (found->second != picture.latestSwap && record.time > picture.latestSwap->time + staleRead) {
+        verdict.violations.push_back(
+            {record.process + " routed by " + versionText(placed.version) + " after it had been replaced",
+             {picture.latestSwap, &record}});
+    }
+    const auto member = picture.members.find(placed.member);
+    if (member == picture.members.end()) {
+        verdict.violations.push_back(
+            {record.process + " sent work to " + placed.member + ", which it has never seen", {&record}});
+        return;
+    }
+    const NodePicture::KnownMember &known = member->second;
+    const bool justReplaced = record.time <= known.record->time + staleRead;
+    if (known.cluster != placed.cluster && !(justReplaced && known.previousCluster == placed.cluster)) {
+        verdict.violations.push_back({record.process + " sent work for " + placed.cluster + " to "
+                                          + placed.member + ", which has no upstream of it",
+                                      {known.record, &record}});
+    }
+}
+
+using Offer = std::pair<std::uint64_t, std::string_view>; // Version and digest.
+
+// Two nodes of one site that hold the same version must hold the same content.
+void compareContent(Verdict &verdict, const HistoryRecord &first, const HistoryRecord &other)
+{
+    const auto &expected = std::get<NodeSwapped>(first.event);
+    const auto &found = std::get<NodeSwapped>(other.event);
+    if (expected.digest != found.digest || expected.clusters != found.clusters
+        || expected.routeClusters != found.routeClusters) {
+        verdict.violations.push_back({versionText(found.version) + " of site " + found.site
+                                          + " differs between " + first.process + " and " + other.process,
+                                      {&first, &other}});
+    }
+}
+
+} // namespace
+
+Verdict checkVersionNeverBack(const History &history, const CheckLimits &)
+{
+    Verdict verdict{PromisePoint::VersionNeverBack, 0, {}, {}};
+    std::map<std::string_view, const HistoryRecord *> highestByNode; // Across restarts.
+    std::map<std::size_t, const HistoryRecord *> latestByLifetime;
+    for (const HistoryRecord &record : history.records) {
+        const auto *swap = std::get_if<NodeSwapped>(&record.event);
+        if (swap == nullptr)
+            continue;
+        ++verdict.eventsJudged;
+        const HistoryRecord *&latest = latestByLifetime[record.lifetime];
+        const std::uint64_t held = latest ? std::get<NodeSwapped>(latest->event).version : 0;
+        if (swap->previous != held) {
+            verdict.violations.push_back({record.process + " says that it replaced "
+                                              + versionText(swap->previous) + " but held "
+                                              + versionText(held),
+                                          latest ? std::vector{latest, &record} : std::vector{&record}});
+        }
+        latest = &record;
+        const HistoryRecord *&highest = highestByNode[record.process];
+        if (highest == nullptr) {
+            highest = &record;
+            continue;
+        }
+        const bool sameLifetime = highest->lifetime == record.lifetime;
+        const std::uint64_t highestVersion = std::get<NodeSwapped>(highest->event).version;
+        // A fresh process may come back to the version that its predecessor held; one process never takes the
+        // same version twice.
+        if (swap->version < highestVersion || (sameLifetime && swap->version == highestVersion)) {
+            verdict.violations.push_back({record.process + " went from " + versionText(highestVersion)
+                                              + " to " + versionText(swap->version)
+                                              + (sameLifetime ? "" : " across a restart"),
+                                          {highest, &record}});
+        } else {
+            highest = &record;
+        }
+    }
+    return verdict;
+}
+
+Verdict checkNoDanglingRoute(const History &history, const CheckLimits &limits)
+{
+    Verdict verdict{PromisePoint::NoDanglingRoute, 0, {}, {}};
+    std::map<std::size_t, NodePicture> pictures; // By lifetime.
+    std::size_t placements = 0;
+    for (const HistoryRecord &record : history.records) {
+        if (const auto *swap = std::get_if<NodeSwapped>(&record.event)) {
+            ++verdict.eventsJudged;
+            judgeSwapTargets(verdict, record, *swap);
+            NodePicture &picture = pictures[record.lifetime];
+            picture.swaps[swap->version] = &record;
+            picture.latestSwap = &record;
+        } else if (const auto *member = std::get_if<NodeMember>(&record.event)) {
+            learnMember(pictures[record.lifetime], record, *member);
+        } else if (const auto *placed = std::get_if<NodePlaced>(&record.event)) {
+            ++verdict.eventsJudged;
+            ++placements;
+            judgePlacement(verdict, pictures[record.lifetime], record, *placed,
+                           std::uint64_t(limits.staleRead.count()));
+        }
+    }
+    verdict.note = std::to_string(placements) + " placements";
+    return verdict;
+}
+
+Verdict checkWholeVersions(const History &history, const CheckLimits &)
+{
+    Verdict verdict{PromisePoint::WholeVersions, 0, {}, {}};
+    std::map<std::size_t, std::map<Offer, const HistoryRecord *>> offersByLifetime;
+    std::map<std::pair<std::string_view, std::uint64_t>, const HistoryRecord *> contentBySiteVersion;
+    std::size_t refused = 0;
+    for (const HistoryRecord &record : history.records) {
+        if (const auto *offered = std::get_if<NodeOffered>(&record.event)) {
+            offersByLifetime[record.lifetime][{offered->version, offered->digest}] = &record;
+            refused += offered->valid ? 0 : 1;
+            continue;
+        }
+        const auto *swap = std::get_if<NodeSwapped>(&record.event);
+        if (swap == nullptr)
+            continue;
+        ++verdict.eventsJudged;
+        const auto &offers = offersByLifetime[record.lifetime];
+        const auto offer = offers.find({swap->version, swap->digest});
+        if (offer == offers.end()) {
+            verdict.violations.push_back(
+                {record.process + " holds " + versionText(swap->version) + " without having checked it",
+                 {&record}});
+        } else if (!std::get<NodeOffered>(offer->second->event).valid) {
+            verdict.violations.push_back(
+                {record.process + " holds " + versionText(swap->version) + ", which it had found bad",
+                 {offer->second, &record}});
+        }
+        const auto [first, inserted] = contentBySiteVersion.try_emplace({swap->site, swap->version}, &record);
+        if (!inserted)
+            compareContent(verdict, *first->second, record);
+    }
+    verdict.note = std::to_string(refused) + " bad offers";
+    return verdict;
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Tests/LibHistory/TestCheckers.cpp
@@ -0,0 +1,395 @@
+// Every checker accepts good histories, rejects each way of breaking its promise, and fails when it has read
+// nothing to judge. The damage is done to seeded good histories at a seeded place.
+#include "HistoryFixture.h"
+
+#include <LibHistory/Checkers.h>
+#include <LibHistory/HistoryRecorder.h>
+
+#include <Support/TableTest.h>
+
+#include <algorithm>
+
+using namespace Sagecrank;
+
+namespace {
+
+using Random = std::mt19937_64;
+constexpr std::uint64_t seedCount = 25;
+
+struct Damage
+{
+    const char *name;
+    PromisePoint point;
+    void (*apply)(History &, Random &);
+};
+
+template <typename Event>
+Event &eventOf(HistoryRecord *record)
+{
+    return std::get<Event>(record->event);
+}
+
+// Picks a node's second or later swap of one lifetime.
+HistoryRecord *laterSwap(History &history, Random &random)
+{
+    auto swaps = recordsOf<NodeSwapped>(history, [](const NodeSwapped &swap) { return swap.previous > 0; });
+    return pickOne(swaps, random);
+}
+
+// Picks a swap to the last version that its node lives long enough to be judged by: b1 is killed soon after
+// its first one.
+HistoryRecord *lastVersionSwap(History &history, Random &random)
+{
+    auto swaps = recordsOf<NodeSwapped>(history, [](const NodeSwapped &swap) { return swap.version == 3; });
+    std::erase_if(swaps, [](const HistoryRecord *record) {
+        return record->process == "b1" && std::get<NodeSwapped>(record->event).previous != 0;
+    });
+    return pickOne(swaps, random);
+}
+
+HistoryRecord *doneAnswer(History &history, Random &random, bool replayed)
+{
+    auto answers = recordsOf<CallerAnswered>(history, [replayed](const CallerAnswered &answer) {
+        return answer.outcome == "done" && answer.replayed == replayed;
+    });
+    return pickOne(answers, random);
+}
+
+HistoryRecord *beganOf(History &history, Random &random, bool keyed)
+{
+    auto began = recordsOf<UpstreamBegan>(history, [&history, keyed](const UpstreamBegan &event) {
+        const auto sent = recordsOf<CallerSent>(history, [&event](const CallerSent &call) {
+            return call.call == event.call && !call.idempotent;
+        });
+        return !sent.empty() && event.key.empty() != keyed;
+    });
+    return pickOne(began, random);
+}
+
+void eraseOne(History &history, const HistoryRecord *record)
+{
+    history.records.erase(history.records.begin() + (record - history.records.data()));
+}
+
+std::uint64_t millisecondsOf(const HistoryRecord *record)
+{
+    return record->time / millisecond;
+}
+
+// Runs an attempt of the call once more, on the upstream beside b1.
+void runAgain(History &history, const UpstreamBegan &began, const std::string &attempt, std::uint64_t at)
+{
+    UpstreamBegan again = began;
+    again.attempt = attempt;
+    addEvent(history, at, "u-b1", again);
+}
+
+const Damage damages[] = {
+    {"a swap to an older version", PromisePoint::VersionNeverBack,
+     [](History &history, Random &random) {
+         auto &swap = eventOf<NodeSwapped>(laterSwap(history, random));
+         swap.version = swap.previous - 1;
+     }},
+    {"the same version taken twice", PromisePoint::VersionNeverBack,
+     [](History &history, Random &random) {
+         auto &swap = eventOf<NodeSwapped>(laterSwap(history, random));
+         swap.version = swap.previous;
+     }},
+    {"an older version after a restart", PromisePoint::VersionNeverBack,
+     [](History &history, Random &) {
+         auto swaps = recordsOf<NodeSwapped>(
+             history, [](const NodeSwapped &swap) { return swap.previous == 0 && swap.version == 3; });
+         eventOf<NodeSwapped>(swaps.front()).version = 2;
+     }},
+    {"a swap that was not recorded", PromisePoint::VersionNeverBack,
+     [](History &history, Random &) {
+         auto swaps =
+             recordsOf<NodeSwapped>(history, [](const NodeSwapped &swap) { return swap.version == 2; });
+         eraseOne(history, swaps.front());
+     }},
+    {"a cluster left out", PromisePoint::NoDanglingRoute,
+     [](History &history, Random &random) {
+         auto swaps = recordsOf<NodeSwapped>(history);
+         eventOf<NodeSwapped>(pickOne(swaps, random)).clusters.pop_back();
+     }},
+    {"work for a member never seen", PromisePoint::NoDanglingRoute,
+     [](History &history, Random &random) {
+         auto placed = recordsOf<NodePlaced>(history);
+         eventOf<NodePlaced>(pickOne(placed, random)).member = "z9";
+     }},
+    {"work for a cluster the version lacks", PromisePoint::NoDanglingRoute,
+     [](History &history, Random &random) {
+         auto placed = recordsOf<NodePlaced>(history);
+         eventOf<NodePlaced>(pickOne(placed, random)).cluster = "billing";
+     }},
+    {"work for a member that is long dead", PromisePoint::NoDanglingRoute,
+     [](History &history, Random &random) {
+         auto placed = recordsOf<NodePlaced>(history);
+         const HistoryRecord record = *pickOne(placed, random);
+         addEvent(history, millisecondsOf(&record) - 500, record.process,
+                  NodeMember{std::get<NodePlaced>(record.event).member, 1, "dead", "ready", "booking"});
+     }},
+    {"routing by a version long replaced", PromisePoint::NoDanglingRoute,
+     [](History &history, Random &) {
+         auto placed =
+             recordsOf<NodePlaced>(history, [](const NodePlaced &event) { return event.version == 3; });
+         eventOf<NodePlaced>(placed.back()).version = 2;
+     }},
+    {"a bad version applied", PromisePoint::WholeVersions,
+     [](History &history, Random &random) {
+         auto offers = recordsOf<NodeOffered>(history, [](const NodeOffered &offer) { return offer.valid; });
+         eventOf<NodeOffered>(pickOne(offers, random)).valid = false;
+     }},
+    {"a version applied unchecked", PromisePoint::WholeVersions,
+     [](History &history, Random &random) {
+         auto offers = recordsOf<NodeOffered>(history, [](const NodeOffered &offer) { return offer.valid; });
+         eraseOne(history, pickOne(offers, random));
+     }},
+    {"a version applied in part", PromisePoint::WholeVersions,
+     [](History &history, Random &random) {
+         auto swaps = recordsOf<NodeSwapped>(history);
+         auto &swap = eventOf<NodeSwapped>(pickOne(swaps, random));
+         swap.clusters.pop_back();
+         swap.routeClusters.pop_back();
+     }},
+    {"an answer never given", PromisePoint::OwnWholeAnswer,
+     [](History &history, Random &random) { eraseOne(history, doneAnswer(history, random, false)); }},
+    {"an answer given twice", PromisePoint::OwnWholeAnswer,
+     [](History &history, Random &random) {
+         const HistoryRecord answer = *doneAnswer(history, random, false);
+         addEvent(history, millisecondsOf(&answer) + 5, "load", answer.event);
+     }},
+    {"two answers exchanged", PromisePoint::OwnWholeAnswer,
+     [](History &history, Random &) {
+         auto answers = recordsOf<CallerAnswered>(history, [](const CallerAnswered &answer) {
+             return answer.outcome == "done" && !answer.replayed;
+         });
+         std::swap(eventOf<CallerAnswered>(answers.front()).body,
+                   eventOf<CallerAnswered>(answers.back()).body);
+     }},
+    {"an answer cut short", PromisePoint::OwnWholeAnswer,
+     [](History &history, Random &random) {
+         eventOf<CallerAnswered>(doneAnswer(history, random, false)).body = historyDigest("answer");
+     }},
+    {"a replayed answer of another key", PromisePoint::OwnWholeAnswer,
+     [](History &history, Random &random) {
+         eventOf<CallerAnswered>(doneAnswer(history, random, true)).body = historyDigest("other");
+     }},
+    {"an answer without an outcome", PromisePoint::OwnWholeAnswer,
+     [](History &history, Random &random) {
+         eventOf<CallerAnswered>(doneAnswer(history, random, false)).outcome = "";
+     }},
+    {"a request changed on its way", PromisePoint::OwnWholeAnswer,
+     [](History &history, Random &random) {
+         auto began = recordsOf<UpstreamBegan>(history);
+         eventOf<UpstreamBegan>(pickOne(began, random)).body = historyDigest("other");
+     }},
+    {"a call lost without a fault of its node", PromisePoint::OwnWholeAnswer,
+     [](History &history, Random &) {
+         auto faults = recordsOf<FaultBegan>(history);
+         eventOf<FaultBegan>(faults.front()).target = "c1";
+     }},
+    {"a refused call that had run", PromisePoint::NotRunNeverRan,
+     [](History &history, Random &random) {
+         eventOf<CallerAnswered>(doneAnswer(history, random, false)).outcome = "not-run";
+     }},
+    {"a refused call that runs later", PromisePoint::NotRunNeverRan,
+     [](History &history, Random &random) {
+         auto refused = recordsOf<CallerAnswered>(
+             history, [](const CallerAnswered &answer) { return answer.outcome == "not-run"; });
+         const HistoryRecord record = *pickOne(refused, random);
+         addEvent(history, millisecondsOf(&record) + 700, "u-b1",
+                  UpstreamBegan{std::get<CallerAnswered>(record.event).call, "later", "", ""});
+     }},
+    {"a refused attempt that runs later", PromisePoint::NotRunNeverRan,
+     [](History &history, Random &random) {
+         auto refused = recordsOf<GateRefused>(history);
+         const HistoryRecord record = *pickOne(refused, random);
+         const auto &event = std::get<GateRefused>(record.event);
+         addEvent(history, millisecondsOf(&record) + 700, "u-b1",
+                  UpstreamBegan{event.call, event.attempt, "", ""});
+     }},
+    {"an attempt said not to have run", PromisePoint::NotRunNeverRan,
+     [](History &history, Random &random) {
+         auto finished = recordsOf<GateFinished>(history);
+         eventOf<GateFinished>(pickOne(finished, random)).outcome = "not-run";
+     }},
+    {"a key that runs twice", PromisePoint::AtMostOnce,
+     [](History &history, Random &random) {
+         const HistoryRecord record = *beganOf(history, random, true);
+         runAgain(history, std::get<UpstreamBegan>(record.event), "x.2", millisecondsOf(&record) + 300);
+     }},
+    {"a key that runs twice for two calls", PromisePoint::AtMostOnce,
+     [](History &history, Random &random) {
+         const HistoryRecord record = *beganOf(history, random, true);
+         UpstreamBegan again = std::get<UpstreamBegan>(record.event);
+         again.call += "again";
+         runAgain(history, again, again.call + ".1", millisecondsOf(&record) + 300);
+     }},
+    {"a keyless call that runs twice", PromisePoint::AtMostOnce,
+     [](History &history, Random &random) {
+         const HistoryRecord record = *beganOf(history, random, false);
+         runAgain(history, std::get<UpstreamBegan>(record.event), "x.2", millisecondsOf(&record) + 300);
+     }},
+    {"an attempt that runs twice", PromisePoint::AtMostOnce,
+     [](History &history, Random &random) {
+         auto began = recordsOf<UpstreamBegan>(history);
+         const HistoryRecord record = *pickOne(began, random);
+         const auto &event = std::get<UpstreamBegan>(record.event);
+         runAgain(history, event, event.attempt, millisecondsOf(&record) + 300);
+     }},
+    {"an upstream given work after it left", PromisePoint::LeavingGetsNoWork,
+     [](History &history, Random &) {
+         addEvent(history, 22'000 + 3'200, "u-c1", UpstreamBegan{"call1", "x.2", "", ""});
+     }},
+    {"a gate that starts work for an upstream that left", PromisePoint::LeavingGetsNoWork,
+     [](History &history, Random &) {
+         addEvent(history, 25'300, "c1", GateStarted{"call1", "x.2"});
+     }},
+    {"a drain with no load after it", PromisePoint::LeavingGetsNoWork,
+     [](History &history, Random &) {
+         auto late =
+             recordsOf<CallerSent>(history, [](const CallerSent &sent) { return sent.call == "late"; });
+         late.front()->time = 24'000 * millisecond;
+     }},
+    {"a call that the leaving upstream cancels", PromisePoint::ShutdownCutsNothing,
+     [](History &history, Random &) {
+         auto ended = recordsOf<UpstreamEnded>(
+             history, [](const UpstreamEnded &event) { return event.call == "inflight"; });
+         eventOf<UpstreamEnded>(ended.front()).cancelled = true;
+         auto answer = recordsOf<CallerAnswered>(
+             history, [](const CallerAnswered &event) { return event.call == "inflight"; });
+         eventOf<CallerAnswered>(answer.front()).outcome = "unknown";
+     }},
+    {"a call that the leaving upstream forgets", PromisePoint::ShutdownCutsNothing,
+     [](History &history, Random &) {
+         auto ended = recordsOf<UpstreamEnded>(
+             history, [](const UpstreamEnded &event) { return event.call == "inflight"; });
+         eraseOne(history, ended.front());
+     }},
+    {"an upstream that crashes while it leaves", PromisePoint::ShutdownCutsNothing,
+     [](History &history, Random &) {
+         auto exits = recordsOf<ProcessExited>(
+             history, [](const ProcessExited &event) { return event.target == "u-c1"; });
+         eventOf<ProcessExited>(exits.front()).status = -11;
+     }},
+    {"a node that misses an accepted version", PromisePoint::AcceptedInForce,
+     [](History &history, Random &random) { eraseOne(history, lastVersionSwap(history, random)); }},
+    {"a node that takes an accepted version late", PromisePoint::AcceptedInForce,
+     [](History &history, Random &random) { lastVersionSwap(history, random)->time += 9'000 * millisecond; }},
+    {"a node that reverts an accepted version", PromisePoint::AcceptedInForce,
+     [](History &history, Random &) {
+         addEvent(history, 30'000, "a1", NodeSwapped{2, 3, "sj", "d2", {"booking"}, {}});
+     }},
+    {"a version accepted for two operators", PromisePoint::AcceptedInForce,
+     [](History &history, Random &) {
+         addEvent(history, 8'010, "operator", PublishAccepted{2, "q2"});
+     }},
+    {"a publish both accepted and refused", PromisePoint::AcceptedInForce,
+     [](History &history, Random &) {
+         addEvent(history, 8'010, "operator", PublishRefused{2, "p2", "q2"});
+     }},
+};
+
+const PromisePoint points[] = {
+    PromisePoint::VersionNeverBack,  PromisePoint::NoDanglingRoute,     PromisePoint::WholeVersions,
+    PromisePoint::OwnWholeAnswer,    PromisePoint::NotRunNeverRan,      PromisePoint::AtMostOnce,
+    PromisePoint::LeavingGetsNoWork, PromisePoint::ShutdownCutsNothing, PromisePoint::AcceptedInForce,
+};
+
+// Changes after which the promise still holds.
+const Damage allowedChanges[] = {
+    {"a call that the platform's outage leaves unknown", PromisePoint::OwnWholeAnswer,
+     [](History &history, Random &random) {
+         eventOf<CallerAnswered>(doneAnswer(history, random, false)).outcome = "unknown";
+     }},
+    {"a member that died a moment ago", PromisePoint::NoDanglingRoute,
+     [](History &history, Random &) {
+         auto placed = recordsOf<NodePlaced>(history);
+         const HistoryRecord record = *placed.back();
+         addEvent(history, millisecondsOf(&record) - 20, record.process,
+                  NodeMember{std::get<NodePlaced>(record.event).member, 1, "dead", "ready", "booking"});
+     }},
+    {"a version held up by the platform's outage", PromisePoint::AcceptedInForce,
+     [](History &history, Random &) {
+         addEvent(history, 12'001, "driver", FaultBegan{"down", "platform"});
+         addEvent(history, 20'000, "driver", FaultEnded{"down", "platform"});
+         auto swaps = recordsOf<NodeSwapped>(
+             history, [](const NodeSwapped &swap) { return swap.version == 3 && swap.previous == 2; });
+         swaps.front()->time += 9'000 * millisecond;
+     }},
+    {"a call in flight at the drain that its deadline ends", PromisePoint::ShutdownCutsNothing,
+     [](History &history, Random &) {
+         auto sent =
+             recordsOf<CallerSent>(history, [](const CallerSent &event) { return event.call == "inflight"; });
+         eventOf<CallerSent>(sent.front()).deadlineMilliseconds = 30;
+         auto answer = recordsOf<CallerAnswered>(
+             history, [](const CallerAnswered &event) { return event.call == "inflight"; });
+         eventOf<CallerAnswered>(answer.front()).outcome = "unknown";
+     }},
+    {"an idempotent call that runs again", PromisePoint::AtMostOnce,
+     [](History &history, Random &) {
+         addEvent(history, 30'010, "u-b1", UpstreamBegan{"late", "late.2", "", ""});
+     }},
+};
+
+Verdict judge(const Damage &damage, std::uint64_t seed)
+{
+    History history = makeGoodHistory(seed);
+    Random random(seed);
+    damage.apply(history, random);
+    sortHistory(history);
+    return checkPromise(damage.point, history, CheckLimits{});
+}
+
+} // namespace
+
+TABLE_TEST(checkers, goodHistoriesHold, points)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        const History history = makeGoodHistory(seed);
+        const Verdict verdict = checkPromise(row, history, CheckLimits{});
+        cr_assert(verdict.holds(), "seed %zu: %zu judged, %s", std::size_t(seed), verdict.eventsJudged,
+                  verdict.violations.empty() ? "" : verdict.violations.front().text.c_str());
+    }
+}
+
+TABLE_TEST(checkers, damageIsFound, damages)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        const Verdict verdict = judge(row, seed);
+        cr_assert(!verdict.holds(), "%s, seed %zu", row.name, std::size_t(seed));
+        for (const Violation &violation : verdict.violations)
+            cr_assert(!violation.evidence.empty(), "%s", row.name);
+    }
+}
+
+TABLE_TEST(checkers, allowedChangesHold, allowedChanges)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        const Verdict verdict = judge(row, seed);
+        cr_assert(verdict.holds(), "%s, seed %zu: %s", row.name, std::size_t(seed),
+                  verdict.violations.empty() ? "vacuous" : verdict.violations.front().text.c_str());
+    }
+}
+
+TABLE_TEST(checkers, anEmptyHistoryProvesNothing, points)
+{
+    const Verdict verdict = checkPromise(row, History{}, CheckLimits{});
+    cr_assert(verdict.vacuous());
+    cr_assert(!verdict.holds());
+}
+
+Test(checkers, callsAreCounted)
+{
+    const CallTotals totals = countCalls(makeGoodHistory(1));
+    cr_assert(totals.sent == 53, "%zu", totals.sent);
+    cr_assert(totals.keyed == 20, "%zu", totals.keyed);
+    cr_assert(totals.done == 42, "%zu", totals.done);
+    cr_assert(totals.replayed == 10, "%zu", totals.replayed);
+    cr_assert(totals.notRun == 10, "%zu", totals.notRun);
+    cr_assert(totals.lost == 1, "%zu", totals.lost);
+    cr_assert(totals.drains == 1, "%zu", totals.drains);
+    cr_assert(totals.inFlightAtDrain >= 1, "%zu", totals.inFlightAtDrain);
+    cr_assert(totals.versionsAccepted == 3, "%zu", totals.versionsAccepted);
+}
