PolicyBench: Measure policies on a fake fleet

Decisions under load had no measurement. A small discrete-event fake of both users' fleets (callers, nodes, gates, upstreams; time passed in, no sockets) runs round robin, least outstanding and ours over eleven scenarios with the same callers, and ours without one mechanism at a time.

--- /dev/null
+++ b/Utilities/PolicyBench/Main.cpp
@@ -0,0 +1,105 @@
+// Measures each policy at both users' sizes and in every scenario, and prints a Markdown table.
+#include <PolicyBench/Fleet.h>
+#include <PolicyBench/Policy.h>
+#include <PolicyBench/Report.h>
+#include <PolicyBench/Scenario.h>
+
+#include <boost/program_options.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <iostream>
+#include <string>
+#include <vector>
+
+using namespace Sagecrank;
+namespace options = boost::program_options;
+
+namespace {
+
+struct Request
+{
+    std::uint32_t seeds = 3;
+    bool ablate = false;
+    bool summary = false;
+    std::vector<std::string> fleets;
+    std::vector<std::string> scenarios;
+    std::vector<std::string> policies;
+};
+
+constexpr int exitUsage = 2;
+
+bool wanted(const std::vector<std::string> &names, const std::string &name)
+{
+    return names.empty() || std::find(names.begin(), names.end(), name) != names.end();
+}
+
+std::vector<Policy> chosenPolicies(const Request &request)
+{
+    std::vector<Policy> all{roundRobin(), leastOutstanding(), ours()};
+    if (request.ablate) {
+        for (const Policy &policy : ablations())
+            all.push_back(policy);
+    }
+    std::erase_if(all, [&](const Policy &policy) { return !wanted(request.policies, policy.name); });
+    return all;
+}
+
+Outcome measure(const FleetShape &fleet, const Scenario &scenario, const Policy &policy, std::uint32_t seeds)
+{
+    Outcome sum;
+    for (std::uint32_t seed = 1; seed <= seeds; ++seed)
+        sum.add(FakeFleet(fleet, scenario, policy, seed).run());
+    return sum;
+}
+
+void measureFleet(const FleetShape &fleet, const Request &request)
+{
+    std::cout << "\n" << fleet.name << ", seeds 1 to " << request.seeds << "\n\n";
+    if (request.summary)
+        printSummaryHeader(std::cout);
+    else
+        printHeader(std::cout);
+    for (const Scenario &scenario : scenariosFor(fleet)) {
+        if (!wanted(request.scenarios, scenario.name))
+            continue;
+        for (const Policy &policy : chosenPolicies(request)) {
+            const Outcome outcome = measure(fleet, scenario, policy, request.seeds);
+            const auto print = request.summary ? printSummary : printRows;
+            print(std::cout, scenario.name, policy.name, outcome);
+        }
+    }
+}
+
+} // namespace
+
+int main(int argumentCount, char **arguments)
+{
+    Request request;
+    options::options_description description("Measures placing and admission on a fake fleet.\nOptions");
+    auto add = description.add_options();
+    add("help,h", "print this text");
+    add("seeds", options::value(&request.seeds), "runs for each row, with seeds 1, 2, ... (default 3)");
+    add("ablate", options::bool_switch(&request.ablate), "also measure ours without one mechanism each");
+    add("summary", options::bool_switch(&request.summary), "one row for all classes together");
+    add("fleet", options::value(&request.fleets), "only this fleet; may be given more than once");
+    add("scenario", options::value(&request.scenarios), "only this scenario; may be given more than once");
+    add("policy", options::value(&request.policies), "only this policy; may be given more than once");
+    try {
+        options::variables_map values;
+        options::store(options::parse_command_line(argumentCount, arguments, description), values);
+        options::notify(values);
+        if (values.count("help") > 0) {
+            std::cout << description;
+            return 0;
+        }
+    } catch (const options::error &error) {
+        std::cerr << "sagecrank-policy-bench: " << error.what() << "\n";
+        return exitUsage;
+    }
+    for (const FleetShape &fleet : todaysFleets()) {
+        if (wanted(request.fleets, fleet.name))
+            measureFleet(fleet, request);
+    }
+    return 0;
+}
--- /dev/null
+++ b/Utilities/PolicyBench/Outcome.cpp
@@ -0,0 +1,55 @@
+// Sums and quantiles of outcomes.
+#include <PolicyBench/Outcome.h>
+
+#include <algorithm>
+
+namespace Sagecrank {
+
+void ClassOutcome::add(const ClassOutcome &other)
+{
+    this->callers += other.callers;
+    this->inTime += other.inTime;
+    this->served += other.served;
+    this->refused += other.refused;
+    this->failed += other.failed;
+    this->gaveUp += other.gaveUp;
+    this->answered.insert(this->answered.end(), other.answered.begin(), other.answered.end());
+    this->refusals.insert(this->refusals.end(), other.refusals.begin(), other.refusals.end());
+}
+
+double ClassOutcome::share(std::uint64_t part) const
+{
+    return this->callers == 0 ? 0 : static_cast<double>(part) / static_cast<double>(this->callers);
+}
+
+void Outcome::add(const Outcome &other)
+{
+    for (std::size_t index = 0; index < this->classes.size(); ++index)
+        this->classes[index].add(other.classes[index]);
+    this->busySeconds += other.busySeconds;
+    this->wastedSeconds += other.wastedSeconds;
+    this->ranAfterRefusal += other.ranAfterRefusal;
+    this->ranTwice += other.ranTwice;
+    this->overSlots += other.overSlots;
+    this->neverEnded += other.neverEnded;
+    this->cutByDrain += other.cutByDrain;
+    this->lateToDraining += other.lateToDraining;
+    this->refusedWithoutReturn += other.refusedWithoutReturn;
+}
+
+std::uint64_t Outcome::breaches() const
+{
+    return this->ranAfterRefusal + this->ranTwice + this->overSlots + this->neverEnded + this->cutByDrain
+           + this->lateToDraining + this->refusedWithoutReturn;
+}
+
+Duration quantile(std::vector<Duration> values, double share)
+{
+    if (values.empty())
+        return Duration::zero();
+    const auto rank = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(rank), values.end());
+    return values[rank];
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Utilities/PolicyBench/Policy.cpp
@@ -0,0 +1,305 @@
+// Policies as hooks. A mechanism of ours is taken out by what the gate or placer is told, not by a switch in
+// it.
+#include <PolicyBench/Policy.h>
+
+#include <algorithm>
+#include <deque>
+#include <limits>
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+
+namespace Sagecrank {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Starts what fits into the slots and queues the rest for ever, in order of arrival.
+class PlainGate
+{
+public:
+    GateDecision offer(Instant, const CallFacts &, std::vector<GateAction> &)
+    {
+        if (!this->open)
+            return GateDecision{GateVerdict::Refuse, 0, RefusalReason::NotReady, 1s};
+        const Ticket ticket = this->nextTicket++;
+        if (this->free() == 0) {
+            this->queue.push_back(ticket);
+            return GateDecision{GateVerdict::Queue, ticket, RefusalReason::None, Duration::zero()};
+        }
+        this->running.insert(ticket);
+        return GateDecision{GateVerdict::Start, ticket, RefusalReason::None, Duration::zero()};
+    }
+
+    void finish(Ticket ticket, std::vector<GateAction> &actions)
+    {
+        this->running.erase(ticket);
+        while (this->free() > 0 && !this->queue.empty()) {
+            this->running.insert(this->queue.front());
+            actions.push_back(GateAction{this->queue.front(), true, RefusalReason::None, Duration::zero()});
+            this->queue.pop_front();
+        }
+    }
+
+    void cancel(Ticket ticket) { std::erase(this->queue, ticket); }
+
+    void setState(UpstreamCondition condition, std::uint32_t newSlots, std::vector<GateAction> &actions)
+    {
+        this->slots = newSlots;
+        this->open = condition == UpstreamCondition::Ready || condition == UpstreamCondition::Warming;
+        if (condition != UpstreamCondition::NotReady)
+            return;
+        for (const Ticket ticket : this->queue)
+            actions.push_back(GateAction{ticket, false, RefusalReason::NotReady, 1s});
+        this->queue.clear();
+    }
+
+    std::uint32_t free() const
+    {
+        return this->slots - std::min(this->slots, static_cast<std::uint32_t>(this->running.size()));
+    }
+
+    std::uint32_t queued() const { return static_cast<std::uint32_t>(this->queue.size()); }
+
+private:
+    bool open = false;
+    std::uint32_t slots = 0;
+    Ticket nextTicket = 1;
+    std::set<Ticket> running;
+    std::deque<Ticket> queue;
+};
+
+GateHooks plainGate(std::uint64_t)
+{
+    const auto gate = std::make_shared<PlainGate>();
+    GateHooks hooks;
+    hooks.offer = [gate](Instant now, const CallFacts &facts, std::vector<GateAction> &actions) {
+        return gate->offer(now, facts, actions);
+    };
+    hooks.finish = [gate](Instant, Ticket ticket, CallEnd, std::vector<GateAction> &actions) {
+        gate->finish(ticket, actions);
+    };
+    hooks.cancel = [gate](Instant, Ticket ticket, std::vector<GateAction> &) { gate->cancel(ticket); };
+    hooks.advance = [](Instant, std::vector<GateAction> &) {};
+    hooks.setState = [gate](Instant, UpstreamCondition condition, std::uint32_t slots,
+                            std::vector<GateAction> &actions) { gate->setState(condition, slots, actions); };
+    hooks.nextDeadline = [] { return std::optional<Instant>(); };
+    hooks.freeSlots = [gate] { return gate->free(); };
+    hooks.queued = [gate] { return gate->queued(); };
+    return hooks;
+}
+
+GateHooks ourGate(std::uint64_t seed)
+{
+    const auto gate = std::make_shared<Gate>(GateSettings{0, 64, seed});
+    GateHooks hooks;
+    hooks.offer = [gate](Instant now, const CallFacts &facts, std::vector<GateAction> &actions) {
+        return gate->offer(now, facts, actions);
+    };
+    hooks.finish = [gate](Instant now, Ticket ticket, CallEnd end, std::vector<GateAction> &actions) {
+        gate->finish(now, ticket, end, actions);
+    };
+    hooks.cancel = [gate](Instant now, Ticket ticket, std::vector<GateAction> &actions) {
+        gate->cancel(now, ticket, actions);
+    };
+    hooks.advance = [gate](Instant now, std::vector<GateAction> &actions) { gate->advance(now, actions); };
+    hooks.setState = [gate](Instant now, UpstreamCondition condition, std::uint32_t slots,
+                            std::vector<GateAction> &actions) {
+        gate->setState(now, condition, slots, actions);
+    };
+    hooks.nextDeadline = [gate] { return gate->nextDeadline(); };
+    hooks.freeSlots = [gate] { return gate->freeSlots(); };
+    hooks.queued = [gate] { return gate->queued(); };
+    return hooks;
+}
+
+PlacerHooks ourPlacer(std::uint64_t seed, PlacerSettings settings)
+{
+    const auto numbers = std::make_shared<std::mt19937_64>(seed);
+    const auto placer = std::make_shared<Placer>(settings, [numbers] { return (*numbers)(); });
+    PlacerHooks hooks;
+    hooks.place = [placer](Instant now, std::span<const UpstreamFacts> candidates, CallClass callClass,
+                           std::span<const std::size_t> tried) {
+        return placer->place(now, candidates, callClass, tried);
+    };
+    hooks.started = [placer](std::string_view id, Instant now) { placer->started(id, now); };
+    hooks.ended = [placer](std::string_view id, Instant now, CallClass callClass, Duration took,
+                           PlacedEnd end) { placer->ended(id, now, callClass, took, end); };
+    hooks.told = [placer](std::string_view id, Instant now, std::uint32_t freeSlots, std::uint32_t queued,
+                          bool draining) { placer->told(id, now, freeSlots, queued, draining); };
+    return hooks;
+}
+
+bool eligible(const UpstreamFacts &facts, std::span<const std::size_t> tried, std::size_t index)
+{
+    const bool takes =
+        facts.condition == UpstreamCondition::Ready || facts.condition == UpstreamCondition::Warming;
+    return takes && std::find(tried.begin(), tried.end(), index) == tried.end();
+}
+
+PlacerHooks quietHooks()
+{
+    PlacerHooks hooks;
+    hooks.started = [](std::string_view, Instant) {};
+    hooks.ended = [](std::string_view, Instant, CallClass, Duration, PlacedEnd) {};
+    hooks.told = [](std::string_view, Instant, std::uint32_t, std::uint32_t, bool) {};
+    return hooks;
+}
+
+PlacerHooks roundRobinPlacer(std::uint64_t seed)
+{
+    PlacerHooks hooks = quietHooks();
+    const auto turn = std::make_shared<std::size_t>(seed % 97);
+    hooks.place = [turn](Instant, std::span<const UpstreamFacts> candidates, CallClass,
+                         std::span<const std::size_t> tried) -> std::optional<std::size_t> {
+        for (std::size_t step = 0; step < candidates.size(); ++step) {
+            const std::size_t index = (*turn)++ % candidates.size();
+            if (eligible(candidates[index], tried, index))
+                return index;
+        }
+        return std::nullopt;
+    };
+    return hooks;
+}
+
+PlacerHooks leastOutstandingPlacer(std::uint64_t seed)
+{
+    PlacerHooks hooks = quietHooks();
+    const auto counts = std::make_shared<std::map<std::string, int, std::less<>>>();
+    const auto numbers = std::make_shared<std::mt19937_64>(seed);
+    hooks.started = [counts](std::string_view id, Instant) { (*counts)[std::string(id)] += 1; };
+    hooks.ended = [counts](std::string_view id, Instant, CallClass, Duration, PlacedEnd) {
+        (*counts)[std::string(id)] -= 1;
+    };
+    hooks.place = [counts, numbers](Instant, std::span<const UpstreamFacts> candidates, CallClass,
+                                    std::span<const std::size_t> tried) -> std::optional<std::size_t> {
+        std::optional<std::size_t> best;
+        int fewest = std::numeric_limits<int>::max();
+        const std::size_t start = (*numbers)() % candidates.size(); // Ties go to a random one.
+        for (std::size_t step = 0; step < candidates.size(); ++step) {
+            const std::size_t index = (start + step) % candidates.size();
+            const int count = (*counts)[std::string(candidates[index].id)];
+            if (!eligible(candidates[index], tried, index) || count >= fewest)
+                continue;
+            fewest = count;
+            best = index;
+        }
+        return best;
+    };
+    return hooks;
+}
+
+Policy oursWith(std::string name, PlacerSettings settings)
+{
+    Policy policy = ours();
+    policy.name = std::move(name);
+    policy.makePlacer = [settings](std::uint64_t seed) { return ourPlacer(seed, settings); };
+    return policy;
+}
+
+// The gate is told that every call may take as long as it likes.
+GateHooks withoutDeadlines(std::uint64_t seed)
+{
+    GateHooks hooks = ourGate(seed);
+    const auto offer = hooks.offer;
+    hooks.offer = [offer](Instant now, const CallFacts &facts, std::vector<GateAction> &actions) {
+        return offer(now, CallFacts{facts.callClass, now + 1h}, actions);
+    };
+    return hooks;
+}
+
+// The gate is told that every call is interactive.
+GateHooks withoutClasses(std::uint64_t seed)
+{
+    GateHooks hooks = ourGate(seed);
+    const auto offer = hooks.offer;
+    hooks.offer = [offer](Instant now, const CallFacts &facts, std::vector<GateAction> &actions) {
+        return offer(now, CallFacts{CallClass::Interactive, facts.deadline}, actions);
+    };
+    return hooks;
+}
+
+// The gate does not learn that the upstream sheds.
+GateHooks withoutAdaptiveLimit(std::uint64_t seed)
+{
+    GateHooks hooks = ourGate(seed);
+    const auto finish = hooks.finish;
+    hooks.finish = [finish](Instant now, Ticket ticket, CallEnd end, std::vector<GateAction> &actions) {
+        finish(now, ticket, end == CallEnd::Shed ? CallEnd::Failed : end, actions);
+    };
+    return hooks;
+}
+
+// The gate takes a cold upstream for a warm one.
+GateHooks withoutColdRamp(std::uint64_t seed)
+{
+    GateHooks hooks = ourGate(seed);
+    const auto setState = hooks.setState;
+    hooks.setState = [setState](Instant now, UpstreamCondition condition, std::uint32_t slots,
+                                std::vector<GateAction> &actions) {
+        const bool cold = condition == UpstreamCondition::Warming;
+        setState(now, cold ? UpstreamCondition::Ready : condition, slots, actions);
+    };
+    return hooks;
+}
+
+Policy oursWith(std::string name, GateHooks (*makeGate)(std::uint64_t))
+{
+    Policy policy = ours();
+    policy.name = std::move(name);
+    policy.makeGate = makeGate;
+    return policy;
+}
+
+} // namespace
+
+Policy roundRobin()
+{
+    return Policy{"round-robin", plainGate, roundRobinPlacer, false};
+}
+
+Policy leastOutstanding()
+{
+    return Policy{"least-outstanding", plainGate, leastOutstandingPlacer, false};
+}
+
+Policy ours()
+{
+    return Policy{"sagecrank", ourGate, [](std::uint64_t seed) { return ourPlacer(seed, PlacerSettings{}); },
+                  true};
+}
+
+std::vector<Policy> ablations()
+{
+    std::vector<Policy> policies;
+    PlacerSettings settings;
+    settings.ejectedShare = 0;
+    policies.push_back(oursWith("no-ejection", settings));
+
+    settings = PlacerSettings{};
+    settings.toldLoadLife = 1ns;
+    policies.push_back(oursWith("no-told-load", settings));
+
+    settings = PlacerSettings{};
+    settings.otherZoneCost = Duration::zero();
+    policies.push_back(oursWith("no-zone-cost", settings));
+
+    settings = PlacerSettings{};
+    settings.slowStart = 1ns;
+    policies.push_back(oursWith("no-slow-start", settings));
+
+    Policy plainPlacing = ours();
+    plainPlacing.name = "no-placer";
+    plainPlacing.makePlacer = roundRobinPlacer;
+    policies.push_back(plainPlacing);
+
+    policies.push_back(oursWith("no-deadlines", withoutDeadlines));
+    policies.push_back(oursWith("no-classes", withoutClasses));
+    policies.push_back(oursWith("no-adaptive-limit", withoutAdaptiveLimit));
+    policies.push_back(oursWith("no-cold-ramp", withoutColdRamp));
+    return policies;
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Utilities/PolicyBench/Policy.h
@@ -0,0 +1,55 @@
+// The policies that are compared: ours, ours without one of its mechanisms, and plain baselines. The fake
+// fleet sees them through hooks only.
+#pragma once
+
+#include <LibDecide/Gate.h>
+#include <LibDecide/Placer.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Sagecrank {
+
+struct GateHooks
+{
+    std::function<GateDecision(Instant, const CallFacts &, std::vector<GateAction> &)> offer;
+    std::function<void(Instant, Ticket, CallEnd, std::vector<GateAction> &)> finish;
+    std::function<void(Instant, Ticket, std::vector<GateAction> &)> cancel;
+    std::function<void(Instant, std::vector<GateAction> &)> advance;
+    std::function<void(Instant, UpstreamCondition, std::uint32_t, std::vector<GateAction> &)> setState;
+    std::function<std::optional<Instant>()> nextDeadline;
+    std::function<std::uint32_t()> freeSlots;
+    std::function<std::uint32_t()> queued;
+};
+
+struct PlacerHooks
+{
+    std::function<std::optional<std::size_t>(Instant, std::span<const UpstreamFacts>, CallClass,
+                                             std::span<const std::size_t>)>
+        place;
+    std::function<void(std::string_view, Instant)> started;
+    std::function<void(std::string_view, Instant, CallClass, Duration, PlacedEnd)> ended;
+    std::function<void(std::string_view, Instant, std::uint32_t, std::uint32_t, bool)> told;
+};
+
+struct Policy
+{
+    std::string name;
+    std::function<GateHooks(std::uint64_t seed)> makeGate;
+    std::function<PlacerHooks(std::uint64_t seed)> makePlacer;
+    bool budgetsRetries = true;
+};
+
+// Round robin over all upstreams and no admission: an endless queue in order of arrival.
+Policy roundRobin();
+// The fewest own outstanding calls, and no admission.
+Policy leastOutstanding();
+Policy ours();
+// Ours with one mechanism taken out; named "no-...".
+std::vector<Policy> ablations();
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Utilities/PolicyBench/Report.cpp
@@ -0,0 +1,84 @@
+// Table rows.
+#include <PolicyBench/Report.h>
+
+#include <array>
+#include <functional>
+#include <iomanip>
+#include <sstream>
+
+namespace Sagecrank {
+
+namespace {
+
+std::string percent(double share)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(2) << 100 * share;
+    return text.str();
+}
+
+std::string milliseconds(Duration duration)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(1) << std::chrono::duration<double, std::milli>(duration).count();
+    return text.str();
+}
+
+std::string wasted(const Outcome &outcome)
+{
+    return percent(outcome.busySeconds == 0 ? 0 : outcome.wastedSeconds / outcome.busySeconds);
+}
+
+constexpr std::array<CallClass, 3> classOrder{CallClass::Interactive, CallClass::NonIdempotent,
+                                              CallClass::Batch};
+
+} // namespace
+
+void printHeader(std::ostream &out)
+{
+    out << "| scenario | policy | class | callers | in time % | served % | p50 ms | p99 ms | refused % "
+           "| refused in p99 ms | failed % | gave up % | wasted work % | breaches |\n"
+        << "| --- | --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: "
+           "|\n";
+}
+
+void printRows(std::ostream &out, const std::string &scenario, const std::string &policy,
+               const Outcome &outcome)
+{
+    for (const CallClass callClass : classOrder) {
+        const ClassOutcome &row = outcome.of(callClass);
+        out << "| " << scenario << " | " << policy << " | " << callClassNames.name(callClass) << " | "
+            << row.callers << " | " << percent(row.share(row.inTime)) << " | "
+            << percent(row.share(row.served)) << " | " << milliseconds(quantile(row.answered, 0.5)) << " | "
+            << milliseconds(quantile(row.answered, 0.99)) << " | " << percent(row.share(row.refused)) << " | "
+            << milliseconds(quantile(row.refusals, 0.99)) << " | " << percent(row.share(row.failed)) << " | "
+            << percent(row.share(row.gaveUp)) << " | " << wasted(outcome) << " | " << outcome.breaches()
+            << " |\n";
+    }
+}
+
+void printSummaryHeader(std::ostream &out)
+{
+    out << "| scenario | policy | in time % | served % | p50 ms | p99 ms | refused % | refused in p99 ms "
+           "| wasted work % | breaches |\n"
+        << "| --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n";
+}
+
+void printSummary(std::ostream &out, const std::string &scenario, const std::string &policy,
+                  const Outcome &outcome)
+{
+    const auto cell = [&](const std::function<std::string(const ClassOutcome &)> &text) {
+        out << " | " << text(outcome.of(CallClass::Interactive)) << " / "
+            << text(outcome.of(CallClass::NonIdempotent)) << " / " << text(outcome.of(CallClass::Batch));
+    };
+    out << "| " << scenario << " | " << policy;
+    cell([](const ClassOutcome &row) { return percent(row.share(row.inTime)); });
+    cell([](const ClassOutcome &row) { return percent(row.share(row.served)); });
+    cell([](const ClassOutcome &row) { return milliseconds(quantile(row.answered, 0.5)); });
+    cell([](const ClassOutcome &row) { return milliseconds(quantile(row.answered, 0.99)); });
+    cell([](const ClassOutcome &row) { return percent(row.share(row.refused)); });
+    cell([](const ClassOutcome &row) { return milliseconds(quantile(row.refusals, 0.99)); });
+    out << " | " << wasted(outcome) << " | " << outcome.breaches() << " |\n";
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Utilities/PolicyBench/Scenario.cpp
@@ -0,0 +1,103 @@
+// The tables of fleets and scenarios.
+#include <PolicyBench/Scenario.h>
+
+#include <algorithm>
+
+namespace Sagecrank {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// Slot checks and crew lookups; reservations and invoices; group lookups and archive pulls.
+constexpr std::array<ClassLoad, 3> usualMix{
+    ClassLoad{0.75, 4ms, 100ms},
+    ClassLoad{0.20, 10ms, 400ms},
+    ClassLoad{0.05, 40ms, 4s},
+};
+
+// The same, but a batch call runs a hundred times as long as an interactive one.
+constexpr std::array<ClassLoad, 3> longAndShort{
+    ClassLoad{0.78, 4ms, 100ms},
+    ClassLoad{0.20, 10ms, 400ms},
+    ClassLoad{0.02, 400ms, 10s},
+};
+
+Scenario plain(std::string name, double load)
+{
+    Scenario scenario;
+    scenario.name = std::move(name);
+    scenario.load = load;
+    scenario.classes = usualMix;
+    return scenario;
+}
+
+// One server of each service has the fault, for most of the run.
+Scenario faulty(std::string name, double load, FaultKind kind, double factor, const FleetShape &fleet)
+{
+    Scenario scenario = plain(std::move(name), load);
+    for (std::uint32_t service = 0; service < fleet.servers.size(); ++service)
+        scenario.faults.push_back(Fault{kind, service, 0, 1500ms, 4500ms, factor});
+    return scenario;
+}
+
+// Half of the servers of each service return at once, as after a lost rack.
+Scenario coldHerd(const FleetShape &fleet)
+{
+    Scenario scenario = plain("cold-start", 0.5);
+    for (std::uint32_t service = 0; service < fleet.servers.size(); ++service) {
+        for (std::uint32_t server = 0; server < fleet.servers[service] / 2; ++server)
+            scenario.faults.push_back(Fault{FaultKind::Restarts, service, server, 1500ms, 4s, 6});
+    }
+    return scenario;
+}
+
+} // namespace
+
+std::vector<FleetShape> todaysFleets()
+{
+    return {
+        FleetShape{"borgbillet", {5, 3}, 6, 3, 500us, 1ms},
+        FleetShape{"borra-limpio", {7, 5}, 12, 4, 500us, 3ms},
+    };
+}
+
+std::vector<Scenario> scenariosFor(const FleetShape &fleet)
+{
+    std::vector<Scenario> scenarios;
+    scenarios.push_back(plain("steady", 0.6));
+
+    Scenario burst = plain("burst", 0.4);
+    burst.burstFactor = 6;
+    burst.burstEvery = 1s;
+    burst.burstFor = 150ms;
+    scenarios.push_back(burst);
+
+    scenarios.push_back(plain("saturation", 1.6));
+
+    Scenario mixed = plain("long-and-short", 0.85);
+    mixed.classes = longAndShort;
+    scenarios.push_back(mixed);
+
+    Scenario skew = plain("skew", 0.75);
+    skew.oneEntryZone = true;
+    scenarios.push_back(skew);
+
+    scenarios.push_back(faulty("slow", 0.6, FaultKind::Slow, 8, fleet));
+    scenarios.push_back(faulty("fails-fast", 0.6, FaultKind::FailsFast, 1, fleet));
+    scenarios.push_back(faulty("sheds", 0.6, FaultKind::Sheds, 0.34, fleet));
+    scenarios.push_back(coldHerd(fleet));
+    scenarios.push_back(faulty("drain", 0.6, FaultKind::Drains, 1, fleet));
+    scenarios.push_back(faulty("silent", 0.5, FaultKind::Silent, 1, fleet));
+    return scenarios;
+}
+
+Scenario scenarioNamed(const FleetShape &fleet, const std::string &name)
+{
+    const std::vector<Scenario> all = scenariosFor(fleet);
+    const auto found =
+        std::find_if(all.begin(), all.end(), [&](const Scenario &each) { return each.name == name; });
+    return found == all.end() ? all.front() : *found;
+}
+
+} // namespace Sagecrank
