--- /dev/null
+++ b/Libraries/LibConfig/Check.cpp
@@ -0,0 +1,100 @@
+// Checks of a site: see Check.h.
+#include <LibConfig/Check.h>
+#include <LibConfig/Encoding.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace Sagecrank {
+
+namespace {
+
+constexpr auto step = "check site";
+
+Error invalid(const std::string &where, const std::string &message)
+{
+    return makeError(ErrorKind::InvalidInput, step, where, message);
+}
+
+Result<void> checkReferences(const SiteConfiguration &configuration)
+{
+    const auto &references = configuration.manifest.sections;
+    if (references.size() != configuration.sections.size())
+        return invalid(configuration.manifest.site, "the number of sections differs from the manifest's");
+    for (std::size_t i = 0; i < references.size(); ++i) {
+        if (i > 0 && references[i - 1].cluster >= references[i].cluster)
+            return invalid(references[i].cluster, "clusters are not sorted, or one is named twice");
+        if (configuration.sections[i].cluster != references[i].cluster)
+            return invalid(references[i].cluster, "the section belongs to another cluster");
+        if (sectionDigest(configuration.sections[i]) != references[i].digest)
+            return invalid(references[i].cluster, "the section's digest differs from the manifest's");
+    }
+    return success();
+}
+
+Result<void> checkUnique(const SiteConfiguration &configuration)
+{
+    std::set<std::string_view> names;
+    std::map<std::string_view, std::vector<const Route *>> byPrefix;
+    for (const Section &section : configuration.sections) {
+        for (const Route &route : section.routes) {
+            TRY_VOID(checkRoute(route));
+            if (!names.insert(route.name).second)
+                return invalid(route.name, "two routes have this name");
+            auto &same = byPrefix[normalisedPrefix(route.prefix)];
+            for (const Route *other : same) {
+                if (methodsOverlap(*other, route))
+                    return invalid(route.name, "matches the same calls as route " + other->name);
+            }
+            same.push_back(&route);
+        }
+    }
+    return success();
+}
+
+} // namespace
+
+std::string_view normalisedPrefix(std::string_view prefix)
+{
+    while (prefix.ends_with('/'))
+        prefix.remove_suffix(1);
+    return prefix;
+}
+
+bool methodsOverlap(const Route &first, const Route &second)
+{
+    if (first.methods.empty() || second.methods.empty())
+        return first.methods.empty() && second.methods.empty();
+    return std::any_of(first.methods.begin(), first.methods.end(), [&](const std::string &method) {
+        return std::find(second.methods.begin(), second.methods.end(), method) != second.methods.end();
+    });
+}
+
+Result<void> checkRoute(const Route &route)
+{
+    if (route.name.empty() || route.name.size() > maximumTextLength)
+        return invalid(route.name, "the name is empty or longer than 1024 characters");
+    if (!route.prefix.starts_with('/') || route.prefix.size() > maximumTextLength)
+        return invalid(route.name, "the prefix does not start with '/' or is longer than 1024 characters");
+    if (callClassNames.name(route.callClass) == "unknown")
+        return invalid(route.name, "the class is unknown");
+    if (route.timeout <= Milliseconds(0) || route.timeout > maximumTimeout)
+        return invalid(route.name, "the timeout is outside 1 to 600000 ms");
+    if (route.maximumRetries > maximumRetriesLimit)
+        return invalid(route.name, "more than 10 retries");
+    if (route.callClass == CallClass::NonIdempotent && route.idempotent)
+        return invalid(route.name, "the class is non_idempotent but the route is marked idempotent");
+    // A second copy of such a call could run twice, which callers see as a doubled reservation.
+    if (!route.idempotent && (route.hedged || route.maximumRetries > 0))
+        return invalid(route.name, "a route that is not idempotent may be neither retried nor hedged");
+    return success();
+}
+
+Result<void> checkSite(const SiteConfiguration &configuration)
+{
+    TRY_VOID(checkReferences(configuration));
+    return checkUnique(configuration);
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Libraries/LibConfig/Delta.cpp
@@ -0,0 +1,117 @@
+// Deltas between versions of a site: see Delta.h.
+#include <LibConfig/Archive.h>
+#include <LibConfig/Check.h>
+#include <LibConfig/Delta.h>
+
+#include <algorithm>
+
+namespace Sagecrank {
+
+namespace {
+
+constexpr auto applyStep = "apply delta";
+
+const SectionReference *findReference(const SiteManifest &manifest, const std::string &cluster)
+{
+    const auto &sections = manifest.sections;
+    const auto found = std::lower_bound(
+        sections.begin(), sections.end(), cluster,
+        [](const SectionReference &reference, const std::string &name) { return reference.cluster < name; });
+    return found != sections.end() && found->cluster == cluster ? &*found : nullptr;
+}
+
+template <typename Archive>
+void blob(Archive &archive, Bytes &value)
+{
+    if constexpr (Archive::is_saving::value)
+        putLength(archive, value.size());
+    else
+        value.resize(getLength(archive));
+    archive(cereal::binary_data(value.data(), value.size()));
+}
+
+template <typename Archive>
+void siteDelta(Archive &archive, SiteDelta &value)
+{
+    text(archive, value.site);
+    archive(value.version);
+    digest(archive, value.base);
+    digest(archive, value.result);
+    list(archive, value.changed, [&](Bytes &bytes) { blob(archive, bytes); });
+    list(archive, value.removed, [&](std::string &cluster) { text(archive, cluster); });
+}
+
+Result<void> checkBase(const SiteConfiguration &held, const SiteDelta &delta)
+{
+    if (held.manifest.site != delta.site)
+        return makeError(ErrorKind::Conflict, applyStep, delta.site, "the delta is of another site");
+    if (delta.version <= held.manifest.version)
+        return makeError(ErrorKind::Refused, applyStep, delta.site,
+                         "version " + std::to_string(delta.version) + " is not newer than the held "
+                             + std::to_string(held.manifest.version));
+    if (sectionListDigest(held.manifest.sections) != delta.base)
+        return makeError(ErrorKind::Conflict, applyStep, delta.site, "the held version is not the base");
+    return success();
+}
+
+} // namespace
+
+SiteDelta makeDelta(const SiteConfiguration &from, const SiteConfiguration &to)
+{
+    SiteDelta delta;
+    delta.site = to.manifest.site;
+    delta.version = to.manifest.version;
+    delta.base = sectionListDigest(from.manifest.sections);
+    delta.result = sectionListDigest(to.manifest.sections);
+    for (std::size_t i = 0; i < to.sections.size(); ++i) {
+        const SectionReference &wanted = to.manifest.sections[i];
+        const SectionReference *had = findReference(from.manifest, wanted.cluster);
+        if (had == nullptr || had->digest != wanted.digest)
+            delta.changed.push_back(encodeSection(to.sections[i]));
+    }
+    for (const SectionReference &had : from.manifest.sections) {
+        if (findReference(to.manifest, had.cluster) == nullptr)
+            delta.removed.push_back(had.cluster);
+    }
+    return delta;
+}
+
+Result<SiteConfiguration> applyDelta(const SiteConfiguration &held, const SiteDelta &delta)
+{
+    TRY_VOID(checkBase(held, delta));
+    std::map<std::string, Section> sections;
+    for (const Section &section : held.sections)
+        sections.emplace(section.cluster, section);
+    for (const std::string &cluster : delta.removed)
+        sections.erase(cluster);
+    for (const Bytes &bytes : delta.changed) {
+        Section section = TRY(decodeSection(bytes, digestOf(bytes)));
+        const std::string cluster = section.cluster;
+        sections.insert_or_assign(cluster, std::move(section));
+    }
+    std::vector<Section> ordered;
+    ordered.reserve(sections.size());
+    for (auto &entry : sections)
+        ordered.push_back(std::move(entry.second));
+    SiteConfiguration next = makeSiteConfiguration(delta.version, delta.site, std::move(ordered));
+    if (sectionListDigest(next.manifest.sections) != delta.result)
+        return makeError(ErrorKind::InvalidInput, applyStep, delta.site,
+                         "the result is not the published version");
+    TRY_VOID(checkSite(next));
+    return next;
+}
+
+Bytes encodeDelta(const SiteDelta &delta)
+{
+    SiteDelta copy = delta;
+    return writeBytes([&](auto &archive) { siteDelta(archive, copy); });
+}
+
+Result<SiteDelta> decodeDelta(std::span<const std::byte> bytes)
+{
+    SiteDelta delta;
+    TRY_VOID(readBytes(bytes, "decode delta", [&](auto &archive) { siteDelta(archive, delta); }));
+    return delta;
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Libraries/LibConfig/Encoding.cpp
@@ -0,0 +1,132 @@
+// Encoding and digests: see Encoding.h.
+#include <LibConfig/Archive.h>
+#include <LibConfig/Encoding.h>
+
+#include <xxhash.h>
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+namespace Sagecrank {
+
+namespace {
+
+constexpr std::size_t digestHexDigits = 32;
+
+Result<void> checkDigest(std::span<const std::byte> bytes, const Digest &expected, const char *step)
+{
+    const Digest actual = digestOf(bytes);
+    if (actual != expected)
+        return makeError(ErrorKind::InvalidInput, step, "",
+                         "the digest is " + toHex(actual) + ", expected " + toHex(expected));
+    return success();
+}
+
+std::string hexadecimal(std::uint64_t value)
+{
+    std::array<char, 17> digits{};
+    std::snprintf(digits.data(), digits.size(), "%016llx", static_cast<unsigned long long>(value));
+    return digits.data();
+}
+
+} // namespace
+
+Digest digestOf(std::span<const std::byte> bytes)
+{
+    const XXH128_hash_t hash = XXH3_128bits(bytes.data(), bytes.size());
+    return Digest{hash.high64, hash.low64};
+}
+
+std::string toHex(const Digest &digest)
+{
+    return hexadecimal(digest.high) + hexadecimal(digest.low);
+}
+
+Result<Digest> digestFromHex(std::string_view text)
+{
+    const auto parse = [](std::string_view half, std::uint64_t &value) {
+        const auto parsed = std::from_chars(half.data(), half.data() + half.size(), value, 16);
+        return parsed.ec == std::errc() && parsed.ptr == half.data() + half.size();
+    };
+    Digest digest;
+    if (text.size() != digestHexDigits || !parse(text.substr(0, 16), digest.high)
+        || !parse(text.substr(16), digest.low))
+        return makeError(ErrorKind::InvalidInput, "read digest", "", "expected 32 hexadecimal digits");
+    return digest;
+}
+
+Bytes encodeSection(const Section &value)
+{
+    Section copy = value;
+    return writeBytes([&](auto &archive) { section(archive, copy); });
+}
+
+Bytes encodeSectionList(const std::vector<SectionReference> &sections)
+{
+    std::vector<SectionReference> copy = sections;
+    return writeBytes([&](auto &archive) {
+        list(archive, copy, [&](SectionReference &each) { reference(archive, each); });
+    });
+}
+
+Bytes encodeVersionManifest(const VersionManifest &manifest)
+{
+    VersionManifest copy = manifest;
+    return writeBytes([&](auto &archive) { versionManifest(archive, copy); });
+}
+
+Result<Section> decodeSection(std::span<const std::byte> bytes, const Digest &expected)
+{
+    TRY_VOID(checkDigest(bytes, expected, "decode section"));
+    Section value;
+    TRY_VOID(readBytes(bytes, "decode section", [&](auto &archive) { section(archive, value); }));
+    return value;
+}
+
+Result<std::vector<SectionReference>> decodeSectionList(std::span<const std::byte> bytes,
+                                                        const Digest &expected)
+{
+    TRY_VOID(checkDigest(bytes, expected, "decode section list"));
+    std::vector<SectionReference> value;
+    TRY_VOID(readBytes(bytes, "decode section list", [&](auto &archive) {
+        list(archive, value, [&](SectionReference &each) { reference(archive, each); });
+    }));
+    return value;
+}
+
+Result<VersionManifest> decodeVersionManifest(std::span<const std::byte> bytes, const Digest &expected)
+{
+    TRY_VOID(checkDigest(bytes, expected, "decode version manifest"));
+    VersionManifest value;
+    TRY_VOID(
+        readBytes(bytes, "decode version manifest", [&](auto &archive) { versionManifest(archive, value); }));
+    return value;
+}
+
+Digest sectionDigest(const Section &value)
+{
+    return digestOf(encodeSection(value));
+}
+
+Digest sectionListDigest(const std::vector<SectionReference> &sections)
+{
+    return digestOf(encodeSectionList(sections));
+}
+
+std::string sectionObjectName(const Digest &digest)
+{
+    return "section/" + toHex(digest);
+}
+
+std::string siteObjectName(const Digest &digest)
+{
+    return "site/" + toHex(digest);
+}
+
+std::string manifestObjectName(std::uint64_t version, std::string_view publishId)
+{
+    return "manifest/" + std::to_string(version) + "-" + std::string(publishId);
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Libraries/LibConfig/Encoding.h
@@ -0,0 +1,49 @@
+// Canonical bytes of what a configuration is made of. The same value always gives the same bytes, so the
+// digest of the bytes names the content: two nodes that hold a digest hold the same section.
+// Every length is bounded before anything is allocated, so damaged bytes cannot cost memory.
+#pragma once
+
+#include <LibConfig/Model.h>
+#include <LibCore/Error.h>
+
+#include <cstddef>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Sagecrank {
+
+using Bytes = std::vector<std::byte>;
+
+// Largest encoded object that is read. A site of 820 services takes about 22 KB of section list; a section
+// is some hundred bytes. The limit leaves room and still bounds what a hostile peer can make a node hold.
+inline constexpr std::size_t maximumObjectBytes = std::size_t{4} << 20;
+
+Digest digestOf(std::span<const std::byte> bytes);
+
+// 32 hexadecimal digits, high half first.
+std::string toHex(const Digest &digest);
+Result<Digest> digestFromHex(std::string_view text);
+
+// A value that a 16-bit length cannot hold is refused before this point by checkSection.
+Bytes encodeSection(const Section &section);
+Bytes encodeSectionList(const std::vector<SectionReference> &sections);
+Bytes encodeVersionManifest(const VersionManifest &manifest);
+
+// Each checks the digest first and refuses trailing bytes: InvalidInput says which check failed.
+Result<Section> decodeSection(std::span<const std::byte> bytes, const Digest &expected);
+Result<std::vector<SectionReference>> decodeSectionList(std::span<const std::byte> bytes,
+                                                        const Digest &expected);
+Result<VersionManifest> decodeVersionManifest(std::span<const std::byte> bytes, const Digest &expected);
+
+Digest sectionDigest(const Section &section);
+Digest sectionListDigest(const std::vector<SectionReference> &sections);
+
+// Object names in the store, as agreed with the platform's operators.
+std::string sectionObjectName(const Digest &digest);
+std::string siteObjectName(const Digest &digest);
+std::string manifestObjectName(std::uint64_t version, std::string_view publishId);
+
+} // namespace Sagecrank
--- a/Libraries/LibConfig/Model.h
+++ b/Libraries/LibConfig/Model.h
@@ -31,7 +31,11 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
-    auto operator<=>(const Digest &) const = default;
+    bool operator==(const Digest &) const = default;
+    bool operator<(const Digest &other) const
+    {
+        return this->high != other.high ? this->high < other.high : this->low < other.low;
+    }
 };
 
 struct Route
--- /dev/null
+++ b/Libraries/LibConfig/Snapshot.h
@@ -0,0 +1,49 @@
+// The form of a site's configuration that the path of a request reads. Immutable: built off that path and
+// swapped whole, so that a request sees one version from its first look to its last.
+#pragma once
+
+#include <LibConfig/Model.h>
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace Sagecrank {
+
+// Both point into the snapshot that gave the entry and live as long as it.
+struct RouteEntry
+{
+    const Route *route = nullptr;
+    const Section *section = nullptr;
+};
+
+class Snapshot
+{
+public:
+    // The configuration has been checked by checkSite.
+    explicit Snapshot(std::shared_ptr<const SiteConfiguration> configuration);
+
+    // The route with the longest prefix that serves the method, or null. A prefix matches whole path
+    // segments: "/book" serves "/book" and "/book/7", not "/booking". A query string is ignored. At one
+    // prefix, a route that names the method goes before one that serves every method.
+    const RouteEntry *match(std::string_view method, std::string_view path) const;
+
+    const Section *section(std::string_view cluster) const;
+
+    std::uint64_t version() const { return this->held->manifest.version; }
+    std::size_t routeCount() const { return this->routes; }
+    const SiteConfiguration &configuration() const { return *this->held; }
+    std::shared_ptr<const SiteConfiguration> share() const { return this->held; }
+
+private:
+    const RouteEntry *atPrefix(std::string_view prefix, std::string_view method) const;
+
+    std::shared_ptr<const SiteConfiguration>
+        held; // Never null, never changed; the views below point into it.
+    std::unordered_map<std::string_view, std::vector<RouteEntry>> byPrefix; // Normalised prefixes.
+    std::size_t routes = 0;
+};
+
+} // namespace Sagecrank
