--- a/Libraries/LibNet/FramedConnection.cpp
+++ b/Libraries/LibNet/FramedConnection.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <sys/socket.h>
+
 #include <charconv>
 
 namespace Sagecrank {
@@ -121,6 +123,23 @@
     return tcp::endpoint(ip, static_cast<std::uint16_t>(port));
 }
 
+Result<void> openListener(tcp::acceptor &acceptor, const tcp::endpoint &endpoint, bool share)
+{
+    using SharePort = boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+    try {
+        acceptor.open(endpoint.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        if (share)
+            acceptor.set_option(SharePort(true));
+        acceptor.bind(endpoint);
+        acceptor.listen();
+    } catch (const boost::system::system_error &error) {
+        const std::string address = endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+        return makeError(ErrorKind::Unavailable, "listen", address, error.code().message());
+    }
+    return success();
+}
+
 void connectFramed(boost::asio::io_context &context, const std::string &address, Duration timeout,
                    std::function<void(Result<tcp::socket>)> done)
 {
--- a/Libraries/LibNet/FramedConnection.h
+++ b/Libraries/LibNet/FramedConnection.h
@@ -66,6 +66,10 @@
 // "ip:port" to an endpoint; names are not resolved.
 Result<boost::asio::ip::tcp::endpoint> parseTcpEndpoint(const std::string &address);
 
+// Binds and listens. With `share`, several acceptors of this process take connections on the same address.
+Result<void> openListener(boost::asio::ip::tcp::acceptor &acceptor,
+                          const boost::asio::ip::tcp::endpoint &endpoint, bool share);
+
 // Connects within the time limit, which also covers an address that never answers.
 void connectFramed(boost::asio::io_context &context, const std::string &address, Duration timeout,
                    std::function<void(Result<boost::asio::ip::tcp::socket>)> done);
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -2,7 +2,6 @@
 #include <LibNet/FramedConnection.h>
 #include <LibNet/HttpServer.h>
 
-#include <boost/asio/socket_base.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -265,17 +264,7 @@
 Result<void> HttpServer::listen(const std::string &address)
 {
     const tcp::endpoint endpoint = TRY(parseTcpEndpoint(address));
-    using ReusePort = boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
-    try {
-        this->state->acceptor.open(endpoint.protocol());
-        this->state->acceptor.set_option(tcp::acceptor::reuse_address(true));
-        if (this->state->settings.sharePort)
-            this->state->acceptor.set_option(ReusePort(true));
-        this->state->acceptor.bind(endpoint);
-        this->state->acceptor.listen();
-    } catch (const boost::system::system_error &error) {
-        return makeError(ErrorKind::Unavailable, "listen", address, error.code().message());
-    }
+    TRY_VOID(openListener(this->state->acceptor, endpoint, this->state->settings.sharePort));
     acceptNext(this->state);
     return success();
 }
--- /dev/null
+++ b/Services/Node/CallerFrontend.h
@@ -0,0 +1,56 @@
+// The HTTP side towards callers: a request becomes a call, the call's answer becomes a response whose status
+// and headers say what is known of its effect and when to come back.
+#pragma once
+
+#include "ForwardedCall.h"
+
+#include <LibNet/HttpServer.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace Sagecrank {
+
+struct RouteChoice
+{
+    std::string cluster;
+    CallClass callClass = CallClass::Interactive;
+    bool idempotent = false;
+    bool hedged = false;
+    std::uint32_t maximumRetries = 0;
+    Milliseconds timeout{1000};
+    std::uint64_t configurationVersion = 0;
+};
+
+struct CallerFrontendHooks
+{
+    // Nothing when no route matches. Reads the configuration snapshot; safe on every request thread.
+    std::function<std::optional<RouteChoice>(std::string_view method, std::string_view path)> route;
+    std::function<bool()> holdsConfiguration;
+    // Told of each answered call, for metrics and spans.
+    std::function<void(const CallRequest &, const RouteChoice &, const CallResponse &, Duration took,
+                       std::uint32_t attempts)>
+        answered;
+};
+
+class CallerFrontend
+{
+public:
+    CallerFrontend(ForwardingContext &context, Milliseconds maximumTimeout, CallerFrontendHooks hooks);
+
+    void handle(Worker &worker, HttpRequest request, std::shared_ptr<HttpExchange> exchange) const;
+
+private:
+    Duration timeoutOf(const HttpRequest &request, const RouteChoice &route) const;
+    static CallRequest makeCall(HttpRequest request, const RouteChoice &route);
+    static HttpResponse makeAnswer(CallResponse response, const std::string &traceParent,
+                                   const std::string &callerCallId);
+
+    ForwardingContext &context;
+    const Milliseconds maximumTimeout;
+    const CallerFrontendHooks hooks;
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/ForwardedCall.cpp
@@ -0,0 +1,286 @@
+// Placing, sending, retrying and answering one call.
+#include "ForwardedCall.h"
+
+#include "GateCall.h"
+
+#include <algorithm>
+
+namespace Sagecrank {
+
+namespace {
+
+constexpr std::string_view reasonNoUpstream = "no_upstream_present";
+constexpr std::string_view reasonDeadline = "deadline_passed";
+
+// A call that a gate refused as not run may be sent to another gate at most this often, whatever its route
+// says: such a retry is safe, but under full load every gate refuses.
+constexpr std::uint32_t maximumTriesAfterRefusal = 2;
+
+// The gate's time is cut a little shorter than the caller's, so that the gate's own word on a late call ("not
+// run" when it had not begun) arrives before this node has to answer "unknown".
+constexpr Duration gateMargin = Milliseconds(1);
+
+CallResponse refusal(std::string_view reason, Duration retryAfter)
+{
+    CallResponse response;
+    response.outcome = Outcome::NotRun;
+    response.reason = reason;
+    response.status = 503;
+    response.retryAfterMilliseconds =
+        static_cast<std::uint32_t>(std::chrono::ceil<Milliseconds>(retryAfter).count());
+    return response;
+}
+
+PlacedEnd endOf(const CallResponse &response)
+{
+    switch (response.outcome) {
+    case Outcome::Done:
+        return response.status >= 500 ? PlacedEnd::Failed : PlacedEnd::Succeeded;
+    case Outcome::NotRun: {
+        const bool nothingThere = response.reason == reasonPeerUnreachable
+                                  || response.reason == reasonPeerLost
+                                  || response.reason == "upstream_unreachable";
+        return nothingThere ? PlacedEnd::Failed : PlacedEnd::RefusedNotRun;
+    }
+    case Outcome::Unknown:
+        break;
+    }
+    // A key that another attempt holds says nothing about the upstream.
+    return response.reason == "key_in_progress" ? PlacedEnd::RefusedNotRun : PlacedEnd::Unknown;
+}
+
+} // namespace
+
+ForwardedCall::ForwardedCall(ForwardingContext &context, Worker &worker, CallPlan plan, CallRequest request,
+                             AnswerHook answer)
+    : context(context)
+    , worker(worker)
+    , plan(std::move(plan))
+    , request(std::move(request))
+    , answer(std::move(answer))
+    , deadlineTimer(worker.ioContext())
+    , hedgeTimer(worker.ioContext())
+{
+}
+
+void ForwardedCall::start()
+{
+    if (!this->placeAndSend())
+        return this->finish(refusal(reasonNoUpstream, std::chrono::seconds(1)));
+    if (!this->answer)
+        return;
+    this->armDeadline();
+    if (this->plan.hedged && this->plan.idempotent)
+        this->armHedge();
+}
+
+bool ForwardedCall::placeAndSend()
+{
+    Target target;
+    if (!this->chooseTarget(target))
+        return false;
+    Attempt attempt;
+    attempt.upstreamId = target.candidate.id;
+    attempt.startedAt = SteadyClock::now();
+    this->triedIds.push_back(target.candidate.id);
+    this->attempts.push_back(std::move(attempt));
+    this->send(this->attempts.size() - 1, target);
+    return true;
+}
+
+bool ForwardedCall::chooseTarget(Target &target)
+{
+    const RcuPointer<UpstreamView>::Reader view(this->context.view);
+    const ServiceView *service = view ? view->find(this->plan.cluster) : nullptr;
+    if (service == nullptr)
+        return false;
+    this->service = service->state;
+
+    // The view may have changed since the last try, so what was tried is found again by name.
+    std::vector<std::size_t> tried;
+    for (std::size_t index = 0; index < service->candidates.size() && !this->triedIds.empty(); ++index) {
+        if (std::ranges::find(this->triedIds, service->candidates[index].id) != this->triedIds.end())
+            tried.push_back(index);
+    }
+    const Instant now = SteadyClock::now();
+    const std::lock_guard guard(this->service->mutex);
+    if (this->attempts.empty())
+        this->service->retries.firstTry(now);
+    const auto index = this->service->placer.place(now, service->facts, this->plan.callClass, tried);
+    if (!index)
+        return false;
+    this->service->placer.started(service->facts[*index].id, now);
+    target.candidate = service->candidates[*index];
+    target.sameHost = service->facts[*index].sameHost;
+    return true;
+}
+
+void ForwardedCall::send(std::size_t index, const Target &target)
+{
+    CallRequest attempt = this->request;
+    attempt.attempt = this->context.ids.next();
+    const Duration remaining = this->plan.deadline - SteadyClock::now() - gateMargin;
+    attempt.remainingMicroseconds = static_cast<std::uint64_t>(
+        std::max<std::int64_t>(0, std::chrono::duration_cast<Microseconds>(remaining).count()));
+    this->context.history.record([&] {
+        return NodePlaced{attempt.callerCallId, attempt.attempt, this->plan.cluster, target.candidate.id,
+                          this->plan.configurationVersion};
+    });
+    auto ended = [self = this->shared_from_this(), index](CallResponse response) {
+        self->attemptEnded(index, std::move(response));
+    };
+    if (target.sameHost) {
+        const auto call =
+            this->context.gate.submit(this->worker.gateHome(), std::move(attempt), std::move(ended));
+        this->attempts[index].local = call;
+        return;
+    }
+    this->attempts[index].peerAddress = target.candidate.peerAddress;
+    this->attempts[index].peerCallId =
+        this->worker.link(target.candidate.peerAddress).call(std::move(attempt), std::move(ended));
+}
+
+void ForwardedCall::attemptEnded(std::size_t index, CallResponse response)
+{
+    Attempt &attempt = this->attempts[index];
+    if (!attempt.open)
+        return;
+    attempt.open = false;
+    const Instant now = SteadyClock::now();
+    this->tellPlacer(attempt, response, now);
+    if (!this->answer)
+        return;
+    const bool good = response.outcome == Outcome::Done && response.status < 500;
+    if (!good) {
+        if (this->anyOpen())
+            return; // A second copy is under way and may still bring an answer.
+        if (this->tryAgain(response, now))
+            return;
+    }
+    this->finish(std::move(response));
+}
+
+void ForwardedCall::tellPlacer(const Attempt &attempt, const CallResponse &response, Instant now)
+{
+    const std::lock_guard guard(this->service->mutex);
+    const Duration took = now - attempt.startedAt;
+    this->service->placer.ended(attempt.upstreamId, now, this->plan.callClass, took, endOf(response));
+    const bool gateSpoke = response.reason != reasonPeerUnreachable && response.reason != reasonPeerLost
+                           && response.reason != reasonPeerCongested;
+    if (gateSpoke)
+        this->service->placer.told(attempt.upstreamId, now, response.freeSlots, response.queued,
+                                   response.draining);
+    if (response.outcome == Outcome::Done && this->plan.hedged)
+        this->service->hedge.observed(took);
+}
+
+// Load: an upstream fails or refuses. Harm of sending again without limit: the load doubles on what is left;
+// harm of sending again what may have run: a booking runs twice. Both rules stand in LibDecide.
+bool ForwardedCall::tryAgain(const CallResponse &response, Instant now)
+{
+    const bool notRun = response.outcome == Outcome::NotRun;
+    const CallPhase phase = response.outcome == Outcome::Done ? CallPhase::Answered : CallPhase::MaybeSent;
+    const bool runsOnce = !this->request.idempotencyKey.empty();
+    if (!maySendAgain(phase, this->plan.idempotent && !runsOnce, notRun))
+        return false;
+    // Its key is claimed for the refused attempt and not free again yet.
+    if (response.claimHeld)
+        return false;
+    const std::uint32_t allowed =
+        notRun ? std::max(this->plan.maximumRetries, maximumTriesAfterRefusal) : this->plan.maximumRetries;
+    if (this->attempts.size() > allowed || now + gateMargin >= this->plan.deadline)
+        return false;
+    {
+        const std::lock_guard guard(this->service->mutex);
+        if (!this->service->retries.tryRetry(now))
+            return false;
+    }
+    return this->placeAndSend();
+}
+
+void ForwardedCall::finish(CallResponse response)
+{
+    if (!this->answer)
+        return;
+    const AnswerHook hook = std::move(this->answer);
+    this->answer = nullptr;
+    this->deadlineTimer.cancel();
+    this->hedgeTimer.cancel();
+    this->cancelOpenAttempts();
+    hook(std::move(response));
+}
+
+void ForwardedCall::abandon()
+{
+    this->answer = nullptr;
+    this->deadlineTimer.cancel();
+    this->hedgeTimer.cancel();
+    this->cancelOpenAttempts();
+}
+
+void ForwardedCall::cancelOpenAttempts()
+{
+    for (Attempt &attempt : this->attempts) {
+        if (!attempt.open)
+            continue;
+        attempt.open = false;
+        {
+            const std::lock_guard guard(this->service->mutex);
+            const Instant now = SteadyClock::now();
+            this->service->placer.ended(
+                attempt.upstreamId, now, this->plan.callClass, now - attempt.startedAt,
+                now >= this->plan.deadline ? PlacedEnd::Unknown : PlacedEnd::Cancelled);
+        }
+        if (attempt.local)
+            this->context.gate.cancel(attempt.local);
+        else if (!attempt.peerAddress.empty())
+            this->worker.link(attempt.peerAddress).cancel(attempt.peerCallId);
+    }
+}
+
+void ForwardedCall::armDeadline()
+{
+    this->deadlineTimer.expires_at(this->plan.deadline);
+    this->deadlineTimer.async_wait([self = this->shared_from_this()](const boost::system::error_code &error) {
+        if (error || !self->answer)
+            return;
+        CallResponse response;
+        response.outcome = Outcome::Unknown;
+        response.reason = reasonDeadline;
+        response.status = 504;
+        response.retryAfterMilliseconds = 1000;
+        self->finish(std::move(response));
+    });
+}
+
+// Load: one upstream of many is slow. Harm: its callers wait while others stand idle. A second copy of an
+// idempotent call goes out once it is later than nearly all others were, within the budget of retries.
+void ForwardedCall::armHedge()
+{
+    std::optional<Duration> delay;
+    {
+        const std::lock_guard guard(this->service->mutex);
+        delay = this->service->hedge.delay();
+    }
+    if (!delay)
+        return;
+    this->hedgeTimer.expires_after(*delay);
+    this->hedgeTimer.async_wait([self = this->shared_from_this()](const boost::system::error_code &error) {
+        if (error || !self->answer || !self->anyOpen())
+            return;
+        bool allowed = false;
+        {
+            const std::lock_guard guard(self->service->mutex);
+            allowed = self->service->retries.tryRetry(SteadyClock::now());
+        }
+        if (allowed)
+            self->placeAndSend();
+    });
+}
+
+bool ForwardedCall::anyOpen() const
+{
+    return std::ranges::any_of(this->attempts, [](const Attempt &attempt) { return attempt.open; });
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/ForwardedCall.h
@@ -0,0 +1,102 @@
+// One caller's call on its way: placed, sent, perhaps sent again, answered exactly once.
+#pragma once
+
+#include "CallIds.h"
+#include "LocalGate.h"
+#include "UpstreamView.h"
+#include "Worker.h"
+
+#include <LibConfig/Model.h>
+#include <LibCore/RcuPointer.h>
+#include <LibHistory/HistoryRecorder.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Sagecrank {
+
+// What the route says of a call, copied so that no snapshot is held while the call waits.
+struct CallPlan
+{
+    std::string cluster;
+    CallClass callClass = CallClass::Interactive;
+    bool idempotent = false;
+    bool hedged = false;
+    std::uint32_t maximumRetries = 0;
+    std::uint64_t configurationVersion = 0;
+    Instant deadline;
+};
+
+// Shared by all calls of a node.
+struct ForwardingContext
+{
+    const std::string nodeId;
+    LocalGate &gate;
+    RcuPointer<UpstreamView> &view;
+    CallIds &ids;
+    HistoryRecorder &history;
+};
+
+class ForwardedCall : public std::enable_shared_from_this<ForwardedCall>
+{
+public:
+    using AnswerHook = std::function<void(CallResponse)>;
+
+    // `request` carries everything but the numbers of an attempt.
+    ForwardedCall(ForwardingContext &context, Worker &worker, CallPlan plan, CallRequest request,
+                  AnswerHook answer);
+
+    void start();
+
+    // The caller has gone: nothing is answered any more, and what may be cut off is.
+    void abandon();
+
+    std::uint32_t attemptsMade() const { return static_cast<std::uint32_t>(this->attempts.size()); }
+
+private:
+    struct Attempt
+    {
+        std::string upstreamId;
+        Instant startedAt;
+        bool open = true;
+        std::shared_ptr<GateCall> local; // Set when the upstream is beside this node.
+        std::string peerAddress;         // Set when it is beside another.
+        std::uint64_t peerCallId = 0;
+    };
+
+    // Where an attempt goes, copied out of the view.
+    struct Target
+    {
+        Candidate candidate;
+        bool sameHost = false;
+    };
+
+    bool placeAndSend();
+    bool chooseTarget(Target &target);
+    void send(std::size_t index, const Target &target);
+    void attemptEnded(std::size_t index, CallResponse response);
+    void tellPlacer(const Attempt &attempt, const CallResponse &response, Instant now);
+    bool tryAgain(const CallResponse &response, Instant now);
+    void finish(CallResponse response);
+    void cancelOpenAttempts();
+    void armDeadline();
+    void armHedge();
+    bool anyOpen() const;
+
+    ForwardingContext &context;
+    Worker &worker;
+    const CallPlan plan;
+    const CallRequest request;
+    AnswerHook answer; // Empty once answered or abandoned.
+    std::shared_ptr<ServiceState> service;
+    std::vector<Attempt> attempts;
+    std::vector<std::string> triedIds;
+    boost::asio::steady_timer deadlineTimer;
+    boost::asio::steady_timer hedgeTimer;
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/GateCall.h
@@ -0,0 +1,46 @@
+// One call inside the local gate. All of it but the ticket's place in the queue belongs to its home thread.
+#pragma once
+
+#include "LocalGate.h"
+
+namespace Sagecrank {
+
+enum class GateCallStage : std::uint8_t {
+    Claiming, // Waits for its idempotency key.
+    Waiting,  // Waits for a slot.
+    Running,  // Sent, or about to be sent, to the upstream.
+    Ended,
+};
+
+class GateCall
+{
+public:
+    GateCall(GateHome home, CallRequest request, LocalGate::AnswerHook answer)
+        : home(home)
+        , request(std::move(request))
+        , answer(std::move(answer))
+        , arrived(SteadyClock::now())
+        , deadline(this->arrived + Microseconds(this->request.remainingMicroseconds))
+    {
+    }
+
+    bool keyed() const { return !this->request.idempotencyKey.empty(); }
+
+    // A keyed call runs at most once even when it calls itself idempotent, so it is not cut off either.
+    bool mayBeCutOff() const { return this->request.idempotent && !this->keyed(); }
+
+    GateHome home;
+    CallRequest request;
+    LocalGate::AnswerHook answer;
+    Instant arrived;
+    Instant deadline; // By this host's clock.
+    Instant started;
+    std::string upstreamAddress;
+    Ticket ticket = 0;
+    GateCallStage stage = GateCallStage::Claiming;
+    bool claimed = false;   // Its key is held by this attempt.
+    bool cancelled = false; // The caller gave up; nothing of it starts any more.
+    HttpClient::Handle sending;
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/LocalGate.cpp
@@ -0,0 +1,390 @@
+// The way of a call through the gate: claim, admit, run, answer.
+#include "LocalGate.h"
+
+#include "GateCall.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace Sagecrank {
+
+namespace {
+
+// Refusals that LibDecide does not know of, beside its own reasons.
+constexpr std::string_view reasonClaimTable = "claim_table_unavailable";
+constexpr std::string_view reasonKeyInProgress = "key_in_progress";
+constexpr std::string_view reasonShed = "upstream_shed";
+constexpr std::string_view reasonUnreachable = "upstream_unreachable";
+constexpr std::string_view reasonBroken = "upstream_broke_off";
+constexpr std::string_view reasonDeadline = "deadline_passed_while_running";
+constexpr std::string_view reasonCancelled = "cancelled";
+
+// When a caller is told to come back although nothing is known about when the upstream will be well.
+constexpr Duration unreachableRetryAfter = std::chrono::seconds(1);
+
+std::uint32_t wholeMilliseconds(Duration span)
+{
+    const auto count = std::chrono::ceil<Milliseconds>(span).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 1, 3600000));
+}
+
+bool isHopHeader(std::string_view name)
+{
+    static constexpr std::string_view hopHeaders[] = {
+        "Connection", "Keep-Alive",       "Transfer-Encoding", "TE",
+        "Upgrade",    "Proxy-Connection", "Content-Length",    "Trailer"};
+    return std::any_of(std::begin(hopHeaders), std::end(hopHeaders),
+                       [name](std::string_view header) { return sameHeaderName(header, name); });
+}
+
+Duration retryAfterOf(const HttpResponse &response)
+{
+    const std::string text(findHeader(response.headers, "Retry-After"));
+    const int seconds = std::atoi(text.c_str());
+    return std::chrono::seconds(std::clamp(seconds, 1, 3600));
+}
+
+} // namespace
+
+LocalGate::LocalGate(std::string nodeId, ClaimHooks claims, HistoryRecorder &history, Observer observer)
+    : nodeId(std::move(nodeId))
+    , claims(std::move(claims))
+    , history(history)
+    , observer(std::move(observer))
+    , gate(GateSettings{1, 64, std::hash<std::string>{}(this->nodeId)})
+{
+}
+
+std::shared_ptr<GateCall> LocalGate::submit(GateHome home, CallRequest request, AnswerHook answer)
+{
+    const auto call = std::make_shared<GateCall>(home, std::move(request), std::move(answer));
+    ++this->callsInside;
+    // A host may have been given to another service while the sender's view is old.
+    if (!this->serves(call->request.cluster))
+        this->refuse(call, refusalReasonNames.name(RefusalReason::NotReady), unreachableRetryAfter);
+    else if (call->keyed())
+        this->claimKey(call);
+    else
+        this->offer(call);
+    return call;
+}
+
+// Load: bookings with keys come while the gate is full. Harm: each would cost the table two writes, one to
+// claim and one to release, for a call that cannot run. The gate is asked before the table is.
+void LocalGate::claimKey(const std::shared_ptr<GateCall> &call)
+{
+    std::vector<GateAction> actions;
+    GateDecision refusal;
+    {
+        const std::lock_guard guard(this->mutex);
+        const CallFacts facts{call->request.callClass, call->deadline};
+        if (!this->gate.wouldAdmit(SteadyClock::now(), facts))
+            refusal = this->gate.offer(SteadyClock::now(), facts, actions);
+        // The gate may have changed its mind between the two; the place it gave is then handed back.
+        if (refusal.ticket != 0) {
+            this->gate.finish(SteadyClock::now(), refusal.ticket, CallEnd::Cancelled, actions);
+            this->gate.cancel(SteadyClock::now(), refusal.ticket, actions);
+        }
+    }
+    this->perform(std::move(actions));
+    if (refusal.reason != RefusalReason::None)
+        return this->refuse(call, refusalReasonNames.name(refusal.reason), refusal.retryAfter);
+
+    this->claims.claim(call->request.idempotencyKey, call->request.attempt, call->deadline,
+                       [this, call](ClaimAnswer answer) {
+                           boost::asio::post(call->home.context,
+                                             [this, call, answer = std::move(answer)]() mutable {
+                                                 this->afterClaim(call, std::move(answer));
+                                             });
+                       });
+}
+
+void LocalGate::afterClaim(const std::shared_ptr<GateCall> &call, ClaimAnswer answer)
+{
+    CallResponse response;
+    switch (answer.verdict) {
+    case ClaimVerdict::Claimed:
+        call->claimed = true;
+        if (call->cancelled)
+            return this->refuse(call, reasonCancelled, unreachableRetryAfter);
+        return this->offer(call);
+    case ClaimVerdict::AlreadyDone:
+        response.outcome = Outcome::Done;
+        response.replayed = true;
+        response.status = answer.recorded.status;
+        if (!answer.recorded.contentType.empty())
+            response.headers.push_back({"Content-Type", answer.recorded.contentType});
+        if (!answer.recorded.bodyKept)
+            response.headers.push_back({"Sagecrank-Body", "not-kept"});
+        response.body = std::move(answer.recorded.body);
+        return this->answer(call, std::move(response));
+    case ClaimVerdict::InProgress:
+        response.outcome = Outcome::Unknown;
+        response.reason = reasonKeyInProgress;
+        response.status = 409;
+        response.retryAfterMilliseconds = wholeMilliseconds(answer.retryAfter);
+        return this->answer(call, std::move(response));
+    case ClaimVerdict::NotClaimed:
+        return this->refuse(call, reasonClaimTable, answer.retryAfter);
+    }
+}
+
+void LocalGate::offer(const std::shared_ptr<GateCall> &call)
+{
+    std::vector<GateAction> actions;
+    GateDecision decision;
+    {
+        const std::lock_guard guard(this->mutex);
+        decision = this->gate.offer(SteadyClock::now(), {call->request.callClass, call->deadline}, actions);
+        call->ticket = decision.ticket;
+        call->upstreamAddress = this->current.address;
+        if (decision.verdict == GateVerdict::Queue) {
+            call->stage = GateCallStage::Waiting;
+            this->waiting.emplace(decision.ticket, call);
+        }
+    }
+    this->perform(std::move(actions));
+    if (decision.verdict == GateVerdict::Refuse)
+        return this->refuse(call, refusalReasonNames.name(decision.reason), decision.retryAfter);
+    this->history.record([&] {
+        return GateAdmitted{call->request.callerCallId, call->request.attempt, call->request.idempotencyKey,
+                            std::string(callClassNames.name(call->request.callClass))};
+    });
+    if (decision.verdict == GateVerdict::Start)
+        this->begin(call);
+}
+
+// A decision on one thread may start or refuse a call of another; each goes on at its own home.
+void LocalGate::perform(std::vector<GateAction> actions)
+{
+    for (const GateAction &action : actions) {
+        std::shared_ptr<GateCall> call;
+        {
+            const std::lock_guard guard(this->mutex);
+            const auto found = this->waiting.find(action.ticket);
+            if (found == this->waiting.end())
+                continue;
+            call = std::move(found->second);
+            this->waiting.erase(found);
+        }
+        boost::asio::post(call->home.context, [this, call, action] {
+            if (action.start)
+                return this->begin(call);
+            this->refuse(call, refusalReasonNames.name(action.reason), action.retryAfter);
+        });
+    }
+}
+
+// The last point at which a call can be proven not to run. A holder that was paused finds its deadline passed
+// here and does not start, whatever it believes to hold.
+void LocalGate::begin(const std::shared_ptr<GateCall> &call)
+{
+    call->stage = GateCallStage::Running;
+    call->started = SteadyClock::now();
+    const bool late = call->started >= call->deadline;
+    if (late || call->cancelled) {
+        this->freeSlot(call, CallEnd::Cancelled);
+        const RefusalReason reason = RefusalReason::DeadlinePassed;
+        return this->refuse(call, late ? refusalReasonNames.name(reason) : reasonCancelled,
+                            unreachableRetryAfter);
+    }
+    this->history.record([&] { return GateStarted{call->request.callerCallId, call->request.attempt}; });
+    const Duration remaining = call->deadline - call->started;
+    call->sending =
+        call->home.client.send(call->upstreamAddress, this->upstreamRequest(*call, remaining), remaining,
+                               [this, call](const HttpFailure *failure, HttpResponse response) {
+                                   if (failure != nullptr)
+                                       return this->upstreamFailed(call, *failure);
+                                   this->upstreamAnswered(call, std::move(response));
+                               });
+}
+
+HttpRequest LocalGate::upstreamRequest(const GateCall &call, Duration remaining) const
+{
+    HttpRequest request;
+    request.method = call.request.method;
+    request.target = call.request.target;
+    for (const Header &header : call.request.headers) {
+        if (!isHopHeader(header.name))
+            request.headers.push_back(header);
+    }
+    const auto milliseconds = std::chrono::duration_cast<Milliseconds>(remaining).count();
+    request.headers.push_back(
+        {"Sagecrank-Deadline-Ms", std::to_string(std::max<std::int64_t>(milliseconds, 1))});
+    request.headers.push_back({"Sagecrank-Attempt", call.request.attempt});
+    if (!call.request.callerCallId.empty())
+        request.headers.push_back({"Sagecrank-Call-Id", call.request.callerCallId});
+    if (call.keyed())
+        request.headers.push_back({"Idempotency-Key", call.request.idempotencyKey});
+    if (!call.request.traceParent.empty())
+        request.headers.push_back({"traceparent", call.request.traceParent});
+    request.body = call.request.body;
+    return request;
+}
+
+void LocalGate::upstreamAnswered(const std::shared_ptr<GateCall> &call, HttpResponse response)
+{
+    const std::string_view said = findHeader(response.headers, "Sagecrank-Outcome");
+    if (response.status == 503 && said == outcomeNames.name(Outcome::NotRun)) {
+        this->freeSlot(call, CallEnd::Shed);
+        return this->refuse(call, reasonShed, retryAfterOf(response));
+    }
+    this->freeSlot(call, response.status >= 500 ? CallEnd::Failed : CallEnd::Succeeded);
+    if (call->claimed) {
+        RecordedAnswer recorded;
+        recorded.status = response.status;
+        recorded.contentType = findHeader(response.headers, "Content-Type");
+        recorded.body = response.body;
+        this->claims.record(call->request.idempotencyKey, call->request.attempt, std::move(recorded));
+    }
+    CallResponse answer;
+    answer.outcome = Outcome::Done;
+    answer.status = response.status;
+    for (Header &header : response.headers) {
+        if (!isHopHeader(header.name))
+            answer.headers.push_back(std::move(header));
+    }
+    answer.body = std::move(response.body);
+    this->answer(call, std::move(answer));
+}
+
+void LocalGate::upstreamFailed(const std::shared_ptr<GateCall> &call, const HttpFailure &failure)
+{
+    this->freeSlot(call, call->cancelled ? CallEnd::Cancelled : CallEnd::Failed);
+    if (!failure.mayHaveBeenSent)
+        return this->refuse(call, reasonUnreachable, unreachableRetryAfter);
+    CallResponse response;
+    response.outcome = Outcome::Unknown;
+    response.reason = SteadyClock::now() >= call->deadline ? reasonDeadline : reasonBroken;
+    response.status = 504;
+    response.retryAfterMilliseconds = wholeMilliseconds(unreachableRetryAfter);
+    this->answer(call, std::move(response));
+}
+
+void LocalGate::freeSlot(const std::shared_ptr<GateCall> &call, CallEnd end)
+{
+    std::vector<GateAction> actions;
+    {
+        const std::lock_guard guard(this->mutex);
+        this->gate.finish(SteadyClock::now(), call->ticket, end, actions);
+    }
+    this->perform(std::move(actions));
+}
+
+void LocalGate::refuse(const std::shared_ptr<GateCall> &call, std::string_view reason, Duration retryAfter)
+{
+    this->history.record([&] {
+        return GateRefused{call->request.callerCallId, call->request.attempt, std::string(reason)};
+    });
+    CallResponse response;
+    response.outcome = Outcome::NotRun;
+    response.reason = reason;
+    response.status = 503;
+    response.retryAfterMilliseconds = wholeMilliseconds(retryAfter);
+    response.claimHeld = call->claimed;
+    if (call->claimed)
+        this->claims.release(call->request.idempotencyKey, call->request.attempt);
+    this->answer(call, std::move(response));
+}
+
+void LocalGate::answer(const std::shared_ptr<GateCall> &call, CallResponse response)
+{
+    if (call->stage == GateCallStage::Ended)
+        return;
+    call->stage = GateCallStage::Ended;
+    {
+        const std::lock_guard guard(this->mutex);
+        response.freeSlots = this->gate.freeSlots();
+        response.queued = this->gate.queued();
+        response.draining = this->gate.condition() == UpstreamCondition::Draining;
+    }
+    if (response.outcome != Outcome::NotRun) {
+        this->history.record([&] {
+            return GateFinished{call->request.callerCallId, call->request.attempt,
+                                std::string(outcomeNames.name(response.outcome))};
+        });
+    }
+    response.callId = call->request.callId;
+    --this->callsInside;
+    if (this->observer.ended)
+        this->observer.ended(call->request, response, call->arrived, call->started);
+    const AnswerHook hook = std::move(call->answer);
+    hook(std::move(response));
+}
+
+void LocalGate::cancel(const std::shared_ptr<GateCall> &call)
+{
+    call->cancelled = true;
+    switch (call->stage) {
+    case GateCallStage::Waiting: {
+        std::vector<GateAction> actions;
+        bool taken = false;
+        {
+            const std::lock_guard guard(this->mutex);
+            taken = this->waiting.erase(call->ticket) > 0;
+            if (taken)
+                this->gate.cancel(SteadyClock::now(), call->ticket, actions);
+        }
+        this->perform(std::move(actions));
+        // Otherwise its start or refusal is on the way and finds it cancelled.
+        if (taken)
+            this->refuse(call, reasonCancelled, unreachableRetryAfter);
+        return;
+    }
+    case GateCallStage::Running:
+        if (call->mayBeCutOff())
+            call->sending.cancel();
+        return;
+    case GateCallStage::Claiming:
+    case GateCallStage::Ended:
+        return;
+    }
+}
+
+void LocalGate::announce(const UpstreamAnnouncement &announcement)
+{
+    std::vector<GateAction> actions;
+    {
+        const std::lock_guard guard(this->mutex);
+        this->current = announcement;
+        this->gate.setState(SteadyClock::now(), announcement.condition, announcement.slots, actions);
+    }
+    this->perform(std::move(actions));
+}
+
+void LocalGate::advance()
+{
+    std::vector<GateAction> actions;
+    {
+        const std::lock_guard guard(this->mutex);
+        this->gate.advance(SteadyClock::now(), actions);
+    }
+    this->perform(std::move(actions));
+}
+
+bool LocalGate::serves(const std::string &cluster) const
+{
+    const std::lock_guard guard(this->mutex);
+    return this->current.cluster == cluster;
+}
+
+std::uint32_t LocalGate::queued() const
+{
+    const std::lock_guard guard(this->mutex);
+    return this->gate.queued();
+}
+
+std::uint32_t LocalGate::running() const
+{
+    const std::lock_guard guard(this->mutex);
+    return this->gate.running();
+}
+
+UpstreamAnnouncement LocalGate::announced() const
+{
+    const std::lock_guard guard(this->mutex);
+    return this->current;
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/LocalGate.h
@@ -0,0 +1,99 @@
+// The gate of the upstream beside this node, with its input and output: it claims idempotency keys, asks
+// LibDecide what may start, sends calls to the upstream, and says of each call whether it ran.
+#pragma once
+
+#include "ClaimHooks.h"
+
+#include <LibDecide/Gate.h>
+#include <LibHistory/HistoryRecorder.h>
+#include <LibNet/HttpClient.h>
+#include <LibWire/PeerMessages.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Sagecrank {
+
+// What the upstream says of itself.
+struct UpstreamAnnouncement
+{
+    std::string cluster;
+    std::string address; // "ip:port" of its HTTP.
+    std::uint32_t slots = 1;
+    UpstreamCondition condition = UpstreamCondition::NotReady;
+};
+
+// A request thread, as the gate needs it.
+struct GateHome
+{
+    boost::asio::io_context &context;
+    HttpClient &client;
+};
+
+class GateCall;
+
+class LocalGate
+{
+public:
+    using AnswerHook = std::function<void(CallResponse)>;
+
+    // Told of each call's end, for the spans of a trace.
+    struct Observer
+    {
+        std::function<void(const CallRequest &, const CallResponse &, Instant arrived, Instant started)>
+            ended;
+    };
+
+    LocalGate(std::string nodeId, ClaimHooks claims, HistoryRecorder &history, Observer observer);
+
+    // Runs on the home's thread, and so does the answer, which comes exactly once.
+    std::shared_ptr<GateCall> submit(GateHome home, CallRequest request, AnswerHook answer);
+
+    // The caller gave up. A call that waits is taken out; one that runs is cut off only when it may be run
+    // again, since cutting a reservation off leaves nobody knowing whether it ran.
+    void cancel(const std::shared_ptr<GateCall> &call);
+
+    // From any thread.
+    void announce(const UpstreamAnnouncement &announcement);
+    void advance(); // Refuses what waits and cannot be answered in time any more.
+
+    std::uint32_t inFlight() const { return this->callsInside.load(); } // Waiting, claiming or running.
+    std::uint32_t queued() const;
+    std::uint32_t running() const;
+    UpstreamAnnouncement announced() const;
+
+private:
+    bool serves(const std::string &cluster) const;
+    void claimKey(const std::shared_ptr<GateCall> &call);
+    void afterClaim(const std::shared_ptr<GateCall> &call, ClaimAnswer answer);
+    void offer(const std::shared_ptr<GateCall> &call);
+    void perform(std::vector<GateAction> actions);
+    void begin(const std::shared_ptr<GateCall> &call);
+    void upstreamAnswered(const std::shared_ptr<GateCall> &call, HttpResponse response);
+    void upstreamFailed(const std::shared_ptr<GateCall> &call, const HttpFailure &failure);
+    void freeSlot(const std::shared_ptr<GateCall> &call, CallEnd end);
+    void refuse(const std::shared_ptr<GateCall> &call, std::string_view reason, Duration retryAfter);
+    void answer(const std::shared_ptr<GateCall> &call, CallResponse response);
+    HttpRequest upstreamRequest(const GateCall &call, Duration remaining) const;
+
+    const std::string nodeId;
+    const ClaimHooks claims;
+    HistoryRecorder &history;
+    const Observer observer;
+
+    mutable std::mutex mutex; // Guards what follows; never held over input or output.
+    Gate gate;
+    UpstreamAnnouncement current;
+    std::unordered_map<Ticket, std::shared_ptr<GateCall>> waiting; // Exactly the queued tickets.
+
+    std::atomic<std::uint32_t> callsInside = 0;
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/NodeSettings.cpp
@@ -0,0 +1,293 @@
+// Reads and checks the settings file.
+#include "NodeSettings.h"
+
+#include <LibNet/FramedConnection.h>
+
+#include <toml++/toml.h>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace Sagecrank {
+
+namespace {
+
+// Reads one table key by key, remembers which keys were asked for, and collects what is wrong.
+class SettingsTable
+{
+public:
+    SettingsTable(const toml::table &root, std::string name, const std::string &file,
+                  std::vector<std::string> &problems)
+        : name(std::move(name))
+        , file(file)
+        , problems(problems)
+    {
+        const toml::node *node = root.get(this->name);
+        if (node == nullptr)
+            return;
+        this->table = node->as_table();
+        if (this->table == nullptr)
+            this->problem(*node, this->name, "must be a table");
+    }
+
+    void read(const char *key, std::string &target, bool required)
+    {
+        const toml::node *node = this->find(key, required);
+        if (node == nullptr)
+            return;
+        const auto value = node->value_exact<std::string>();
+        if (!value)
+            return this->problem(*node, this->path(key), "must be a string");
+        if (required && value->empty())
+            return this->problem(*node, this->path(key), "must not be empty");
+        target = *value;
+    }
+
+    void readAddress(const char *key, std::string &target)
+    {
+        this->read(key, target, true);
+        const toml::node *node = this->find(key, false);
+        if (node == nullptr || target.empty())
+            return;
+        const auto endpoint = parseTcpEndpoint(target);
+        if (!endpoint)
+            this->problem(*node, this->path(key), endpoint.error().message);
+    }
+
+    template <typename Integer>
+    void readInteger(const char *key, Integer &target, std::int64_t lowest, std::int64_t highest)
+    {
+        const toml::node *node = this->find(key, false);
+        if (node == nullptr)
+            return;
+        const auto value = node->value_exact<std::int64_t>();
+        if (!value)
+            return this->problem(*node, this->path(key), "must be a whole number");
+        if (*value < lowest || *value > highest)
+            return this->problem(*node, this->path(key),
+                                 "must be from " + std::to_string(lowest) + " to " + std::to_string(highest));
+        target = static_cast<Integer>(*value);
+    }
+
+    void readMilliseconds(const char *key, Milliseconds &target, std::int64_t lowest, std::int64_t highest)
+    {
+        std::int64_t count = target.count();
+        this->readInteger(key, count, lowest, highest);
+        target = Milliseconds(count);
+    }
+
+    void readShare(const char *key, double &target)
+    {
+        const toml::node *node = this->find(key, false);
+        if (node == nullptr)
+            return;
+        const auto value = node->value<double>();
+        if (!value || *value < 0 || *value > 1)
+            return this->problem(*node, this->path(key), "must be a number from 0 to 1");
+        target = *value;
+    }
+
+    void readFlag(const char *key, bool &target)
+    {
+        const toml::node *node = this->find(key, false);
+        if (node == nullptr)
+            return;
+        const auto value = node->value_exact<bool>();
+        if (!value)
+            return this->problem(*node, this->path(key), "must be true or false");
+        target = *value;
+    }
+
+    void readAddresses(const char *key, std::vector<std::string> &target)
+    {
+        const toml::node *node = this->find(key, false);
+        if (node == nullptr)
+            return;
+        const toml::array *array = node->as_array();
+        if (array == nullptr)
+            return this->problem(*node, this->path(key), "must be an array of addresses");
+        for (const toml::node &element : *array) {
+            const auto value = element.value_exact<std::string>();
+            if (!value || !parseTcpEndpoint(*value))
+                this->problem(element, this->path(key), "must be an ip:port");
+            else
+                target.push_back(*value);
+        }
+    }
+
+    void refuseUnknownKeys()
+    {
+        if (this->table == nullptr)
+            return;
+        for (const auto &[key, node] : *this->table) {
+            if (!this->known.contains(std::string(key.str())))
+                this->problem(node, this->path(std::string(key.str())), "unknown key");
+        }
+    }
+
+private:
+    std::string path(const std::string &key) const { return this->name + "." + key; }
+
+    const toml::node *find(const char *key, bool required)
+    {
+        this->known.insert(key);
+        const toml::node *node = this->table == nullptr ? nullptr : this->table->get(key);
+        if (node == nullptr && required)
+            this->problems.push_back(this->file + ": " + this->path(key) + ": is missing");
+        return node;
+    }
+
+    void problem(const toml::node &node, const std::string &key, const std::string &message)
+    {
+        this->problems.push_back(this->file + ":" + std::to_string(node.source().begin.line) + ": " + key
+                                 + ": " + message);
+    }
+
+    std::string name;
+    const std::string &file;
+    std::vector<std::string> &problems;
+    const toml::table *table = nullptr; // Null when the file has no such table.
+    std::set<std::string> known;
+};
+
+class SettingsFile
+{
+public:
+    SettingsFile(const toml::table &root, std::string file)
+        : root(root)
+        , file(std::move(file))
+    {
+    }
+
+    NodeSettings read()
+    {
+        NodeSettings settings;
+        this->readNode(settings);
+        this->readListen(settings.listen);
+        this->readPlatform(settings.platform);
+        this->readRequests(settings.requests);
+        this->readDrain(settings.drain);
+        this->section("gossip", [&](SettingsTable &table) { table.readAddresses("seeds", settings.seeds); });
+        this->section("history", [&](SettingsTable &table) { table.readFlag("enabled", settings.history); });
+        this->section("log", [&](SettingsTable &table) { table.read("level", settings.logLevel, false); });
+        this->refuseUnknownTables();
+        return settings;
+    }
+
+    std::vector<std::string> problems;
+
+private:
+    template <typename Read>
+    void section(const char *name, Read read)
+    {
+        this->known.insert(name);
+        SettingsTable table(this->root, name, this->file, this->problems);
+        read(table);
+        table.refuseUnknownKeys();
+    }
+
+    void readNode(NodeSettings &settings)
+    {
+        this->section("node", [&](SettingsTable &table) {
+            table.read("id", settings.id, true);
+            table.read("region", settings.region, true);
+            table.read("zone", settings.zone, true);
+            table.read("site", settings.site, true);
+            table.readInteger("threads", settings.threads, 1, 64);
+        });
+    }
+
+    void readListen(NodeSettings::Listen &listen)
+    {
+        this->section("listen", [&](SettingsTable &table) {
+            table.readAddress("callers", listen.callers);
+            table.readAddress("peers", listen.peers);
+            table.readAddress("gossip", listen.gossip);
+            table.readAddress("control", listen.control);
+            table.readAddress("admin", listen.admin);
+        });
+    }
+
+    void readPlatform(NodeSettings::Platform &platform)
+    {
+        this->section("platform", [&](SettingsTable &table) {
+            table.readAddress("table", platform.table);
+            table.readAddress("objects", platform.objects);
+            table.read("table_name", platform.tableName, false);
+            table.read("bucket", platform.bucket, false);
+        });
+    }
+
+    void readRequests(NodeSettings::Requests &requests)
+    {
+        this->section("requests", [&](SettingsTable &table) {
+            table.readMilliseconds("maximum_timeout_ms", requests.maximumTimeout, 1, 3600000);
+            table.readMilliseconds("peer_silence_ms", requests.peerSilence, 100, 60000);
+            table.readMilliseconds("connect_timeout_ms", requests.connectTimeout, 10, 60000);
+            table.readInteger("maximum_connections", requests.maximumConnections, 1, 100000);
+            table.readInteger("maximum_header_bytes", requests.maximumHeaderBytes, 1024, 1024 * 1024);
+            table.readInteger("maximum_body_bytes", requests.maximumBodyBytes, 1024, 2 * 1024 * 1024);
+            table.readShare("retry_share", requests.retryShare);
+        });
+    }
+
+    void readDrain(NodeSettings::Drain &drain)
+    {
+        this->section("drain", [&](SettingsTable &table) {
+            table.readMilliseconds("linger_ms", drain.linger, 0, 600000);
+            table.readMilliseconds("maximum_ms", drain.maximum, 0, 3600000);
+        });
+    }
+
+    void refuseUnknownTables()
+    {
+        for (const auto &[key, node] : this->root) {
+            if (!this->known.contains(std::string(key.str())))
+                this->problems.push_back(this->file + ":" + std::to_string(node.source().begin.line) + ": "
+                                         + std::string(key.str()) + ": unknown table");
+        }
+    }
+
+    const toml::table &root;
+    std::string file;
+    std::set<std::string> known;
+};
+
+Error invalidSettings(const std::string &path, const std::string &message)
+{
+    return makeError(ErrorKind::InvalidInput, "read settings", path, message);
+}
+
+} // namespace
+
+Result<NodeSettings> parseNodeSettings(const std::string &text, const std::string &path)
+{
+    toml::table root;
+    try {
+        root = toml::parse(text, path);
+    } catch (const toml::parse_error &error) {
+        const std::string line = std::to_string(error.source().begin.line);
+        return invalidSettings(path, path + ":" + line + ": " + std::string(error.description()));
+    }
+    SettingsFile file(root, path);
+    NodeSettings settings = file.read();
+    if (file.problems.empty())
+        return settings;
+    std::string message;
+    for (const std::string &problem : file.problems)
+        message += (message.empty() ? "" : "\n") + problem;
+    return invalidSettings(path, message);
+}
+
+Result<NodeSettings> readNodeSettings(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return invalidSettings(path, "the file cannot be opened");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseNodeSettings(text.str(), path);
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/NodeSettings.h
@@ -0,0 +1,66 @@
+// The settings of a node, read from one TOML file and checked as a whole: an error names file, line and key,
+// and a key that nobody reads is an error too, since a misspelt one would otherwise be ignored in silence.
+#pragma once
+
+#include <LibCore/Error.h>
+#include <LibCore/Time.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Sagecrank {
+
+struct NodeSettings
+{
+    std::string id;
+    std::string region;
+    std::string zone;
+    std::string site;
+    std::uint32_t threads = 2; // That carry requests; control has one of its own.
+
+    struct Listen
+    {
+        std::string callers; // HTTP from callers.
+        std::string peers;   // TCP, calls between nodes.
+        std::string gossip;  // UDP, membership.
+        std::string control; // TCP, configuration pulls.
+        std::string admin;   // HTTP from the upstream beside the node and from operators.
+    } listen;
+
+    struct Platform
+    {
+        std::string table;
+        std::string objects;
+        std::string tableName = "sagecrank";
+        std::string bucket = "sagecrank";
+    } platform;
+
+    std::vector<std::string> seeds; // Gossip addresses of nodes to meet first.
+
+    struct Requests
+    {
+        Milliseconds maximumTimeout{30000}; // A caller's longer deadline is cut to this.
+        Milliseconds peerSilence{1000};   // A connection between nodes that is silent this long is given up.
+        Milliseconds connectTimeout{500}; // To another node.
+        std::uint32_t maximumConnections = 4096; // From callers, for each thread.
+        std::uint32_t maximumHeaderBytes = 16 * 1024;
+        std::uint32_t maximumBodyBytes = 1024 * 1024;
+        double retryShare = 0.1; // Retries for each recent first try.
+    } requests;
+
+    struct Drain
+    {
+        Milliseconds linger{3000};   // How long peers are given to hear of it.
+        Milliseconds maximum{60000}; // After this the node leaves whatever still runs.
+    } drain;
+
+    bool history = false;
+    std::string logLevel = "info";
+};
+
+// All problems of the file are reported at once, one line each.
+Result<NodeSettings> readNodeSettings(const std::string &path);
+Result<NodeSettings> parseNodeSettings(const std::string &text, const std::string &path);
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/PeerLink.cpp
@@ -0,0 +1,218 @@
+// Connecting, pairing answers with calls, and finding silent connections.
+#include "PeerLink.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace Sagecrank {
+
+namespace {
+
+// Failure: a connection goes silent for good while new ones work, because something between the two ends lost
+// track of it. Symptom: every call on it waits to its deadline. Probing at a quarter of the allowed silence
+// and closing after all of it bounds the wait, and the next call opens a connection that works.
+constexpr int probesPerSilence = 4;
+
+constexpr Duration firstBackoff = Milliseconds(50);
+constexpr Duration longestBackoff = Milliseconds(2000);
+
+CallResponse linkFailure(Outcome outcome, std::string_view reason)
+{
+    CallResponse response;
+    response.outcome = outcome;
+    response.reason = reason;
+    response.status = outcome == Outcome::NotRun ? 503 : 504;
+    response.retryAfterMilliseconds = 1000;
+    return response;
+}
+
+} // namespace
+
+PeerLink::PeerLink(boost::asio::io_context &context, std::string address, PeerLinkSettings settings)
+    : context(context)
+    , address(std::move(address))
+    , settings(std::move(settings))
+    , timer(context)
+{
+}
+
+std::uint64_t PeerLink::call(CallRequest request, AnswerHook answer)
+{
+    const std::uint64_t callId = this->nextCallId++;
+    request.callId = callId;
+    this->usedAt = SteadyClock::now();
+    this->calls.emplace(callId, Pending{std::move(answer), {}});
+
+    const bool congested =
+        this->connection && this->connection->bytesWaiting() > this->settings.maximumWaitingBytes;
+    const bool unreachable = !this->connection && !this->connecting && this->usedAt < this->retryAt;
+    if (congested || unreachable) {
+        const std::string_view reason = congested ? reasonPeerCongested : reasonPeerUnreachable;
+        boost::asio::post(this->context, [self = this->shared_from_this(), callId, reason] {
+            self->give(callId, linkFailure(Outcome::NotRun, reason));
+        });
+        return callId;
+    }
+    Bytes frame = encodeFrame(FrameType::CallRequest, request);
+    if (this->connection) {
+        this->connection->send(std::move(frame));
+        this->oweAnswer(this->usedAt);
+        return callId;
+    }
+    this->calls[callId].unsent = std::move(frame);
+    if (!this->connecting)
+        this->connect();
+    return callId;
+}
+
+void PeerLink::cancel(std::uint64_t callId)
+{
+    const auto found = this->calls.find(callId);
+    if (found == this->calls.end())
+        return;
+    const bool sent = found->second.unsent.empty();
+    this->calls.erase(found);
+    if (sent && this->connection)
+        this->connection->send(encodeFrame(FrameType::CallCancel, CallCancel{callId}));
+}
+
+void PeerLink::connect()
+{
+    this->connecting = true;
+    connectFramed(this->context, this->address, this->settings.connectTimeout,
+                  [self = this->shared_from_this()](Result<boost::asio::ip::tcp::socket> socket) {
+                      self->connecting = false;
+                      if (socket)
+                          return self->opened(std::move(socket).assume_value());
+                      self->backoff = std::clamp(self->backoff * 2, firstBackoff, longestBackoff);
+                      self->retryAt = SteadyClock::now() + self->backoff;
+                      self->failUnsent(reasonPeerUnreachable);
+                  });
+}
+
+void PeerLink::opened(boost::asio::ip::tcp::socket socket)
+{
+    const std::weak_ptr<PeerLink> link = this->weak_from_this();
+    FramedConnectionHooks hooks;
+    hooks.frame = [link](FrameType type, std::span<const char> payload) {
+        if (const auto self = link.lock())
+            self->takeFrame(type, payload);
+    };
+    hooks.closed = [link](const Error &reason) {
+        if (const auto self = link.lock())
+            self->closed(reason);
+    };
+    this->backoff = Duration::zero();
+    this->owedSince.reset();
+    this->connection =
+        std::make_shared<FramedConnection>(std::move(socket), maximumFrameSize, std::move(hooks));
+    this->connection->start();
+    this->connection->send(encodeFrame(FrameType::Hello, HelloMessage{this->settings.ownId, 1}));
+    for (auto &[callId, pending] : this->calls) {
+        if (!pending.unsent.empty())
+            this->connection->send(std::move(pending.unsent));
+        pending.unsent.clear();
+    }
+    this->oweAnswer(SteadyClock::now());
+}
+
+// A call that was handed to the connection may have run; one that was not has not.
+void PeerLink::closed(const Error &)
+{
+    this->connection.reset();
+    std::unordered_map<std::uint64_t, Pending> ended;
+    ended.swap(this->calls);
+    for (auto &[callId, pending] : ended) {
+        const bool sent = pending.unsent.empty();
+        pending.answer(linkFailure(sent ? Outcome::Unknown : Outcome::NotRun, reasonPeerLost));
+    }
+}
+
+void PeerLink::failUnsent(std::string_view reason)
+{
+    std::vector<AnswerHook> hooks;
+    for (auto entry = this->calls.begin(); entry != this->calls.end();) {
+        if (entry->second.unsent.empty()) {
+            ++entry;
+            continue;
+        }
+        hooks.push_back(std::move(entry->second.answer));
+        entry = this->calls.erase(entry);
+    }
+    for (const AnswerHook &hook : hooks)
+        hook(linkFailure(Outcome::NotRun, reason));
+}
+
+void PeerLink::takeFrame(FrameType type, std::span<const char> payload)
+{
+    this->owedSince.reset();
+    if (type == FrameType::Pong)
+        return;
+    if (type != FrameType::CallResponse)
+        return this->connection->close(
+            makeError(ErrorKind::InvalidInput, "read peer frame", this->address, "unexpected type"));
+    Result<CallResponse> response = decode<CallResponse>(payload, "read call answer", this->address);
+    if (!response)
+        return this->connection->close(response.error());
+    this->give(response.value().callId, std::move(response).assume_value());
+}
+
+void PeerLink::give(std::uint64_t callId, CallResponse response)
+{
+    const auto found = this->calls.find(callId);
+    if (found == this->calls.end())
+        return; // It was cancelled meanwhile.
+    const AnswerHook hook = std::move(found->second.answer);
+    this->calls.erase(found);
+    hook(std::move(response));
+}
+
+// The clock of a silence starts with the first unanswered sending and not with each: calls whose own
+// deadlines are shorter than the silence would otherwise put its end off for ever.
+void PeerLink::oweAnswer(Instant now)
+{
+    if (!this->owedSince)
+        this->owedSince = now;
+    this->armHeartbeat();
+}
+
+void PeerLink::armHeartbeat()
+{
+    if (this->timerArmed)
+        return;
+    this->timerArmed = true;
+    const Duration interval = this->settings.silence / probesPerSilence;
+    this->heartbeatDue = SteadyClock::now() + interval;
+    this->timer.expires_at(this->heartbeatDue);
+    this->timer.async_wait([link = this->weak_from_this()](const boost::system::error_code &error) {
+        const auto self = link.lock();
+        if (!self || error)
+            return;
+        self->timerArmed = false;
+        self->heartbeat();
+    });
+}
+
+void PeerLink::heartbeat()
+{
+    if (!this->connection)
+        return;
+    const Instant now = SteadyClock::now();
+    // This process itself was held up: answers may lie unread, so the silence is counted anew.
+    if (this->owedSince && now - this->heartbeatDue > this->settings.silence / 2)
+        this->owedSince = now;
+    if (this->owedSince && now - *this->owedSince > this->settings.silence)
+        return this->connection->close(
+            makeError(ErrorKind::Timeout, "wait for heartbeat", this->address, "silent"));
+    if (!this->calls.empty() || this->owedSince) {
+        this->connection->send(encodeFrame(FrameType::Ping, Heartbeat{++this->pings}));
+        return this->oweAnswer(now);
+    }
+    if (now - this->usedAt > this->settings.idleTimeout)
+        return this->connection->close(
+            makeError(ErrorKind::Unavailable, "keep connection", this->address, "not used"));
+    this->armHeartbeat();
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/PeerLink.h
@@ -0,0 +1,86 @@
+// This thread's connection to another node, on which many calls are under way at a time. Answers are paired
+// with calls by number, so they may come late and in any order.
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibNet/FramedConnection.h>
+#include <LibWire/PeerMessages.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Sagecrank {
+
+struct PeerLinkSettings
+{
+    std::string ownId;
+    Milliseconds connectTimeout{500};
+    Milliseconds silence{1000};      // With calls under way and nothing heard for this long, it is given up.
+    Milliseconds idleTimeout{60000}; // Without calls it is closed after this.
+    std::size_t maximumWaitingBytes = std::size_t{8} << 20; // More than this unsent, and calls are refused.
+};
+
+// Reasons of a call that the link itself ended.
+inline constexpr std::string_view reasonPeerUnreachable = "peer_unreachable";
+inline constexpr std::string_view reasonPeerLost = "peer_connection_lost";
+inline constexpr std::string_view reasonPeerCongested = "peer_congested";
+
+// Belongs to one io_context that one thread runs.
+class PeerLink : public std::enable_shared_from_this<PeerLink>
+{
+public:
+    using AnswerHook = std::function<void(CallResponse)>;
+
+    PeerLink(boost::asio::io_context &context, std::string address, PeerLinkSettings settings);
+
+    // The answer comes exactly once, never from inside this call. Returns the number for cancel().
+    std::uint64_t call(CallRequest request, AnswerHook answer);
+
+    // Tells the other side that nobody waits any more, and forgets the answer hook.
+    void cancel(std::uint64_t callId);
+
+    std::size_t outstanding() const { return this->calls.size(); }
+
+private:
+    struct Pending
+    {
+        AnswerHook answer;
+        Bytes unsent; // The whole frame while there is no connection; empty once it may have left.
+    };
+
+    void connect();
+    void opened(boost::asio::ip::tcp::socket socket);
+    void closed(const Error &reason);
+    void takeFrame(FrameType type, std::span<const char> payload);
+    void failUnsent(std::string_view reason);
+    void give(std::uint64_t callId, CallResponse response);
+    void oweAnswer(Instant now);
+    void armHeartbeat();
+    void heartbeat();
+
+    boost::asio::io_context &context;
+    const std::string address;
+    const PeerLinkSettings settings;
+    std::shared_ptr<FramedConnection> connection; // Null while there is none.
+    std::unordered_map<std::uint64_t, Pending> calls;
+    std::uint64_t nextCallId = 1;
+    boost::asio::steady_timer timer;
+    bool connecting = false;
+    bool timerArmed = false;
+    std::optional<Instant>
+        owedSince; // Something was sent that must be answered, and nothing was heard since.
+    Instant heartbeatDue;
+    Instant usedAt;
+    std::uint64_t pings = 0;
+    Instant retryAt = Instant::min(); // No connection is tried before this.
+    Duration backoff{};
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/PeerServer.cpp
@@ -0,0 +1,164 @@
+// One session for each connection of another node.
+#include "PeerServer.h"
+
+#include "GateCall.h"
+
+#include <sys/socket.h>
+
+#include <unordered_map>
+
+namespace Sagecrank {
+
+using boost::asio::ip::tcp;
+
+struct PeerServer::State
+{
+    State(GateHome home, LocalGate &gate)
+        : home(home)
+        , gate(gate)
+        , acceptor(home.context)
+    {
+    }
+
+    GateHome home;
+    LocalGate &gate;
+    tcp::acceptor acceptor;
+};
+
+namespace {
+
+class PeerSession : public std::enable_shared_from_this<PeerSession>
+{
+public:
+    explicit PeerSession(std::shared_ptr<PeerServer::State> server)
+        : server(std::move(server))
+    {
+    }
+
+    void start(tcp::socket socket)
+    {
+        FramedConnectionHooks hooks;
+        hooks.frame = [self = this->shared_from_this()](FrameType type, std::span<const char> payload) {
+            self->takeFrame(type, payload);
+        };
+        hooks.closed = [self = this->shared_from_this()](const Error &) { self->closed(); };
+        this->connection =
+            std::make_shared<FramedConnection>(std::move(socket), maximumFrameSize, std::move(hooks));
+        this->connection->start();
+    }
+
+private:
+    void takeFrame(FrameType type, std::span<const char> payload)
+    {
+        switch (type) {
+        case FrameType::Hello:
+            return;
+        case FrameType::Ping:
+            return this->answerPing(payload);
+        case FrameType::CallRequest:
+            return this->takeCall(payload);
+        case FrameType::CallCancel:
+            return this->takeCancel(payload);
+        default:
+            this->connection->close(
+                makeError(ErrorKind::InvalidInput, "read peer frame", "", "unexpected type"));
+        }
+    }
+
+    void answerPing(std::span<const char> payload)
+    {
+        const Result<Heartbeat> ping = decode<Heartbeat>(payload, "read ping", this->connection->peerName());
+        if (!ping)
+            return this->connection->close(ping.error());
+        this->connection->send(encodeFrame(FrameType::Pong, ping.value()));
+    }
+
+    void takeCall(std::span<const char> payload)
+    {
+        Result<CallRequest> request = decode<CallRequest>(payload, "read call", this->connection->peerName());
+        if (!request)
+            return this->connection->close(request.error());
+        const std::uint64_t callId = request.value().callId;
+        if (this->calls.contains(callId))
+            return this->connection->close(
+                makeError(ErrorKind::InvalidInput, "read call", "", "a call number is used twice"));
+        this->calls.emplace(callId, nullptr);
+        const auto call = this->server->gate.submit(this->server->home, std::move(request).assume_value(),
+                                                    [self = this->shared_from_this()](CallResponse response) {
+                                                        self->calls.erase(response.callId);
+                                                        self->connection->send(
+                                                            encodeFrame(FrameType::CallResponse, response));
+                                                    });
+        // It may have been answered inside submit.
+        const auto found = this->calls.find(callId);
+        if (found != this->calls.end())
+            found->second = call;
+    }
+
+    void takeCancel(std::span<const char> payload)
+    {
+        const Result<CallCancel> cancel =
+            decode<CallCancel>(payload, "read cancel", this->connection->peerName());
+        if (!cancel)
+            return this->connection->close(cancel.error());
+        const auto found = this->calls.find(cancel.value().callId);
+        if (found == this->calls.end())
+            return;
+        const std::shared_ptr<GateCall> call = found->second;
+        this->server->gate.cancel(call);
+    }
+
+    // The node that sent the calls cannot be answered any more: what waits is taken out, what may be cut off
+    // is.
+    void closed()
+    {
+        const auto open = this->calls;
+        for (const auto &[callId, call] : open) {
+            if (call)
+                this->server->gate.cancel(call);
+        }
+    }
+
+    std::shared_ptr<PeerServer::State> server;
+    std::shared_ptr<FramedConnection> connection;
+    std::unordered_map<std::uint64_t, std::shared_ptr<GateCall>> calls; // Not answered yet.
+};
+
+void acceptNext(const std::shared_ptr<PeerServer::State> &state)
+{
+    state->acceptor.async_accept([state](const boost::system::error_code &error, tcp::socket socket) {
+        if (!state->acceptor.is_open())
+            return;
+        if (!error)
+            std::make_shared<PeerSession>(state)->start(std::move(socket));
+        acceptNext(state);
+    });
+}
+
+} // namespace
+
+PeerServer::PeerServer(GateHome home, LocalGate &gate)
+    : state(std::make_shared<State>(home, gate))
+{
+}
+
+PeerServer::~PeerServer()
+{
+    this->stopAccepting();
+}
+
+Result<void> PeerServer::listen(const std::string &address)
+{
+    const tcp::endpoint endpoint = TRY(parseTcpEndpoint(address));
+    TRY_VOID(openListener(this->state->acceptor, endpoint, true));
+    acceptNext(this->state);
+    return success();
+}
+
+void PeerServer::stopAccepting()
+{
+    boost::system::error_code ignored;
+    this->state->acceptor.close(ignored);
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/PeerServer.h
@@ -0,0 +1,33 @@
+// Takes other nodes' calls for the upstream beside this one, on one request thread.
+#pragma once
+
+#include "LocalGate.h"
+
+#include <LibNet/FramedConnection.h>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <memory>
+#include <string>
+
+namespace Sagecrank {
+
+class PeerServer
+{
+public:
+    PeerServer(GateHome home, LocalGate &gate);
+    ~PeerServer();
+    PeerServer(const PeerServer &) = delete;
+    PeerServer &operator=(const PeerServer &) = delete;
+
+    // Several threads listen on the same address; the kernel spreads the connections.
+    Result<void> listen(const std::string &address);
+    void stopAccepting();
+
+    struct State; // Only the .cpp file knows what is in it.
+
+private:
+    std::shared_ptr<State> state; // Outlives the server while connections end.
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/ServiceState.h
@@ -0,0 +1,30 @@
+// What a node has learnt about one service from its own calls, shared by all request threads and kept while
+// the views of who is present come and go.
+#pragma once
+
+#include <LibDecide/Placer.h>
+#include <LibDecide/Retry.h>
+
+#include <mutex>
+#include <string>
+
+namespace Sagecrank {
+
+struct ServiceState
+{
+    ServiceState(PlacerSettings placing, double retryShare, std::function<std::uint64_t()> random)
+        : placer(placing, std::move(random))
+        , retries(retryShare, reservedRetries)
+    {
+    }
+
+    // A service that is hardly called may still retry this often.
+    static constexpr double reservedRetries = 10;
+
+    std::mutex mutex; // Held for one decision at a time.
+    Placer placer;
+    RetryBudget retries;
+    HedgeDelay hedge;
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/UpstreamView.cpp
@@ -0,0 +1,76 @@
+// Builds views from the members that gossip knows.
+#include "UpstreamView.h"
+
+namespace Sagecrank {
+
+namespace {
+
+// A suspect is still used: the placer avoids it by what its own calls show, and one lost probe shall not take
+// an upstream out everywhere. A node that is dead or has left takes no calls.
+UpstreamCondition conditionOf(const Member &member)
+{
+    if (member.state == MemberState::Dead || member.state == MemberState::Left)
+        return UpstreamCondition::NotReady;
+    switch (member.upstream) {
+    case UpstreamState::Warming:
+        return UpstreamCondition::Warming;
+    case UpstreamState::Ready:
+        return UpstreamCondition::Ready;
+    case UpstreamState::Draining:
+        return UpstreamCondition::Draining;
+    case UpstreamState::None:
+    case UpstreamState::Gone:
+        break;
+    }
+    return UpstreamCondition::NotReady;
+}
+
+bool takesCalls(UpstreamCondition condition)
+{
+    return condition == UpstreamCondition::Warming || condition == UpstreamCondition::Ready;
+}
+
+} // namespace
+
+const ServiceView *UpstreamView::find(const std::string &cluster) const
+{
+    const auto found = this->services.find(cluster);
+    return found == this->services.end() ? nullptr : found->second.get();
+}
+
+UpstreamViewBuilder::UpstreamViewBuilder(std::string ownId, std::string ownZone,
+                                         std::function<std::shared_ptr<ServiceState>()> makeState)
+    : ownId(std::move(ownId))
+    , ownZone(std::move(ownZone))
+    , makeState(std::move(makeState))
+{
+}
+
+std::unique_ptr<const UpstreamView> UpstreamViewBuilder::build(const std::vector<Member> &members)
+{
+    auto view = std::make_unique<UpstreamView>();
+    for (const Member &member : members) {
+        const UpstreamCondition condition = conditionOf(member);
+        if (member.cluster.empty() || !takesCalls(condition))
+            continue;
+        std::unique_ptr<ServiceView> &service = view->services[member.cluster];
+        if (!service) {
+            std::shared_ptr<ServiceState> &state = this->states[member.cluster];
+            if (!state)
+                state = this->makeState();
+            service = std::make_unique<ServiceView>();
+            service->state = state;
+        }
+        service->candidates.push_back({member.id, member.peerAddress});
+        service->facts.push_back(
+            {{}, member.zone == this->ownZone, member.id == this->ownId, condition, member.slots});
+    }
+    // The candidates have their final places now, so views into their ids stay good.
+    for (const auto &[cluster, service] : view->services) {
+        for (std::size_t index = 0; index < service->candidates.size(); ++index)
+            service->facts[index].id = service->candidates[index].id;
+    }
+    return view;
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/Worker.cpp
@@ -0,0 +1,81 @@
+// Starting and ending a request thread.
+#include "Worker.h"
+
+#include <LibCore/RcuPointer.h>
+
+#include <boost/asio/post.hpp>
+
+namespace Sagecrank {
+
+namespace {
+
+HttpServerSettings callerServerSettings(const NodeSettings &settings)
+{
+    HttpServerSettings server;
+    server.maximumHeaderBytes = settings.requests.maximumHeaderBytes;
+    server.maximumBodyBytes = settings.requests.maximumBodyBytes;
+    server.maximumConnections = settings.requests.maximumConnections;
+    server.sharePort = true;
+    return server;
+}
+
+} // namespace
+
+Worker::Worker(const NodeSettings &settings, LocalGate &gate, CallerHandler callers)
+    : settings(settings)
+    , work(boost::asio::make_work_guard(this->context))
+    , client(this->context, HttpClientSettings{})
+    , callerServer(
+          this->context, callerServerSettings(settings),
+          [this, callers = std::move(callers)](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+              callers(*this, std::move(request), std::move(exchange));
+          })
+    , peerServer(GateHome{this->context, this->client}, gate)
+{
+}
+
+Worker::~Worker()
+{
+    this->stop();
+}
+
+Result<void> Worker::listen()
+{
+    TRY_VOID(this->callerServer.listen(this->settings.listen.callers));
+    return this->peerServer.listen(this->settings.listen.peers);
+}
+
+void Worker::start()
+{
+    this->thread = std::thread([this] {
+        const RcuThread reader;
+        this->context.run();
+    });
+}
+
+void Worker::stop()
+{
+    this->context.stop();
+    if (this->thread.joinable())
+        this->thread.join();
+}
+
+void Worker::stopAccepting()
+{
+    boost::asio::post(this->context, [this] { this->callerServer.stopAccepting(); });
+}
+
+PeerLink &Worker::link(const std::string &peerAddress)
+{
+    std::shared_ptr<PeerLink> &link = this->links[peerAddress];
+    if (!link) {
+        PeerLinkSettings peer;
+        peer.ownId = this->settings.id;
+        peer.connectTimeout = this->settings.requests.connectTimeout;
+        peer.silence = this->settings.requests.peerSilence;
+        link = std::make_shared<PeerLink>(this->context, peerAddress, peer);
+    }
+    return *link;
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/Worker.h
@@ -0,0 +1,56 @@
+// One request thread: its io_context, its connections to other nodes and to the upstream, and its listeners.
+// Calls stay on the thread that took them, so nothing of a call needs a lock.
+#pragma once
+
+#include "LocalGate.h"
+#include "NodeSettings.h"
+#include "PeerLink.h"
+#include "PeerServer.h"
+
+#include <LibNet/HttpClient.h>
+#include <LibNet/HttpServer.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <string>
+#include <thread>
+#include <unordered_map>
+
+namespace Sagecrank {
+
+class Worker
+{
+public:
+    using CallerHandler = std::function<void(Worker &, HttpRequest, std::shared_ptr<HttpExchange>)>;
+
+    Worker(const NodeSettings &settings, LocalGate &gate, CallerHandler callers);
+    ~Worker();
+    Worker(const Worker &) = delete;
+    Worker &operator=(const Worker &) = delete;
+
+    Result<void> listen();
+    void start();
+    void stop(); // Ends the thread; calls that are under way end with their connections.
+
+    void stopAccepting(); // From any thread.
+
+    boost::asio::io_context &ioContext() { return this->context; }
+    GateHome gateHome() { return {this->context, this->client}; }
+
+    // On the worker's own thread.
+    PeerLink &link(const std::string &peerAddress);
+
+private:
+    const NodeSettings &settings;
+    boost::asio::io_context context{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+    HttpClient client;
+    HttpServer callerServer;
+    PeerServer peerServer;
+    std::unordered_map<std::string, std::shared_ptr<PeerLink>> links; // By peer address.
+    std::thread thread;
+};
+
+} // namespace Sagecrank
