--- /dev/null
+++ b/Services/Node/AdminFrontend.h
@@ -0,0 +1,41 @@
+// The node's own HTTP for the upstream beside it, for operators and for metrics.
+#pragma once
+
+#include "LocalGate.h"
+
+#include <LibMembership/Member.h>
+#include <LibNet/HttpServer.h>
+
+#include <functional>
+#include <string>
+
+namespace Sagecrank {
+
+struct AdminHooks
+{
+    // Commands.
+    std::function<void(const UpstreamAnnouncement &, UpstreamState)> announced;
+    std::function<void()> drain;
+    // Queries.
+    std::function<std::uint32_t()> inFlight;
+    std::function<bool()> ready;
+    std::function<std::string()> status;  // JSON.
+    std::function<std::string()> metrics; // Prometheus text.
+    std::function<std::string()> spans;   // JSON.
+};
+
+class AdminFrontend
+{
+public:
+    explicit AdminFrontend(AdminHooks hooks);
+
+    HttpResponse answer(const HttpRequest &request) const;
+
+private:
+    HttpResponse takeAnnouncement(const HttpRequest &request) const;
+    HttpResponse takeDrain() const;
+
+    const AdminHooks hooks;
+};
+
+} // namespace Sagecrank
--- a/Services/Node/GateCall.h
+++ b/Services/Node/GateCall.h
@@ -3,6 +3,8 @@
 
 #include "LocalGate.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 namespace Sagecrank {
 
 enum class GateCallStage : std::uint8_t {
@@ -21,6 +23,7 @@
         , answer(std::move(answer))
         , arrived(SteadyClock::now())
         , deadline(this->arrived + Microseconds(this->request.remainingMicroseconds))
+        , waitTimer(home.context)
     {
     }
 
@@ -41,6 +44,7 @@
     bool claimed = false;   // Its key is held by this attempt.
     bool cancelled = false; // The caller gave up; nothing of it starts any more.
     HttpClient::Handle sending;
+    boost::asio::steady_timer waitTimer; // Runs while the call waits in the queue.
 };
 
 } // namespace Sagecrank
--- a/Services/Node/LocalGate.cpp
+++ b/Services/Node/LocalGate.cpp
@@ -23,6 +23,9 @@
 // When a caller is told to come back although nothing is known about when the upstream will be well.
 constexpr Duration unreachableRetryAfter = std::chrono::seconds(1);
 
+// Bounds how often a waiting call looks at the queue.
+constexpr Duration shortestQueueCheck = Milliseconds(1);
+
 std::uint32_t wholeMilliseconds(Duration span)
 {
     const auto count = std::chrono::ceil<Milliseconds>(span).count();
@@ -152,7 +155,26 @@
                             std::string(callClassNames.name(call->request.callClass))};
     });
     if (decision.verdict == GateVerdict::Start)
-        this->begin(call);
+        return this->begin(call);
+    this->watchQueue(call);
+}
+
+// A queued call that cannot be answered in time any more is refused at that moment and not at its deadline.
+void LocalGate::watchQueue(const std::shared_ptr<GateCall> &call)
+{
+    const Instant now = SteadyClock::now();
+    std::optional<Instant> next;
+    {
+        const std::lock_guard guard(this->mutex);
+        next = this->gate.nextDeadline();
+    }
+    call->waitTimer.expires_at(std::max(next.value_or(call->deadline), now + shortestQueueCheck));
+    call->waitTimer.async_wait([this, call](const boost::system::error_code &error) {
+        if (error || call->stage != GateCallStage::Waiting)
+            return;
+        this->advance();
+        this->watchQueue(call);
+    });
 }
 
 // A decision on one thread may start or refuse a call of another; each goes on at its own home.
@@ -181,6 +203,7 @@
 void LocalGate::begin(const std::shared_ptr<GateCall> &call)
 {
     call->stage = GateCallStage::Running;
+    call->waitTimer.cancel();
     call->started = SteadyClock::now();
     const bool late = call->started >= call->deadline;
     if (late || call->cancelled) {
@@ -293,6 +316,7 @@
     if (call->stage == GateCallStage::Ended)
         return;
     call->stage = GateCallStage::Ended;
+    call->waitTimer.cancel();
     {
         const std::lock_guard guard(this->mutex);
         response.freeSlots = this->gate.freeSlots();
--- a/Services/Node/LocalGate.h
+++ b/Services/Node/LocalGate.h
@@ -62,7 +62,6 @@
 
     // From any thread.
     void announce(const UpstreamAnnouncement &announcement);
-    void advance(); // Refuses what waits and cannot be answered in time any more.
 
     std::uint32_t inFlight() const { return this->callsInside.load(); } // Waiting, claiming or running.
     std::uint32_t queued() const;
@@ -75,6 +74,8 @@
     void afterClaim(const std::shared_ptr<GateCall> &call, ClaimAnswer answer);
     void offer(const std::shared_ptr<GateCall> &call);
     void perform(std::vector<GateAction> actions);
+    void watchQueue(const std::shared_ptr<GateCall> &call);
+    void advance();
     void begin(const std::shared_ptr<GateCall> &call);
     void upstreamAnswered(const std::shared_ptr<GateCall> &call, HttpResponse response);
     void upstreamFailed(const std::shared_ptr<GateCall> &call, const HttpFailure &failure);
