LibSpread: Decide who polls the head and whom a node pulls from

A version must reach every node within seconds without every node asking the platform. Two members of each zone by rendezvous hash poll the head each second, the rest about once a minute; content comes from zone peers that hold it, then other zones, then the platform, one rank of each zone after the other.

--- /dev/null
+++ b/Libraries/LibSpread/PullPlan.cpp
@@ -0,0 +1,136 @@
+// Choice of a source, and what follows from a failure.
+#include <LibSpread/PullPlan.h>
+
+#include <algorithm>
+
+namespace Sagecrank {
+
+namespace {
+
+constexpr std::size_t maximumRefused = 32;
+constexpr std::size_t maximumAvoided = 256;
+constexpr std::uint32_t largestShift = 10;
+
+} // namespace
+
+PullPlan::PullPlan(PullSettings settings, std::uint64_t seed)
+    : settings(settings)
+    , random(seed)
+{
+}
+
+void PullPlan::want(const ConfigurationMark &mark, Instant now)
+{
+    if (mark.version <= this->target.version)
+        return;
+    this->target = mark;
+    this->targetSince = now;
+    this->notBefore = now;
+    this->failures = 0;
+    this->peerContentInvalid = false;
+}
+
+PullStep PullPlan::next(Instant now, std::uint64_t heldVersion, std::uint32_t rank,
+                        const std::vector<Holder> &holders)
+{
+    if (this->target.version <= heldVersion || this->inFlight() || now < this->notBefore)
+        return {};
+    if (this->isRefused(this->target))
+        return {};
+    const Duration waited = now - this->targetSince;
+    const int place = static_cast<int>(rank);
+    const bool poller =
+        rank < this->settings.platformPullers && waited >= this->settings.laterPollerDelay * place;
+    const Duration turn = this->settings.platformAfter + this->settings.platformAfterEachRank * place;
+    const bool platformDue = (poller || waited >= turn) && now >= this->platformNotBefore;
+    // A node that holds nothing would read every section from the platform; another zone costs it nothing.
+    const bool otherDue = heldVersion == 0 || waited >= this->settings.otherZonesAfter;
+    PullStep step;
+    if (!this->peerContentInvalid)
+        step = this->choosePeer(now, holders, true);
+    if (step.source == PullSource::None && !this->peerContentInvalid && otherDue)
+        step = this->choosePeer(now, holders, false);
+    if (step.source == PullSource::None && platformDue)
+        step.source = PullSource::Platform;
+    this->current = step;
+    return step;
+}
+
+PullStep PullPlan::choosePeer(Instant now, const std::vector<Holder> &holders, bool sameZone)
+{
+    std::vector<const Holder *> usable;
+    for (const Holder &holder : holders) {
+        if (holder.sameZone == sameZone && !this->isAvoided(holder.id, now))
+            usable.push_back(&holder);
+    }
+    if (usable.empty())
+        return {};
+    std::uniform_int_distribution<std::size_t> any(0, usable.size() - 1);
+    return {sameZone ? PullSource::ZonePeer : PullSource::OtherPeer, *usable[any(this->random)]};
+}
+
+void PullPlan::succeeded()
+{
+    this->current = {};
+    this->failures = 0;
+    this->platformFailures = 0;
+}
+
+void PullPlan::failed(Instant now, PullFailure failure, Duration retryAfter)
+{
+    const PullStep attempt = this->current;
+    this->current = {};
+    ++this->failures;
+    this->notBefore = now + std::max(retryAfter, this->backoff());
+    if (attempt.source == PullSource::Platform) {
+        if (failure == PullFailure::Invalid) {
+            if (this->refused.size() >= maximumRefused)
+                this->refused.erase(this->refused.begin());
+            this->refused.push_back(this->target);
+            return;
+        }
+        ++this->platformFailures;
+        const auto factor = std::int64_t{1} << std::min(this->platformFailures, largestShift);
+        this->platformNotBefore =
+            now + std::min(this->settings.longestBackoff * 4, this->settings.firstBackoff * 4 * factor);
+        return;
+    }
+    if (failure == PullFailure::Invalid)
+        this->peerContentInvalid = true;
+    if (failure == PullFailure::Busy)
+        return;
+    if (this->avoided.size() >= maximumAvoided)
+        this->avoided.clear();
+    this->avoided[attempt.holder.id] = now + this->settings.avoidPeerFor;
+}
+
+bool PullPlan::isRefused(const ConfigurationMark &mark) const
+{
+    return std::find(this->refused.begin(), this->refused.end(), mark) != this->refused.end();
+}
+
+bool PullPlan::isAvoided(const std::string &id, Instant now) const
+{
+    const auto found = this->avoided.find(id);
+    return found != this->avoided.end() && now < found->second;
+}
+
+// Full jitter: nodes that were sent away together come back spread out.
+Duration PullPlan::backoff()
+{
+    const auto factor = std::int64_t{1} << std::min(this->failures, largestShift);
+    const Duration longest = std::min(this->settings.longestBackoff, this->settings.firstBackoff * factor);
+    std::uniform_real_distribution<double> share(0.2, 1);
+    return std::chrono::duration_cast<Duration>(longest * share(this->random));
+}
+
+std::uint64_t agreedVersion(std::vector<std::uint64_t> heldVersions)
+{
+    std::erase(heldVersions, std::uint64_t{0});
+    if (heldVersions.empty())
+        return 0;
+    std::sort(heldVersions.begin(), heldVersions.end(), std::greater<>());
+    return heldVersions.size() == 1 ? heldVersions[0] : heldVersions[1];
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Libraries/LibSpread/PullPlan.h
@@ -0,0 +1,116 @@
+// Where a node gets the content of the version that it wants, and when it asks.
+//
+// Load: a change reaches 260 nodes of a zone within a second of each other, and a zone that lost power comes
+// back as one. Harm: all of them at the platform (822 reads for a whole site of 820 services) or at the first
+// peer that has it. So content comes from a zone peer that said that it holds it; whoever holds it serves a
+// bounded number at once and sends the others away for a moment, by when there are more holders. Other zones
+// come second. The platform is for the zone's first pollers, and for the rest only when nothing else helped
+// for seconds, one rank of each zone after the other (25 zones: 25 nodes a second): otherwise a version that
+// no poller could take, so that nobody holds it, would send the whole fleet to the platform.
+#pragma once
+
+#include <LibCore/EnumNames.h>
+#include <LibCore/Time.h>
+#include <LibMembership/Datagram.h>
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Sagecrank {
+
+enum class PullSource : std::uint8_t { None, ZonePeer, OtherPeer, Platform };
+
+inline constexpr EnumNames<PullSource, 4> pullSourceNames{{
+    {PullSource::None, "none"},
+    {PullSource::ZonePeer, "zone_peer"},
+    {PullSource::OtherPeer, "other_peer"},
+    {PullSource::Platform, "platform"},
+}};
+
+enum class PullFailure : std::uint8_t {
+    Busy,        // The peer serves others; come back in a moment.
+    Missing,     // The peer does not hold it after all.
+    Unreachable, // No connection, no answer in time, or a broken one.
+    Invalid,     // The content does not check; the held version stays.
+};
+
+inline constexpr EnumNames<PullFailure, 4> pullFailureNames{{
+    {PullFailure::Busy, "busy"},
+    {PullFailure::Missing, "missing"},
+    {PullFailure::Unreachable, "unreachable"},
+    {PullFailure::Invalid, "invalid"},
+}};
+
+// A peer that told that it holds at least the wanted version.
+struct Holder
+{
+    std::string id;
+    std::string controlAddress;
+    bool sameZone = false;
+};
+
+struct PullStep
+{
+    PullSource source = PullSource::None; // None: not now.
+    Holder holder;                        // For the peers.
+};
+
+struct PullSettings
+{
+    Duration laterPollerDelay = Milliseconds(1000); // A zone's second poller leaves the first this much.
+    Duration otherZonesAfter = Milliseconds(1500);
+    Duration platformAfter = Milliseconds(5000);
+    Duration platformAfterEachRank = Milliseconds(1000); // Added once for each node that ranks before.
+    Duration firstBackoff = Milliseconds(50);
+    Duration longestBackoff = Milliseconds(5000);
+    Duration avoidPeerFor = Milliseconds(5000);
+    std::uint32_t platformPullers = 2; // Ranks that may ask the platform at once; equals the fast pollers.
+};
+
+class PullPlan
+{
+public:
+    PullPlan(PullSettings settings, std::uint64_t seed);
+
+    // Commands.
+    void want(const ConfigurationMark &mark, Instant now);
+    // Begins an attempt when it names a source; exactly one of the next two must follow it.
+    PullStep next(Instant now, std::uint64_t heldVersion, std::uint32_t rank,
+                  const std::vector<Holder> &holders);
+    void succeeded();
+    void failed(Instant now, PullFailure failure, Duration retryAfter);
+
+    // Queries.
+    const ConfigurationMark &wanted() const { return this->target; }
+    bool inFlight() const { return this->current.source != PullSource::None; }
+    bool isRefused(const ConfigurationMark &mark) const;
+
+private:
+    bool isAvoided(const std::string &id, Instant now) const;
+    PullStep choosePeer(Instant now, const std::vector<Holder> &holders, bool sameZone);
+    Duration backoff();
+
+    PullSettings settings;
+    std::mt19937_64 random;
+    ConfigurationMark target;
+    Instant targetSince{};
+    PullStep current; // The attempt under way.
+    Instant notBefore{};
+    Instant platformNotBefore{};
+    std::uint32_t failures = 0;             // In a row.
+    std::uint32_t platformFailures = 0;     // In a row.
+    std::map<std::string, Instant> avoided; // Peers, until when.
+    // Versions whose content from the platform itself did not check; never asked for again. Bounded.
+    std::vector<ConfigurationMark> refused;
+    bool peerContentInvalid = false; // A peer's copy of the target did not check: only the platform can tell.
+};
+
+// What a node without a configuration takes while the platform is out: the highest version that at least two
+// peers hold, or the only peer's. Zero when there is none. One peer alone could hold a version that was never
+// accepted by anyone else; two independent ones make that a fault of the head row, not of a node.
+std::uint64_t agreedVersion(std::vector<std::uint64_t> heldVersions);
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Tests/LibSpread/TestSpread.cpp
@@ -0,0 +1,315 @@
+// Who polls the head, whom a node pulls from, and how much of it reaches the platform and the peers.
+#include <LibSpread/HeadPoll.h>
+#include <LibSpread/PullAdmission.h>
+#include <LibSpread/PullPlan.h>
+#include <LibSpread/Rendezvous.h>
+
+#include <Support/TableTest.h>
+
+#include <algorithm>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace Sagecrank;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+// Nodes of several zones that want one version, in fake time: each pull takes a while at its source, peers
+// serve a bounded number, and what was pulled is told to all after a delay, as gossip does.
+class FakeFleet
+{
+public:
+    struct Node
+    {
+        std::string id;
+        std::size_t zone = 0;
+        std::uint32_t rank = 0;
+        std::unique_ptr<PullPlan> plan;
+        std::unique_ptr<PullAdmission> admission;
+        std::uint64_t held = 0;
+        Instant toldAt{};   // When the others know what it holds.
+        Instant pullEnds{}; // Of the pull under way.
+        Node *server = nullptr;
+        bool hears = false; // Knows of the target.
+        Instant hearsAt{};
+    };
+
+    FakeFleet(std::size_t zones, std::size_t perZone, std::uint64_t seed)
+        : random(seed)
+    {
+        for (std::size_t i = 0; i < zones * perZone; ++i) {
+            Node node;
+            node.id = "n" + std::to_string(i);
+            node.zone = i % zones;
+            node.plan = std::make_unique<PullPlan>(PullSettings{}, this->random());
+            node.admission = std::make_unique<PullAdmission>(8, this->random());
+            this->nodes.push_back(std::move(node));
+        }
+        for (Node &node : this->nodes) {
+            std::vector<std::string_view> others;
+            for (const Node &other : this->nodes) {
+                if (other.zone == node.zone && &other != &node)
+                    others.push_back(other.id);
+            }
+            node.rank = rendezvousRank("head", node.id, others);
+        }
+    }
+
+    void announce(std::uint64_t version)
+    {
+        std::uniform_int_distribution<int> delay(0, 1500);
+        this->version = version;
+        for (Node &node : this->nodes)
+            node.hearsAt = this->now + Milliseconds(delay(this->random));
+    }
+
+    std::size_t holding() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(this->nodes.begin(), this->nodes.end(),
+                          [&](const Node &node) { return node.held >= this->version; }));
+    }
+
+    void advance()
+    {
+        this->now += Milliseconds(10);
+        this->platformPullsNow = 0;
+        for (Node &node : this->nodes)
+            this->finish(node);
+        for (Node &node : this->nodes) {
+            if (this->now >= node.hearsAt)
+                node.plan->want({this->version, 1, 1}, this->now);
+            this->begin(node);
+            this->mostServed = std::max(this->mostServed, node.admission->servingNow());
+        }
+    }
+
+    Duration runUntilAllHold(Duration limit)
+    {
+        const Instant begin = this->now;
+        while (this->now - begin < limit && this->holding() < this->nodes.size())
+            this->advance();
+        return this->now - begin;
+    }
+
+    std::vector<Node> nodes;
+    Instant now = Instant(std::chrono::hours(1));
+    std::uint64_t version = 0;
+    bool platformDown = false;
+    bool contentInvalid = false;
+    std::size_t platformPulls = 0;
+    std::size_t platformPullsNow = 0;
+    std::size_t peerPulls = 0;
+    std::uint32_t mostServed = 0;
+
+private:
+    std::vector<Holder> holders(const Node &asker)
+    {
+        std::vector<Holder> list;
+        for (const Node &node : this->nodes) {
+            if (node.held >= this->version && this->now >= node.toldAt && &node != &asker)
+                list.push_back({node.id, "", node.zone == asker.zone});
+        }
+        return list;
+    }
+
+    void begin(Node &node)
+    {
+        if (node.plan->inFlight() || node.held >= this->version || this->now < node.hearsAt)
+            return;
+        const PullStep step = node.plan->next(this->now, node.held, node.rank, this->holders(node));
+        if (step.source == PullSource::None)
+            return;
+        node.pullEnds = this->now + Milliseconds(30);
+        node.server = nullptr;
+        if (step.source == PullSource::Platform) {
+            ++this->platformPulls;
+            ++this->platformPullsNow;
+            return;
+        }
+        ++this->peerPulls;
+        Node &server = this->nodes[std::stoul(step.holder.id.substr(1))];
+        if (server.admission->begin())
+            node.server = &server;
+        else
+            node.plan->failed(this->now, PullFailure::Busy, server.admission->retryAfter());
+    }
+
+    void finish(Node &node)
+    {
+        if (!node.plan->inFlight() || this->now < node.pullEnds)
+            return;
+        if (node.server != nullptr)
+            node.server->admission->end();
+        const bool fromPlatform = node.server == nullptr;
+        if (fromPlatform && this->platformDown)
+            return node.plan->failed(this->now, PullFailure::Unreachable, {});
+        if (this->contentInvalid)
+            return node.plan->failed(this->now, PullFailure::Invalid, {});
+        node.plan->succeeded();
+        node.held = this->version;
+        node.toldAt = this->now + Milliseconds(200);
+    }
+
+    std::mt19937_64 random;
+};
+
+struct FleetRow
+{
+    std::size_t zones;
+    std::size_t perZone;
+    std::uint64_t held;
+};
+
+const FleetRow fleetRows[] = {{3, 1, 4}, {3, 3, 4}, {4, 60, 4}, {2, 260, 4}, {4, 60, 0}, {2, 260, 0}};
+
+struct AgreedRow
+{
+    std::vector<std::uint64_t> held;
+    std::uint64_t agreed;
+};
+
+const AgreedRow agreedRows[] = {{{}, 0},        {{0, 0}, 0},    {{7}, 7},
+                                {{9, 7, 7}, 7}, {{9, 9, 7}, 9}, {{9, 0, 0}, 9}};
+
+} // namespace
+
+TABLE_TEST(spread, aFreshNodeTakesWhatTwoPeersHold, agreedRows)
+{
+    cr_assert(agreedVersion(row.held) == row.agreed);
+}
+
+Test(spread, ranksAreAgreedAndMoveLittle)
+{
+    std::vector<std::string> ids;
+    for (int i = 0; i < 50; ++i)
+        ids.push_back("n" + std::to_string(i));
+    std::set<std::uint32_t> ranks;
+    std::size_t moved = 0;
+    for (const std::string &id : ids) {
+        std::vector<std::string_view> others;
+        for (const std::string &other : ids) {
+            if (other != id)
+                others.push_back(other);
+        }
+        const std::uint32_t rank = rendezvousRank("head#z1", id, others);
+        ranks.insert(rank);
+        std::erase(others, std::string_view("n7"));
+        moved += rank - rendezvousRank("head#z1", id, others);
+    }
+    cr_assert(ranks.size() == 50);
+    cr_assert(moved < 50, "a leaving node moves only those that rank after it, by one");
+}
+
+// 6,500 nodes in 25 zones read the head. Counted over ten minutes of their drawn delays, the table must see
+// a small part of its two thousand reads a second.
+Test(spread, headReadsOfTheWholeFleetAreBounded)
+{
+    double reads = 0;
+    for (std::uint32_t node = 0; node < 6500; ++node) {
+        HeadPoll poll({}, node);
+        const std::uint32_t rank = node / 25;
+        Duration time = poll.firstDelay(true);
+        for (; time < minutes(10); time += poll.nextDelay(rank))
+            ++reads;
+    }
+    const double perSecond = reads / 600;
+    cr_assert(perSecond > 100 && perSecond < 200, "%f reads a second", perSecond);
+}
+
+// A version reaches every node of a fleet, whether all hold its base or all are fresh. Callers wait for the
+// change; the platform must not be asked by more than the zones' pollers, and no peer may serve more than
+// its limit.
+TABLE_TEST(spread, aVersionReachesAllWithoutAStorm, fleetRows)
+{
+    FakeFleet fleet(row.zones, row.perZone, 5);
+    for (auto &node : fleet.nodes)
+        node.held = row.held;
+    fleet.announce(5);
+    const Duration took = fleet.runUntilAllHold(minutes(1));
+    cr_assert(took < seconds(7), "took longer than 7 s");
+    cr_assert(fleet.platformPulls <= row.zones * 2, "%zu pulls from the platform", fleet.platformPulls);
+    cr_assert(fleet.mostServed <= 8);
+    cr_assert(fleet.peerPulls <= fleet.nodes.size() * 3, "%zu pulls from peers", fleet.peerPulls);
+}
+
+// A zone of 260 lost power and comes back at once with nothing, while the other zone holds the version. The
+// platform must not be asked for 260 whole sites; the first nodes get it from the other zone, the rest from
+// those.
+Test(spread, aZoneThatReturnsDoesNotStormThePlatform)
+{
+    FakeFleet fleet(2, 260, 6);
+    fleet.announce(5);
+    for (auto &node : fleet.nodes) {
+        if (node.zone == 0)
+            node.held = 5;
+    }
+    cr_assert(fleet.runUntilAllHold(minutes(1)) < seconds(7));
+    cr_assert(fleet.platformPulls == 0, "%zu pulls from the platform", fleet.platformPulls);
+    cr_assert(fleet.mostServed <= 8);
+}
+
+// The platform is down while nobody holds the version. The nodes must go on with what they hold and ask ever
+// less often; nobody hears of a storm when the platform is back, and then all get the version.
+Test(spread, anOutageOfThePlatformIsWaitedOut)
+{
+    FakeFleet fleet(4, 60, 7);
+    fleet.platformDown = true;
+    fleet.announce(5);
+    std::size_t most = 0;
+    for (const Instant end = fleet.now + minutes(5); fleet.now < end;) {
+        fleet.advance();
+        most = std::max(most, fleet.platformPullsNow);
+    }
+    cr_assert(fleet.holding() == 0);
+    cr_assert(most <= 8, "%zu pulls in ten milliseconds", most);
+    fleet.platformDown = false;
+    cr_assert(fleet.runUntilAllHold(minutes(2)) < seconds(30));
+}
+
+// A version was accepted whose content does not check at the nodes. Callers go on with the held version; no
+// node may ask for the bad one again and again, neither at peers nor at the platform.
+Test(spread, aBadVersionIsNotPulledAgainAndAgain)
+{
+    FakeFleet fleet(3, 20, 8);
+    fleet.contentInvalid = true;
+    fleet.announce(5);
+    for (const Instant end = fleet.now + minutes(10); fleet.now < end;)
+        fleet.advance();
+    cr_assert(fleet.platformPulls <= fleet.nodes.size(), "%zu pulls", fleet.platformPulls);
+    cr_assert(fleet.holding() == 0);
+    fleet.contentInvalid = false;
+    fleet.announce(6);
+    cr_assert(fleet.runUntilAllHold(minutes(1)) < seconds(7), "the next good version was not taken");
+}
+
+// One peer's copy is damaged. The node must not call the version bad for everyone because of it: it asks the
+// platform, whose copy decides.
+Test(spread, aDamagedCopyOfAPeerIsNotTheVersionsFault)
+{
+    PullPlan plan({}, 9);
+    Instant now(std::chrono::hours(1));
+    plan.want({5, 1, 1}, now);
+    const std::vector<Holder> holders = {{"n1", "", true}};
+    cr_assert(plan.next(now, 4, 40, holders).source == PullSource::ZonePeer);
+    plan.failed(now, PullFailure::Invalid, {});
+    cr_assert(!plan.isRefused({5, 1, 1}));
+    now += minutes(1);
+    cr_assert(plan.next(now, 4, 40, holders).source == PullSource::Platform);
+    plan.failed(now, PullFailure::Invalid, {});
+    cr_assert(plan.isRefused({5, 1, 1}));
+}
+
+Test(spread, neverBack)
+{
+    PullPlan plan({}, 10);
+    const Instant now(std::chrono::hours(1));
+    plan.want({5, 1, 1}, now);
+    plan.want({4, 2, 2}, now);
+    cr_assert(plan.wanted().version == 5);
+    cr_assert(plan.next(now, 5, 0, {}).source == PullSource::None);
+}
