Node: Order the drain and test settings, presence and HTTP

Cause: a node that leaves while others still send to it breaks calls whose outcome nobody knows. Change: a drain state machine without sockets; table tests of the settings file, of bad HTTP input and of callers that go away.

--- a/Libraries/LibNet/FramedConnection.cpp
+++ b/Libraries/LibNet/FramedConnection.cpp
@@ -23,7 +23,7 @@
     boost::system::error_code error;
     const tcp::endpoint remote = this->socket.remote_endpoint(error);
     if (!error)
-        this->peer = remote.address().to_string() + ":" + std::to_string(remote.port());
+        this->peer = addressText(remote);
     this->socket.set_option(tcp::no_delay(true), error);
 }
 
@@ -103,7 +103,7 @@
         });
 }
 
-Result<tcp::endpoint> parseTcpEndpoint(const std::string &address)
+Result<tcp::endpoint> parseTcpEndpoint(const std::string &address, bool anyPort)
 {
     const auto fail = [&address](const std::string &message) {
         return makeError(ErrorKind::InvalidInput, "read address", address, message);
@@ -114,7 +114,7 @@
     unsigned port = 0;
     const char *last = address.data() + address.size();
     const auto [end, problem] = std::from_chars(address.data() + colon + 1, last, port);
-    if (problem != std::errc() || end != last || port == 0 || port > 65535)
+    if (problem != std::errc() || end != last || port > 65535 || (port == 0 && !anyPort))
         return fail("the port is not a number from 1 to 65535");
     boost::system::error_code error;
     const auto ip = boost::asio::ip::make_address(address.substr(0, colon), error);
@@ -123,6 +123,11 @@
     return tcp::endpoint(ip, static_cast<std::uint16_t>(port));
 }
 
+std::string addressText(const tcp::endpoint &endpoint)
+{
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 Result<void> openListener(tcp::acceptor &acceptor, const tcp::endpoint &endpoint, bool share)
 {
     using SharePort = boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
@@ -134,8 +139,7 @@
         acceptor.bind(endpoint);
         acceptor.listen();
     } catch (const boost::system::system_error &error) {
-        const std::string address = endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
-        return makeError(ErrorKind::Unavailable, "listen", address, error.code().message());
+        return makeError(ErrorKind::Unavailable, "listen", addressText(endpoint), error.code().message());
     }
     return success();
 }
--- a/Libraries/LibNet/FramedConnection.h
+++ b/Libraries/LibNet/FramedConnection.h
@@ -63,8 +63,10 @@
     bool writeInProgress = false;
 };
 
-// "ip:port" to an endpoint; names are not resolved.
-Result<boost::asio::ip::tcp::endpoint> parseTcpEndpoint(const std::string &address);
+// "ip:port" to an endpoint; names are not resolved. Port 0, "any free port", has to be allowed by the caller.
+Result<boost::asio::ip::tcp::endpoint> parseTcpEndpoint(const std::string &address, bool anyPort = false);
+
+std::string addressText(const boost::asio::ip::tcp::endpoint &endpoint);
 
 // Binds and listens. With `share`, several acceptors of this process take connections on the same address.
 Result<void> openListener(boost::asio::ip::tcp::acceptor &acceptor,
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -263,12 +263,18 @@
 
 Result<void> HttpServer::listen(const std::string &address)
 {
-    const tcp::endpoint endpoint = TRY(parseTcpEndpoint(address));
+    const tcp::endpoint endpoint = TRY(parseTcpEndpoint(address, true));
     TRY_VOID(openListener(this->state->acceptor, endpoint, this->state->settings.sharePort));
     acceptNext(this->state);
     return success();
 }
 
+std::string HttpServer::address() const
+{
+    beast::error_code ignored;
+    return addressText(this->state->acceptor.local_endpoint(ignored));
+}
+
 void HttpServer::stopAccepting()
 {
     this->state->closing = true;
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -45,7 +45,9 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
+    // Port 0 takes any free port.
     Result<void> listen(const std::string &address);
+    std::string address() const; // Where it listens.
 
     // No new connections; those that are open are told to close with their next answer.
     void stopAccepting();
--- /dev/null
+++ b/Services/Node/Node.h
@@ -0,0 +1,72 @@
+// The whole node: builds its parts, joins them by hooks, and takes them through start, drain and end.
+#pragma once
+
+#include "AdminFrontend.h"
+#include "CallerFrontend.h"
+#include "ControlPlane.h"
+#include "NodeDrain.h"
+#include "NodeSettings.h"
+#include "UpstreamPresence.h"
+#include "Worker.h"
+
+#include <LibConfig/ConfigurationHolder.h>
+#include <LibPlatform/PlatformClient.h>
+
+#include <boost/asio/signal_set.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace Sagecrank {
+
+class Node
+{
+public:
+    explicit Node(NodeSettings settings);
+    ~Node();
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+
+    // Opens the ports and starts the threads.
+    Result<void> start();
+
+    // Runs the control thread's work until the node has drained or was told twice to end.
+    void run();
+
+private:
+    ClaimHooks claimHooks();
+    HolderHooks holderHooks();
+    ControlHooks controlHooks();
+    CallerFrontendHooks callerHooks();
+    AdminHooks adminHooks();
+    NodeDrainHooks drainHooks();
+    std::optional<RouteChoice> route(std::string_view method, std::string_view path) const;
+    void membersChanged(const std::vector<Member> &members);
+    void watchSignals();
+    void tick();
+    std::string statusText() const;
+    std::string metricsText() const;
+
+    const NodeSettings settings;
+    HistoryRecorder history;
+    CallIds ids;
+    boost::asio::io_context control{1}; // Everything that is not a request, on the main thread.
+    ConfigurationHolder configuration;
+    RcuPointer<UpstreamView> view;
+    UpstreamViewBuilder viewBuilder; // Only used on the control thread.
+    PlatformClient platform;
+    LocalGate gate;
+    UpstreamPresence presence;
+    ForwardingContext forwarding;
+    CallerFrontend callers;
+    AdminFrontend admin;
+    HttpServer adminServer;
+    ControlPlane plane;
+    NodeDrain drain;
+    std::vector<std::unique_ptr<Worker>> workers;
+    boost::asio::steady_timer ticker;
+    boost::asio::signal_set signals;
+    std::atomic<std::uint32_t> callsForwarded = 0; // From callers, not answered yet.
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/NodeDrain.cpp
@@ -0,0 +1,38 @@
+// Steps through a drain.
+#include "NodeDrain.h"
+
+namespace Sagecrank {
+
+NodeDrain::NodeDrain(NodeDrainSettings settings, NodeDrainHooks hooks)
+    : settings(settings)
+    , hooks(std::move(hooks))
+{
+}
+
+void NodeDrain::begin(Instant now)
+{
+    if (this->current != DrainStage::Serving)
+        return;
+    this->begunAt = now;
+    this->current = DrainStage::Announcing;
+    this->hooks.announceDraining();
+}
+
+// Failure: a node that leaves while others still send to it. Symptom: connections that break under calls,
+// whose outcome nobody knows. Lingering first lets the senders turn elsewhere; ending only when idle cuts
+// nothing. The maximum keeps one call that never ends from holding a host for ever.
+void NodeDrain::advance(Instant now)
+{
+    if (this->current == DrainStage::Announcing && now - this->begunAt >= this->settings.linger) {
+        this->current = DrainStage::Finishing;
+        this->hooks.stopCallers();
+    }
+    if (this->current != DrainStage::Finishing)
+        return;
+    if (!this->hooks.idle() && now - this->begunAt < this->settings.maximum)
+        return;
+    this->current = DrainStage::Left;
+    this->hooks.leave();
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -0,0 +1,190 @@
+// The HTTP server under good, bad and broken-off requests, over loopback.
+#include <LibNet/FramedConnection.h>
+#include <LibNet/HttpClient.h>
+#include <LibNet/HttpServer.h>
+
+#include <Support/TableTest.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <memory>
+#include <string>
+#include <thread>
+
+using namespace Sagecrank;
+using boost::asio::ip::tcp;
+
+namespace {
+
+// A server on its own thread that echoes the body; "/hold" is never answered.
+class EchoServer
+{
+public:
+    EchoServer()
+        : server(this->context, this->settings(),
+                 [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+                     this->handle(std::move(request), std::move(exchange));
+                 })
+    {
+        cr_assert(this->server.listen("127.0.0.1:0").has_value());
+        this->thread = std::thread([this] { this->context.run_for(std::chrono::seconds(20)); });
+    }
+
+    ~EchoServer()
+    {
+        this->context.stop();
+        this->thread.join();
+    }
+
+    std::string address() const { return this->server.address(); }
+
+    std::atomic<int> abandoned = 0;
+    std::atomic<int> held = 0;
+
+private:
+    static HttpServerSettings settings()
+    {
+        HttpServerSettings settings;
+        settings.maximumHeaderBytes = 1024;
+        settings.maximumBodyBytes = 2048;
+        return settings;
+    }
+
+    void handle(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
+    {
+        if (request.target != "/hold")
+            return exchange->respond(makeResponse(200, "text/plain", request.method + " " + request.body));
+        exchange->onAbandoned([this] { ++this->abandoned; });
+        this->kept = std::move(exchange);
+        ++this->held;
+    }
+
+    boost::asio::io_context context{1};
+    HttpServer server;
+    std::shared_ptr<HttpExchange> kept;
+    std::thread thread;
+};
+
+tcp::socket connectTo(boost::asio::io_context &context, const std::string &address)
+{
+    tcp::socket socket(context);
+    socket.connect(parseTcpEndpoint(address).value());
+    return socket;
+}
+
+std::string exchangeRaw(const std::string &address, const std::string &text)
+{
+    boost::asio::io_context context;
+    tcp::socket socket = connectTo(context, address);
+    boost::asio::write(socket, boost::asio::buffer(text));
+    socket.shutdown(tcp::socket::shutdown_send);
+    std::string answer;
+    boost::system::error_code ignored;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ignored);
+    return answer;
+}
+
+template <typename Condition>
+bool eventually(Condition condition)
+{
+    for (int tries = 0; tries < 2000 && !condition(); ++tries)
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    return condition();
+}
+
+struct BadRow
+{
+    const char *what;
+    std::string request;
+    const char *statusLine;
+};
+
+const BadRow badRows[] = {
+    {"no method", "\x01\x02 nonsense\r\n\r\n", "HTTP/1.1 400"},
+    {"bad version", "GET / HTTP/9\r\n\r\n", "HTTP/1.1 400"},
+    {"bad length", "POST / HTTP/1.1\r\nContent-Length: many\r\n\r\n", "HTTP/1.1 400"},
+    {"large header", "GET / HTTP/1.1\r\nX: " + std::string(4000, 'x') + "\r\n\r\n", "HTTP/1.1 431"},
+    {"large body", "POST / HTTP/1.1\r\nContent-Length: 4000\r\n\r\n" + std::string(4000, 'x'),
+     "HTTP/1.1 413"},
+};
+
+} // namespace
+
+// A caller sends something that is not a request. It gets a status that says what is wrong and that nothing
+// ran; a good request on another connection, open at the same time, is answered as ever.
+TABLE_TEST(httpServer, badInputIsAnsweredAndHurtsNobodyElse, badRows)
+{
+    EchoServer server;
+    boost::asio::io_context context;
+    tcp::socket other = connectTo(context, server.address());
+    const std::string answer = exchangeRaw(server.address(), row.request);
+    cr_assert(answer.starts_with(row.statusLine), "%s: %s", row.what, answer.c_str());
+    cr_assert(answer.find("Sagecrank-Outcome: not-run") != std::string::npos);
+
+    boost::asio::write(other, boost::asio::buffer(std::string(
+                                  "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi")));
+    std::string good;
+    boost::system::error_code ignored;
+    boost::asio::read(other, boost::asio::dynamic_buffer(good), ignored);
+    cr_assert(good.starts_with("HTTP/1.1 200"));
+    cr_assert(good.ends_with("POST hi"));
+}
+
+// A caller gives up and closes while its call runs. Without notice the call would hold its slot to the end,
+// so the server tells the handler.
+Test(httpServer, tellsOfACallerThatWent)
+{
+    EchoServer server;
+    {
+        boost::asio::io_context context;
+        tcp::socket socket = connectTo(context, server.address());
+        boost::asio::write(socket, boost::asio::buffer(std::string("GET /hold HTTP/1.1\r\n\r\n")));
+        cr_assert(eventually([&] { return server.held == 1; }));
+        cr_assert(server.abandoned == 0);
+    }
+    cr_assert(eventually([&] { return server.abandoned == 1; }));
+}
+
+// The same, on a connection that has carried a request before: its watch for the first request is still under
+// way when the second one comes and must go on for it.
+Test(httpServer, tellsOfACallerThatWentAfterAnEarlierRequest)
+{
+    EchoServer server;
+    {
+        boost::asio::io_context context;
+        tcp::socket socket = connectTo(context, server.address());
+        boost::asio::write(socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+        std::string answer;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(answer), boost::asio::transfer_at_least(40));
+        boost::asio::write(socket, boost::asio::buffer(std::string("GET /hold HTTP/1.1\r\n\r\n")));
+        cr_assert(eventually([&] { return server.held == 1; }));
+    }
+    cr_assert(eventually([&] { return server.abandoned == 1; }));
+}
+
+// Nobody listens: the client says that no byte left, so the call may go elsewhere. A server that takes the
+// request and never answers: it may have been sent.
+Test(httpClient, saysWhetherARequestMayHaveLeft)
+{
+    EchoServer server;
+    boost::asio::io_context context;
+    HttpClient client(context, HttpClientSettings{});
+    int ended = 0;
+    client.send("127.0.0.1:1", {"GET", "/", {}, ""}, std::chrono::seconds(5),
+                [&](const HttpFailure *failure, HttpResponse) {
+                    cr_assert(failure != nullptr);
+                    cr_assert(!failure->mayHaveBeenSent);
+                    ++ended;
+                });
+    client.send(server.address(), {"GET", "/hold", {}, ""}, Milliseconds(50),
+                [&](const HttpFailure *failure, HttpResponse) {
+                    cr_assert(failure != nullptr);
+                    cr_assert(failure->mayHaveBeenSent);
+                    cr_assert(failure->error.kind == ErrorKind::Timeout);
+                    ++ended;
+                });
+    context.run();
+    cr_assert(ended == 2);
+}
--- /dev/null
+++ b/Tests/Node/TestNodeDrain.cpp
@@ -0,0 +1,105 @@
+// The order of a drain, and the presence of the upstream beside the node.
+#include <Node/NodeDrain.h>
+#include <Node/UpstreamPresence.h>
+
+#include <Support/TableTest.h>
+
+#include <string>
+#include <vector>
+
+using namespace Sagecrank;
+
+namespace {
+
+class DrainFixture
+{
+public:
+    NodeDrain drain{{std::chrono::seconds(3), std::chrono::seconds(60)},
+                    {[this] { this->steps.emplace_back("announce"); },
+                     [this] { this->steps.emplace_back("stop callers"); }, [this] { return this->idle; },
+                     [this] { this->steps.emplace_back("leave"); }}};
+    std::vector<std::string> steps;
+    bool idle = true;
+    Instant start = Instant() + std::chrono::hours(1);
+};
+
+class PresenceFixture
+{
+public:
+    UpstreamPresence presence{
+        {[this](const UpstreamAnnouncement &announcement) { this->gate.push_back(announcement.condition); },
+         [this](const std::string &, UpstreamState state, std::uint32_t) { this->told.push_back(state); }}};
+    std::vector<UpstreamCondition> gate;
+    std::vector<UpstreamState> told;
+    Instant start = Instant() + std::chrono::hours(1);
+    UpstreamAnnouncement booking{"booking", "127.0.0.1:9101", 6, UpstreamCondition::NotReady};
+};
+
+} // namespace
+
+// A host is taken away while a reservation runs on it. The node tells the others first and waits until they
+// have heard; only then it refuses new callers, and it says goodbye when the reservation has ended, so
+// nothing is cut.
+Test(nodeDrain, leavesOnlyWhenIdle)
+{
+    DrainFixture fixture;
+    fixture.idle = false;
+    fixture.drain.advance(fixture.start);
+    cr_assert(fixture.steps.empty());
+    fixture.drain.begin(fixture.start);
+    fixture.drain.begin(fixture.start);
+    fixture.drain.advance(fixture.start + Milliseconds(2999));
+    cr_assert(fixture.steps == std::vector<std::string>{"announce"});
+    fixture.drain.advance(fixture.start + Milliseconds(3000));
+    fixture.drain.advance(fixture.start + Milliseconds(9000));
+    cr_assert(fixture.steps == std::vector<std::string>({"announce", "stop callers"}));
+    fixture.idle = true;
+    fixture.drain.advance(fixture.start + Milliseconds(9001));
+    cr_assert(fixture.steps == std::vector<std::string>({"announce", "stop callers", "leave"}));
+}
+
+// An idle node waits for the news all the same: a call may be on its way from a node that has not heard.
+Test(nodeDrain, lingersEvenWhenIdle)
+{
+    DrainFixture fixture;
+    fixture.drain.begin(fixture.start);
+    fixture.drain.advance(fixture.start + Milliseconds(2999));
+    cr_assert(fixture.drain.stage() == DrainStage::Announcing);
+}
+
+Test(nodeDrain, leavesAtTheMaximumWhateverRuns)
+{
+    DrainFixture fixture;
+    fixture.idle = false;
+    fixture.drain.begin(fixture.start);
+    fixture.drain.advance(fixture.start + std::chrono::seconds(60));
+    cr_assert(fixture.drain.stage() == DrainStage::Left);
+}
+
+// An upstream dies without a word. Its announcement runs out, the gate refuses what waits and others hear
+// that it is gone; when it announces itself again it is taken back.
+Test(upstreamPresence, silenceMeansGone)
+{
+    PresenceFixture fixture;
+    fixture.presence.announced(fixture.start, fixture.booking, UpstreamState::Ready);
+    fixture.presence.advance(fixture.start + std::chrono::seconds(3));
+    cr_assert(fixture.told == std::vector{UpstreamState::Ready});
+    fixture.presence.advance(fixture.start + Milliseconds(3001));
+    fixture.presence.advance(fixture.start + Milliseconds(4000));
+    cr_assert(fixture.told == std::vector({UpstreamState::Ready, UpstreamState::Gone}));
+    cr_assert(fixture.gate.back() == UpstreamCondition::NotReady);
+    fixture.presence.announced(fixture.start + Milliseconds(5000), fixture.booking, UpstreamState::Ready);
+    cr_assert(fixture.told.back() == UpstreamState::Ready);
+}
+
+// The node drains while its upstream goes on saying that it is ready. Were that believed, new work would come
+// to a host that is about to go.
+Test(upstreamPresence, drainOverridesTheUpstreamsOwnWord)
+{
+    PresenceFixture fixture;
+    fixture.presence.announced(fixture.start, fixture.booking, UpstreamState::Ready);
+    fixture.presence.drain();
+    fixture.presence.announced(fixture.start + Milliseconds(500), fixture.booking, UpstreamState::Ready);
+    cr_assert(fixture.told == std::vector({UpstreamState::Ready, UpstreamState::Draining}));
+    cr_assert(fixture.gate.back() == UpstreamCondition::Draining);
+}
--- /dev/null
+++ b/Tests/Node/TestNodeSettings.cpp
@@ -0,0 +1,106 @@
+// The settings file: a good one is read, and each mistake is named by file, line and key.
+#include <Node/NodeSettings.h>
+
+#include <Support/TableTest.h>
+
+#include <string>
+
+using namespace Sagecrank;
+
+namespace {
+
+const std::string goodSettings = R"(
+[node]
+id = "b1"
+region = "sjaelland"
+zone = "sj-1"
+site = "sj-1"
+threads = 3
+[listen]
+callers = "127.0.0.1:8001"
+peers = "127.0.0.1:8101"
+gossip = "127.0.0.1:8201"
+control = "127.0.0.1:8301"
+admin = "127.0.0.1:8401"
+[platform]
+table = "127.0.0.1:9000"
+objects = "127.0.0.1:9000"
+[gossip]
+seeds = ["127.0.0.1:8202"]
+)";
+
+struct BadRow
+{
+    const char *what;
+    std::string added;   // Appended to the good settings; line 19 is its first.
+    const char *problem; // Must stand in the error.
+};
+
+const BadRow badRows[] = {
+    {"unknown key", "introducers = 3\n", "node.toml:19: gossip.introducers: unknown key"},
+    {"unknown table", "[drian]\nlinger_ms = 1\n", "node.toml:19: drian: unknown table"},
+    {"wrong type", "[drain]\nlinger_ms = \"soon\"\n",
+     "node.toml:20: drain.linger_ms: must be a whole number"},
+    {"out of range", "[requests]\npeer_silence_ms = 1\n",
+     "node.toml:20: requests.peer_silence_ms: must be from 100 to 60000"},
+    {"no table", "log = 3\n[log]\nlevel = 1\n", "node.toml:21: log.level: must be a string"},
+    {"not a share", "[requests]\nretry_share = 2.5\n",
+     "node.toml:20: requests.retry_share: must be a number from 0 to 1"},
+    {"not TOML", "[requests\n", "node.toml:19: "},
+};
+
+struct BadAddressRow
+{
+    const char *address;
+    const char *problem;
+};
+
+const BadAddressRow badAddressRows[] = {
+    {"localhost:80", "the host is not an IP number"},
+    {"127.0.0.1", "wanted ip:port"},
+    {"127.0.0.1:0", "the port is not a number"},
+    {"127.0.0.1:99999", "the port is not a number"},
+    {"", "must not be empty"},
+};
+
+} // namespace
+
+Test(nodeSettings, readsAGoodFile)
+{
+    const Result<NodeSettings> settings = parseNodeSettings(goodSettings, "node.toml");
+    cr_assert(settings.has_value());
+    cr_assert(settings.value().id == "b1");
+    cr_assert(settings.value().threads == 3);
+    cr_assert(settings.value().seeds == std::vector<std::string>{"127.0.0.1:8202"});
+    cr_assert(settings.value().requests.peerSilence == Milliseconds(1000));
+}
+
+TABLE_TEST(nodeSettings, namesTheMistake, badRows)
+{
+    const Result<NodeSettings> settings = parseNodeSettings(goodSettings + row.added, "node.toml");
+    cr_assert(!settings, "%s", row.what);
+    const std::string text = settings.error().message;
+    cr_assert(text.find(row.problem) != std::string::npos, "%s: %s", row.what, text.c_str());
+}
+
+TABLE_TEST(nodeSettings, refusesBadAddresses, badAddressRows)
+{
+    std::string text = goodSettings;
+    const std::string good = "127.0.0.1:8101";
+    text.replace(text.find(good), good.size(), row.address);
+    const Result<NodeSettings> settings = parseNodeSettings(text, "node.toml");
+    cr_assert(!settings);
+    const std::string message = settings.error().message;
+    cr_assert(message.find("node.toml:10: listen.peers: ") != std::string::npos, "%s", message.c_str());
+    cr_assert(message.find(row.problem) != std::string::npos, "%s", message.c_str());
+}
+
+Test(nodeSettings, reportsEveryProblemAtOnce)
+{
+    const Result<NodeSettings> settings = parseNodeSettings("[node]\nid = 3\n", "node.toml");
+    cr_assert(!settings);
+    const std::string text = settings.error().message;
+    for (const char *key : {"node.id: must be a string", "node.zone: is missing", "listen.admin: is missing",
+                            "platform.table: is missing"})
+        cr_assert(text.find(key) != std::string::npos, "%s in: %s", key, text.c_str());
+}
