LibConfig: Name an object's bytes ObjectBytes

Cause: LibWire names its own byte vector Bytes, and a unit that includes both heads does not compile. Change: the type of LibConfig is ObjectBytes; the condition of a put is PutCondition, since the emulator has a Condition of its own.

--- a/Libraries/LibConfig/Archive.h
+++ b/Libraries/LibConfig/Archive.h
@@ -121,7 +121,7 @@
 class BytesBuffer : public std::streambuf
 {
 public:
-    Bytes take() { return std::move(this->bytes); }
+    ObjectBytes take() { return std::move(this->bytes); }
 
 protected:
     std::streamsize xsputn(const char *data, std::streamsize size) override
@@ -137,11 +137,11 @@
     }
 
 private:
-    Bytes bytes;
+    ObjectBytes bytes;
 };
 
 template <typename Write>
-Bytes writeBytes(Write write)
+ObjectBytes writeBytes(Write write)
 {
     BytesBuffer buffer;
     {
--- a/Libraries/LibConfig/Assemble.h
+++ b/Libraries/LibConfig/Assemble.h
@@ -9,7 +9,7 @@
 
 namespace Sagecrank {
 
-using SectionBytes = std::map<Digest, Bytes>;
+using SectionBytes = std::map<Digest, ObjectBytes>;
 
 // All or nothing: a missing section is NotFound, a wrong digest or a failed check InvalidInput; both name the
 // cluster as the peer of the error.
--- a/Libraries/LibConfig/Delta.cpp
+++ b/Libraries/LibConfig/Delta.cpp
@@ -21,7 +21,7 @@
 }
 
 template <typename Archive>
-void blob(Archive &archive, Bytes &value)
+void blob(Archive &archive, ObjectBytes &value)
 {
     if constexpr (Archive::is_saving::value)
         putLength(archive, value.size());
@@ -37,7 +37,7 @@
     archive(value.version);
     digest(archive, value.base);
     digest(archive, value.result);
-    list(archive, value.changed, [&](Bytes &bytes) { blob(archive, bytes); });
+    list(archive, value.changed, [&](ObjectBytes &bytes) { blob(archive, bytes); });
     list(archive, value.removed, [&](std::string &cluster) { text(archive, cluster); });
 }
 
@@ -84,7 +84,7 @@
         sections.emplace(section.cluster, section);
     for (const std::string &cluster : delta.removed)
         sections.erase(cluster);
-    for (const Bytes &bytes : delta.changed) {
+    for (const ObjectBytes &bytes : delta.changed) {
         Section section = TRY(decodeSection(bytes, digestOf(bytes)));
         const std::string cluster = section.cluster;
         sections.insert_or_assign(cluster, std::move(section));
@@ -101,7 +101,7 @@
     return next;
 }
 
-Bytes encodeDelta(const SiteDelta &delta)
+ObjectBytes encodeDelta(const SiteDelta &delta)
 {
     SiteDelta copy = delta;
     return writeBytes([&](auto &archive) { siteDelta(archive, copy); });
--- a/Libraries/LibConfig/Delta.h
+++ b/Libraries/LibConfig/Delta.h
@@ -16,7 +16,7 @@
     std::uint64_t version = 0;        // Of the result.
     Digest base;                      // Section list that the delta starts from.
     Digest result;                    // Section list that it must end at.
-    std::vector<Bytes> changed;       // Encoded sections, new or replaced.
+    std::vector<ObjectBytes> changed; // Encoded sections, new or replaced.
     std::vector<std::string> removed; // Clusters that are no longer there.
 
     bool operator==(const SiteDelta &) const = default;
@@ -29,7 +29,7 @@
 // result is not what was published (InvalidInput). `held` is unchanged in any case.
 Result<SiteConfiguration> applyDelta(const SiteConfiguration &held, const SiteDelta &delta);
 
-Bytes encodeDelta(const SiteDelta &delta);
+ObjectBytes encodeDelta(const SiteDelta &delta);
 Result<SiteDelta> decodeDelta(std::span<const std::byte> bytes);
 
 } // namespace Sagecrank
--- a/Libraries/LibConfig/Encoding.cpp
+++ b/Libraries/LibConfig/Encoding.cpp
@@ -56,13 +56,13 @@
     return digest;
 }
 
-Bytes encodeSection(const Section &value)
+ObjectBytes encodeSection(const Section &value)
 {
     Section copy = value;
     return writeBytes([&](auto &archive) { section(archive, copy); });
 }
 
-Bytes encodeSectionList(const std::vector<SectionReference> &sections)
+ObjectBytes encodeSectionList(const std::vector<SectionReference> &sections)
 {
     std::vector<SectionReference> copy = sections;
     return writeBytes([&](auto &archive) {
@@ -70,7 +70,7 @@
     });
 }
 
-Bytes encodeVersionManifest(const VersionManifest &manifest)
+ObjectBytes encodeVersionManifest(const VersionManifest &manifest)
 {
     VersionManifest copy = manifest;
     return writeBytes([&](auto &archive) { versionManifest(archive, copy); });
--- a/Libraries/LibConfig/Encoding.h
+++ b/Libraries/LibConfig/Encoding.h
@@ -15,7 +15,7 @@
 
 namespace Sagecrank {
 
-using Bytes = std::vector<std::byte>;
+using ObjectBytes = std::vector<std::byte>;
 
 // Largest encoded object that is read. A site of 820 services takes about 22 KB of section list; a section
 // is some hundred bytes. The limit leaves room and still bounds what a hostile peer can make a node hold.
@@ -28,9 +28,9 @@
 Result<Digest> digestFromHex(std::string_view text);
 
 // A value that a 16-bit length cannot hold is refused before this point by checkSection.
-Bytes encodeSection(const Section &section);
-Bytes encodeSectionList(const std::vector<SectionReference> &sections);
-Bytes encodeVersionManifest(const VersionManifest &manifest);
+ObjectBytes encodeSection(const Section &section);
+ObjectBytes encodeSectionList(const std::vector<SectionReference> &sections);
+ObjectBytes encodeVersionManifest(const VersionManifest &manifest);
 
 // Each checks the digest first and refuses trailing bytes: InvalidInput says which check failed.
 Result<Section> decodeSection(std::span<const std::byte> bytes, const Digest &expected);
--- a/Libraries/LibSource/Head.cpp
+++ b/Libraries/LibSource/Head.cpp
@@ -129,7 +129,7 @@
 
 void VersionReader::manifest(const Head &head, std::function<void(Result<VersionManifest>)> callback) const
 {
-    const auto finish = [head, callback = std::move(callback)](Result<Bytes> bytes) {
+    const auto finish = [head, callback = std::move(callback)](Result<ObjectBytes> bytes) {
         if (!bytes)
             return callback(std::move(bytes).assume_error());
         Result<VersionManifest> manifest = decodeVersionManifest(bytes.assume_value(), head.digest);
@@ -148,7 +148,7 @@
         if (reference.site != site)
             continue;
         const auto finish = [reference, version = manifest.version,
-                             callback = std::move(callback)](Result<Bytes> bytes) {
+                             callback = std::move(callback)](Result<ObjectBytes> bytes) {
             if (!bytes)
                 return callback(std::move(bytes).assume_error());
             auto sections = decodeSectionList(bytes.assume_value(), reference.digest);
@@ -163,7 +163,7 @@
 
 void VersionReader::section(const Digest &digest, BytesCallback callback) const
 {
-    const auto finish = [digest, callback = std::move(callback)](Result<Bytes> bytes) {
+    const auto finish = [digest, callback = std::move(callback)](Result<ObjectBytes> bytes) {
         if (bytes && digestOf(bytes.assume_value()) != digest)
             return callback(makeError(ErrorKind::InvalidInput, "read section", "object store",
                                       "the bytes do not match digest " + toHex(digest)));
--- a/Libraries/LibSource/Ports.h
+++ b/Libraries/LibSource/Ports.h
@@ -48,18 +48,18 @@
 
 // What must hold of the row that stands under the key for a put to take effect. Either of the two is enough;
 // with neither, the put is unconditional.
-struct Condition
+struct PutCondition
 {
     bool absent = false; // No row stands there.
     Attributes equal;    // Every one of these attributes has this value; empty means not asked.
 
-    bool operator==(const Condition &) const = default;
+    bool operator==(const PutCondition &) const = default;
 };
 
 struct ConditionalPut
 {
     Row row; // Replaces the whole row.
-    Condition condition;
+    PutCondition condition;
 };
 
 struct QueryRequest
@@ -98,11 +98,11 @@
     std::function<void(const RowKey &, WriteCallback)> remove;
 };
 
-using BytesCallback = std::function<void(Result<Bytes>)>;
+using BytesCallback = std::function<void(Result<ObjectBytes>)>;
 
 struct ObjectPort
 {
-    std::function<void(const std::string &name, const Bytes &, WriteCallback)> put;
+    std::function<void(const std::string &name, const ObjectBytes &, WriteCallback)> put;
     std::function<void(const std::string &name, BytesCallback)> get; // NotFound when there is none.
 };
 
--- a/Tests/LibConfig/TestAssemble.cpp
+++ b/Tests/LibConfig/TestAssemble.cpp
@@ -119,20 +119,20 @@
 Test(encoding, refusesEveryTruncation)
 {
     const VersionManifest manifest{3, "publish-1", {{"sj-1", Digest{1, 2}}, {"sj-2", Digest{3, 4}}}};
-    const Bytes whole = encodeVersionManifest(manifest);
+    const ObjectBytes whole = encodeVersionManifest(manifest);
     cr_assert(decodeVersionManifest(whole, digestOf(whole)).value() == manifest);
     for (std::size_t size = 0; size < whole.size(); ++size) {
         const std::span<const std::byte> cut(whole.data(), size);
         cr_assert(!decodeVersionManifest(cut, digestOf(cut)), "%zu bytes", size);
     }
-    Bytes longer = whole;
+    ObjectBytes longer = whole;
     longer.push_back(std::byte{0});
     cr_assert(!decodeVersionManifest(longer, digestOf(longer)));
 }
 
 Test(encoding, provesTheDigestBeforeReading)
 {
-    const Bytes bytes = encodeSection(sampleSection("booking"));
+    const ObjectBytes bytes = encodeSection(sampleSection("booking"));
     cr_assert(decodeSection(bytes, digestOf(bytes)).has_value());
     cr_assert(decodeSection(bytes, Digest{1, 2}).error().kind == ErrorKind::InvalidInput);
 }
--- a/Tests/LibConfig/TestDelta.cpp
+++ b/Tests/LibConfig/TestDelta.cpp
@@ -24,7 +24,7 @@
     for (int step = 2; step < stepsPerSeed; ++step) {
         sections = changeAtRandom(sections, random);
         const SiteConfiguration published = sampleSite(step, sections);
-        const Bytes travelling = encodeDelta(makeDelta(held, published));
+        const ObjectBytes travelling = encodeDelta(makeDelta(held, published));
         const SiteDelta delta = decodeDelta(travelling).value();
         const Result<SiteConfiguration> applied = applyDelta(held, delta);
         cr_assert(applied.has_value(), "seed %u step %d", row, step);
@@ -58,7 +58,7 @@
     SiteDelta delta = makeDelta(first, second);
     delta.changed.pop_back();
     cr_assert(applyDelta(first, delta).error().kind == ErrorKind::InvalidInput);
-    Bytes bytes = encodeDelta(makeDelta(first, second));
+    ObjectBytes bytes = encodeDelta(makeDelta(first, second));
     for (std::size_t size = 0; size < bytes.size(); ++size)
         cr_assert(!decodeDelta(std::span(bytes).first(size)), "%zu bytes", size);
 }
