LibPlatform: Speak to the table service and the object store

Cause: the node and the operator's command need the platform behind the ports of LibSource. Change: PlatformClient over LibNet's HTTP client: bounded in flight and waiting, one timeout from call to answer; a status of 500 and above to a write reads as unknown, since it may have taken effect.

--- /dev/null
+++ b/Libraries/LibPlatform/PlatformClient.cpp
@@ -0,0 +1,232 @@
+// Sending of requests to the platform: see PlatformClient.h.
+#include <LibPlatform/PlatformClient.h>
+#include <LibPlatform/TableProtocol.h>
+
+#include <boost/asio/post.hpp>
+
+#include <deque>
+
+namespace Sagecrank {
+
+namespace {
+
+using TableProtocol::Access;
+
+constexpr std::uint32_t statusOk = 200;
+constexpr std::uint32_t statusNotFound = 404;
+
+Error objectError(const HttpResponse &response, const std::string &name)
+{
+    constexpr auto step = "use object store";
+    if (response.status == statusNotFound)
+        return makeError(ErrorKind::NotFound, step, name, "no such object");
+    // Objects are named by content or publish id and written whole, so doubt about one is settled by
+    // writing it again.
+    return makeError(ErrorKind::Timeout, step, name, "answered status " + std::to_string(response.status));
+}
+
+} // namespace
+
+class PlatformClient::Requests : public std::enable_shared_from_this<Requests>
+{
+public:
+    using Done = std::function<void(Result<HttpResponse>)>;
+
+    Requests(boost::asio::io_context &context, PlatformClientSettings settings)
+        : context(context)
+        , settings(std::move(settings))
+        , client(context,
+                 HttpClientSettings{this->settings.maximumInFlight, maximumObjectBytes, Milliseconds(30000)})
+    {
+    }
+
+    void table(const std::string &operation, std::string body, Done done)
+    {
+        HttpRequest request{"POST", "/", {}, std::move(body)};
+        request.headers.push_back({"Content-Type", "application/x-amz-json-1.0"});
+        request.headers.push_back({"X-Amz-Target", "DynamoDB_20120810." + operation});
+        this->add(this->settings.table, std::move(request), std::move(done));
+    }
+
+    void object(const std::string &method, const std::string &name, std::string body, Done done)
+    {
+        HttpRequest request{method, "/" + this->settings.bucket + "/" + name, {}, std::move(body)};
+        this->add(this->settings.objects, std::move(request), std::move(done));
+    }
+
+    void stop() { this->stopped = true; }
+
+    const std::string &tableName() const { return this->settings.tableName; }
+
+    PlatformCounters counters;
+
+private:
+    struct Waiting
+    {
+        std::string address;
+        HttpRequest request;
+        Done done;
+        Instant expires;
+    };
+
+    void add(const std::string &address, HttpRequest request, Done done)
+    {
+        const Instant expires = SteadyClock::now() + this->settings.requestTimeout;
+        Waiting next{address, std::move(request), std::move(done), expires};
+        if (this->stopped || this->waiting.size() >= this->settings.maximumWaiting)
+            return this->refuse(std::move(next));
+        this->waiting.push_back(std::move(next));
+        this->sendWaiting();
+    }
+
+    // Never calls back from inside the port's call, so that a caller is not entered while it changes.
+    void refuse(Waiting refused)
+    {
+        ++this->counters.notSent;
+        boost::asio::post(this->context, [refused = std::move(refused)] {
+            refused.done(makeError(ErrorKind::Unavailable, "send request", refused.address,
+                                   "too many requests wait, or it waited too long"));
+        });
+    }
+
+    void sendWaiting()
+    {
+        while (!this->waiting.empty() && this->inFlight < this->settings.maximumInFlight) {
+            Waiting next = std::move(this->waiting.front());
+            this->waiting.pop_front();
+            const Instant now = SteadyClock::now();
+            if (this->stopped || now >= next.expires)
+                this->refuse(std::move(next));
+            else
+                this->send(std::move(next), now);
+        }
+    }
+
+    void send(Waiting next, Instant now)
+    {
+        ++this->inFlight;
+        const Duration left = next.expires - now;
+        const auto finish = [self = this->shared_from_this(),
+                             done = std::move(next.done)](const HttpFailure *failure, HttpResponse response) {
+            --self->inFlight;
+            if (failure == nullptr) {
+                done(std::move(response));
+            } else {
+                Error error = failure->error;
+                error.kind = failure->mayHaveBeenSent ? ErrorKind::Timeout : ErrorKind::Unavailable;
+                self->counters.notSent += failure->mayHaveBeenSent ? 0 : 1;
+                done(std::move(error));
+            }
+            self->sendWaiting();
+        };
+        this->client.send(next.address, std::move(next.request), left, finish);
+    }
+
+    boost::asio::io_context &context;
+    const PlatformClientSettings settings;
+    HttpClient client;
+    std::deque<Waiting> waiting; // At most maximumWaiting.
+    std::uint32_t inFlight = 0;  // At most maximumInFlight.
+    bool stopped = false;
+};
+
+PlatformClient::PlatformClient(boost::asio::io_context &context, PlatformClientSettings settings)
+    : requests(std::make_shared<Requests>(context, std::move(settings)))
+{
+}
+
+PlatformClient::~PlatformClient()
+{
+    this->requests->stop();
+}
+
+TablePort PlatformClient::tablePort()
+{
+    TablePort port;
+    port.get = [requests = this->requests](const RowKey &key, RowCallback callback) {
+        ++requests->counters.tableReads;
+        requests->table("GetItem", TableProtocol::getBody(requests->tableName(), key),
+                        [callback = std::move(callback)](Result<HttpResponse> response) {
+                            if (!response)
+                                return callback(std::move(response).assume_error());
+                            callback(TableProtocol::readGet(response.assume_value()));
+                        });
+    };
+    port.query = [requests = this->requests](const QueryRequest &query, RowsCallback callback) {
+        ++requests->counters.tableReads;
+        requests->table("Query", TableProtocol::queryBody(requests->tableName(), query),
+                        [callback = std::move(callback)](Result<HttpResponse> response) {
+                            if (!response)
+                                return callback(std::move(response).assume_error());
+                            callback(TableProtocol::readQuery(response.assume_value()));
+                        });
+    };
+    const auto write = [requests = this->requests](const char *operation, std::string body,
+                                                   WriteCallback callback) {
+        ++requests->counters.tableWrites;
+        ++requests->counters.tableWriteRequests;
+        requests->table(operation, std::move(body),
+                        [callback = std::move(callback)](Result<HttpResponse> response) {
+                            if (!response)
+                                return callback(std::move(response).assume_error());
+                            callback(TableProtocol::readWrite(response.assume_value()));
+                        });
+    };
+    port.putIf = [write, requests = this->requests](const ConditionalPut &put, WriteCallback callback) {
+        write("PutItem", TableProtocol::putBody(requests->tableName(), put), std::move(callback));
+    };
+    port.remove = [write, requests = this->requests](const RowKey &key, WriteCallback callback) {
+        write("DeleteItem", TableProtocol::deleteBody(requests->tableName(), key), std::move(callback));
+    };
+    port.transact = [requests = this->requests](const std::vector<ConditionalPut> &puts,
+                                                TransactionCallback callback) {
+        requests->counters.tableWrites += puts.size();
+        ++requests->counters.tableWriteRequests;
+        requests->table("TransactWriteItems", TableProtocol::transactBody(requests->tableName(), puts),
+                        [count = puts.size(), callback = std::move(callback)](Result<HttpResponse> response) {
+                            if (!response)
+                                return callback(std::move(response).assume_error());
+                            callback(TableProtocol::readTransaction(response.assume_value(), count));
+                        });
+    };
+    return port;
+}
+
+ObjectPort PlatformClient::objectPort()
+{
+    ObjectPort port;
+    port.put = [requests = this->requests](const std::string &name, const ObjectBytes &bytes,
+                                           WriteCallback callback) {
+        ++requests->counters.objectWrites;
+        std::string body(reinterpret_cast<const char *>(bytes.data()), bytes.size());
+        requests->object("PUT", name, std::move(body),
+                         [name, callback = std::move(callback)](Result<HttpResponse> response) {
+                             if (!response)
+                                 return callback(std::move(response).assume_error());
+                             if (response.assume_value().status != statusOk)
+                                 return callback(objectError(response.assume_value(), name));
+                             callback(success());
+                         });
+    };
+    port.get = [requests = this->requests](const std::string &name, BytesCallback callback) {
+        ++requests->counters.objectReads;
+        requests->object("GET", name, "",
+                         [name, callback = std::move(callback)](Result<HttpResponse> response) {
+                             if (!response)
+                                 return callback(std::move(response).assume_error());
+                             const HttpResponse &answer = response.assume_value();
+                             if (answer.status != statusOk)
+                                 return callback(objectError(answer, name));
+                             const auto *first = reinterpret_cast<const std::byte *>(answer.body.data());
+                             callback(ObjectBytes(first, first + answer.body.size()));
+                         });
+    };
+    return port;
+}
+
+PlatformCounters PlatformClient::counters() const
+{
+    return this->requests->counters;
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Libraries/LibPlatform/TableProtocol.cpp
@@ -0,0 +1,254 @@
+// Requests and answers of the table service: see TableProtocol.h.
+#include <LibPlatform/TableProtocol.h>
+
+#include <boost/json.hpp>
+
+#include <charconv>
+
+namespace json = boost::json;
+
+namespace Sagecrank::TableProtocol {
+
+namespace {
+
+constexpr std::uint32_t statusOk = 200;
+constexpr std::uint32_t statusBadRequest = 400;
+
+std::string_view view(const json::string &text)
+{
+    return {text.data(), text.size()};
+}
+
+json::object writeAttribute(const Attribute &attribute)
+{
+    if (const auto *text = std::get_if<std::string>(&attribute))
+        return {{"S", *text}};
+    return {{"N", std::to_string(std::get<std::uint64_t>(attribute))}};
+}
+
+json::object writeKey(const RowKey &key)
+{
+    return {{"pk", {{"S", key.partition}}}, {"sk", {{"S", key.sort}}}};
+}
+
+json::object writeRow(const Row &row)
+{
+    json::object item = writeKey(row.key);
+    for (const auto &[name, value] : row.attributes)
+        item[name] = writeAttribute(value);
+    return item;
+}
+
+// Attribute names go through placeholders, because the service reserves many ordinary words.
+void writeCondition(json::object &body, const PutCondition &condition)
+{
+    std::string all;
+    json::object names;
+    json::object values;
+    for (const auto &[name, value] : condition.equal) {
+        const std::string index = std::to_string(names.size());
+        names["#c" + index] = name;
+        values[":c" + index] = writeAttribute(value);
+        all += (all.empty() ? "#c" : " AND #c") + index + " = :c" + index;
+    }
+    std::string expression = condition.absent ? "attribute_not_exists(pk)" : "";
+    if (!all.empty())
+        expression += (condition.absent ? " OR (" : "(") + all + ")";
+    if (!expression.empty())
+        body["ConditionExpression"] = expression;
+    if (!names.empty()) {
+        body["ExpressionAttributeNames"] = names;
+        body["ExpressionAttributeValues"] = values;
+    }
+}
+
+json::object writePut(const std::string &table, const ConditionalPut &put)
+{
+    json::object body{{"TableName", table}, {"Item", writeRow(put.row)}};
+    writeCondition(body, put.condition);
+    return body;
+}
+
+Error malformed(const std::string &message)
+{
+    return makeError(ErrorKind::InvalidInput, "read table answer", "table", message);
+}
+
+Result<json::object> parseObject(const std::string &text)
+{
+    json::error_code error;
+    json::value value = json::parse(text, error);
+    if (error || !value.is_object())
+        return malformed("expected a JSON object");
+    return std::move(value.as_object());
+}
+
+// Attributes of kinds that the system does not write are left out, so a foreign column does no harm.
+std::optional<Attribute> readAttribute(const json::value &value)
+{
+    if (!value.is_object())
+        return std::nullopt;
+    if (const json::value *text = value.as_object().if_contains("S"); text && text->is_string())
+        return Attribute(std::string(view(text->as_string())));
+    const json::value *number = value.as_object().if_contains("N");
+    if (number == nullptr || !number->is_string())
+        return std::nullopt;
+    const std::string_view digits = view(number->as_string());
+    std::uint64_t parsed = 0;
+    const auto end = std::from_chars(digits.data(), digits.data() + digits.size(), parsed);
+    if (end.ec != std::errc() || end.ptr != digits.data() + digits.size())
+        return std::nullopt;
+    return Attribute(parsed);
+}
+
+Result<Row> readRow(const json::value &value)
+{
+    if (!value.is_object())
+        return malformed("an item is not an object");
+    Row row;
+    for (const auto &entry : value.as_object()) {
+        std::optional<Attribute> attribute = readAttribute(entry.value());
+        if (attribute)
+            row.attributes.emplace(std::string(entry.key()), std::move(*attribute));
+    }
+    const std::string *partition = row.text("pk");
+    const std::string *sort = row.text("sk");
+    if (partition == nullptr || sort == nullptr)
+        return malformed("an item lacks its key");
+    row.key = {*partition, *sort};
+    row.attributes.erase("pk");
+    row.attributes.erase("sk");
+    return row;
+}
+
+std::string errorType(const json::object &body)
+{
+    const json::value *type = body.if_contains("__type");
+    if (type == nullptr || !type->is_string())
+        return {};
+    const std::string whole(view(type->as_string()));
+    const std::size_t hash = whole.rfind('#');
+    return hash == std::string::npos ? whole : whole.substr(hash + 1);
+}
+
+ErrorKind kindOf(const std::string &type)
+{
+    if (type == "ConditionalCheckFailedException")
+        return ErrorKind::Conflict;
+    if (type == "ProvisionedThroughputExceededException" || type == "ThrottlingException"
+        || type == "RequestLimitExceeded" || type == "TransactionConflictException")
+        return ErrorKind::Refused;
+    if (type == "TransactionInProgressException")
+        return ErrorKind::Timeout; // An earlier copy of it may still take effect.
+    return ErrorKind::InvalidInput;
+}
+
+// A status of 500 and above is given after the service, or something in front of it, took the request: a
+// write may have taken effect. Were it read as "nothing happened", a claim could be thought free while it
+// stands, or a publish be called refused after it won.
+Error answerError(const HttpResponse &response, Access access)
+{
+    constexpr auto step = "use table";
+    if (response.status != statusBadRequest) {
+        const ErrorKind kind = access == Access::Write ? ErrorKind::Timeout : ErrorKind::Unavailable;
+        return makeError(kind, step, "table", "answered status " + std::to_string(response.status));
+    }
+    const Result<json::object> body = parseObject(response.body);
+    const std::string type = body ? errorType(body.assume_value()) : std::string();
+    return makeError(kindOf(type), step, "table", type.empty() ? "answered status 400" : type);
+}
+
+PutVerdict verdictOf(const json::value &reason)
+{
+    const json::value *code = reason.is_object() ? reason.as_object().if_contains("Code") : nullptr;
+    if (code != nullptr && code->is_string() && view(code->as_string()) == "ConditionalCheckFailed")
+        return PutVerdict::ConditionFailed;
+    return PutVerdict::NotApplied;
+}
+
+} // namespace
+
+std::string getBody(const std::string &table, const RowKey &key)
+{
+    return json::serialize(
+        json::object{{"TableName", table}, {"Key", writeKey(key)}, {"ConsistentRead", true}});
+}
+
+std::string putBody(const std::string &table, const ConditionalPut &put)
+{
+    return json::serialize(writePut(table, put));
+}
+
+std::string transactBody(const std::string &table, const std::vector<ConditionalPut> &puts)
+{
+    json::array items;
+    for (const ConditionalPut &put : puts)
+        items.emplace_back(json::object{{"Put", writePut(table, put)}});
+    return json::serialize(json::object{{"TransactItems", std::move(items)}});
+}
+
+std::string queryBody(const std::string &table, const QueryRequest &request)
+{
+    return json::serialize(json::object{{"TableName", table},
+                                        {"KeyConditionExpression", "pk = :p"},
+                                        {"ExpressionAttributeValues", {{":p", {{"S", request.partition}}}}},
+                                        {"ConsistentRead", true},
+                                        {"ScanIndexForward", !request.newestFirst},
+                                        {"Limit", static_cast<std::int64_t>(request.limit)}});
+}
+
+std::string deleteBody(const std::string &table, const RowKey &key)
+{
+    return json::serialize(json::object{{"TableName", table}, {"Key", writeKey(key)}});
+}
+
+Result<std::optional<Row>> readGet(const HttpResponse &response)
+{
+    if (response.status != statusOk)
+        return answerError(response, Access::Read);
+    const json::object body = TRY(parseObject(response.body));
+    const json::value *item = body.if_contains("Item");
+    if (item == nullptr)
+        return std::optional<Row>();
+    return std::optional<Row>(TRY(readRow(*item)));
+}
+
+Result<std::vector<Row>> readQuery(const HttpResponse &response)
+{
+    if (response.status != statusOk)
+        return answerError(response, Access::Read);
+    const json::object body = TRY(parseObject(response.body));
+    const json::value *items = body.if_contains("Items");
+    if (items == nullptr || !items->is_array())
+        return malformed("the answer to a query has no items");
+    std::vector<Row> rows;
+    for (const json::value &item : items->as_array())
+        rows.push_back(TRY(readRow(item)));
+    return rows;
+}
+
+Result<void> readWrite(const HttpResponse &response)
+{
+    if (response.status != statusOk)
+        return answerError(response, Access::Write);
+    return success();
+}
+
+Result<TransactionResult> readTransaction(const HttpResponse &response, std::size_t count)
+{
+    if (response.status == statusOk)
+        return TransactionResult(count, PutVerdict::Applied);
+    const Result<json::object> body = parseObject(response.body);
+    if (response.status != statusBadRequest || !body
+        || errorType(body.assume_value()) != "TransactionCanceledException")
+        return answerError(response, Access::Write);
+    const json::value *reasons = body.assume_value().if_contains("CancellationReasons");
+    if (reasons == nullptr || !reasons->is_array() || reasons->as_array().size() != count)
+        return makeError(ErrorKind::Refused, "use table", "table", "cancelled without usable reasons");
+    TransactionResult result;
+    for (const json::value &reason : reasons->as_array())
+        result.push_back(verdictOf(reason));
+    return result;
+}
+
+} // namespace Sagecrank::TableProtocol
