--- /dev/null
+++ b/Utilities/Relay/Main.cpp
@@ -0,0 +1,112 @@
+// sagecrank-relay: stands between two processes of a test on loopback and lets their connections go silent,
+// break, or come late, on command. It is a tool of the proof; nothing in the product uses it.
+// Exit codes: 0 ended by SIGTERM or SIGINT, 1 cannot listen, 2 wrong usage.
+#include "ControlPort.h"
+#include "TcpRelay.h"
+#include "UdpRelay.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+
+#include <charconv>
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <optional>
+
+using namespace Sagecrank;
+namespace asio = boost::asio;
+namespace options = boost::program_options;
+
+namespace {
+
+constexpr int exitFailure = 1;
+constexpr int exitUsage = 2;
+
+struct Settings
+{
+    std::string listen;
+    std::string to;
+    std::string control;
+    bool udp = false;
+    std::uint64_t seed = 1;
+};
+
+template <typename Endpoint>
+Endpoint endpointFromText(const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    std::uint16_t port = 0;
+    if (colon != std::string::npos)
+        std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(text.substr(0, colon), error);
+    if (error || port == 0)
+        throw options::error("not an address of the form ip:port: " + text);
+    return {address, port};
+}
+
+int run(const Settings &settings)
+{
+    asio::io_context context(1);
+    LinkFaults faults(settings.seed);
+    std::unique_ptr<TcpRelay> tcpRelay;
+    std::unique_ptr<UdpRelay> udpRelay;
+    using asio::ip::tcp;
+    using asio::ip::udp;
+    if (settings.udp)
+        udpRelay = std::make_unique<UdpRelay>(context, endpointFromText<udp::endpoint>(settings.listen),
+                                              endpointFromText<udp::endpoint>(settings.to), faults);
+    else
+        tcpRelay = std::make_unique<TcpRelay>(context, endpointFromText<tcp::endpoint>(settings.listen),
+                                              endpointFromText<tcp::endpoint>(settings.to), faults);
+    std::optional<ControlPort> control;
+    const auto command = [&](const RelayCommand &wanted) {
+        faults.apply(wanted);
+        if (tcpRelay && wanted.kind == RelayCommandKind::Silence)
+            tcpRelay->silenceConnections(wanted.up, wanted.down);
+        if (tcpRelay && wanted.kind == RelayCommandKind::Cut)
+            tcpRelay->cutConnections();
+    };
+    if (!settings.control.empty())
+        control.emplace(context, endpointFromText<tcp::endpoint>(settings.control), command);
+    asio::signal_set signals(context, SIGINT, SIGTERM);
+    signals.async_wait([&context](const boost::system::error_code &, int) { context.stop(); });
+    std::cerr << "relay listens on " << settings.listen << "\n";
+    context.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int count, char **arguments)
+{
+    Settings settings;
+    options::options_description description("sagecrank-relay: passes bytes on and disturbs them on command");
+    auto add = description.add_options();
+    add("help", "print this text");
+    add("listen", options::value(&settings.listen)->required(), "address to take connections at, ip:port");
+    add("to", options::value(&settings.to)->required(), "address to pass them on to, ip:port");
+    add("control", options::value(&settings.control),
+        "address to take commands at, one on a line: pass, silence [up|down], hole, cut, refuse, "
+        "delay up|down MS, drop SHARE");
+    add("udp", options::bool_switch(&settings.udp), "pass datagrams on instead of connections");
+    add("seed", options::value(&settings.seed)->default_value(settings.seed),
+        "for the datagrams that are dropped");
+    options::variables_map values;
+    try {
+        options::store(options::parse_command_line(count, arguments, description), values);
+        if (values.count("help") != 0) {
+            std::cout << description;
+            return 0;
+        }
+        options::notify(values);
+        return run(settings);
+    } catch (const options::error &error) {
+        std::cerr << error.what() << "\n" << description;
+        return exitUsage;
+    } catch (const boost::system::system_error &error) {
+        std::cerr << error.what() << "\n";
+        return exitFailure;
+    }
+}
--- /dev/null
+++ b/Utilities/Relay/TcpRelay.h
@@ -0,0 +1,37 @@
+// Passes TCP connections on to another address and disturbs them on command.
+#pragma once
+
+#include "LinkFaults.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace Sagecrank {
+
+class RelayedConnection;
+
+class TcpRelay
+{
+public:
+    // Throws boost::system::system_error when it cannot listen.
+    TcpRelay(boost::asio::io_context &context, const boost::asio::ip::tcp::endpoint &listen,
+             boost::asio::ip::tcp::endpoint target, LinkFaults &faults);
+
+    void silenceConnections(bool up, bool down);
+    void cutConnections();
+
+private:
+    void accept();
+    void forgetEnded();
+
+    boost::asio::io_context &context;
+    boost::asio::ip::tcp::acceptor acceptor;
+    const boost::asio::ip::tcp::endpoint target;
+    LinkFaults &faults;
+    std::vector<std::weak_ptr<RelayedConnection>> connections;
+};
+
+} // namespace Sagecrank
