UpstreamEmulator: Stand in for a service with slots beside a node

An upstream with slots and a line inside, service times for each path, cold start, drain on SIGTERM, deadlines and cancellation honoured, and faults by command: slow, failing fast, shedding, hanging, closing without an answer, health that lags or misleads, silence. Answers carry the call's id and the digest of its body, so that a caller can check that it got its own. It announces itself to its node each second and writes history events. Both emulators stand on LibNet's server, which gains HttpExchange::drop() (an answer lost on its way) and the answer to HEAD.

--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -22,7 +22,7 @@
 struct HttpClientSettings
 {
     std::uint32_t maximumIdleConnections = 16; // Kept for each address.
-    std::uint64_t maximumBodyBytes = 1024 * 1024;
+    std::uint64_t maximumBodyBytes = 1'048'576;
     Milliseconds idleTimeout{30000};
 };
 
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -63,6 +63,7 @@
 
     void readRequest();
     void respond(std::uint64_t exchange, HttpResponse response);
+    void drop(std::uint64_t exchange);
     void onAbandoned(std::uint64_t exchange, std::function<void()> hook);
     void close();
 
@@ -82,6 +83,7 @@
     std::uint64_t currentExchange = 0; // Counts requests, so that a late or second answer is told apart.
     bool waitingForAnswer = false;
     bool callerKeepsAlive = false;
+    bool headOnly = false; // A HEAD request is answered with the headers of the GET and no body.
     bool watching = false;
 };
 
@@ -98,6 +100,7 @@
     {
         this->session->respond(this->number, std::move(response));
     }
+    void drop() override { this->session->drop(this->number); }
     void onAbandoned(std::function<void()> hook) override
     {
         this->session->onAbandoned(this->number, std::move(hook));
@@ -145,6 +148,7 @@
     request.body = std::move(message.body());
 
     this->callerKeepsAlive = message.keep_alive();
+    this->headOnly = message.method() == http::verb::head;
     this->waitingForAnswer = true;
     ++this->currentExchange;
     this->server->handler(std::move(request),
@@ -161,6 +165,15 @@
     this->writeResponse(std::move(response), this->callerKeepsAlive && !this->server->closing);
 }
 
+void Session::drop(std::uint64_t exchange)
+{
+    if (!this->waitingForAnswer || exchange != this->currentExchange)
+        return;
+    this->waitingForAnswer = false;
+    this->abandoned = nullptr;
+    this->close();
+}
+
 void Session::onAbandoned(std::uint64_t exchange, std::function<void()> hook)
 {
     if (this->waitingForAnswer && exchange == this->currentExchange)
@@ -215,6 +228,8 @@
     message.keep_alive(keepAlive);
     message.body() = std::move(response.body);
     message.prepare_payload();
+    if (this->headOnly)
+        message.body().clear();
     this->stream.expires_after(this->server->settings.idleTimeout);
     http::async_write(
         this->stream, message,
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -15,8 +15,8 @@
 
 struct HttpServerSettings
 {
-    std::uint32_t maximumHeaderBytes = 16 * 1024;
-    std::uint64_t maximumBodyBytes = 1024 * 1024;
+    std::uint32_t maximumHeaderBytes = 16'384;
+    std::uint64_t maximumBodyBytes = 1'048'576;
     std::uint32_t maximumConnections = 4096;
     Milliseconds idleTimeout{60000}; // Also bounds how slowly a request may come in.
     bool sharePort = false;          // Lets several threads listen on the same address.
@@ -31,6 +31,9 @@
     // Once; later ones are ignored. Harmless when the caller has gone.
     virtual void respond(HttpResponse response) = 0;
 
+    // Closes the connection without an answer; for a caller, that looks like an answer lost on its way.
+    virtual void drop() = 0;
+
     // Called when the caller closes its connection before the answer.
     virtual void onAbandoned(std::function<void()> hook) = 0;
 };
--- a/Services/PlatformEmulator/Main.cpp
+++ b/Services/PlatformEmulator/Main.cpp
@@ -17,6 +17,7 @@
 
 constexpr int exitFailure = 1;
 constexpr int exitUsage = 2;
+constexpr std::uint64_t maximumObjectBytes = 16'777'216; // A section of configuration is far smaller.
 
 void runAfter(asio::io_context &context, Milliseconds delay, std::function<void()> step)
 {
@@ -29,11 +30,6 @@
 
 int run(const std::string &listen, PlatformSettings settings)
 {
-    const Result<asio::ip::tcp::endpoint> endpoint = parseEndpoint(listen);
-    if (!endpoint) {
-        std::cerr << endpoint.error().describe() << "\n";
-        return exitUsage;
-    }
     asio::io_context context(1);
     PlatformService service(
         settings,
@@ -41,12 +37,16 @@
             runAfter(context, delay, std::move(step));
         },
         [] { return SteadyClock::now(); });
-    HttpServer server(
-        {&context}, [&service](const std::shared_ptr<HttpExchange> &exchange) { service.handle(exchange); });
-    const Result<void> listening = server.listen(endpoint.value());
+    HttpServerSettings serverSettings;
+    serverSettings.maximumBodyBytes = maximumObjectBytes;
+    HttpServer server(context, serverSettings,
+                      [&service](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
+                          service.handle(request, exchange);
+                      });
+    const Result<void> listening = server.listen(listen);
     if (!listening) {
         std::cerr << listening.error().describe() << "\n";
-        return exitFailure;
+        return listening.error().kind == ErrorKind::InvalidInput ? exitUsage : exitFailure;
     }
     asio::signal_set signals(context, SIGINT, SIGTERM);
     signals.async_wait([&context](const boost::system::error_code &, int) { context.stop(); });
--- a/Services/PlatformEmulator/ObjectApi.cpp
+++ b/Services/PlatformEmulator/ObjectApi.cpp
@@ -39,7 +39,9 @@
 HttpResponse ObjectApi::put(const std::string &path, const std::string &content)
 {
     const auto stored = this->objects.insert_or_assign(path, Object{content, tagOf(content)}).first;
-    return HttpResponse{200, "application/xml", {{"ETag", stored->second.tag}}, ""};
+    HttpResponse response = makeResponse(200, "application/xml", "");
+    response.headers.push_back({"ETag", stored->second.tag});
+    return response;
 }
 
 HttpResponse ObjectApi::get(const std::string &path) const
@@ -47,20 +49,22 @@
     const auto found = this->objects.find(path);
     if (found == this->objects.end())
         return error(404, "NoSuchKey", "The specified key does not exist.");
-    return HttpResponse{200, "binary/octet-stream", {{"ETag", found->second.tag}}, found->second.content};
+    HttpResponse response = makeResponse(200, "binary/octet-stream", found->second.content);
+    response.headers.push_back({"ETag", found->second.tag});
+    return response;
 }
 
 HttpResponse ObjectApi::remove(const std::string &path)
 {
     this->objects.erase(path);
-    return HttpResponse{204, "application/xml", {}, ""};
+    return makeResponse(204, "application/xml", "");
 }
 
 HttpResponse ObjectApi::error(unsigned status, std::string_view code, std::string_view message)
 {
     const std::string body = "<?xml version=\"1.0\" encoding=\"UTF-8\"?>\n<Error><Code>" + std::string(code)
                              + "</Code><Message>" + std::string(message) + "</Message></Error>";
-    return HttpResponse{status, "application/xml", {}, body};
+    return makeResponse(status, "application/xml", body);
 }
 
 } // namespace Sagecrank
--- a/Services/PlatformEmulator/Operation.h
+++ b/Services/PlatformEmulator/Operation.h
@@ -2,7 +2,7 @@
 // doing it are apart, because limits, delays and lost answers come between the two.
 #pragma once
 
-#include <EmulatorHttp/HttpServer.h>
+#include <LibNet/HttpMessages.h>
 
 #include <cstdint>
 #include <functional>
--- a/Services/PlatformEmulator/PlatformService.cpp
+++ b/Services/PlatformEmulator/PlatformService.cpp
@@ -21,11 +21,7 @@
 HttpResponse rejected(bool table)
 {
     if (table)
-        return HttpResponse{
-            500,
-            "application/x-amz-json-1.0",
-            {},
-            R"({"__type":"com.amazonaws.dynamodb.v20120810#InternalServerError","message":"rejected"})"};
+        return TableApi::error("InternalServerError", "rejected", 500);
     return ObjectApi::error(500, "InternalError", "rejected");
 }
 
@@ -48,50 +44,52 @@
 {
 }
 
-void PlatformService::handle(const std::shared_ptr<HttpExchange> &exchange)
+void PlatformService::handle(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange)
 {
-    if (exchange->target().starts_with("/emulator/")) {
-        this->control(*exchange);
+    if (request.target.starts_with("/emulator/")) {
+        this->control(request, *exchange);
         return;
     }
     if (this->faults.settings().down) {
         this->refuseDown(*exchange);
         return;
     }
-    const bool table = exchange->target() == "/";
+    const bool table = request.target == "/";
     Operation operation =
-        table ? this->tableApi.operation(exchange->field("X-Amz-Target"), exchange->body())
-              : this->objectApi.operation(exchange->method(), exchange->target(), exchange->body());
+        table ? this->tableApi.operation(findHeader(request.headers, "X-Amz-Target"), request.body)
+              : this->objectApi.operation(request.method, request.target, request.body);
     OperationCount &tableCount = operation.write ? this->counters.tableWrites : this->counters.tableReads;
     OperationCount &objectCount = operation.write ? this->counters.objectWrites : this->counters.objectReads;
-    this->run(exchange, std::move(operation), table, table ? tableCount : objectCount);
+    OperationCount &count = table ? tableCount : objectCount;
+    count.bytesIn += request.body.size();
+    this->run(exchange, std::move(operation), table, count);
 }
 
-void PlatformService::control(HttpExchange &exchange)
+void PlatformService::control(const HttpRequest &request, HttpExchange &exchange)
 {
-    if (exchange.target() == "/emulator/counters") {
-        exchange.answer(HttpResponse{200, "application/json", {}, this->countersJson()});
+    if (request.target == "/emulator/counters") {
+        exchange.respond(makeResponse(200, "application/json", this->countersJson()));
         return;
     }
-    if (exchange.target() != "/emulator/faults" || exchange.method() != "POST") {
-        exchange.answer(
-            HttpResponse{404, "text/plain", {}, "use POST /emulator/faults or GET /emulator/counters\n"});
+    if (request.target != "/emulator/faults" || request.method != "POST") {
+        exchange.respond(
+            makeResponse(404, "text/plain", "use POST /emulator/faults or GET /emulator/counters\n"));
         return;
     }
-    const Result<FaultSettings> settings = readFaults(exchange.body());
+    const Result<FaultSettings> settings = readFaults(request.body);
     if (!settings) {
-        exchange.answer(HttpResponse{400, "text/plain", {}, settings.error().describe() + "\n"});
+        exchange.respond(makeResponse(400, "text/plain", settings.error().describe() + "\n"));
         return;
     }
     this->faults.set(settings.value());
-    exchange.answer(HttpResponse{200, "application/json", {}, "{}"});
+    exchange.respond(makeResponse(200, "application/json", "{}"));
 }
 
 void PlatformService::refuseDown(HttpExchange &exchange)
 {
     ++this->counters.refusedDown;
     if (this->faults.settings().downAnswers)
-        exchange.answer(HttpResponse{503, "text/plain", {}, "service unavailable\n"});
+        exchange.respond(makeResponse(503, "text/plain", "service unavailable\n"));
     else
         exchange.drop();
 }
@@ -100,16 +98,15 @@
                           OperationCount &count)
 {
     ++count.requests;
-    count.bytesIn += exchange->body().size();
     RateLimit &limit = operation.write ? this->writes : this->reads;
     if (!limit.take(operation.units, this->now())) {
         ++count.throttled;
-        exchange->answer(throttled(table));
+        exchange->respond(throttled(table));
         return;
     }
     if (operation.write && this->faults.settings().rejectWrites) {
         ++this->counters.rejectedWrites;
-        exchange->answer(rejected(table));
+        exchange->respond(rejected(table));
         return;
     }
     count.units += operation.units;
@@ -145,10 +142,10 @@
     count.bytesOut += response.body.size();
     const Milliseconds delay = this->faults.settings().answerDelay;
     if (delay.count() == 0) {
-        exchange->answer(std::move(response));
+        exchange->respond(std::move(response));
         return;
     }
-    this->after(delay, [exchange, response = std::move(response)] { exchange->answer(response); });
+    this->after(delay, [exchange, response = std::move(response)] { exchange->respond(response); });
 }
 
 std::string PlatformService::countersJson() const
--- a/Services/PlatformEmulator/PlatformService.h
+++ b/Services/PlatformEmulator/PlatformService.h
@@ -1,7 +1,7 @@
 // The platform's front: takes each HTTP request through faults and limits to the table or the object store.
 #pragma once
 
-#include <EmulatorHttp/HttpServer.h>
+#include <LibNet/HttpServer.h>
 #include <PlatformEmulator/Faults.h>
 #include <PlatformEmulator/ObjectApi.h>
 #include <PlatformEmulator/TableApi.h>
@@ -50,10 +50,10 @@
 
     PlatformService(PlatformSettings settings, After after, Now now);
 
-    void handle(const std::shared_ptr<HttpExchange> &exchange);
+    void handle(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange);
 
 private:
-    void control(HttpExchange &exchange);
+    void control(const HttpRequest &request, HttpExchange &exchange);
     void refuseDown(HttpExchange &exchange);
     void run(const std::shared_ptr<HttpExchange> &exchange, Operation operation, bool table,
              OperationCount &count);
--- a/Services/PlatformEmulator/TableApi.cpp
+++ b/Services/PlatformEmulator/TableApi.cpp
@@ -27,7 +27,7 @@
 
 HttpResponse jsonResponse(unsigned status, const json::value &body)
 {
-    return HttpResponse{status, contentType, {}, json::serialize(body)};
+    return makeResponse(status, contentType, json::serialize(body));
 }
 
 Result<AttributeValue> readValue(const json::value &value)
@@ -440,9 +440,9 @@
     return refusal("ValidationException", operation.error().message);
 }
 
-HttpResponse TableApi::error(std::string_view type, std::string_view message)
+HttpResponse TableApi::error(std::string_view type, std::string_view message, unsigned status)
 {
-    return jsonResponse(400, errorBody(type, message));
+    return jsonResponse(status, errorBody(type, message));
 }
 
 HttpResponse TableApi::once(const std::string &token, const std::string &body,
--- a/Services/PlatformEmulator/TableApi.h
+++ b/Services/PlatformEmulator/TableApi.h
@@ -19,7 +19,7 @@
     // protocol's ValidationException.
     Operation operation(std::string_view target, std::string_view body);
 
-    static HttpResponse error(std::string_view type, std::string_view message);
+    static HttpResponse error(std::string_view type, std::string_view message, unsigned status = 400);
 
 private:
     friend class TableRequest;
--- /dev/null
+++ b/Services/UpstreamEmulator/Announcer.h
@@ -0,0 +1,69 @@
+// Tells the node beside the upstream every second that the upstream is there, and in which state. Decides
+// when a draining upstream may end.
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibMembership/Member.h>
+#include <LibNet/HttpClient.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Sagecrank {
+
+struct AnnounceSettings
+{
+    std::string node; // The node's admin address; empty means that nothing is announced.
+    std::string cluster;
+    std::string address; // Where the node reaches this upstream.
+    std::uint32_t slots = 6;
+    Milliseconds interval{1000};
+};
+
+// When a draining upstream may end. Others learn of the drain through gossip, so calls still come in for a
+// while; ending as soon as nothing runs would cut the next one.
+class DrainEnd
+{
+public:
+    static constexpr Milliseconds leastTime{3000};
+    static constexpr Milliseconds longestTime{
+        60'000}; // Then it ends whatever runs, so that a host can be replaced.
+
+    void begin(Instant now) { this->since = now; }
+    bool draining() const { return this->since.has_value(); }
+    // `nodeInFlight` is none when the node did not answer; then only the upstream's own work counts.
+    bool mayEnd(Instant now, std::size_t running, std::optional<std::uint64_t> nodeInFlight) const;
+
+private:
+    std::optional<Instant> since;
+};
+
+class Announcer
+{
+public:
+    using State = std::function<std::optional<UpstreamState>()>; // None keeps silent.
+    using Answer = std::function<void(std::optional<std::uint64_t> inFlight)>;
+
+    Announcer(boost::asio::io_context &context, AnnounceSettings settings, State state, Answer answer);
+
+    void start() { this->tick(); }
+    // Once, out of turn.
+    void announce(UpstreamState state, Answer answer);
+
+private:
+    void tick();
+
+    boost::asio::steady_timer timer;
+    HttpClient client;
+    AnnounceSettings settings;
+    State state;
+    Answer answer;
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/UpstreamEmulator/Answer.h
@@ -0,0 +1,21 @@
+// The answers of the upstream emulator. Each one carries what it answers, so that a caller can check that it
+// got the whole answer to its own request and to no other.
+#pragma once
+
+#include <LibNet/HttpMessages.h>
+
+#include <string>
+#include <string_view>
+
+namespace Sagecrank {
+
+// The body of a served call, which a caller can work out for itself from its own request:
+//   call=<id> LF method=<method> LF target=<target> LF body=<digest of the request's body> LF [padding]
+// The padding is the call's id over and over until the body has `?answer_bytes=` bytes.
+std::string answerBody(const HttpRequest &request);
+
+HttpResponse servedAnswer(const HttpRequest &request, std::string_view upstream);
+HttpResponse shedAnswer(std::string_view why);
+HttpResponse failedAnswer(std::uint32_t status, std::string_view why);
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/UpstreamEmulator/Main.cpp
@@ -0,0 +1,210 @@
+// sagecrank-upstream-emulator: stands in for a host's service in tests and measurements. Takes work into
+// slots, announces itself to the node beside it, drains on SIGTERM and misbehaves on command.
+#include <UpstreamEmulator/Announcer.h>
+#include <UpstreamEmulator/WorkService.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+using namespace Sagecrank;
+namespace asio = boost::asio;
+namespace options = boost::program_options;
+
+namespace {
+
+constexpr int exitFailure = 1;
+constexpr int exitUsage = 2;
+
+struct Settings
+{
+    std::string listen;
+    std::string name;
+    bool history = false;
+    unsigned threads = 1;
+    AnnounceSettings announce;
+    WorkSettings work;
+    Milliseconds warming{0};
+};
+
+// Owns the threads and joins the parts.
+class Program
+{
+public:
+    explicit Program(Settings settings)
+        : settings(std::move(settings))
+        , history(this->settings.name, this->settings.history)
+        , service(this->settings.work, this->history, [] { return SteadyClock::now(); })
+        , signals(this->mainContext, SIGINT, SIGTERM)
+        , announcer(
+              this->mainContext, this->settings.announce, [this] { return this->announcedState(); },
+              [this](std::optional<std::uint64_t> inFlight) { this->considerEnd(inFlight); })
+        , started(SteadyClock::now())
+    {
+    }
+
+    int run()
+    {
+        for (unsigned index = 0; index < this->settings.threads; ++index) {
+            const Result<void> listening =
+                this->listenOn(index == 0 ? this->mainContext : this->moreContext());
+            if (!listening) {
+                std::cerr << listening.error().describe() << "\n";
+                return listening.error().kind == ErrorKind::InvalidInput ? exitUsage : exitFailure;
+            }
+        }
+        this->awaitSignal();
+        this->announcer.start();
+        std::vector<std::thread> threads;
+        for (const auto &context : this->contexts)
+            threads.emplace_back([&context] { context->run(); });
+        std::cerr << "upstream emulator " << this->settings.name << " listens on " << this->settings.listen
+                  << "\n";
+        this->mainContext.run();
+        for (const auto &context : this->contexts)
+            context->stop();
+        for (std::thread &thread : threads)
+            thread.join();
+        return 0;
+    }
+
+private:
+    asio::io_context &moreContext()
+    {
+        this->contexts.push_back(std::make_unique<asio::io_context>(1));
+        return *this->contexts.back();
+    }
+
+    Result<void> listenOn(asio::io_context &context)
+    {
+        HttpServerSettings server;
+        server.sharePort = this->settings.threads > 1;
+        this->servers.push_back(std::make_unique<HttpServer>(
+            context, server, [this, &context](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+                this->service.handle(context, std::move(request), std::move(exchange));
+            }));
+        return this->servers.back()->listen(this->settings.listen);
+    }
+
+    // The first signal drains; a second one ends at once.
+    void awaitSignal()
+    {
+        this->signals.async_wait([this](const boost::system::error_code &error, int) {
+            if (error)
+                return;
+            if (this->drain.draining() || this->settings.announce.node.empty())
+                return this->mainContext.stop();
+            this->history.record([this] {
+                return UpstreamDraining{this->settings.announce.cluster, this->settings.listen};
+            });
+            this->drain.begin(SteadyClock::now());
+            this->service.beginDrain();
+            this->announcer.announce(UpstreamState::Draining, [](std::optional<std::uint64_t>) {});
+            this->awaitSignal();
+        });
+    }
+
+    std::optional<UpstreamState> announcedState()
+    {
+        if (this->service.silent())
+            return std::nullopt;
+        const UpstreamState state = this->service.reportOutside().state;
+        if (state == UpstreamState::Ready && SteadyClock::now() - this->started < this->settings.warming)
+            return UpstreamState::Warming;
+        return state;
+    }
+
+    void considerEnd(std::optional<std::uint64_t> nodeInFlight)
+    {
+        if (!this->drain.mayEnd(SteadyClock::now(), this->service.report().running, nodeInFlight))
+            return;
+        this->announcer.announce(UpstreamState::Gone,
+                                 [this](std::optional<std::uint64_t>) { this->mainContext.stop(); });
+    }
+
+    Settings settings;
+    HistoryRecorder history;
+    asio::io_context mainContext{1};
+    std::vector<std::unique_ptr<asio::io_context>> contexts; // One for each further thread.
+    WorkService service;
+    std::vector<std::unique_ptr<HttpServer>> servers;
+    asio::signal_set signals;
+    DrainEnd drain;
+    Announcer announcer;
+    Instant started;
+};
+
+options::options_description describe(Settings &settings, std::vector<std::string> &paths,
+                                      long &coldMilliseconds, long &warmingMilliseconds)
+{
+    options::options_description description(
+        "sagecrank-upstream-emulator: a service with slots beside a node");
+    auto add = description.add_options();
+    add("help", "print this text");
+    add("listen", options::value(&settings.listen)->default_value("127.0.0.1:9101"),
+        "address to serve, ip:port");
+    add("name", options::value(&settings.name), "name in histories and answers; the address unless given");
+    add("cluster", options::value(&settings.announce.cluster)->default_value("booking"),
+        "the service's name");
+    add("node-admin", options::value(&settings.announce.node),
+        "admin address of the node beside it; none: no announcement");
+    add("slots", options::value(&settings.work.slots)->default_value(6), "calls that run at one time");
+    add("queue", options::value(&settings.work.maximumWaiting)->default_value(64),
+        "calls that wait inside; one more is shed");
+    add("work", options::value(&paths), "PREFIX=MS[:fixed|exponential|lognormal], may be given often");
+    add("cold-ms", options::value(&coldMilliseconds)->default_value(0),
+        "time over which a cold start wears off");
+    add("cold-factor", options::value(&settings.work.cold.factor)->default_value(10),
+        "slowness at the very start");
+    add("warming-ms", options::value(&warmingMilliseconds)->default_value(0),
+        "time for which it announces that it warms up");
+    add("threads", options::value(&settings.threads)->default_value(1), "threads that serve");
+    add("seed", options::value(&settings.work.seed)->default_value(1), "seed of the service times");
+    add("history", options::bool_switch(&settings.history), "write history events to standard output");
+    return description;
+}
+
+} // namespace
+
+int main(int count, char **arguments)
+{
+    Settings settings;
+    std::vector<std::string> paths;
+    long coldMilliseconds = 0;
+    long warmingMilliseconds = 0;
+    const options::options_description description =
+        describe(settings, paths, coldMilliseconds, warmingMilliseconds);
+    options::variables_map values;
+    try {
+        options::store(options::parse_command_line(count, arguments, description), values);
+        options::notify(values);
+    } catch (const options::error &error) {
+        std::cerr << error.what() << "\n" << description;
+        return exitUsage;
+    }
+    if (values.count("help") != 0) {
+        std::cout << description;
+        return 0;
+    }
+    for (const std::string &text : paths) {
+        const Result<PathTime> path = parsePathTime(text);
+        if (!path) {
+            std::cerr << path.error().describe() << "\n";
+            return exitUsage;
+        }
+        settings.work.paths.push_back(path.value());
+    }
+    if (settings.name.empty())
+        settings.name = settings.listen;
+    settings.threads = std::max(1U, settings.threads);
+    settings.work.name = settings.name;
+    settings.work.cold.length = Milliseconds(coldMilliseconds);
+    settings.warming = Milliseconds(warmingMilliseconds);
+    settings.announce.address = settings.listen;
+    settings.announce.slots = static_cast<std::uint32_t>(settings.work.slots);
+    Program program(std::move(settings));
+    return program.run();
+}
--- /dev/null
+++ b/Services/UpstreamEmulator/WorkService.cpp
@@ -0,0 +1,325 @@
+// The life of a call inside the upstream: shed, waiting, running, ended.
+#include <UpstreamEmulator/WorkService.h>
+
+#include <UpstreamEmulator/Answer.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include <charconv>
+#include <optional>
+
+namespace Sagecrank {
+
+namespace {
+
+constexpr Milliseconds longestLag{600'000};
+constexpr std::size_t maximumPast = 4096;
+
+std::optional<Milliseconds> deadlineOf(const HttpRequest &request)
+{
+    const std::string_view text = findHeader(request.headers, "Sagecrank-Deadline-Ms");
+    std::int64_t milliseconds = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+    if (text.empty() || parsed.ec != std::errc())
+        return std::nullopt;
+    return Milliseconds(milliseconds);
+}
+
+std::string headerText(const HttpRequest &request, std::string_view name)
+{
+    return std::string(findHeader(request.headers, name));
+}
+
+} // namespace
+
+// Everything but its place in the line belongs to the thread of its context.
+class WorkService::Call : public std::enable_shared_from_this<WorkService::Call>
+{
+public:
+    Call(WorkService &service, boost::asio::io_context &context, HttpRequest request,
+         std::shared_ptr<HttpExchange> exchange, std::uint64_t number)
+        : service(service)
+        , context(context)
+        , request(std::move(request))
+        , exchange(std::move(exchange))
+        , number(number)
+    {
+    }
+
+    void arrive();
+    void startOnItsThread();
+
+private:
+    void armDeadline(Milliseconds limit);
+    void shed(std::string_view why);
+    void start();
+    void finish();
+    void abandoned();
+    void deadlinePassed();
+    void leaveLine();
+    void endRunning(std::optional<HttpResponse> response);
+
+    WorkService &service;
+    boost::asio::io_context &context;
+    HttpRequest request;
+    std::shared_ptr<HttpExchange> exchange;
+    std::uint64_t number;
+    std::optional<boost::asio::steady_timer> work;
+    std::optional<boost::asio::steady_timer> deadline;
+    CallFate fate = CallFate::Served;
+    bool running = false; // Holds a slot.
+    bool ended = false;   // Answered or given up on; nothing else happens to it.
+};
+
+void WorkService::Call::arrive()
+{
+    const std::optional<Milliseconds> limit = deadlineOf(this->request);
+    if (limit && limit->count() <= 0)
+        return this->shed("the deadline has passed");
+    SlotVerdict verdict = SlotVerdict::Shed;
+    {
+        const std::lock_guard guard(this->service.lock);
+        this->fate = this->service.faults.drawFate();
+        if (this->fate != CallFate::Shed)
+            verdict = this->service.slots.arrive(this->number);
+        if (verdict == SlotVerdict::Wait)
+            this->service.waitingCalls[this->number] = this->shared_from_this();
+    }
+    if (verdict == SlotVerdict::Shed)
+        return this->shed(this->fate == CallFate::Shed ? "shedding load" : "all slots and the line are full");
+    this->exchange->onAbandoned([self = this->shared_from_this()] { self->abandoned(); });
+    if (limit)
+        this->armDeadline(*limit);
+    if (verdict == SlotVerdict::Start)
+        this->start();
+}
+
+void WorkService::Call::startOnItsThread()
+{
+    boost::asio::post(this->context, [self = this->shared_from_this()] { self->start(); });
+}
+
+void WorkService::Call::armDeadline(Milliseconds limit)
+{
+    this->deadline.emplace(this->context, limit);
+    this->deadline->async_wait([self = this->shared_from_this()](const boost::system::error_code &error) {
+        if (!error)
+            self->deadlinePassed();
+    });
+}
+
+void WorkService::Call::shed(std::string_view why)
+{
+    ++this->service.shed;
+    this->ended = true;
+    this->exchange->respond(shedAnswer(why));
+}
+
+void WorkService::Call::start()
+{
+    if (this->ended) {
+        // It was given up on while its start was under way to this thread; the slot goes on to the next.
+        this->service.startNext();
+        return;
+    }
+    this->running = true;
+    ++this->service.begun;
+    this->service.history.record([this] {
+        return UpstreamBegan{headerText(this->request, "Sagecrank-Call-Id"),
+                             headerText(this->request, "Sagecrank-Attempt"),
+                             headerText(this->request, "Idempotency-Key"), historyDigest(this->request.body)};
+    });
+    Microseconds time{0};
+    {
+        const std::lock_guard guard(this->service.lock);
+        const Duration sinceStart = this->service.now() - this->service.started;
+        time = this->service.times.draw(this->request.target, sinceStart,
+                                        this->service.faults.settings().slowFactor);
+    }
+    if (this->fate == CallFate::Hung)
+        return;
+    if (time.count() == 0 || this->fate == CallFate::Failed)
+        return this->finish();
+    this->work.emplace(this->context, time);
+    this->work->async_wait([self = this->shared_from_this()](const boost::system::error_code &error) {
+        if (!error && !self->ended)
+            self->finish();
+    });
+}
+
+void WorkService::Call::finish()
+{
+    if (this->fate == CallFate::Failed) {
+        ++this->service.failed;
+        return this->endRunning(failedAnswer(500, "failing fast"));
+    }
+    ++this->service.served;
+    this->endRunning(servedAnswer(this->request, this->service.settings.name));
+}
+
+// A queued call that loses its caller or its time never ran; a running one stops where it is.
+void WorkService::Call::abandoned()
+{
+    if (this->ended)
+        return;
+    ++this->service.cancelled;
+    if (this->running)
+        return this->endRunning(std::nullopt);
+    this->ended = true;
+    this->leaveLine();
+}
+
+void WorkService::Call::deadlinePassed()
+{
+    if (this->ended)
+        return;
+    ++this->service.cancelled;
+    if (this->running)
+        return this->endRunning(failedAnswer(504, "the deadline passed while the work ran"));
+    this->leaveLine();
+    this->shed("the deadline passed before the work began");
+}
+
+void WorkService::Call::leaveLine()
+{
+    const std::lock_guard guard(this->service.lock);
+    this->service.slots.leave(this->number);
+    this->service.waitingCalls.erase(this->number);
+}
+
+// No answer means that the caller has gone.
+void WorkService::Call::endRunning(std::optional<HttpResponse> response)
+{
+    this->ended = true;
+    if (this->work)
+        this->work->cancel();
+    if (this->deadline)
+        this->deadline->cancel();
+    this->service.history.record([&] {
+        return UpstreamEnded{headerText(this->request, "Sagecrank-Call-Id"),
+                             headerText(this->request, "Sagecrank-Attempt"), response ? response->status : 0,
+                             response ? historyDigest(response->body) : std::string(),
+                             !response || response->status == 504};
+    });
+    this->service.startNext();
+    if (!response)
+        return;
+    if (this->fate == CallFate::Dropped)
+        this->exchange->drop();
+    else
+        this->exchange->respond(std::move(*response));
+}
+
+WorkService::WorkService(WorkSettings settings, HistoryRecorder &history, Now now)
+    : settings(std::move(settings))
+    , history(history)
+    , now(std::move(now))
+    , started(this->now())
+    , slots(this->settings.slots, this->settings.maximumWaiting)
+    , times(this->settings.paths, this->settings.cold, this->settings.seed)
+{
+}
+
+WorkService::~WorkService() = default;
+
+void WorkService::handle(boost::asio::io_context &context, HttpRequest request,
+                         std::shared_ptr<HttpExchange> exchange)
+{
+    const std::string_view target = request.target;
+    if (target.starts_with("/emulator/") || target == "/health") {
+        this->control(request, *exchange);
+        return;
+    }
+    const auto call = std::make_shared<Call>(*this, context, std::move(request), std::move(exchange),
+                                             this->nextCall.fetch_add(1, std::memory_order_relaxed));
+    call->arrive();
+}
+
+void WorkService::startNext()
+{
+    std::shared_ptr<Call> next;
+    {
+        const std::lock_guard guard(this->lock);
+        const std::optional<std::uint64_t> number = this->slots.finish();
+        if (!number)
+            return;
+        const auto found = this->waitingCalls.find(*number);
+        next = found->second;
+        this->waitingCalls.erase(found);
+    }
+    next->startOnItsThread();
+}
+
+void WorkService::control(const HttpRequest &request, HttpExchange &exchange)
+{
+    if (request.target == "/health") {
+        const UpstreamReport seen = this->reportOutside();
+        const std::string body = "{\"state\":\"" + std::string(upstreamStateNames.name(seen.state))
+                                 + "\",\"running\":" + std::to_string(seen.running)
+                                 + ",\"waiting\":" + std::to_string(seen.waiting) + "}";
+        const bool ready = seen.state == UpstreamState::Ready;
+        return exchange.respond(makeResponse(ready ? 200 : 503, "application/json", body));
+    }
+    if (request.target == "/emulator/counters")
+        return exchange.respond(makeResponse(200, "application/json", this->countersJson()));
+    if (request.target != "/emulator/faults" || request.method != "POST")
+        return exchange.respond(
+            makeResponse(404, "text/plain", "use /emulator/faults or /emulator/counters\n"));
+    const Result<UpstreamFaultSettings> wanted = readUpstreamFaults(request.body);
+    if (!wanted)
+        return exchange.respond(makeResponse(400, "text/plain", wanted.error().describe() + "\n"));
+    {
+        const std::lock_guard guard(this->lock);
+        this->faults.set(wanted.value());
+    }
+    exchange.respond(makeResponse(200, "application/json", "{}"));
+}
+
+UpstreamReport WorkService::report() const
+{
+    const std::lock_guard guard(this->lock);
+    return UpstreamReport{this->state, this->slots.running(), this->slots.waiting()};
+}
+
+UpstreamReport WorkService::reportOutside()
+{
+    const UpstreamReport truth = this->report();
+    const Instant when = this->now();
+    const std::lock_guard guard(this->lock);
+    this->past.emplace_back(when, truth);
+    while (this->past.front().first < when - longestLag || this->past.size() > maximumPast)
+        this->past.pop_front();
+    const UpstreamFaultSettings &fault = this->faults.settings();
+    if (fault.misleadingHealth)
+        return UpstreamReport{UpstreamState::Ready, 0, 0};
+    UpstreamReport seen = this->past.front().second;
+    for (const auto &[time, old] : this->past) {
+        if (time <= when - fault.healthLag)
+            seen = old;
+    }
+    return seen;
+}
+
+bool WorkService::silent() const
+{
+    const std::lock_guard guard(this->lock);
+    return this->faults.settings().silent;
+}
+
+std::string WorkService::countersJson() const
+{
+    const UpstreamReport now = this->report();
+    boost::json::object all;
+    all["begun"] = this->begun.load();
+    all["served"] = this->served.load();
+    all["cancelled"] = this->cancelled.load();
+    all["shed"] = this->shed.load();
+    all["failed"] = this->failed.load();
+    all["running"] = now.running;
+    all["waiting"] = now.waiting;
+    return boost::json::serialize(all);
+}
+
+} // namespace Sagecrank
