Caller: Add visitors whose every call is in the history

At most once and "not run" can only be judged when the same key is sent again through other nodes, and twice at once, while faults go on. sagecrank-caller does that with as many visitors as asked for and records each call before it is sent and once it is answered or lost.

Builds; not run against a node yet, since there is none. The linter is clean on these files but for a constant in LibNet/HttpClient.h.

--- /dev/null
+++ b/Utilities/Caller/Visitor.cpp
@@ -0,0 +1,153 @@
+#include "Visitor.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace Sagecrank {
+
+namespace {
+
+constexpr std::uint32_t maximumSendings = 5; // Of one key; a person gives up some time.
+constexpr Duration longestWait = Milliseconds(500);
+
+std::uint64_t numberFromText(std::string_view text)
+{
+    std::uint64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+CallerAnswered answeredEvent(const std::string &call, const HttpResponse &response)
+{
+    CallerAnswered event;
+    event.call = call;
+    event.status = response.status;
+    event.outcome = findHeader(response.headers, "Sagecrank-Outcome");
+    event.reason = findHeader(response.headers, "Sagecrank-Reason");
+    event.replayed = findHeader(response.headers, "Sagecrank-Replayed") == "true";
+    event.body = historyDigest(response.body);
+    event.retryAfterMilliseconds = numberFromText(findHeader(response.headers, "Sagecrank-Retry-After-Ms"));
+    event.echo = findHeader(response.headers, "Sagecrank-Call-Id");
+    return event;
+}
+
+} // namespace
+
+Visitor::Visitor(boost::asio::io_context &context, HttpClient &client, HistoryRecorder &history,
+                 const VisitorSettings &settings, std::uint32_t number, std::uint64_t seed)
+    : timer(context)
+    , client(client)
+    , history(history)
+    , settings(settings)
+    , prefix(settings.name + "." + std::to_string(number))
+    , random(seed)
+{
+}
+
+void Visitor::start(Instant end)
+{
+    this->end = end;
+    this->pause(Milliseconds(this->random() % (this->settings.longestPause.count() + 1)),
+                &Visitor::nextErrand);
+}
+
+bool Visitor::draw(double share)
+{
+    return std::uniform_real_distribution<double>(0, 1)(this->random) < share;
+}
+
+void Visitor::pause(Duration time, void (Visitor::*then)())
+{
+    this->timer.expires_after(time);
+    this->timer.async_wait([self = this->shared_from_this(), then](const boost::system::error_code &error) {
+        if (!error)
+            ((*self).*then)();
+    });
+}
+
+void Visitor::nextErrand()
+{
+    if (SteadyClock::now() >= this->end)
+        return;
+    const std::string id = this->prefix + "-" + std::to_string(++this->errands);
+    const double kind = std::uniform_real_distribution<double>(0, 1)(this->random);
+    this->errand = Booking{};
+    if (kind < this->settings.keyedShare + this->settings.keylessShare) {
+        this->errand.method = "POST";
+        this->errand.target = this->settings.bookTarget;
+        this->errand.body = "tour for " + id;
+        if (kind < this->settings.keyedShare)
+            this->errand.key = "key-" + id;
+    } else {
+        this->errand.method = "GET";
+        this->errand.target = this->settings.lookupTarget;
+        this->errand.idempotent = true;
+    }
+    this->errandSettled = false;
+    this->waitBeforeAgain = Duration::zero();
+    const bool twice = !this->errand.key.empty() && this->draw(this->settings.doubleShare);
+    this->openCalls = twice ? 2 : 1;
+    this->send();
+    if (twice)
+        this->send();
+}
+
+void Visitor::send()
+{
+    ++this->errand.sendings;
+    const std::string call = this->prefix + "." + std::to_string(++this->calls);
+    const std::string &node = this->settings.nodes[this->random() % this->settings.nodes.size()];
+    CallerSent sent;
+    sent.call = call;
+    sent.key = this->errand.key;
+    sent.method = this->errand.method;
+    sent.target = this->errand.target;
+    sent.callClass = this->errand.idempotent ? "interactive" : "non_idempotent";
+    sent.idempotent = this->errand.idempotent;
+    sent.node = node;
+    sent.body = historyDigest(this->errand.body);
+    HttpRequest request{this->errand.method, this->errand.target, {}, this->errand.body};
+    request.headers.push_back({"Host", node});
+    request.headers.push_back({"Sagecrank-Call-Id", call});
+    if (!this->errand.key.empty())
+        request.headers.push_back({"Idempotency-Key", this->errand.key});
+    if (this->draw(this->settings.deadlineShare)) {
+        sent.deadlineMilliseconds = std::uint64_t(this->settings.deadline.count());
+        request.headers.push_back({"Sagecrank-Deadline-Ms", std::to_string(sent.deadlineMilliseconds)});
+    }
+    this->history.record(std::move(sent));
+    this->client.send(
+        node, std::move(request), this->settings.patience,
+        [self = this->shared_from_this(), call](const HttpFailure *failure, const HttpResponse &response) {
+            if (failure != nullptr) {
+                self->history.record(CallerLost{call, failure->error.describe()});
+                return self->closed(false, Duration::zero());
+            }
+            const CallerAnswered answered = answeredEvent(call, response);
+            self->history.record(answered);
+            self->closed(answered.outcome == "done", Milliseconds(answered.retryAfterMilliseconds));
+        });
+}
+
+void Visitor::closed(bool settled, Duration comeBack)
+{
+    this->errandSettled = this->errandSettled || settled;
+    this->waitBeforeAgain = std::max(this->waitBeforeAgain, std::min(comeBack, longestWait));
+    if (--this->openCalls > 0)
+        return;
+    const bool again = !this->errandSettled && !this->errand.key.empty()
+                       && this->errand.sendings < maximumSendings && SteadyClock::now() < this->end;
+    if (again)
+        return this->pause(this->waitBeforeAgain, &Visitor::sendAgain);
+    this->pause(Milliseconds(this->random() % (this->settings.longestPause.count() + 1)),
+                &Visitor::nextErrand);
+}
+
+void Visitor::sendAgain()
+{
+    this->openCalls = 1;
+    this->send();
+}
+
+} // namespace Sagecrank
