Node: Test the local gate and the peer link under failure

Cause: what a node says of a call's effect has to be true when upstreams die, connections fall silent and drains begin. Change: tests of both against fakes on loopback; a drain asks callers to turn elsewhere with each answer before the port closes.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -290,9 +290,14 @@
     return addressText(this->state->acceptor.local_endpoint(ignored));
 }
 
-void HttpServer::stopAccepting()
+void HttpServer::askToClose()
 {
     this->state->closing = true;
+}
+
+void HttpServer::stopAccepting()
+{
+    this->askToClose();
     beast::error_code ignored;
     this->state->acceptor.close(ignored);
 }
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -52,7 +52,10 @@
     Result<void> listen(const std::string &address);
     std::string address() const; // Where it listens.
 
-    // No new connections; those that are open are told to close with their next answer.
+    // Each answer from now on asks the caller to close its connection and turn elsewhere.
+    void askToClose();
+
+    // No new connections. Implies askToClose().
     void stopAccepting();
 
     // Ends idle connections too. Runs on the server's thread.
--- a/Services/Node/CallerFrontend.cpp
+++ b/Services/Node/CallerFrontend.cpp
@@ -60,6 +60,33 @@
     return milliseconds && *milliseconds > 0 ? std::string_view() : "bad_deadline";
 }
 
+// Says once that a call began and once that it ended, however it ends.
+class OpenCall
+{
+public:
+    OpenCall(const std::function<void()> &began, std::function<void()> ended)
+        : ended(std::move(ended))
+    {
+        began();
+    }
+    ~OpenCall() { this->end(); }
+    OpenCall(const OpenCall &) = delete;
+    OpenCall &operator=(const OpenCall &) = delete;
+
+    void end()
+    {
+        if (!this->over)
+            this->ended();
+        this->over = true;
+    }
+
+    std::weak_ptr<ForwardedCall> running; // The connection must not keep a call alive that has ended.
+
+private:
+    std::function<void()> ended;
+    bool over = false;
+};
+
 } // namespace
 
 CallerFrontend::CallerFrontend(ForwardingContext &context, Milliseconds maximumTimeout,
@@ -95,20 +122,22 @@
     CallRequest call = makeCall(std::move(request), *route);
     if (call.callerCallId.empty())
         call.callerCallId = this->context.ids.next();
-    auto slot = std::make_shared<std::weak_ptr<ForwardedCall>>();
+    const auto open = std::make_shared<OpenCall>(this->hooks.began, this->hooks.ended);
     const auto forwarded = std::make_shared<ForwardedCall>(
         this->context, worker, std::move(plan), call,
-        [this, exchange, slot, route = *route, call, arrived](CallResponse response) {
-            const auto self = slot->lock();
+        [this, exchange, open, route = *route, call, arrived](CallResponse response) {
+            const auto self = open->running.lock();
             if (this->hooks.answered)
                 this->hooks.answered(call, route, response, SteadyClock::now() - arrived,
                                      self ? self->attemptsMade() : 0);
             exchange->respond(makeAnswer(std::move(response), call.traceParent, call.callerCallId));
+            open->end();
         });
-    *slot = forwarded;
-    exchange->onAbandoned([slot] {
-        if (const auto self = slot->lock())
+    open->running = forwarded;
+    exchange->onAbandoned([open] {
+        if (const auto self = open->running.lock())
             self->abandon();
+        open->end();
     });
     forwarded->start();
 }
--- a/Services/Node/CallerFrontend.h
+++ b/Services/Node/CallerFrontend.h
@@ -29,6 +29,9 @@
     // Nothing when no route matches. Reads the configuration snapshot; safe on every request thread.
     std::function<std::optional<RouteChoice>(std::string_view method, std::string_view path)> route;
     std::function<bool()> holdsConfiguration;
+    // Every call that got past its checks begins and ends once, answered or given up by its caller.
+    std::function<void()> began;
+    std::function<void()> ended;
     // Told of each answered call, for metrics and spans.
     std::function<void(const CallRequest &, const RouteChoice &, const CallResponse &, Duration took,
                        std::uint32_t attempts)>
--- a/Services/Node/Worker.cpp
+++ b/Services/Node/Worker.cpp
@@ -60,6 +60,11 @@
         this->thread.join();
 }
 
+void Worker::askCallersToClose()
+{
+    boost::asio::post(this->context, [this] { this->callerServer.askToClose(); });
+}
+
 void Worker::stopAccepting()
 {
     boost::asio::post(this->context, [this] { this->callerServer.stopAccepting(); });
--- a/Services/Node/Worker.h
+++ b/Services/Node/Worker.h
@@ -34,7 +34,9 @@
     void start();
     void stop(); // Ends the thread; calls that are under way end with their connections.
 
-    void stopAccepting(); // From any thread.
+    // From any thread.
+    void askCallersToClose();
+    void stopAccepting();
 
     boost::asio::io_context &ioContext() { return this->context; }
     GateHome gateHome() { return {this->context, this->client}; }
--- /dev/null
+++ b/Tests/Node/GateFixture.h
@@ -0,0 +1,98 @@
+// A local gate before a fake upstream on loopback, with claims that the test answers by hand.
+#pragma once
+
+#include <LibNet/HttpServer.h>
+#include <Node/GateCall.h>
+#include <Node/LocalGate.h>
+
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Sagecrank {
+
+class GateFixture
+{
+public:
+    GateFixture()
+        : upstream(this->context, HttpServerSettings{},
+                   [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+                       this->began.push_back(request);
+                       this->exchanges.push_back(std::move(exchange));
+                   })
+        , gate("gate", this->claimHooks(), this->history, {})
+    {
+        cr_assert(this->upstream.listen("127.0.0.1:0").has_value());
+        this->announce(1, UpstreamCondition::Ready);
+    }
+
+    void announce(std::uint32_t slots, UpstreamCondition condition)
+    {
+        this->gate.announce({"booking", this->upstream.address(), slots, condition});
+    }
+
+    std::shared_ptr<GateCall> submit(const std::string &name, CallClass callClass, const std::string &key,
+                                     Milliseconds remaining = std::chrono::seconds(30),
+                                     bool idempotent = false)
+    {
+        CallRequest request;
+        request.cluster = "booking";
+        request.callClass = callClass;
+        request.idempotent = idempotent;
+        request.remainingMicroseconds = static_cast<std::uint64_t>(Microseconds(remaining).count());
+        request.attempt = name;
+        request.callerCallId = name;
+        request.idempotencyKey = key;
+        request.method = "POST";
+        request.target = "/" + name;
+        return this->gate.submit(
+            {this->context, this->client}, std::move(request),
+            [this, name](CallResponse response) { this->answers[name] = std::move(response); });
+    }
+
+    // Runs the loop until the condition holds; the bound only ends a test that fails.
+    bool runUntil(const std::function<bool()> &condition)
+    {
+        this->context.restart();
+        const Instant limit = SteadyClock::now() + std::chrono::seconds(20);
+        while (!condition() && SteadyClock::now() < limit)
+            this->context.run_one_for(Milliseconds(50));
+        return condition();
+    }
+
+    bool answered(const std::string &name) const { return this->answers.contains(name); }
+
+    boost::asio::io_context context{1};
+    HttpClient client{this->context, HttpClientSettings{}};
+    std::vector<HttpRequest> began; // What the upstream was given, in order.
+    std::vector<std::shared_ptr<HttpExchange>> exchanges;
+    HttpServer upstream;
+    HistoryRecorder history{"gate", false};
+    std::map<std::string, CallResponse> answers;
+    std::vector<std::function<void(ClaimAnswer)>> claims; // Waiting for the test's answer.
+    std::vector<std::string> recorded;
+    std::vector<std::string> released;
+    LocalGate gate;
+
+private:
+    ClaimHooks claimHooks()
+    {
+        ClaimHooks hooks;
+        hooks.claim = [this](const std::string &, const std::string &, Instant,
+                             std::function<void(ClaimAnswer)> done) {
+            this->claims.push_back(std::move(done));
+        };
+        hooks.record = [this](const std::string &key, const std::string &, const RecordedAnswer &) {
+            this->recorded.push_back(key);
+        };
+        hooks.release = [this](const std::string &key, const std::string &) {
+            this->released.push_back(key);
+        };
+        return hooks;
+    }
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Tests/Node/TestLocalGate.cpp
@@ -0,0 +1,221 @@
+// What the gate says of a call, and whether that is true: judged against what the upstream was given.
+#include "GateFixture.h"
+
+#include <Support/TableTest.h>
+
+#include <thread>
+
+using namespace Sagecrank;
+
+namespace {
+
+struct ShutRow
+{
+    UpstreamCondition condition;
+    const char *reason;
+};
+
+const ShutRow shutRows[] = {
+    {UpstreamCondition::Draining, "draining"},
+    {UpstreamCondition::NotReady, "not_ready"},
+};
+
+struct ClaimRow
+{
+    ClaimVerdict verdict;
+    Outcome outcome;
+    std::uint32_t status;
+    bool replayed;
+};
+
+const ClaimRow claimRows[] = {
+    {ClaimVerdict::AlreadyDone, Outcome::Done, 201, true},
+    {ClaimVerdict::InProgress, Outcome::Unknown, 409, false},
+    {ClaimVerdict::NotClaimed, Outcome::NotRun, 503, false},
+};
+
+} // namespace
+
+Test(localGate, runsAndAnswers)
+{
+    GateFixture fixture;
+    fixture.submit("one", CallClass::Interactive, "");
+    cr_assert(fixture.runUntil([&] { return fixture.began.size() == 1; }));
+    cr_assert(fixture.began[0].target == "/one");
+    cr_assert(findHeader(fixture.began[0].headers, "Sagecrank-Attempt") == "one");
+    cr_assert(fixture.gate.inFlight() == 1);
+    fixture.exchanges[0]->respond(makeResponse(200, "text/plain", "open"));
+    cr_assert(fixture.runUntil([&] { return fixture.answered("one"); }));
+    cr_assert(fixture.answers["one"].outcome == Outcome::Done);
+    cr_assert(fixture.answers["one"].body == "open");
+    cr_assert(fixture.gate.inFlight() == 0);
+}
+
+// The upstream leaves or is gone. The caller is told at once that its call did not run and when to come back,
+// and the upstream sees nothing of it.
+TABLE_TEST(localGate, shutGateRefusesAtOnce, shutRows)
+{
+    GateFixture fixture;
+    fixture.announce(1, row.condition);
+    fixture.submit("one", CallClass::NonIdempotent, "");
+    cr_assert(fixture.answered("one"));
+    cr_assert(fixture.answers["one"].outcome == Outcome::NotRun);
+    cr_assert(fixture.answers["one"].reason == row.reason);
+    cr_assert(fixture.answers["one"].retryAfterMilliseconds > 0);
+    cr_assert(fixture.began.empty());
+}
+
+// A second reservation with the same key arrives while the first one's fate is known, unknown, or cannot be
+// asked. Whatever the table says, this attempt must not reach the upstream.
+TABLE_TEST(localGate, runsNothingWithoutAClaim, claimRows)
+{
+    GateFixture fixture;
+    fixture.submit("again", CallClass::NonIdempotent, "key-1");
+    cr_assert(fixture.claims.size() == 1);
+    ClaimAnswer answer;
+    answer.verdict = row.verdict;
+    answer.recorded = {201, "text/plain", "reserved", true};
+    answer.retryAfter = Milliseconds(1500);
+    fixture.claims[0](answer);
+    cr_assert(fixture.runUntil([&] { return fixture.answered("again"); }));
+    cr_assert(fixture.answers["again"].outcome == row.outcome);
+    cr_assert(fixture.answers["again"].status == row.status);
+    cr_assert(fixture.answers["again"].replayed == row.replayed);
+    cr_assert(fixture.began.empty());
+    cr_assert(fixture.released.empty());
+}
+
+// The table answers a claim only after the call's deadline: the holder was paused, or the table slow. The
+// caller has been told "unknown" or has gone; starting now would run a reservation nobody waits for. The
+// claim is released.
+Test(localGate, lateClaimStartsNothing)
+{
+    GateFixture fixture;
+    fixture.submit("late", CallClass::NonIdempotent, "key-1", Milliseconds(20));
+    std::this_thread::sleep_for(Milliseconds(30));
+    fixture.claims[0]({ClaimVerdict::Claimed, {}, {}});
+    cr_assert(fixture.runUntil([&] { return fixture.answered("late"); }));
+    cr_assert(fixture.answers["late"].outcome == Outcome::NotRun);
+    cr_assert(fixture.answers["late"].claimHeld);
+    cr_assert(fixture.released == std::vector<std::string>{"key-1"});
+    cr_assert(fixture.began.empty());
+}
+
+// A keyed call runs; its answer is recorded before any retry can ask for it.
+Test(localGate, recordsTheAnswerOfAKeyedCall)
+{
+    GateFixture fixture;
+    fixture.submit("one", CallClass::NonIdempotent, "key-1");
+    fixture.claims[0]({ClaimVerdict::Claimed, {}, {}});
+    cr_assert(fixture.runUntil([&] { return fixture.began.size() == 1; }));
+    fixture.exchanges[0]->respond(makeResponse(201, "text/plain", "reserved"));
+    cr_assert(fixture.runUntil([&] { return fixture.answered("one"); }));
+    cr_assert(fixture.recorded == std::vector<std::string>{"key-1"});
+    cr_assert(fixture.released.empty());
+}
+
+// The upstream dies under a call. Nobody knows whether the reservation was made, so it is "unknown" and never
+// "not run", and its key stays claimed.
+Test(localGate, brokenConnectionIsUnknown)
+{
+    GateFixture fixture;
+    fixture.submit("one", CallClass::NonIdempotent, "key-1");
+    fixture.claims[0]({ClaimVerdict::Claimed, {}, {}});
+    cr_assert(fixture.runUntil([&] { return fixture.began.size() == 1; }));
+    fixture.upstream.closeAll();
+    cr_assert(fixture.runUntil([&] { return fixture.answered("one"); }));
+    cr_assert(fixture.answers["one"].outcome == Outcome::Unknown);
+    cr_assert(fixture.released.empty());
+    cr_assert(fixture.recorded.empty());
+}
+
+// Nobody listens at the upstream's address. No byte left, so the call did not run, and its key is free again.
+Test(localGate, unreachableUpstreamIsNotRun)
+{
+    GateFixture fixture;
+    fixture.gate.announce({"booking", "127.0.0.1:1", 1, UpstreamCondition::Ready});
+    fixture.submit("one", CallClass::NonIdempotent, "key-1");
+    fixture.claims[0]({ClaimVerdict::Claimed, {}, {}});
+    cr_assert(fixture.runUntil([&] { return fixture.answered("one"); }));
+    cr_assert(fixture.answers["one"].outcome == Outcome::NotRun);
+    cr_assert(fixture.released == std::vector<std::string>{"key-1"});
+}
+
+// The upstream sheds: it answers that it did not run the call. That word is passed on with its time to come
+// back.
+Test(localGate, sheddingIsNotRun)
+{
+    GateFixture fixture;
+    fixture.submit("one", CallClass::Interactive, "");
+    cr_assert(fixture.runUntil([&] { return fixture.began.size() == 1; }));
+    HttpResponse shed = makeResponse(503, "text/plain", "busy");
+    shed.headers.push_back({"Sagecrank-Outcome", "not-run"});
+    shed.headers.push_back({"Retry-After", "2"});
+    fixture.exchanges[0]->respond(shed);
+    cr_assert(fixture.runUntil([&] { return fixture.answered("one"); }));
+    cr_assert(fixture.answers["one"].outcome == Outcome::NotRun);
+    cr_assert(fixture.answers["one"].retryAfterMilliseconds == 2000);
+}
+
+// One slot is taken by a call that never ends. A second one waits; its caller gives up. It must never reach
+// the upstream, also after the slot is free.
+Test(localGate, cancelledWhileWaitingNeverRuns)
+{
+    GateFixture fixture;
+    fixture.submit("first", CallClass::Interactive, "");
+    const auto second = fixture.submit("second", CallClass::Interactive, "");
+    cr_assert(fixture.runUntil([&] { return fixture.began.size() == 1; }));
+    cr_assert(fixture.gate.queued() == 1);
+    fixture.gate.cancel(second);
+    cr_assert(fixture.answers["second"].outcome == Outcome::NotRun);
+    fixture.exchanges[0]->respond(makeResponse(200, "text/plain", ""));
+    cr_assert(fixture.runUntil([&] { return fixture.answered("first"); }));
+    // A third call takes the freed slot: had the second one been started, it would stand before it.
+    fixture.submit("third", CallClass::Interactive, "");
+    cr_assert(fixture.runUntil([&] { return fixture.began.size() == 2; }));
+    cr_assert(fixture.began[1].target == "/third");
+    fixture.exchanges[1]->respond(makeResponse(200, "text/plain", ""));
+    cr_assert(fixture.runUntil([&] { return fixture.answered("third"); }));
+    cr_assert(fixture.gate.inFlight() == 0);
+}
+
+// A drain begins while one call runs and another waits: the running one gets its whole answer, the waiting
+// one is told at once that it did not run.
+Test(localGate, drainFinishesWhatRuns)
+{
+    GateFixture fixture;
+    fixture.submit("running", CallClass::NonIdempotent, "");
+    fixture.submit("waiting", CallClass::NonIdempotent, "");
+    cr_assert(fixture.runUntil([&] { return fixture.began.size() == 1; }));
+    fixture.announce(1, UpstreamCondition::Draining);
+    cr_assert(fixture.runUntil([&] { return fixture.answered("waiting"); }));
+    cr_assert(fixture.answers["waiting"].outcome == Outcome::NotRun);
+    cr_assert(!fixture.answered("running"));
+    fixture.exchanges[0]->respond(makeResponse(200, "text/plain", "whole"));
+    cr_assert(fixture.runUntil([&] { return fixture.answered("running"); }));
+    cr_assert(fixture.answers["running"].body == "whole");
+    cr_assert(fixture.gate.inFlight() == 0);
+}
+
+// A caller gives up on a running reservation. Cutting it off would leave nobody knowing whether it ran; it
+// goes on and its answer is recorded for the caller's retry.
+Test(localGate, runningReservationIsNotCutOff)
+{
+    GateFixture fixture;
+    const auto call = fixture.submit("one", CallClass::NonIdempotent, "key-1");
+    fixture.claims[0]({ClaimVerdict::Claimed, {}, {}});
+    cr_assert(fixture.runUntil([&] { return fixture.began.size() == 1; }));
+    fixture.gate.cancel(call);
+    fixture.exchanges[0]->respond(makeResponse(201, "text/plain", "reserved"));
+    cr_assert(fixture.runUntil([&] { return !fixture.recorded.empty(); }));
+}
+
+// A host changes its service while another node's view is old: its calls are for a service that is not here.
+Test(localGate, refusesAnotherServicesCalls)
+{
+    GateFixture fixture;
+    fixture.gate.announce({"entry", fixture.upstream.address(), 1, UpstreamCondition::Ready});
+    fixture.submit("one", CallClass::Interactive, "");
+    cr_assert(fixture.answers["one"].outcome == Outcome::NotRun);
+    cr_assert(fixture.began.empty());
+}
--- /dev/null
+++ b/Tests/Node/TestPeerLink.cpp
@@ -0,0 +1,232 @@
+// The connection to another node when the other side is late, out of order, silent, or gone.
+#include <Node/PeerLink.h>
+
+#include <Support/TableTest.h>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <map>
+
+using namespace Sagecrank;
+using boost::asio::ip::tcp;
+
+namespace {
+
+// The other node: accepts connections and collects calls; the test answers them.
+class FakePeer
+{
+public:
+    explicit FakePeer(boost::asio::io_context &context)
+        : acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    {
+        this->accept();
+    }
+
+    std::string address() const { return addressText(this->acceptor.local_endpoint()); }
+
+    void answer(std::size_t index, const std::string &body)
+    {
+        CallResponse response;
+        response.callId = this->calls[index].callId;
+        response.outcome = Outcome::Done;
+        response.status = 200;
+        response.body = body;
+        this->connections.back()->send(encodeFrame(FrameType::CallResponse, response));
+    }
+
+    std::vector<CallRequest> calls;
+    std::vector<std::shared_ptr<FramedConnection>> connections;
+    bool answersPings = true;
+    int cancels = 0;
+
+private:
+    void accept()
+    {
+        this->acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
+            if (error)
+                return;
+            const auto connection = std::make_shared<FramedConnection>(
+                std::move(socket), maximumFrameSize,
+                FramedConnectionHooks{
+                    [this](FrameType type, std::span<const char> payload) { this->take(type, payload); },
+                    [](const Error &) {}});
+            this->connections.push_back(connection);
+            connection->start();
+            this->accept();
+        });
+    }
+
+    void take(FrameType type, std::span<const char> payload)
+    {
+        if (type == FrameType::CallRequest)
+            this->calls.push_back(decode<CallRequest>(payload, "test", "").value());
+        if (type == FrameType::CallCancel)
+            ++this->cancels;
+        if (type == FrameType::Ping && this->answersPings)
+            this->connections.back()->send(
+                encodeFrame(FrameType::Pong, decode<Heartbeat>(payload, "test", "").value()));
+    }
+
+    tcp::acceptor acceptor;
+};
+
+class LinkFixture
+{
+public:
+    LinkFixture()
+        : peer(this->context)
+        , link(std::make_shared<PeerLink>(this->context, this->peer.address(), this->settings()))
+    {
+    }
+
+    std::uint64_t call(const std::string &name)
+    {
+        CallRequest request;
+        request.cluster = "booking";
+        request.attempt = name;
+        return this->link->call(
+            request, [this, name](CallResponse response) { this->answers[name] = std::move(response); });
+    }
+
+    bool runUntil(const std::function<bool()> &condition)
+    {
+        const Instant limit = SteadyClock::now() + std::chrono::seconds(20);
+        while (!condition() && SteadyClock::now() < limit)
+            this->context.run_one_for(Milliseconds(20));
+        return condition();
+    }
+
+    static PeerLinkSettings settings()
+    {
+        PeerLinkSettings settings;
+        settings.ownId = "a1";
+        settings.silence = Milliseconds(100);
+        return settings;
+    }
+
+    boost::asio::io_context context{1};
+    FakePeer peer;
+    std::shared_ptr<PeerLink> link;
+    std::map<std::string, CallResponse> answers;
+};
+
+struct OrderRow
+{
+    std::vector<std::size_t> order;
+};
+
+const OrderRow orderRows[] = {{{0, 1, 2}}, {{2, 1, 0}}, {{1, 2, 0}}};
+
+} // namespace
+
+// Three callers share one connection and the answers come in any order. Each must get its own.
+TABLE_TEST(peerLink, eachCallGetsItsOwnAnswer, orderRows)
+{
+    LinkFixture fixture;
+    for (const char *name : {"0", "1", "2"})
+        fixture.call(name);
+    cr_assert(fixture.runUntil([&] { return fixture.peer.calls.size() == 3; }));
+    for (const std::size_t index : row.order)
+        fixture.peer.answer(index, fixture.peer.calls[index].attempt);
+    cr_assert(fixture.runUntil([&] { return fixture.answers.size() == 3; }));
+    for (const char *name : {"0", "1", "2"})
+        cr_assert(fixture.answers[name].body == name);
+    cr_assert(fixture.peer.connections.size() == 1);
+}
+
+// Something between the two ends loses track of the connection: it stays open and silent while new ones work.
+// The call on it ends as unknown after the allowed silence, and the next call goes through on a new
+// connection.
+Test(peerLink, silentConnectionIsReplaced)
+{
+    LinkFixture fixture;
+    fixture.peer.answersPings = false;
+    fixture.call("lost");
+    cr_assert(fixture.runUntil([&] { return fixture.answers.contains("lost"); }));
+    cr_assert(fixture.answers["lost"].outcome == Outcome::Unknown);
+    fixture.peer.answersPings = true;
+    fixture.call("next");
+    cr_assert(fixture.runUntil([&] { return fixture.peer.calls.size() == 2; }));
+    fixture.peer.answer(1, "next");
+    cr_assert(fixture.runUntil([&] { return fixture.answers.contains("next"); }));
+    cr_assert(fixture.answers["next"].outcome == Outcome::Done);
+    cr_assert(fixture.peer.connections.size() == 2);
+}
+
+// The same, when every call gives up before the allowed silence is over and a new one follows at once. A
+// clock that starts anew with each call would never find the silence, and every call would go into the dead
+// connection.
+Test(peerLink, silenceIsFoundUnderShortDeadlines)
+{
+    LinkFixture fixture;
+    fixture.peer.answersPings = false;
+    int calls = 0;
+    const auto callAndGiveUp = [&] {
+        const std::uint64_t id = fixture.call("short");
+        ++calls;
+        const Instant until = SteadyClock::now() + Milliseconds(30);
+        fixture.runUntil([&] { return SteadyClock::now() >= until; });
+        fixture.link->cancel(id);
+        return fixture.peer.connections.size() >= 2;
+    };
+    bool replaced = false;
+    while (!replaced && calls < 200)
+        replaced = callAndGiveUp();
+    cr_assert(replaced);
+}
+
+// A slow upstream: no answer for much longer than the allowed silence, but the other node answers the probes.
+// The connection is well and the call on it must not be given up.
+Test(peerLink, slowIsNotSilent)
+{
+    LinkFixture fixture;
+    fixture.call("slow");
+    const Instant until = SteadyClock::now() + Milliseconds(400);
+    fixture.runUntil([&] { return SteadyClock::now() >= until; });
+    cr_assert(fixture.answers.empty());
+    fixture.peer.answer(0, "late");
+    cr_assert(fixture.runUntil([&] { return fixture.answers.contains("slow"); }));
+    cr_assert(fixture.answers["slow"].body == "late");
+}
+
+// Nobody listens there. No byte left, so the call did not run and may go elsewhere.
+Test(peerLink, unreachableIsNotRun)
+{
+    LinkFixture fixture;
+    fixture.link = std::make_shared<PeerLink>(fixture.context, "127.0.0.1:1", LinkFixture::settings());
+    fixture.call("one");
+    cr_assert(fixture.runUntil([&] { return fixture.answers.contains("one"); }));
+    cr_assert(fixture.answers["one"].outcome == Outcome::NotRun);
+    // Within the backoff the next one is refused without a try, and as well not run.
+    fixture.call("two");
+    cr_assert(fixture.runUntil([&] { return fixture.answers.contains("two"); }));
+    cr_assert(fixture.answers["two"].outcome == Outcome::NotRun);
+}
+
+// The other node dies with a call on it that it had been sent: nobody knows whether it ran.
+Test(peerLink, lostConnectionIsUnknown)
+{
+    LinkFixture fixture;
+    fixture.call("one");
+    cr_assert(fixture.runUntil([&] { return fixture.peer.calls.size() == 1; }));
+    fixture.peer.connections[0]->close(makeError(ErrorKind::Unavailable, "test", "", "killed"));
+    cr_assert(fixture.runUntil([&] { return fixture.answers.contains("one"); }));
+    cr_assert(fixture.answers["one"].outcome == Outcome::Unknown);
+}
+
+// The caller gives up: the other node is told, and a late answer finds nobody.
+Test(peerLink, cancelIsPassedOnAndALateAnswerIsDropped)
+{
+    LinkFixture fixture;
+    const std::uint64_t id = fixture.call("one");
+    cr_assert(fixture.runUntil([&] { return fixture.peer.calls.size() == 1; }));
+    fixture.link->cancel(id);
+    cr_assert(fixture.runUntil([&] { return fixture.peer.cancels == 1; }));
+    fixture.peer.answer(0, "late");
+    fixture.call("two");
+    cr_assert(fixture.runUntil([&] { return fixture.peer.calls.size() == 2; }));
+    fixture.peer.answer(1, "two");
+    cr_assert(fixture.runUntil([&] { return fixture.answers.contains("two"); }));
+    cr_assert(!fixture.answers.contains("one"));
+}
