LibSource: Keep claims of idempotency keys at most once

Cause: a keyed call that is sent again, through any node, must not run a second time, with a table that is down, slow or loses answers. A put that lands late finds another state and does nothing; a claim whose end is not known is fenced by a release.

--- a/Libraries/LibPlatform/PlatformClient.cpp
+++ b/Libraries/LibPlatform/PlatformClient.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-using TableProtocol::Access;
-
 constexpr std::uint32_t statusOk = 200;
 constexpr std::uint32_t statusNotFound = 404;
 
--- a/Libraries/LibPlatform/TableProtocol.cpp
+++ b/Libraries/LibPlatform/TableProtocol.cpp
@@ -42,18 +42,19 @@
 // Attribute names go through placeholders, because the service reserves many ordinary words.
 void writeCondition(json::object &body, const PutCondition &condition)
 {
-    std::string all;
+    std::string expression = condition.absent ? "attribute_not_exists(pk)" : "";
     json::object names;
     json::object values;
-    for (const auto &[name, value] : condition.equal) {
-        const std::string index = std::to_string(names.size());
-        names["#c" + index] = name;
-        values[":c" + index] = writeAttribute(value);
-        all += (all.empty() ? "#c" : " AND #c") + index + " = :c" + index;
+    for (const Attributes &wanted : condition.anyOf) {
+        std::string all;
+        for (const auto &[name, value] : wanted) {
+            const std::string index = std::to_string(names.size());
+            names["#c" + index] = name;
+            values[":c" + index] = writeAttribute(value);
+            all += (all.empty() ? "#c" : " AND #c") + index + " = :c" + index;
+        }
+        expression += (expression.empty() ? "(" : " OR (") + all + ")";
     }
-    std::string expression = condition.absent ? "attribute_not_exists(pk)" : "";
-    if (!all.empty())
-        expression += (condition.absent ? " OR (" : "(") + all + ")";
     if (!expression.empty())
         body["ConditionExpression"] = expression;
     if (!names.empty()) {
--- a/Libraries/LibSource/Ports.h
+++ b/Libraries/LibSource/Ports.h
@@ -46,12 +46,15 @@
     bool operator==(const Row &) const = default;
 };
 
-// What must hold of the row that stands under the key for a put to take effect. Either of the two is enough;
-// with neither, the put is unconditional.
+// What must hold of the row that stands under the key for a put to take effect. One of them is enough; with
+// none, the put is unconditional.
 struct PutCondition
 {
-    bool absent = false; // No row stands there.
-    Attributes equal;    // Every one of these attributes has this value; empty means not asked.
+    bool absent = false;           // No row stands there.
+    std::vector<Attributes> anyOf; // Every attribute of one of these sets has the value given.
+
+    bool unconditional() const { return !this->absent && this->anyOf.empty(); }
+    bool holdsFor(const std::optional<Row> &standing) const; // For stand-ins of a table.
 
     bool operator==(const PutCondition &) const = default;
 };
--- /dev/null
+++ b/Libraries/LibSource/PutGrouper.h
@@ -0,0 +1,66 @@
+// Gathers conditional puts that arrive within a moment of each other into one transaction, so that a busy
+// node makes fewer requests. A put is judged by its own condition only: one that fails does not take the
+// others of its group down with it. Runs without sockets; the owner calls advance() when nextDue() has come.
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibSource/Ports.h>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace Sagecrank {
+
+struct GrouperSettings
+{
+    // Load: several claims a millisecond at one node. Longer would add to every keyed call; two milliseconds
+    // is about one round trip to the table, so a claim waits no longer than it takes anyway.
+    Milliseconds window{2};
+    // One bad item cancels a whole transaction, and the larger the group the more often that happens.
+    std::size_t maximumGroup = 25;
+};
+
+struct GrouperCounters
+{
+    std::uint64_t puts = 0;     // Given to the grouper.
+    std::uint64_t requests = 0; // Sent to the table.
+    std::uint64_t items = 0;    // Puts within those requests, repeats included.
+};
+
+class PutGrouper
+{
+public:
+    PutGrouper(TablePort table, GrouperSettings settings, std::function<Instant()> now);
+
+    // The callback is as that of TablePort::putIf and comes from the table's callback.
+    void add(ConditionalPut put, WriteCallback callback);
+
+    void advance();
+    std::optional<Instant> nextDue() const;
+    const GrouperCounters &counters() const { return this->counts; }
+
+private:
+    struct Waiting
+    {
+        ConditionalPut put;
+        WriteCallback callback;
+    };
+    using Group = std::vector<Waiting>;
+
+    void send();
+    void sendAlone(Waiting one);
+    void sendTogether(Group group);
+    void settle(Group &group, const Result<TransactionResult> &result);
+    bool holds(const RowKey &key) const;
+
+    const TablePort table;
+    const GrouperSettings settings;
+    const std::function<Instant()> now;
+    Group waiting; // Invariant: no key twice; a transaction may name an item only once.
+    Instant due;   // Of the oldest in `waiting`.
+    GrouperCounters counts;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true); // Callbacks that come later see it gone.
+};
+
+} // namespace Sagecrank
