Meta: Drive real processes through seeded faults

Meta/prove.sh starts a fleet on loopback, disturbs it alone or by two faults at once, collects the histories and prints a table with one verdict for each run and each promise.

--- a/Libraries/LibHistory/HistoryEvents.h
+++ b/Libraries/LibHistory/HistoryEvents.h
@@ -369,7 +369,8 @@
 {
     static constexpr HistoryEventKind kind = HistoryEventKind::ProcessLaunched;
     std::string target;  // Process name.
-    std::string role;    // "node", "upstream", "caller", "platform" or "relay".
+    std::string role;    // "node", "upstream", "caller", "platform", "relay", or "address" for one that only
+                         // names a further address of a node.
     std::string address; // "ip:port" at which a node takes callers' requests; otherwise may be empty.
     std::string node;    // The node that an upstream stands beside; otherwise empty.
 
--- /dev/null
+++ b/Meta/prove/prove.py
@@ -0,0 +1,207 @@
+"""Runs seeded faults against real processes and judges the histories. See Meta/prove.sh --help."""
+
+import argparse
+import itertools
+import json
+import os
+import random
+import shutil
+import subprocess
+import sys
+import threading
+import time
+
+import faults
+from driver_history import DriverHistory
+from fleet import Fleet
+
+QUIET_SECONDS = 2.0  # Before the first fault.
+SETTLE_SECONDS = 8.0  # After the last one, longer than a version may take to be in force.
+PUBLISH_EVERY = 2.5  # Seconds.
+CALLERS_END_SECONDS = 40.0  # For the last calls to be answered or lost.
+
+# Two faults at once, where one may hide or worsen what the other does.
+PAIRS = [
+    ("drain", "two-operators"), ("drain", "kill-node"), ("drain", "platform-down"), ("drain", "pause-node"),
+    ("herd", "platform-down"), ("herd", "two-operators"), ("pause-node", "platform-lost"),
+    ("long-pause", "platform-slow"), ("long-pause", "kill-upstream"), ("kill-node", "platform-lost"),
+    ("kill-node", "platform-late"), ("platform-cut", "two-operators"), ("platform-lost", "two-operators"),
+    ("drop-answers", "platform-lost"), ("shed", "drain"), ("misleading", "kill-node"), ("cold", "herd"),
+    ("caller-cut", "platform-down"), ("platform-silent", "kill-node"), ("drain-node", "platform-lost"),
+    ("drain-node", "drain"),
+]
+
+
+def parse_arguments():
+    parser = argparse.ArgumentParser(
+        prog="Meta/prove.sh", description="Runs seeded faults against real processes and judges each history.",
+        epilog="faults: " + ", ".join(faults.FAULTS) + "; two at once are joined by +, as in drain+kill-node")
+    parser.add_argument("--seeds", type=int, default=1, help="how many seeds of each scenario (default 1)")
+    parser.add_argument("--first-seed", type=int, default=1)
+    parser.add_argument("--faults", default="alone,pairs",
+                        help="scenarios with commas; alone = each fault, pairs = the chosen pairs (default both)")
+    parser.add_argument("--seconds", type=float, default=20.0, help="disturbed part of each run (default 20)")
+    parser.add_argument("--nodes", type=int, default=6, help="nodes in three zones (default 6)")
+    parser.add_argument("--visitors", type=int, default=24, help="callers at one time (default 24)")
+    parser.add_argument("--binaries", default="Build/release/bin")
+    parser.add_argument("--keep", default="Build/prove", help="where the histories of failing runs are kept")
+    parser.add_argument("--keep-all", action="store_true", help="keep the histories of good runs too")
+    return parser.parse_args()
+
+
+def scenarios(text):
+    chosen = []
+    for part in text.split(","):
+        if part == "alone":
+            chosen += list(faults.FAULTS)
+        elif part == "pairs":
+            chosen += ["+".join(pair) for pair in PAIRS]
+        else:
+            chosen.append(part)
+    for name in itertools.chain.from_iterable(scenario.split("+") for scenario in chosen):
+        if name not in faults.FAULTS:
+            sys.exit(f"there is no fault named {name}; there are: {', '.join(faults.FAULTS)}")
+    return chosen
+
+
+class Background:
+    """Threads of one run whose failure fails the run."""
+
+    def __init__(self):
+        self.stopping = threading.Event()
+        self.failures = []
+        self.threads = []
+
+    def start(self, function, *arguments):
+        thread = threading.Thread(target=self._guarded, args=(function, *arguments))
+        self.threads.append(thread)
+        thread.start()
+
+    def _guarded(self, function, *arguments):
+        try:
+            function(*arguments)
+        except Exception as error:  # Whatever it is, the run has not shown what it was made for.
+            self.failures.append(f"{type(error).__name__}: {error}")
+            self.stopping.set()
+
+    def join(self):
+        for thread in self.threads:
+            thread.join()
+
+
+def publish_regularly(fleet, until, stopping):
+    while time.monotonic() < until and not stopping.wait(PUBLISH_EVERY):
+        fleet.publisher.publish("regular")
+
+
+def disturb(fleet, names, seed, options):
+    """The timed part of a run: callers and publishes throughout, faults in the middle."""
+    background = Background()
+    until = time.monotonic() + QUIET_SECONDS + options.seconds
+    callers = fleet.launch_callers(QUIET_SECONDS + options.seconds + SETTLE_SECONDS, seed, options.visitors)
+    background.start(publish_regularly, fleet, until, background.stopping)
+    time.sleep(QUIET_SECONDS)
+    for number, name in enumerate(names):
+        # Each fault draws from a generator of its own, so that threads cannot disturb each other's seeds.
+        source = random.Random(f"{seed}/{number}/{name}")
+        background.start(faults.run_fault, name, fleet, source, until, background.stopping)
+    background.join()
+    if not callers.wait(SETTLE_SECONDS + options.seconds + CALLERS_END_SECONDS):
+        background.failures.append("the callers did not end")
+    return background.failures
+
+
+def run_once(scenario, seed, options):
+    """Returns the checker's answer as a dictionary, with "failures" for what went wrong with the run itself."""
+    name = f"{scenario}-{seed}"
+    folder = os.path.join(options.keep, name)
+    shutil.rmtree(folder, ignore_errors=True)
+    os.makedirs(folder)
+    history = DriverHistory(os.path.join(folder, "driver.history"))
+    fleet = Fleet(options.binaries, folder, history, random.Random(f"{seed}/fleet"), options.nodes)
+    failures = []
+    try:
+        fleet.start()
+        failures = disturb(fleet, scenario.split("+"), seed, options)
+    except Exception as error:  # The rest of the runs go on; this one counts as failed.
+        failures.append(f"{type(error).__name__}: {error}")
+    finally:
+        # The promises are judged up to here; what the end of the fleet itself breaks is no part of the run.
+        files = fleet.snapshot_histories()
+        fleet.stop()
+        history.close()
+    verdict = check(options.binaries, files, folder)
+    verdict["failures"] = failures
+    return verdict, folder
+
+
+def check(binaries, files, folder):
+    command = [f"{binaries}/sagecrank-check", *files]
+    with open(os.path.join(folder, "verdict.txt"), "w") as report:
+        subprocess.run([*command, "--show", "20"], stdout=report, stderr=subprocess.STDOUT, check=False)
+    result = subprocess.run([*command, "--json"], capture_output=True, text=True, check=False)
+    if not result.stdout:
+        return {"unreadable": result.stderr.strip(), "promises": [], "calls": {}}
+    return json.loads(result.stdout)
+
+
+class Summary:
+    """Adds up what the runs showed."""
+
+    def __init__(self):
+        self.judged = {}
+        self.broken = {}
+        self.calls = {}
+        self.failed_runs = []
+        self.runs = 0
+
+    def add(self, scenario, seed, verdict, folder):
+        self.runs += 1
+        for key, count in verdict["calls"].items():
+            self.calls[key] = self.calls.get(key, 0) + count
+        broken = []
+        for row in verdict["promises"]:
+            name = row["promise"]
+            self.judged[name] = self.judged.get(name, 0) + row["judged"]
+            self.broken[name] = self.broken.get(name, 0) + len(row["violations"])
+            if row["violations"]:
+                broken.append(f"{name} x{len(row['violations'])}")
+        problems = broken + verdict["failures"] + ([verdict["unreadable"]] if "unreadable" in verdict else [])
+        calls = verdict["calls"]
+        print(f"{scenario:32} {seed:5} {calls.get('sent', 0):7} {calls.get('done', 0):7} "
+              f"{calls.get('not_run', 0):7} {calls.get('unknown', 0):7} {calls.get('lost', 0):5} "
+              f"{calls.get('drains', 0):6}  {'; '.join(problems) or 'holds'}", flush=True)
+        if problems:
+            self.failed_runs.append(folder)
+        return not problems
+
+    def print(self):
+        print("\npromise                     judged   broken  result")
+        for name, judged in self.judged.items():
+            broken = self.broken[name]
+            # A promise that no run could judge is not proved, whatever else went well.
+            result = "BROKEN" if broken else "holds" if judged else "VACUOUS"
+            print(f"{name:24} {judged:9} {broken:8}  {result}")
+        print("\n" + ", ".join(f"{key} {count}" for key, count in self.calls.items()))
+        print(f"{self.runs} runs, {len(self.failed_runs)} failed" + "".join(f"\n  {f}" for f in self.failed_runs))
+
+    def holds(self):
+        return not self.failed_runs and bool(self.judged) and all(self.judged.values())
+
+
+def main():
+    options = parse_arguments()
+    summary = Summary()
+    print(f"{'faults':32} {'seed':>5} {'calls':>7} {'done':>7} {'not-run':>7} {'unknown':>7} {'lost':>5} "
+          f"{'drains':>6}  result")
+    for scenario in scenarios(options.faults):
+        for seed in range(options.first_seed, options.first_seed + options.seeds):
+            verdict, folder = run_once(scenario, seed, options)
+            if summary.add(scenario, seed, verdict, folder) and not options.keep_all:
+                shutil.rmtree(folder)
+    summary.print()
+    sys.exit(0 if summary.holds() else 1)
+
+
+if __name__ == "__main__":
+    main()
