LibDecide: Let batch calls use free slots above a reserve

Cause: batch was held to one slot in six while others were present, so at 60% load a batch call waited a third of a second although slots stood free. Change: batch may hold half of the slots as long as a third stays free when it starts, and always one.

--- a/Libraries/LibDecide/Gate.cpp
+++ b/Libraries/LibDecide/Gate.cpp
@@ -22,8 +22,10 @@
 
 // Load: a batch job of long calls beside short interactive ones. Harm: once a long call has a slot, nothing
 // takes it back, so a burst of batch work would make every interactive call wait for it. While others have
-// been seen lately, batch holds at most one slot in six (and at least one, or it would starve).
-constexpr std::uint32_t slotsPerBatchSlot = 6;
+// been seen lately, batch holds at most half of the slots and leaves a third of them free when it starts;
+// those take what arrives next. It may always hold one, or it would starve.
+constexpr std::uint32_t slotsPerBatchSlot = 2;
+constexpr std::uint32_t slotsPerReservedSlot = 3;
 constexpr Duration othersRemembered = 1s;
 
 // Where to come back to is not known any better when the upstream is leaving or absent: by then the callers'
@@ -236,7 +238,10 @@
     const auto batchRunning =
         std::count_if(this->runningCalls.begin(), this->runningCalls.end(),
                       [](const Running &call) { return call.callClass == CallClass::Batch; });
-    return batchRunning < std::max(1U, this->limit.value() / slotsPerBatchSlot);
+    if (batchRunning == 0)
+        return true;
+    const bool leavesReserve = this->freeSlots() > this->limit.value() / slotsPerReservedSlot;
+    return leavesReserve && batchRunning < this->limit.value() / slotsPerBatchSlot;
 }
 
 bool Gate::mayStartNow(Instant now, CallClass callClass) const
