LibDecide: Judge a wait by what the classes ahead left

Cause: the expected wait counted only queued calls of the classes ahead, so at saturation non-idempotent calls were let in and refused when their time had run out. Change: the wait is the lower of two bounds (what is left by the classes ahead; the share that the class is owed), and a call that must wait needs room for 1.3 waits and the usual run time.

--- a/Libraries/LibDecide/Gate.cpp
+++ b/Libraries/LibDecide/Gate.cpp
@@ -17,6 +17,12 @@
 // little that the others do not feel it, yet a night job ends at last.
 constexpr std::array<double, 3> owedShares{0.0, 0.25, 0.02};
 
+// How much longer than expected a wait is reckoned when a call is admitted to the queue.
+constexpr double waitMargin = 1.3;
+
+// No class is reckoned to get less of the slots than this.
+constexpr double leastShare = 0.02;
+
 // Slot time counts for about this long: long against one call, short against a caller's patience.
 constexpr double usageWindow = 1.0;
 
@@ -46,9 +52,9 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-Duration scaled(Duration duration, double factor)
+Duration fromSeconds(double seconds)
 {
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(toSeconds(duration) * factor));
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
 constexpr std::array<CallClass, 3> classOrder{CallClass::Interactive, CallClass::NonIdempotent,
@@ -188,19 +194,28 @@
     return this->runTimes.mean(callClass);
 }
 
-// The calls that go first, and one more for the slot itself, each take their run time from the slots
-// together.
+// Two bounds, of which the lower holds. By order: the calls that go first and those of its own class run
+// before it, in the part of the slots that the classes ahead have left lately. By right: its own class runs
+// at least at the rate that it is owed.
 Duration Gate::expectedWait(Instant now, CallClass callClass) const
 {
     if (this->mayStartNow(now, callClass))
         return Duration::zero();
-    Duration work = this->runTimes.mean(callClass);
-    for (const CallClass ahead : classOrder) {
-        if (ahead > callClass)
+    const double slots = std::max(1U, this->limit.value());
+    const double own =
+        toSeconds(this->runTimes.mean(callClass)) * static_cast<double>(this->queueOf(callClass).size() + 1);
+    double ahead = 0;
+    double left = 1;
+    for (const CallClass other : classOrder) {
+        if (other >= callClass)
             break;
-        work += this->runTimes.mean(ahead) * static_cast<Duration::rep>(this->queueOf(ahead).size());
+        ahead += toSeconds(this->runTimes.mean(other)) * static_cast<double>(this->queueOf(other).size());
+        left -= this->usage[indexOf(other)] / (slots * usageWindow);
     }
-    return work / std::max(1U, this->limit.value());
+    const double owed = owedShares[indexOf(callClass)];
+    const double byOrder = (own + ahead) / (slots * std::max(left, leastShare));
+    const double byRight = own / (slots * std::max(owed, leastShare));
+    return fromSeconds(std::min(byOrder, byRight));
 }
 
 std::optional<Instant> Gate::nextDeadline() const
@@ -253,9 +268,15 @@
     return this->queueOf(callClass).empty();
 }
 
+// A call that starts at once is judged by what a quick one takes, so that the estimate can still be
+// corrected. One that waits must have room for the usual run time and for a wait longer than expected: it has
+// another place to go now, and none once it has waited.
 bool Gate::inTime(Instant now, const CallFacts &facts, Duration wait) const
 {
-    return now + wait + this->runTimes.quick(facts.callClass) < facts.deadline;
+    if (wait <= Duration::zero())
+        return now + this->runTimes.quick(facts.callClass) < facts.deadline;
+    const Duration room = fromSeconds(toSeconds(wait) * waitMargin);
+    return now + room + this->runTimes.mean(facts.callClass) < facts.deadline;
 }
 
 // Load: more calls than the slots bear. Harm: a call that waits past its deadline costs its caller the whole
@@ -300,7 +321,7 @@
 {
     this->jitterState = this->jitterState * 6364136223846793005ULL + 1442695040888963407ULL;
     const double uniform = static_cast<double>(this->jitterState >> 11U) * 0x1p-53;
-    return scaled(span, 0.75 + 0.5 * uniform);
+    return fromSeconds(toSeconds(span) * (0.75 + 0.5 * uniform));
 }
 
 void Gate::begin(Instant now, Ticket ticket, CallClass callClass)
