LibDecide: Remember used slot time for a fifth of a second

Cause: a class that used idle slots was held back for up to a second afterwards, and its queue, admitted at the rate that it is owed, ran out of time. Change: slot time counts for 0.2 s instead of 1 s, and run times are averaged over about sixty calls instead of twenty.

--- a/Libraries/LibDecide/Gate.cpp
+++ b/Libraries/LibDecide/Gate.cpp
@@ -24,7 +24,7 @@
 constexpr double leastShare = 0.02;
 
 // Slot time counts for about this long: long against one call, short against a caller's patience.
-constexpr double usageWindow = 1.0;
+constexpr double usageWindow = 0.2;
 
 // Load: a batch job of long calls beside short interactive ones. Harm: once a long call has a slot, nothing
 // takes it back, so a burst of batch work would make every interactive call wait for it. While others have
--- a/Libraries/LibDecide/RunTimes.cpp
+++ b/Libraries/LibDecide/RunTimes.cpp
@@ -11,9 +11,10 @@
 // A class is taken for this quick before any call of it has ended: a guess that admits rather than refuses.
 constexpr double firstGuess = 0.002;
 
-// One observation moves the estimates by this share, so about the last twenty calls count. Fewer would let
-// one long call refuse its successors; more would take long to notice that an upstream turned slow.
-constexpr double weight = 0.1;
+// One observation moves the estimates by this share, so about the last sixty calls count. Harm of a quicker
+// one: a queue takes in a call whenever the estimate happens to be low, so a restless estimate fills it too
+// far.
+constexpr double leastWeight = 0.03;
 
 Duration fromSeconds(double seconds)
 {
@@ -26,10 +27,12 @@
 {
     Estimate &estimate = this->estimates[static_cast<std::size_t>(callClass)];
     const double seconds = std::chrono::duration<double>(took).count();
-    if (!estimate.known) {
-        estimate = Estimate{seconds, seconds / 2, true};
+    if (estimate.observations == 0) {
+        estimate = Estimate{seconds, seconds / 2, 1};
         return;
     }
+    estimate.observations += 1;
+    const double weight = std::max(leastWeight, 1.0 / estimate.observations);
     const double distance = std::abs(seconds - estimate.mean);
     estimate.mean += weight * (seconds - estimate.mean);
     estimate.deviation += weight * (distance - estimate.deviation);
@@ -37,13 +40,13 @@
 
 Duration RunTimes::mean(CallClass callClass) const
 {
-    return fromSeconds(this->of(callClass).known ? this->of(callClass).mean : firstGuess);
+    return fromSeconds(this->of(callClass).observations > 0 ? this->of(callClass).mean : firstGuess);
 }
 
 Duration RunTimes::quick(CallClass callClass) const
 {
     const Estimate &estimate = this->of(callClass);
-    if (!estimate.known)
+    if (estimate.observations == 0)
         return Duration::zero();
     return fromSeconds(std::max(0.0, estimate.mean - 2 * estimate.deviation));
 }
--- a/Libraries/LibDecide/RunTimes.h
+++ b/Libraries/LibDecide/RunTimes.h
@@ -28,9 +28,9 @@
 private:
     struct Estimate
     {
-        double mean = 0;      // In seconds; zero until the first observation.
-        double deviation = 0; // Mean absolute deviation, in seconds.
-        bool known = false;
+        double mean = 0;         // In seconds; zero until the first observation.
+        double deviation = 0;    // Mean absolute deviation, in seconds.
+        double observations = 0; // The first ones count evenly.
     };
 
     const Estimate &of(CallClass callClass) const;
