--- a/Libraries/LibDecide/Gate.cpp
+++ b/Libraries/LibDecide/Gate.cpp
@@ -12,10 +12,10 @@
 
 // Load: sustained demand above what the slots bear, in which the class that goes first could take every slot.
 // Harm: an invoice or reservation waits until its deadline, is refused, and so never lands. While calls of
-// the class wait, the class is owed this share of recent slot time, ahead of the class order. A quarter keeps
-// invoices moving and costs interactive calls at most a quarter when both are in excess. Batch is owed so
+// the class wait, the class is owed this share of recent slot time, ahead of the class order. About a third
+// keeps invoices moving and costs interactive calls at most that when both are in excess. Batch is owed so
 // little that the others do not feel it, yet a night job ends at last.
-constexpr std::array<double, 3> owedShares{0.0, 0.25, 0.02};
+constexpr std::array<double, 3> owedShares{0.0, 0.35, 0.02};
 
 // How much longer than expected a wait is reckoned when a call is admitted to the queue.
 constexpr double waitMargin = 1.3;
