LibDecide: Bound the queue by deadlines before its length

Cause: 64 queued calls refused bursts that the slots could still serve in time; a longer queue alone filled to the edge of each deadline at saturation. Change: 256 calls, and a call is queued only when it has room for two expected waits instead of 1.3.

--- a/Libraries/LibDecide/Gate.cpp
+++ b/Libraries/LibDecide/Gate.cpp
@@ -17,8 +17,10 @@
 // little that the others do not feel it, yet a night job ends at last.
 constexpr std::array<double, 3> owedShares{0.0, 0.35, 0.02};
 
-// How much longer than expected a wait is reckoned when a call is admitted to the queue.
-constexpr double waitMargin = 1.3;
+// How many expected waits a call needs room for before it is queued. Load: demand that stays above the slots,
+// in which every queue grows to what is let in. Harm: with room for one wait, each call ends at the edge of
+// its deadline and many beyond it. With room for two, the queue still rides out a burst.
+constexpr double waitMargin = 2.0;
 
 // No class is reckoned to get less of the slots than this.
 constexpr double leastShare = 0.02;
--- a/Libraries/LibDecide/Gate.h
+++ b/Libraries/LibDecide/Gate.h
@@ -75,7 +75,7 @@
 struct GateSettings
 {
     std::uint32_t slots = 1;
-    std::uint32_t maximumQueue = 64;
+    std::uint32_t maximumQueue = 256; // Bounds memory; deadlines bound the queue before it does.
     std::uint64_t jitterSeed = 1; // Differs from gate to gate, so that their refused callers do not agree.
 };
 
--- a/Utilities/PolicyBench/Policy.cpp
+++ b/Utilities/PolicyBench/Policy.cpp
@@ -93,7 +93,7 @@
 
 GateHooks ourGate(std::uint64_t seed)
 {
-    const auto gate = std::make_shared<Gate>(GateSettings{0, 64, seed});
+    const auto gate = std::make_shared<Gate>(GateSettings{0, GateSettings{}.maximumQueue, seed});
     GateHooks hooks;
     hooks.offer = [gate](Instant now, const CallFacts &facts, std::vector<GateAction> &actions) {
         return gate->offer(now, facts, actions);
