--- a/Libraries/LibDecide/Gate.cpp
+++ b/Libraries/LibDecide/Gate.cpp
@@ -73,10 +73,10 @@
 
 GateDecision Gate::offer(Instant now, const CallFacts &facts, std::vector<GateAction> &actions)
 {
+    const RefusalReason reason = this->refusal(now, facts);
     this->decayUsage(now);
     if (facts.callClass != CallClass::Batch)
         this->othersSeenAt = now;
-    const RefusalReason reason = this->refusal(now, facts);
     if (reason != RefusalReason::None)
         return this->refuse(now, facts.callClass, reason);
 
@@ -206,13 +206,14 @@
     const double slots = std::max(1U, this->limit.value());
     const double own =
         toSeconds(this->runTimes.mean(callClass)) * static_cast<double>(this->queueOf(callClass).size() + 1);
+    const double fading = this->usageFading(now);
     double ahead = 0;
     double left = 1;
     for (const CallClass other : classOrder) {
         if (other >= callClass)
             break;
         ahead += toSeconds(this->runTimes.mean(other)) * static_cast<double>(this->queueOf(other).size());
-        left -= this->usage[indexOf(other)] / (slots * usageWindow);
+        left -= fading * this->usage[indexOf(other)] / (slots * usageWindow);
     }
     const double owed = owedShares[indexOf(callClass)];
     const double byOrder = (own + ahead) / (slots * std::max(left, leastShare));
@@ -400,11 +401,15 @@
 
 void Gate::decayUsage(Instant now)
 {
-    const double elapsed = toSeconds(now - this->usageDecayedAt);
+    const double fading = this->usageFading(now);
     this->usageDecayedAt = now;
-    const double factor = std::exp(-elapsed / usageWindow);
     for (double &used : this->usage)
-        used = std::max(0.0, used * factor);
+        used = std::max(0.0, used * fading);
+}
+
+double Gate::usageFading(Instant now) const
+{
+    return std::exp(-toSeconds(now - this->usageDecayedAt) / usageWindow);
 }
 
 } // namespace Sagecrank
--- a/Libraries/LibDecide/Gate.h
+++ b/Libraries/LibDecide/Gate.h
@@ -163,6 +163,7 @@
     void displaceBatch(Instant now, std::vector<GateAction> &actions);
     void refuseQueue(Instant now, RefusalReason reason, std::vector<GateAction> &actions);
     void decayUsage(Instant now);
+    double usageFading(Instant now) const;
 
     GateSettings settings;
     UpstreamCondition state = UpstreamCondition::NotReady;
--- /dev/null
+++ b/Tests/LibDecide/TestPlacer.cpp
@@ -0,0 +1,179 @@
+// Which upstream a call goes to, and which ones get none.
+#include <LibDecide/Placer.h>
+
+#include <Support/TableTest.h>
+
+#include <array>
+#include <map>
+#include <random>
+
+using namespace Sagecrank;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::span<const std::size_t> nothingTried{};
+
+std::function<std::uint64_t()> seeded(std::uint64_t seed)
+{
+    return [numbers = std::mt19937_64(seed)]() mutable { return numbers(); };
+}
+
+UpstreamFacts upstream(std::string_view id, bool sameZone,
+                       UpstreamCondition condition = UpstreamCondition::Ready)
+{
+    return UpstreamFacts{id, sameZone, false, condition, 6};
+}
+
+// One call from placing to its end.
+void play(Placer &placer, std::string_view id, Instant now, Duration took, PlacedEnd end)
+{
+    placer.started(id, now);
+    placer.ended(id, now + took, CallClass::Interactive, took, end);
+}
+
+struct ConditionRow
+{
+    UpstreamCondition condition;
+    bool placed;
+};
+
+const ConditionRow conditionRows[] = {
+    {UpstreamCondition::NotReady, false},
+    {UpstreamCondition::Warming, true},
+    {UpstreamCondition::Ready, true},
+    {UpstreamCondition::Draining, false},
+};
+
+} // namespace
+
+TABLE_TEST(placer, placesOnlyWhereCallsAreTaken, conditionRows)
+{
+    Placer placer(PlacerSettings{}, seeded(1));
+    const std::array candidates{upstream("a", true, row.condition)};
+    const auto placed = placer.place(Instant{}, candidates, CallClass::Interactive, nothingTried);
+    cr_assert_eq(placed.has_value(), row.placed);
+}
+
+// A gate says on its last answer that it drains; membership has not heard yet. Callers would be refused
+// there.
+Test(placer, believesAGateThatDrains)
+{
+    Placer placer(PlacerSettings{}, seeded(1));
+    const std::array candidates{upstream("a", true), upstream("b", false)};
+    placer.told("a", Instant{}, 6, 0, true);
+    for (int round = 0; round < 50; ++round)
+        cr_assert(placer.place(Instant{}, candidates, CallClass::Interactive, nothingTried) == 1U);
+}
+
+Test(placer, neverRepeatsATriedUpstream)
+{
+    Placer placer(PlacerSettings{}, seeded(1));
+    const std::array candidates{upstream("a", true), upstream("b", false)};
+    const std::array<std::size_t, 1> first{0};
+    const std::array<std::size_t, 2> both{0, 1};
+    cr_assert(placer.place(Instant{}, candidates, CallClass::Interactive, first) == 1U);
+    cr_assert(!placer.place(Instant{}, candidates, CallClass::Interactive, both));
+}
+
+Test(placer, spillsToAnotherZoneWhenItsOwnIsFull)
+{
+    Placer placer(PlacerSettings{}, seeded(1));
+    const std::array candidates{upstream("near", true), upstream("far", false)};
+    const Instant now{};
+    for (const std::string_view id : {"near", "far"})
+        play(placer, id, now, 5ms, PlacedEnd::Succeeded);
+    cr_assert(placer.place(now + 10s, candidates, CallClass::Interactive, nothingTried) == 0U);
+    for (int call = 0; call < 12; ++call)
+        placer.started("near", now + 10s);
+    cr_assert(placer.place(now + 10s, candidates, CallClass::Interactive, nothingTried) == 1U);
+}
+
+// An upstream fails every call at once and its health endpoint says that it is well. It looks idle and quick,
+// so it would draw all calls. Callers may see a handful of failures before it gets none but probes.
+Test(placer, ejectsAnUpstreamThatFailsFast)
+{
+    Placer placer(PlacerSettings{}, seeded(1));
+    const std::array candidates{upstream("bad", true), upstream("good", true), upstream("fine", true)};
+    Instant now{};
+    int failures = 0;
+    for (int call = 0; call < 1000; ++call) {
+        now += 1ms;
+        const auto index = placer.place(now, candidates, CallClass::NonIdempotent, nothingTried);
+        const bool bad = index == 0U;
+        failures += bad ? 1 : 0;
+        play(placer, candidates[*index].id, now, bad ? 200us : 5ms,
+             bad ? PlacedEnd::Failed : PlacedEnd::Succeeded);
+    }
+    cr_assert(placer.ejected("bad"));
+    cr_assert_leq(failures, 8);
+}
+
+// A dependency that all upstreams share fails, so every call fails everywhere. Ejecting them all would turn
+// its return into an outage of our own; at least half stay in.
+Test(placer, neverEjectsMoreThanItsShare)
+{
+    Placer placer(PlacerSettings{}, seeded(1));
+    const std::array<std::string_view, 4> ids{"a", "b", "c", "d"};
+    Instant now{};
+    for (int round = 0; round < 200; ++round) {
+        now += 1ms;
+        for (const std::string_view id : ids)
+            play(placer, id, now, 200us, PlacedEnd::Failed);
+    }
+    int ejected = 0;
+    for (const std::string_view id : ids)
+        ejected += placer.ejected(id) ? 1 : 0;
+    cr_assert_eq(ejected, 2);
+    const std::array candidates{upstream("a", true), upstream("b", true), upstream("c", true),
+                                upstream("d", true)};
+    cr_assert(placer.place(now, candidates, CallClass::NonIdempotent, nothingTried));
+}
+
+// An ejected upstream has mended. It is tried with one call at a time that may be sent again, and trusted
+// after three good ones. An invoice must never be the probe.
+Test(placer, probesAnEjectedUpstreamWithCallsThatMayRunTwice)
+{
+    Placer placer(PlacerSettings{}, seeded(1));
+    const std::array candidates{upstream("bad", true), upstream("good", true)};
+    Instant now{};
+    play(placer, "good", now, 5ms, PlacedEnd::Succeeded);
+    for (int call = 0; call < 10; ++call)
+        play(placer, "bad", now, 200us, PlacedEnd::Failed);
+    cr_assert(placer.ejected("bad"));
+    now += 1min;
+    for (int call = 0; call < 100; ++call)
+        cr_assert(placer.place(now, candidates, CallClass::NonIdempotent, nothingTried) == 1U);
+    int probes = 0;
+    while (placer.ejected("bad") && probes < 1000) {
+        now += 1ms;
+        const auto index = placer.place(now, candidates, CallClass::Interactive, nothingTried);
+        play(placer, candidates[*index].id, now, 5ms, PlacedEnd::Succeeded);
+        probes += index == 0U ? 1 : 0;
+    }
+    cr_assert_eq(probes, 3);
+}
+
+// Twenty nodes hear at the same moment that one of ten upstreams stands idle. Were all to act on it, that one
+// would be flooded. Stale word must weigh little.
+Test(placer, doesNotFloodTheOneThatLookedIdle)
+{
+    constexpr std::array<std::string_view, 10> ids{"0", "1", "2", "3", "4", "5", "6", "7", "8", "9"};
+    std::vector<UpstreamFacts> candidates;
+    for (const std::string_view id : ids)
+        candidates.push_back(upstream(id, true));
+    std::array<int, 10> received{};
+    for (std::uint64_t node = 0; node < 20; ++node) {
+        Placer placer(PlacerSettings{}, seeded(node));
+        for (const std::string_view id : ids)
+            placer.told(id, Instant{}, id == "0" ? 6 : 1, 0, false);
+        for (int call = 0; call < 10; ++call) {
+            const auto index =
+                placer.place(Instant{} + 20ms, candidates, CallClass::Interactive, nothingTried);
+            placer.started(candidates[*index].id, Instant{} + 20ms);
+            received[*index] += 1;
+        }
+    }
+    // An even part is 20 of 200; two random choices bound what the idle one draws to about twice that.
+    cr_assert_leq(received[0], 60);
+}
