--- /dev/null
+++ b/Libraries/LibObserve/Events.h
@@ -0,0 +1,187 @@
+// The catalogue of log events. Each event has a number that never changes its meaning, so that an operator
+// can look a line up in docs/EVENTS.md and alarms can match on it; a test keeps the two in step.
+#pragma once
+
+#include <LibCore/EnumNames.h>
+
+#include <cstdint>
+#include <string_view>
+
+namespace Sagecrank {
+
+enum class LogLevel : std::uint8_t { Debug, Info, Warning, Error };
+
+inline constexpr EnumNames<LogLevel, 4> logLevelNames{{
+    {LogLevel::Debug, "debug"},
+    {LogLevel::Info, "info"},
+    {LogLevel::Warning, "warning"},
+    {LogLevel::Error, "error"},
+}};
+
+// 1000: a process's life. 2000: configuration. 3000: membership. 4000: requests. 5000: the platform.
+// 6000: the upstream beside the node. 7000: the operator's commands. 9000: emulators.
+enum class EventId : std::uint16_t {
+    ProcessStarted = 1001,
+    ProcessReady = 1002,
+    ProcessDraining = 1003,
+    ProcessStopped = 1004,
+    SettingsInvalid = 1005,
+    ListenFailed = 1006,
+    EventsSuppressed = 1007,
+
+    ConfigurationSwapped = 2001,
+    ConfigurationRejected = 2002,
+    ConfigurationStale = 2003,
+    ConfigurationPullFailed = 2004,
+    HeadPollFailed = 2005,
+    HeadPollRecovered = 2006,
+
+    MemberJoined = 3001,
+    MemberSuspected = 3002,
+    MemberDead = 3003,
+    MemberLeft = 3004,
+    MemberRefuted = 3005,
+    GossipFrameInvalid = 3006,
+    IntroducerWriteFailed = 3007,
+
+    PeerConnected = 4001,
+    PeerLost = 4002,
+    PeerSilent = 4003,
+    PeerFrameInvalid = 4004,
+    CallerRequestInvalid = 4005,
+    CallsRefused = 4006,
+    OutcomeUnknown = 4007,
+    RetryBudgetSpent = 4008,
+
+    PlatformUnavailable = 5001,
+    PlatformRecovered = 5002,
+    PlatformThrottled = 5003,
+    ClaimAnswerLost = 5004,
+    ClaimRefused = 5005,
+
+    UpstreamAnnounced = 6001,
+    UpstreamReady = 6002,
+    UpstreamDraining = 6003,
+    UpstreamGone = 6004,
+    UpstreamSilent = 6005,
+    UpstreamShedding = 6006,
+    UpstreamFailing = 6007,
+
+    PublishAccepted = 7001,
+    PublishRefused = 7002,
+    PublishUncertain = 7003,
+    ConfigurationInvalid = 7004,
+
+    EmulatorFaultsSet = 9001,
+};
+
+struct EventDescription
+{
+    EventId id;
+    std::string_view name;
+    LogLevel level;
+    std::string_view text;
+};
+
+inline constexpr EventDescription eventCatalogue[] = {
+    {EventId::ProcessStarted, "process.started", LogLevel::Info,
+     "The process has read its settings and starts."},
+    {EventId::ProcessReady, "process.ready", LogLevel::Info, "The process serves."},
+    {EventId::ProcessDraining, "process.draining", LogLevel::Info,
+     "The process takes nothing new and finishes what it has."},
+    {EventId::ProcessStopped, "process.stopped", LogLevel::Info,
+     "The process ends; nothing was in flight unless the line says so."},
+    {EventId::SettingsInvalid, "settings.invalid", LogLevel::Error,
+     "A setting does not check; the process ends."},
+    {EventId::ListenFailed, "listen.failed", LogLevel::Error,
+     "An address cannot be bound; the process ends."},
+    {EventId::EventsSuppressed, "events.suppressed", LogLevel::Warning,
+     "Lines of one event were left out because they came too fast."},
+
+    {EventId::ConfigurationSwapped, "configuration.swapped", LogLevel::Info,
+     "A newer version is in force on this node."},
+    {EventId::ConfigurationRejected, "configuration.rejected", LogLevel::Error,
+     "A version did not check and was refused whole; the held one stays."},
+    {EventId::ConfigurationStale, "configuration.stale", LogLevel::Debug,
+     "A version at or below the held one was offered and ignored."},
+    {EventId::ConfigurationPullFailed, "configuration.pull_failed", LogLevel::Warning,
+     "A pull from a peer or the platform failed; it is tried elsewhere."},
+    {EventId::HeadPollFailed, "head.poll_failed", LogLevel::Warning,
+     "The head row could not be read; the held version stays in force."},
+    {EventId::HeadPollRecovered, "head.poll_recovered", LogLevel::Info, "The head row can be read again."},
+
+    {EventId::MemberJoined, "member.joined", LogLevel::Info,
+     "A node was seen for the first time or came back."},
+    {EventId::MemberSuspected, "member.suspected", LogLevel::Info,
+     "A node does not answer probes; it may still refute it."},
+    {EventId::MemberDead, "member.dead", LogLevel::Warning,
+     "A suspected node did not refute in time; it gets no calls."},
+    {EventId::MemberLeft, "member.left", LogLevel::Info, "A node said goodbye."},
+    {EventId::MemberRefuted, "member.refuted", LogLevel::Info,
+     "This node was suspected and refuted it with a higher incarnation."},
+    {EventId::GossipFrameInvalid, "gossip.frame_invalid", LogLevel::Warning,
+     "A gossip frame was malformed and dropped."},
+    {EventId::IntroducerWriteFailed, "introducer.write_failed", LogLevel::Warning,
+     "This node's introducer row could not be written; others still introduce."},
+
+    {EventId::PeerConnected, "peer.connected", LogLevel::Info, "A connection to a peer node stands."},
+    {EventId::PeerLost, "peer.lost", LogLevel::Warning, "A connection to a peer node broke."},
+    {EventId::PeerSilent, "peer.silent", LogLevel::Warning,
+     "A connection passed no heartbeat in time and is replaced."},
+    {EventId::PeerFrameInvalid, "peer.frame_invalid", LogLevel::Warning,
+     "A peer sent a malformed or oversized frame; its connection is closed."},
+    {EventId::CallerRequestInvalid, "caller.request_invalid", LogLevel::Info,
+     "A caller's request was malformed or too large and was answered with an error."},
+    {EventId::CallsRefused, "calls.refused", LogLevel::Info, "Calls were refused as not run."},
+    {EventId::OutcomeUnknown, "call.outcome_unknown", LogLevel::Warning,
+     "A call was answered as unknown: it may have run."},
+    {EventId::RetryBudgetSpent, "retry.budget_spent", LogLevel::Warning,
+     "Retries exceed their share of first tries and are held back."},
+
+    {EventId::PlatformUnavailable, "platform.unavailable", LogLevel::Warning,
+     "The platform's table or object store does not answer."},
+    {EventId::PlatformRecovered, "platform.recovered", LogLevel::Info, "The platform answers again."},
+    {EventId::PlatformThrottled, "platform.throttled", LogLevel::Warning,
+     "The platform refused a request for its rate."},
+    {EventId::ClaimAnswerLost, "claim.answer_lost", LogLevel::Info,
+     "The answer to an idempotency claim was lost; the claim is read back."},
+    {EventId::ClaimRefused, "claim.refused", LogLevel::Debug,
+     "An idempotency key is claimed by another attempt."},
+
+    {EventId::UpstreamAnnounced, "upstream.announced", LogLevel::Info,
+     "An upstream announced itself to this node."},
+    {EventId::UpstreamReady, "upstream.ready", LogLevel::Info, "The upstream beside this node takes calls."},
+    {EventId::UpstreamDraining, "upstream.draining", LogLevel::Info,
+     "The upstream beside this node takes nothing new."},
+    {EventId::UpstreamGone, "upstream.gone", LogLevel::Info, "The upstream beside this node said goodbye."},
+    {EventId::UpstreamSilent, "upstream.silent", LogLevel::Warning,
+     "The upstream beside this node stopped announcing itself and counts as gone."},
+    {EventId::UpstreamShedding, "upstream.shedding", LogLevel::Warning,
+     "The upstream sheds calls although its slots are not full."},
+    {EventId::UpstreamFailing, "upstream.failing", LogLevel::Warning,
+     "The upstream's calls fail, whatever its health says."},
+
+    {EventId::PublishAccepted, "publish.accepted", LogLevel::Info,
+     "A version was accepted: the head row names it."},
+    {EventId::PublishRefused, "publish.refused", LogLevel::Warning,
+     "A version lost against another that was published first."},
+    {EventId::PublishUncertain, "publish.uncertain", LogLevel::Error,
+     "It could not be read back whether the head row moved."},
+    {EventId::ConfigurationInvalid, "configuration.invalid", LogLevel::Error,
+     "A base file or overlay does not check; nothing was published."},
+
+    {EventId::EmulatorFaultsSet, "emulator.faults_set", LogLevel::Info,
+     "An emulator's faults were changed by command."},
+};
+
+// The row of an event; every id has one.
+constexpr const EventDescription &describeEvent(EventId id)
+{
+    for (const EventDescription &description : eventCatalogue) {
+        if (description.id == id)
+            return description;
+    }
+    return eventCatalogue[0];
+}
+
+} // namespace Sagecrank
