--- a/Libraries/LibSource/ClaimKeeper.cpp
+++ b/Libraries/LibSource/ClaimKeeper.cpp
@@ -175,7 +175,7 @@
         return this->refuse(*entry, "claims_table_down");
     // The claim may stand, may land later, or may be lost. Nothing is said until the row tells.
     entry->mayHaveLanded = true;
-    this->retryLater(*entry, true);
+    this->read(*entry);
 }
 
 void ClaimKeeper::readAnswered(const std::string &key, const std::string &attempt,
