Node: Add the control plane: gossip, following of versions, pulls, introducers

A node needs its view of the mesh and the newest configuration apart from the request threads. ControlPlane composes the membership machine on UDP, the follower of versions (head polls, deltas from peers, the platform last), the bounded pull server and the introducers' rows on one io_context.

--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr std::uint32_t goodbyes = 5; // Rounds of gossip after a leave; each goes to the whole fan-out.
+constexpr std::uint32_t goodbyes = 5;     // Rounds of gossip after a leave; each goes to the whole fan-out.
+constexpr std::size_t maximumSeeds = 128; // Three introducers of each of 25 zones, and what settings list.
 constexpr Duration firstJoinBackoff = Milliseconds(500);
 constexpr Duration requestAgainAfter = Milliseconds(1000);
 
@@ -259,7 +260,7 @@
     for (const std::string &address : addresses) {
         const bool known = std::find(this->settings.seeds.begin(), this->settings.seeds.end(), address)
                            != this->settings.seeds.end();
-        if (!known && address != this->own.gossipAddress)
+        if (!known && address != this->own.gossipAddress && this->settings.seeds.size() < maximumSeeds)
             this->settings.seeds.push_back(address);
     }
 }
--- a/Libraries/LibSpread/PullMessages.h
+++ b/Libraries/LibSpread/PullMessages.h
@@ -2,7 +2,8 @@
 #pragma once
 
 #include <LibCore/EnumNames.h>
-#include <LibWire/Archive.h>
+
+#include <cereal/types/string.hpp>
 
 #include <cstdint>
 #include <string>
@@ -48,7 +49,7 @@
     PullAnswer answer = PullAnswer::Missing;
     std::uint32_t retryAfterMilliseconds = 0;
     std::uint64_t version = 0;
-    Bytes payload;
+    std::string payload; // An encoded SiteDelta; the whole is one from nothing.
 
     template <typename Archive>
     void serialize(Archive &archive)
--- a/Libraries/LibSpread/PullPlan.cpp
+++ b/Libraries/LibSpread/PullPlan.cpp
@@ -21,8 +21,9 @@
 
 void PullPlan::want(const ConfigurationMark &mark, Instant now)
 {
-    if (mark.version <= this->target.version)
+    if (mark.version <= std::max(this->target.version, this->deferred.version))
         return;
+    this->deferred = {};
     this->target = mark;
     this->targetSince = now;
     this->notBefore = now;
@@ -30,6 +31,18 @@
     this->peerContentInvalid = false;
 }
 
+void PullPlan::settleFor(const ConfigurationMark &mark, Instant now)
+{
+    if (mark.version == 0 || this->inFlight())
+        return;
+    if (mark.version >= this->target.version)
+        return this->want(mark, now);
+    const ConfigurationMark newer = this->target;
+    this->target = {};
+    this->want(mark, now);
+    this->deferred = newer;
+}
+
 PullStep PullPlan::next(Instant now, std::uint64_t heldVersion, std::uint32_t rank,
                         const std::vector<Holder> &holders)
 {
@@ -74,6 +87,9 @@
     this->current = {};
     this->failures = 0;
     this->platformFailures = 0;
+    if (this->deferred.version > this->target.version)
+        this->target = this->deferred;
+    this->deferred = {};
 }
 
 void PullPlan::failed(Instant now, PullFailure failure, Duration retryAfter)
--- a/Libraries/LibSpread/PullPlan.h
+++ b/Libraries/LibSpread/PullPlan.h
@@ -77,6 +77,8 @@
 
     // Commands.
     void want(const ConfigurationMark &mark, Instant now);
+    // Only for a node that holds nothing: takes an older version first, and wants the newer one after it.
+    void settleFor(const ConfigurationMark &mark, Instant now);
     // Begins an attempt when it names a source; exactly one of the next two must follow it.
     PullStep next(Instant now, std::uint64_t heldVersion, std::uint32_t rank,
                   const std::vector<Holder> &holders);
@@ -96,6 +98,7 @@
     PullSettings settings;
     std::mt19937_64 random;
     ConfigurationMark target;
+    ConfigurationMark deferred; // Wanted once the target is held; newer than it, or no version.
     Instant targetSince{};
     PullStep current; // The attempt under way.
     Instant notBefore{};
--- /dev/null
+++ b/Services/Node/ControlFollower.cpp
@@ -0,0 +1,242 @@
+// Reading the head, pulling from peers, taking in and serving.
+#include "ControlFollower.h"
+
+#include "ControlClient.h"
+
+#include <LibConfig/Delta.h>
+
+#include <algorithm>
+#include <span>
+
+namespace Sagecrank {
+
+namespace {
+
+constexpr Duration advanceInterval = Milliseconds(100);
+
+// At a change each eleven seconds, eight versions are a minute and a half; who is further behind gets the
+// whole. Each costs about half a megabyte at 820 services.
+constexpr std::size_t recentVersions = 8;
+
+// A fresh node settles for what its peers hold only after the newest version had time to reach them.
+constexpr Duration settleAfter = Milliseconds(3000);
+
+std::string asText(const std::vector<std::byte> &bytes)
+{
+    return {reinterpret_cast<const char *>(bytes.data()), bytes.size()};
+}
+
+std::span<const std::byte> asBytes(const std::string &text)
+{
+    return std::as_bytes(std::span(text.data(), text.size()));
+}
+
+// What a node that holds nothing starts a delta from.
+SiteConfiguration emptySite(const std::string &site)
+{
+    SiteConfiguration empty;
+    empty.manifest.site = site;
+    return empty;
+}
+
+PullFailure failureOf(const Error &error)
+{
+    switch (error.kind) {
+    case ErrorKind::InvalidInput:
+    case ErrorKind::TooLarge:
+    case ErrorKind::Conflict:
+        return PullFailure::Invalid;
+    case ErrorKind::NotFound:
+        return PullFailure::Missing;
+    default:
+        return PullFailure::Unreachable;
+    }
+}
+
+} // namespace
+
+ControlFollower::ControlFollower(boost::asio::io_context &context, std::string nodeId, std::string site,
+                                 TablePort table, ObjectPort objects, FollowerHooks hooks, std::uint64_t seed)
+    : context(context)
+    , pollTimer(context)
+    , advanceTimer(context)
+    , nodeId(std::move(nodeId))
+    , site(std::move(site))
+    , heads(std::move(table))
+    , versions(std::move(objects))
+    , hooks(std::move(hooks))
+    , poll(HeadPollSettings{}, seed)
+    , plan(PullSettings{}, seed + 1)
+{
+}
+
+void ControlFollower::start()
+{
+    this->started = SteadyClock::now();
+    this->pollLater(this->poll.firstDelay(this->hooks.hasView()));
+    this->advance();
+}
+
+void ControlFollower::stop()
+{
+    this->stopped = true;
+    this->pollTimer.cancel();
+    this->advanceTimer.cancel();
+}
+
+void ControlFollower::heard(const ConfigurationMark &mark)
+{
+    this->plan.want(mark, SteadyClock::now());
+}
+
+std::uint64_t ControlFollower::heldVersion() const
+{
+    return this->recent.empty() ? 0 : this->recent.back()->manifest.version;
+}
+
+void ControlFollower::pollLater(Duration delay)
+{
+    this->pollTimer.expires_after(delay);
+    this->pollTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error && !this->stopped)
+            this->readHead();
+    });
+}
+
+void ControlFollower::readHead()
+{
+    ++this->counts.headReads;
+    this->heads.read([this](Result<Head> head) {
+        if (this->stopped)
+            return;
+        if (head) {
+            this->poll.succeeded();
+            const Head &found = head.assume_value();
+            const ConfigurationMark mark{found.version, found.digest.high, found.digest.low};
+            this->plan.want(mark, SteadyClock::now());
+            if (mark.version != 0)
+                this->hooks.headSeen(mark);
+        } else {
+            this->poll.failed();
+            ++this->counts.headReadFailures;
+            if (this->poll.failuresInRow() == 1)
+                this->hooks.failed(head.assume_error());
+        }
+        this->pollLater(this->poll.nextDelay(this->hooks.rank()));
+    });
+}
+
+void ControlFollower::advance()
+{
+    if (this->stopped)
+        return;
+    const Instant now = SteadyClock::now();
+    const std::uint64_t held = this->heldVersion();
+    if (held == 0 && now - this->started > settleAfter && !this->plan.inFlight())
+        this->wantAgreedVersion(now);
+    const bool due = this->plan.wanted().version > held && !this->plan.inFlight();
+    if (due) {
+        const auto holders = this->hooks.holders(this->plan.wanted().version);
+        const PullStep step = this->plan.next(now, held, this->hooks.rank(), holders);
+        if (step.source == PullSource::Platform)
+            this->pullFromPlatform();
+        else if (step.source != PullSource::None)
+            this->pullFromPeer(step);
+    }
+    this->advanceTimer.expires_after(advanceInterval);
+    this->advanceTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            this->advance();
+    });
+}
+
+// Load: hosts are replaced while the platform is out. Harm: a node without a configuration serves nobody for
+// the whole of the outage. The version that two peers of the zone hold was accepted, so it may take that, and
+// goes on to a newer one once somebody has it.
+void ControlFollower::wantAgreedVersion(Instant now)
+{
+    if (this->hooks.holders(this->plan.wanted().version).empty())
+        this->plan.settleFor({agreedVersion(this->hooks.zoneVersions()), 0, 0}, now);
+}
+
+void ControlFollower::pullFromPeer(const PullStep &step)
+{
+    ++this->counts.peerPulls;
+    const PullRequest request{this->nodeId, this->site, this->plan.wanted().version, this->heldVersion()};
+    const std::string peer = step.holder.controlAddress;
+    Sagecrank::pullFromPeer(this->context, peer, request, [this, peer](Result<PulledAnswer> answer) {
+        if (this->stopped)
+            return;
+        if (!answer)
+            return this->fail(answer.assume_error(), PullFailure::Unreachable, {});
+        const PulledAnswer &pulled = answer.assume_value();
+        this->counts.pulledBytes += pulled.receivedBytes;
+        const PullResponse &response = pulled.response;
+        const auto pause = Milliseconds(std::min(response.retryAfterMilliseconds, std::uint32_t{5000}));
+        if (response.answer == PullAnswer::Busy)
+            return this->plan.failed(SteadyClock::now(), PullFailure::Busy, pause);
+        if (response.answer == PullAnswer::Missing)
+            return this->plan.failed(SteadyClock::now(), PullFailure::Missing, {});
+        const Result<void> taken = this->takePeerAnswer(response);
+        if (taken)
+            return this->plan.succeeded();
+        Error error = taken.error();
+        error.peer = peer;
+        this->fail(error, failureOf(error), {});
+    });
+}
+
+Result<void> ControlFollower::takePeerAnswer(const PullResponse &response)
+{
+    const SiteDelta delta = TRY(decodeDelta(asBytes(response.payload)));
+    if (response.answer == PullAnswer::Delta && !this->recent.empty())
+        return this->take(TRY(applyDelta(*this->recent.back(), delta)));
+    ++this->counts.wholePulls;
+    return this->take(TRY(applyDelta(emptySite(this->site), delta)));
+}
+
+Result<void> ControlFollower::take(SiteConfiguration configuration)
+{
+    auto kept = std::make_shared<const SiteConfiguration>(configuration);
+    TRY_VOID(this->hooks.offer(std::move(configuration)));
+    this->recent.push_back(kept);
+    if (this->recent.size() > recentVersions)
+        this->recent.pop_front();
+    this->deltas.clear();
+    this->hooks.held(kept->manifest.version);
+    return success();
+}
+
+void ControlFollower::fail(const Error &error, PullFailure failure, Duration retryAfter)
+{
+    ++this->counts.pullFailures;
+    const ConfigurationMark mark = this->plan.wanted();
+    this->plan.failed(SteadyClock::now(), failure, retryAfter);
+    if (this->plan.isRefused(mark))
+        ++this->counts.refusedVersions;
+    this->hooks.failed(error);
+}
+
+PullResponse ControlFollower::serve(const PullRequest &request)
+{
+    PullResponse response;
+    const std::uint64_t held = this->heldVersion();
+    if (held == 0 || request.site != this->site || held < request.wantedVersion
+        || request.baseVersion >= held)
+        return response;
+    SiteConfiguration nothing = emptySite(this->site);
+    const SiteConfiguration *base = &nothing;
+    for (const auto &version : this->recent) {
+        if (version->manifest.version == request.baseVersion)
+            base = version.get();
+    }
+    response.answer = base == &nothing ? PullAnswer::Whole : PullAnswer::Delta;
+    response.version = held;
+    std::string &payload = this->deltas[base->manifest.version];
+    if (payload.empty())
+        payload = asText(encodeDelta(makeDelta(*base, *this->recent.back())));
+    response.payload = payload;
+    return response;
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/ControlFollower.h
@@ -0,0 +1,101 @@
+// Keeps the node at the newest accepted version: reads the head when it is this node's turn, pulls content
+// from the source that the plan names, offers it whole, and serves what it holds to peers. Lives on the
+// control thread.
+#pragma once
+
+#include <LibConfig/Model.h>
+#include <LibSource/Head.h>
+#include <LibSpread/HeadPoll.h>
+#include <LibSpread/PullMessages.h>
+#include <LibSpread/PullPlan.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Sagecrank {
+
+struct FollowerCounters
+{
+    std::uint64_t headReads = 0;
+    std::uint64_t headReadFailures = 0;
+    std::uint64_t objectReads = 0;
+    std::uint64_t peerPulls = 0; // Begun.
+    std::uint64_t platformPulls = 0;
+    std::uint64_t pullFailures = 0;
+    std::uint64_t pulledBytes = 0; // From peers and from the platform.
+    std::uint64_t refusedVersions = 0;
+    std::uint64_t wholePulls = 0; // Answers of peers that were not deltas.
+};
+
+struct FollowerHooks
+{
+    std::function<Result<void>(SiteConfiguration)> offer;
+    std::function<void(const ConfigurationMark &)> headSeen; // Read from the platform.
+    std::function<void(std::uint64_t version)> held;         // A version was taken in.
+    std::function<std::vector<Holder>(std::uint64_t version)> holders;
+    std::function<std::vector<std::uint64_t>()> zoneVersions; // What the zone's peers hold.
+    std::function<std::uint32_t()> rank;                      // For polling the head.
+    std::function<bool()> hasView;
+    std::function<void(const Error &)> failed; // A version or a source failed; for the log.
+};
+
+class ControlFollower
+{
+public:
+    ControlFollower(boost::asio::io_context &context, std::string nodeId, std::string site, TablePort table,
+                    ObjectPort objects, FollowerHooks hooks, std::uint64_t seed);
+
+    // Commands.
+    void start();
+    void stop();
+    void heard(const ConfigurationMark &mark); // By gossip.
+    void advance();                            // Tries what is due; also called when a holder appeared.
+
+    // Queries.
+    PullResponse serve(const PullRequest &request); // Computes and keeps deltas, and changes nothing else.
+    std::uint64_t heldVersion() const;
+    const FollowerCounters &counters() const { return this->counts; }
+    const ConfigurationMark &wanted() const { return this->plan.wanted(); }
+
+private:
+    struct PlatformPull;
+
+    void pollLater(Duration delay);
+    void readHead();
+    void wantAgreedVersion(Instant now);
+    void pullFromPeer(const PullStep &step);
+    Result<void> takePeerAnswer(const PullResponse &response);
+    void pullFromPlatform();
+    void fetchManifest(const std::shared_ptr<PlatformPull> &pull);
+    void fetchSections(const std::shared_ptr<PlatformPull> &pull);
+    void finishPlatformPull(const std::shared_ptr<PlatformPull> &pull);
+    void platformPullFailed(const std::shared_ptr<PlatformPull> &pull, const Error &error);
+    Result<void> take(SiteConfiguration configuration);
+    void fail(const Error &error, PullFailure failure, Duration retryAfter);
+
+    boost::asio::io_context &context;
+    boost::asio::steady_timer pollTimer;
+    boost::asio::steady_timer advanceTimer;
+    std::string nodeId;
+    std::string site;
+    HeadReader heads;
+    VersionReader versions;
+    FollowerHooks hooks;
+    HeadPoll poll;
+    PullPlan plan;
+    FollowerCounters counts;
+    Instant started{};
+    bool stopped = false;
+
+    // Newest last; the base of deltas for peers that are a few versions behind. Bounded.
+    std::deque<std::shared_ptr<const SiteConfiguration>> recent;
+    std::map<std::uint64_t, std::string> deltas; // Encoded, from a base version to the newest.
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/ControlGossip.cpp
@@ -0,0 +1,109 @@
+// Datagrams in and out, and ticks.
+#include "ControlGossip.h"
+
+#include <LibNet/FramedConnection.h>
+
+#include <boost/asio/buffer.hpp>
+
+namespace Sagecrank {
+
+namespace {
+
+using boost::asio::ip::udp;
+
+// Short against a gossip round (200 ms), long against the cost of a tick.
+constexpr Duration tickInterval = Milliseconds(100);
+
+// Holds a burst of answers while the thread is busy: about two hundred full datagrams.
+constexpr int receiveBufferBytes = 256 * 1024;
+
+Result<udp::endpoint> parseUdpEndpoint(const std::string &address)
+{
+    const auto parsed = TRY(parseTcpEndpoint(address));
+    return udp::endpoint(parsed.address(), parsed.port());
+}
+
+std::string describe(const udp::endpoint &endpoint)
+{
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+} // namespace
+
+ControlGossip::ControlGossip(boost::asio::io_context &context, MembershipSettings settings, Member self,
+                             MembershipHooks hooks, std::uint64_t seed)
+    : socket(context)
+    , timer(context)
+    , machine(std::move(settings), std::move(self), this->withSend(std::move(hooks)), seed)
+{
+}
+
+MembershipHooks ControlGossip::withSend(MembershipHooks hooks)
+{
+    hooks.send = [this](const std::string &address, const std::string &bytes) { this->send(address, bytes); };
+    return hooks;
+}
+
+Result<void> ControlGossip::start(const std::string &listenAddress)
+{
+    const udp::endpoint endpoint = TRY(parseUdpEndpoint(listenAddress));
+    boost::system::error_code error;
+    this->socket.open(endpoint.protocol(), error);
+    if (!error)
+        this->socket.bind(endpoint, error);
+    if (error)
+        return makeError(ErrorKind::Unavailable, "open gossip socket", listenAddress, error.message());
+    this->socket.non_blocking(true, error);
+    boost::system::error_code ignored;
+    this->socket.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
+    this->receiveNext();
+    this->machine.tick(SteadyClock::now());
+    this->tickLater();
+    return success();
+}
+
+void ControlGossip::stop()
+{
+    boost::system::error_code ignored;
+    this->timer.cancel();
+    this->socket.close(ignored);
+}
+
+// A full socket buffer loses the datagram, as the network might; the protocol lives with both.
+void ControlGossip::send(const std::string &address, const std::string &bytes)
+{
+    const Result<udp::endpoint> endpoint = parseUdpEndpoint(address);
+    boost::system::error_code error;
+    if (endpoint)
+        this->socket.send_to(boost::asio::buffer(bytes), endpoint.value(), 0, error);
+    if (!endpoint || error)
+        ++this->failures;
+}
+
+void ControlGossip::receiveNext()
+{
+    this->socket.async_receive_from(boost::asio::buffer(this->buffer), this->sender,
+                                    [this](const boost::system::error_code &error, std::size_t size) {
+                                        if (!this->socket.is_open())
+                                            return;
+                                        if (!error) {
+                                            const std::string_view bytes(this->buffer.data(), size);
+                                            this->machine.receive(SteadyClock::now(), describe(this->sender),
+                                                                  bytes);
+                                        }
+                                        this->receiveNext();
+                                    });
+}
+
+void ControlGossip::tickLater()
+{
+    this->timer.expires_after(tickInterval);
+    this->timer.async_wait([this](const boost::system::error_code &error) {
+        if (error || !this->socket.is_open())
+            return;
+        this->machine.tick(SteadyClock::now());
+        this->tickLater();
+    });
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/ControlGossip.h
@@ -0,0 +1,48 @@
+// The membership state machine on a UDP socket and a timer. Lives on the control thread.
+#pragma once
+
+#include <LibMembership/Membership.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+namespace Sagecrank {
+
+class ControlGossip
+{
+public:
+    // The hook `send` is set here; the others are the caller's.
+    ControlGossip(boost::asio::io_context &context, MembershipSettings settings, Member self,
+                  MembershipHooks hooks, std::uint64_t seed);
+
+    // Commands.
+    Result<void> start(const std::string &listenAddress);
+    void stop();
+    Membership &membership() { return this->machine; }
+
+    // Queries.
+    const Membership &membership() const { return this->machine; }
+    std::uint64_t sendFailures() const { return this->failures; }
+
+private:
+    MembershipHooks withSend(MembershipHooks hooks);
+    void send(const std::string &address, const std::string &bytes);
+    void receiveNext();
+    void tickLater();
+
+    boost::asio::ip::udp::socket socket;
+    boost::asio::steady_timer timer;
+    Membership machine;
+    boost::asio::ip::udp::endpoint sender;
+    // One byte more than allowed, so that a datagram that was cut off is seen as too large.
+    std::array<char, maximumDatagramBytes + 1> buffer{};
+    std::uint64_t failures = 0;
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/ControlIntroducers.cpp
@@ -0,0 +1,111 @@
+// Rows of introducers, written by few and read by who is alone.
+#include "ControlIntroducers.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace Sagecrank {
+
+namespace {
+
+constexpr std::uint32_t introducersPerZone = 3;
+constexpr Duration renewInterval = std::chrono::seconds(60);
+constexpr Duration firstRound = Milliseconds(1500); // Seeds are given this long to answer.
+constexpr Duration longestLonelyBackoff = std::chrono::seconds(30);
+constexpr std::uint32_t readLimit = 32;
+constexpr auto meshPartition = "introducers#mesh"; // One row a zone, so that zones find each other.
+
+std::string zonePartition(const std::string &zone)
+{
+    return "introducers#" + zone;
+}
+
+} // namespace
+
+ControlIntroducers::ControlIntroducers(boost::asio::io_context &context, std::string id, std::string zone,
+                                       std::string gossipAddress, TablePort table, IntroducerHooks hooks,
+                                       std::uint64_t seed)
+    : timer(context)
+    , id(std::move(id))
+    , zone(std::move(zone))
+    , gossipAddress(std::move(gossipAddress))
+    , table(std::move(table))
+    , hooks(std::move(hooks))
+    , random(seed)
+    , lonelyBackoff(firstRound)
+{
+}
+
+void ControlIntroducers::start()
+{
+    this->later(firstRound);
+}
+
+void ControlIntroducers::stop()
+{
+    this->stopped = true;
+    this->timer.cancel();
+}
+
+void ControlIntroducers::later(Duration delay)
+{
+    std::uniform_real_distribution<double> share(0.7, 1.3);
+    this->timer.expires_after(std::chrono::duration_cast<Duration>(delay * share(this->random)));
+    this->timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error && !this->stopped)
+            this->round();
+    });
+}
+
+void ControlIntroducers::round()
+{
+    const std::uint32_t rank = this->hooks.rank();
+    if (rank < introducersPerZone)
+        this->write(zonePartition(this->zone), this->id);
+    if (rank == 0) {
+        this->write(meshPartition, this->zone);
+        this->read(meshPartition);
+    }
+    if (this->hooks.knowsOthers())
+        return this->later(renewInterval);
+    this->read(zonePartition(this->zone));
+    if (rank != 0)
+        this->read(meshPartition);
+    this->lonelyBackoff = std::min(this->lonelyBackoff * 2, longestLonelyBackoff);
+    this->later(this->lonelyBackoff);
+}
+
+void ControlIntroducers::write(const std::string &partition, const std::string &sort)
+{
+    ++this->counts.writes;
+    const auto time = std::chrono::system_clock::now().time_since_epoch();
+    const auto seconds =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(time).count());
+    Row row{{partition, sort}, {{"gossip", this->gossipAddress}, {"time", seconds}}};
+    this->table.putIf({std::move(row), {}}, [this](const Result<void> &written) {
+        if (!written)
+            ++this->counts.failures;
+    });
+}
+
+void ControlIntroducers::read(const std::string &partition)
+{
+    ++this->counts.reads;
+    this->table.query({partition, false, readLimit}, [this](Result<std::vector<Row>> rows) {
+        if (this->stopped)
+            return;
+        if (!rows) {
+            ++this->counts.failures;
+            return;
+        }
+        std::vector<std::string> addresses;
+        for (const Row &row : rows.assume_value()) {
+            const std::string *address = row.text("gossip");
+            if (address != nullptr && *address != this->gossipAddress)
+                addresses.push_back(*address);
+        }
+        this->hooks.found(addresses);
+    });
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/ControlPlane.cpp
@@ -0,0 +1,348 @@
+// Composition of the control plane's parts.
+#include "ControlPlane.h"
+
+#include "ControlFollower.h"
+#include "ControlGossip.h"
+#include "ControlIntroducers.h"
+#include "ControlServer.h"
+
+#include <LibSpread/Rendezvous.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <mutex>
+#include <random>
+
+namespace Sagecrank {
+
+namespace {
+
+// Changes that come in one burst are told to the request plane as one view.
+constexpr Duration coalesceTime = Milliseconds(50);
+constexpr Duration statusInterval = Milliseconds(1000);
+constexpr Duration goodbyePoll = Milliseconds(100);
+
+// Above every earlier life of the same id as long as the host's clock moves forward. A clock that was set
+// back is mended by refutation; see Membership.
+std::uint64_t firstIncarnation()
+{
+    const auto time = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(time).count());
+}
+
+Member selfOf(const ControlSettings &settings)
+{
+    Member self;
+    self.id = settings.id;
+    self.incarnation = firstIncarnation();
+    self.region = settings.region;
+    self.zone = settings.zone;
+    self.site = settings.site;
+    self.gossipAddress = settings.gossipAddress;
+    self.peerAddress = settings.peerAddress;
+    self.controlAddress = settings.controlAddress;
+    return self;
+}
+
+MembershipSettings membershipSettingsOf(const ControlSettings &settings)
+{
+    MembershipSettings membership = settings.membership;
+    membership.seeds = settings.seeds;
+    return membership;
+}
+
+} // namespace
+
+class ControlPlane::Parts
+{
+public:
+    Parts(boost::asio::io_context &context, ControlSettings settings, TablePort table, ObjectPort objects,
+          ControlHooks hooks)
+        : context(context)
+        , settings(std::move(settings))
+        , hooks(std::move(hooks))
+        , viewTimer(context)
+        , statusTimer(context)
+        , goodbyeTimer(context)
+        , gossip(context, membershipSettingsOf(this->settings), selfOf(this->settings),
+                 this->membershipHooks(), std::random_device{}())
+        , follower(context, this->settings.id, this->settings.site, table, std::move(objects),
+                   this->followerHooks(), std::random_device{}())
+        , server(context, std::random_device{}(),
+                 [this](const PullRequest &request) { return this->follower.serve(request); })
+        , introducers(context, this->settings.id, this->settings.zone, this->settings.gossipAddress,
+                      std::move(table), this->introducerHooks(), std::random_device{}())
+    {
+    }
+
+    Result<void> start()
+    {
+        TRY_VOID(this->server.start(this->settings.controlAddress));
+        TRY_VOID(this->gossip.start(this->settings.gossipAddress));
+        this->follower.start();
+        this->introducers.start();
+        this->tellView();
+        this->refreshStatus();
+        return success();
+    }
+
+    void stop()
+    {
+        this->gossip.stop();
+        this->server.stop();
+        this->follower.stop();
+        this->introducers.stop();
+        this->viewTimer.cancel();
+        this->statusTimer.cancel();
+    }
+
+    void announceUpstream(const std::string &cluster, UpstreamState state, std::uint32_t slots)
+    {
+        this->gossip.membership().setUpstream(SteadyClock::now(), cluster, state, slots);
+    }
+
+    void leave(std::function<void()> done)
+    {
+        this->gossip.membership().leave(SteadyClock::now());
+        this->awaitGoodbye(std::move(done));
+    }
+
+    ControlStatus status() const
+    {
+        const std::lock_guard guard(this->statusMutex);
+        return this->lastStatus;
+    }
+
+    boost::asio::io_context &context;
+    std::atomic<bool> ready = false; // Never falls again.
+
+private:
+    MembershipHooks membershipHooks()
+    {
+        MembershipHooks made;
+        made.memberChanged = [this](const Member &member) {
+            if (this->hooks.memberChanged)
+                this->hooks.memberChanged(member);
+            this->tellViewSoon();
+        };
+        made.headRaised = [this](const ConfigurationMark &mark) { this->follower.heard(mark); };
+        return made;
+    }
+
+    FollowerHooks followerHooks()
+    {
+        FollowerHooks made;
+        made.offer = this->hooks.configurationOffered;
+        made.headSeen = [this](const ConfigurationMark &mark) {
+            this->gossip.membership().setConfiguration(this->follower.heldVersion(), mark);
+        };
+        made.held = [this](std::uint64_t version) {
+            this->gossip.membership().setConfiguration(version, this->gossip.membership().head());
+            this->updateReady();
+        };
+        made.holders = [this](std::uint64_t version) { return this->holders(version); };
+        made.zoneVersions = [this] { return this->zoneVersions(); };
+        made.rank = [this] { return this->rank("head"); };
+        made.hasView = [this] { return this->gossip.membership().hasView(); };
+        made.failed = [this](const Error &error) {
+            if (this->hooks.failed)
+                this->hooks.failed(error);
+        };
+        return made;
+    }
+
+    IntroducerHooks introducerHooks()
+    {
+        IntroducerHooks made;
+        made.rank = [this] { return this->rank("introducer"); };
+        made.knowsOthers = [this] { return this->gossip.membership().members().presentCount() > 1; };
+        made.found = [this](const std::vector<std::string> &addresses) {
+            this->gossip.membership().addSeeds(addresses);
+        };
+        return made;
+    }
+
+    std::uint32_t rank(std::string_view role) const
+    {
+        const MemberTable &table = this->gossip.membership().members();
+        std::vector<std::string_view> others;
+        for (const std::uint64_t idHash : table.zonePeers()) {
+            const MemberRecord *record = table.find(idHash);
+            if (record->member.state == MemberState::Alive)
+                others.push_back(record->member.id);
+        }
+        const std::string named = std::string(role) + "#" + this->settings.zone;
+        return rendezvousRank(named, this->settings.id, others);
+    }
+
+    std::vector<Holder> holders(std::uint64_t version) const
+    {
+        std::vector<Holder> list;
+        this->gossip.membership().members().forEach([&](const MemberRecord &record) {
+            const Member &member = record.member;
+            const bool usable = member.state == MemberState::Alive && member.configurationVersion >= version
+                                && member.site == this->settings.site && member.id != this->settings.id;
+            if (usable && version != 0)
+                list.push_back({member.id, member.controlAddress, member.zone == this->settings.zone});
+        });
+        return list;
+    }
+
+    // Of peers that could serve this node, so of its site.
+    std::vector<std::uint64_t> zoneVersions() const
+    {
+        std::vector<std::uint64_t> near;
+        std::vector<std::uint64_t> all;
+        for (const Holder &holder : this->holders(1)) {
+            const MemberRecord *record = this->gossip.membership().members().find(holder.id);
+            all.push_back(record->member.configurationVersion);
+            if (holder.sameZone)
+                near.push_back(record->member.configurationVersion);
+        }
+        return near.empty() ? all : near;
+    }
+
+    void updateReady()
+    {
+        if (this->follower.heldVersion() != 0 && this->gossip.membership().hasView())
+            this->ready = true;
+    }
+
+    void tellViewSoon()
+    {
+        if (this->viewPending)
+            return;
+        this->viewPending = true;
+        this->viewTimer.expires_after(coalesceTime);
+        this->viewTimer.async_wait([this](const boost::system::error_code &error) {
+            if (!error)
+                this->tellView();
+        });
+    }
+
+    void tellView()
+    {
+        this->viewPending = false;
+        if (this->hooks.membersChanged)
+            this->hooks.membersChanged(this->gossip.membership().members().members());
+    }
+
+    void awaitGoodbye(std::function<void()> done)
+    {
+        if (this->gossip.membership().saidGoodbye())
+            return done();
+        this->goodbyeTimer.expires_after(goodbyePoll);
+        this->goodbyeTimer.async_wait(
+            [this, done = std::move(done)](const boost::system::error_code &) { this->awaitGoodbye(done); });
+    }
+
+    void refreshStatus()
+    {
+        this->updateReady();
+        ControlStatus status = this->collectStatus();
+        {
+            const std::lock_guard guard(this->statusMutex);
+            this->lastStatus = status;
+        }
+        this->statusTimer.expires_after(statusInterval);
+        this->statusTimer.async_wait([this](const boost::system::error_code &error) {
+            if (!error)
+                this->refreshStatus();
+        });
+    }
+
+    ControlStatus collectStatus() const
+    {
+        const Membership &membership = this->gossip.membership();
+        const FollowerCounters &follower = this->follower.counters();
+        const ControlServerCounters &server = this->server.counters();
+        ControlStatus status;
+        membership.members().forEach([&](const MemberRecord &record) {
+            ++status.membersByState[static_cast<std::size_t>(record.member.state)];
+        });
+        status.heldVersion = this->follower.heldVersion();
+        status.headVersion = std::max(membership.head().version, this->follower.wanted().version);
+        status.ready = this->ready;
+        status.healthScore = membership.healthScore();
+        status.headPollRank = this->rank("head");
+        status.gossip = membership.counters();
+        status.gossipSendFailures = this->gossip.sendFailures();
+        status.headReads = follower.headReads;
+        status.headReadFailures = follower.headReadFailures;
+        status.objectReads = follower.objectReads;
+        status.introducerReads = this->introducers.counters().reads;
+        status.introducerWrites = this->introducers.counters().writes;
+        status.peerPulls = follower.peerPulls;
+        status.platformPulls = follower.platformPulls;
+        status.pullFailures = follower.pullFailures;
+        status.pulledBytes = follower.pulledBytes;
+        status.wholePulls = follower.wholePulls;
+        status.refusedVersions = follower.refusedVersions;
+        status.pullsServed = server.served;
+        status.pullsTurnedAway = server.refused;
+        status.pullBytesServed = server.servedBytes;
+        status.malformedRequests = server.malformed;
+        return status;
+    }
+
+    ControlSettings settings;
+    ControlHooks hooks;
+    boost::asio::steady_timer viewTimer;
+    boost::asio::steady_timer statusTimer;
+    boost::asio::steady_timer goodbyeTimer;
+    bool viewPending = false;
+    ControlGossip gossip;
+    ControlFollower follower;
+    ControlServer server;
+    ControlIntroducers introducers;
+    mutable std::mutex statusMutex;
+    ControlStatus lastStatus; // Guarded by statusMutex.
+};
+
+ControlPlane::ControlPlane(boost::asio::io_context &context, ControlSettings settings, TablePort table,
+                           ObjectPort objects, ControlHooks hooks)
+    : parts(std::make_unique<Parts>(context, std::move(settings), std::move(table), std::move(objects),
+                                    std::move(hooks)))
+{
+}
+
+ControlPlane::~ControlPlane() = default;
+
+Result<void> ControlPlane::start()
+{
+    return this->parts->start();
+}
+
+void ControlPlane::announceUpstream(const std::string &cluster, UpstreamState state, std::uint32_t slots)
+{
+    boost::asio::post(this->parts->context, [parts = this->parts.get(), cluster, state, slots] {
+        parts->announceUpstream(cluster, state, slots);
+    });
+}
+
+void ControlPlane::leave(std::function<void()> done)
+{
+    boost::asio::post(this->parts->context, [parts = this->parts.get(), done = std::move(done)]() mutable {
+        parts->leave(std::move(done));
+    });
+}
+
+void ControlPlane::stop()
+{
+    this->parts->stop();
+}
+
+bool ControlPlane::ready() const
+{
+    return this->parts->ready;
+}
+
+ControlStatus ControlPlane::status() const
+{
+    return this->parts->status();
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Tests/Control/TestControlPlane.cpp
@@ -0,0 +1,271 @@
+// Three control planes on loopback with a platform in memory: versions and members reach all of them.
+#include <LibConfig/Assemble.h>
+#include <LibConfig/ConfigurationHolder.h>
+#include <Node/ControlPlane.h>
+
+#include <LibSource/Head.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+
+#include <criterion/criterion.h>
+
+#include <memory>
+
+using namespace Sagecrank;
+
+namespace {
+
+// A table and an object store in memory whose answers come on the next turn of the context.
+class FakePlatform
+{
+public:
+    explicit FakePlatform(boost::asio::io_context &context)
+        : context(context)
+    {
+    }
+
+    TablePort table()
+    {
+        TablePort port;
+        port.get = [this](const RowKey &key, const RowCallback &callback) {
+            ++this->reads;
+            boost::asio::post(this->context, [this, key, callback] { callback(this->row(key)); });
+        };
+        port.putIf = [this](const ConditionalPut &put, const WriteCallback &callback) {
+            this->rows[put.row.key] = put.row;
+            boost::asio::post(this->context, [callback] { callback(success()); });
+        };
+        port.query = [this](const QueryRequest &request, const RowsCallback &callback) {
+            std::vector<Row> found;
+            for (const auto &[key, row] : this->rows) {
+                if (key.partition == request.partition)
+                    found.push_back(row);
+            }
+            boost::asio::post(this->context, [callback, found] { callback(found); });
+        };
+        return port;
+    }
+
+    ObjectPort objects()
+    {
+        ObjectPort port;
+        port.get = [this](const std::string &name, const BytesCallback &callback) {
+            ++this->reads;
+            boost::asio::post(this->context, [this, name, callback] { callback(this->object(name)); });
+        };
+        return port;
+    }
+
+    void publish(const SiteConfiguration &configuration)
+    {
+        const std::uint64_t version = configuration.manifest.version;
+        for (const auto &[digest, bytes] : sectionBytes(configuration))
+            this->stored[sectionObjectName(digest)] = bytes;
+        const Digest site = sectionListDigest(configuration.manifest.sections);
+        this->stored[siteObjectName(site)] = encodeSectionList(configuration.manifest.sections);
+        const VersionManifest manifest{version, "p", {{configuration.manifest.site, site}}};
+        const auto bytes = encodeVersionManifest(manifest);
+        this->stored[manifestObjectName(version, "p")] = bytes;
+        const Row head = headRow({version, digestOf(bytes), "p"});
+        this->rows[head.key] = head;
+    }
+
+    bool down = false;
+    std::size_t reads = 0;
+    std::map<RowKey, Row> rows;
+
+private:
+    Error outage() const { return makeError(ErrorKind::Unavailable, "ask platform", "fake", "down"); }
+
+    Result<std::optional<Row>> row(const RowKey &key)
+    {
+        if (this->down)
+            return this->outage();
+        const auto found = this->rows.find(key);
+        return found == this->rows.end() ? std::optional<Row>() : std::optional<Row>(found->second);
+    }
+
+    auto object(const std::string &name) -> Result<decltype(encodeSection({}))>
+    {
+        if (this->down)
+            return this->outage();
+        const auto found = this->stored.find(name);
+        if (found == this->stored.end())
+            return makeError(ErrorKind::NotFound, "get object", name, "none");
+        return found->second;
+    }
+
+    boost::asio::io_context &context;
+    std::map<std::string, decltype(encodeSection({}))> stored;
+};
+
+// Free when asked for; the kernel hands out another one each time, so a clash is unlikely.
+std::string freeAddress()
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+struct TestNode
+{
+    std::unique_ptr<ConfigurationHolder> holder = std::make_unique<ConfigurationHolder>("s", HolderHooks{});
+    std::unique_ptr<ControlPlane> plane;
+    std::string gossipAddress = freeAddress();
+    std::vector<Member> view;
+    std::size_t errors = 0;
+
+    void start(boost::asio::io_context &context, FakePlatform &platform, const std::string &id,
+               const std::string &zone, std::vector<std::string> seeds)
+    {
+        ControlSettings settings;
+        settings.id = id;
+        settings.region = "r";
+        settings.zone = zone;
+        settings.site = "s";
+        settings.gossipAddress = this->gossipAddress;
+        settings.peerAddress = freeAddress();
+        settings.controlAddress = freeAddress();
+        settings.seeds = std::move(seeds);
+        ControlHooks hooks;
+        hooks.membersChanged = [this](const std::vector<Member> &members) { this->view = members; };
+        hooks.configurationOffered = [this](SiteConfiguration configuration) {
+            return this->holder->offer(std::move(configuration));
+        };
+        hooks.failed = [this](const Error &) { ++this->errors; };
+        this->plane = std::make_unique<ControlPlane>(context, settings, platform.table(), platform.objects(),
+                                                     std::move(hooks));
+        const Result<void> started = this->plane->start();
+        cr_assert(started.has_value(), "%s", started ? "" : started.error().describe().c_str());
+    }
+};
+
+SiteConfiguration configuration(std::uint64_t version, std::uint32_t queue, bool duplicateRoute = false)
+{
+    Route route;
+    route.name = "slots";
+    route.prefix = "/slots";
+    Section booking{"booking", queue, {route}};
+    Section entry{"entry", 64, {}};
+    if (duplicateRoute)
+        entry.routes.push_back(route);
+    return makeSiteConfiguration(version, "s", {booking, entry});
+}
+
+struct Fixture
+{
+    RcuThread reader;
+    boost::asio::io_context context;
+    FakePlatform platform{context};
+    TestNode nodes[3];
+
+    // The limit only ends a run that would never get there.
+    bool runUntil(const std::function<bool()> &condition)
+    {
+        const Instant limit = SteadyClock::now() + std::chrono::seconds(60);
+        while (!condition() && SteadyClock::now() < limit)
+            this->context.run_for(Milliseconds(20));
+        return condition();
+    }
+
+    bool allHold(std::uint64_t version) const
+    {
+        for (const TestNode &node : this->nodes) {
+            if (node.plane && node.holder->version() != version)
+                return false;
+        }
+        return true;
+    }
+
+    void startAll()
+    {
+        for (int i = 0; i < 3; ++i)
+            this->nodes[i].start(this->context, this->platform, "n" + std::to_string(i), "z",
+                                 {this->nodes[0].gossipAddress});
+    }
+};
+
+} // namespace
+
+Test(control, aVersionReachesAllAndChangesTravelAsDeltas)
+{
+    Fixture fixture;
+    fixture.platform.publish(configuration(1, 10));
+    fixture.startAll();
+    cr_assert(fixture.runUntil([&] { return fixture.allHold(1); }));
+    cr_assert(fixture.runUntil([&] { return fixture.nodes[2].view.size() == 3; }));
+    cr_assert(fixture.runUntil([&] { return fixture.nodes[2].plane->ready(); }));
+    fixture.platform.publish(configuration(2, 20));
+    cr_assert(fixture.runUntil([&] { return fixture.allHold(2); }));
+    cr_assert(fixture.nodes[1].holder->held()->sections[0].maximumQueue == 20);
+}
+
+// A host is replaced while the platform is out. Its callers wait for a node that has a configuration: it must
+// get one from its peers, and must not say that it is ready before.
+Test(control, aFreshNodeIsServedByPeersWhileThePlatformIsDown)
+{
+    Fixture fixture;
+    fixture.platform.publish(configuration(3, 10));
+    for (int i = 0; i < 2; ++i)
+        fixture.nodes[i].start(fixture.context, fixture.platform, "n" + std::to_string(i), "z",
+                               {fixture.nodes[0].gossipAddress});
+    cr_assert(fixture.runUntil([&] { return fixture.allHold(3); }));
+    fixture.platform.down = true;
+    fixture.nodes[2].start(fixture.context, fixture.platform, "n2", "z", {fixture.nodes[0].gossipAddress});
+    cr_assert(!fixture.nodes[2].plane->ready());
+    cr_assert(fixture.runUntil([&] { return fixture.nodes[2].holder->version() == 3; }));
+}
+
+// No seed is in the settings. The nodes must find each other through the rows that introducers keep in the
+// platform's table.
+Test(control, nodesFindEachOtherThroughIntroducers)
+{
+    Fixture fixture;
+    for (int i = 0; i < 3; ++i)
+        fixture.nodes[i].start(fixture.context, fixture.platform, "n" + std::to_string(i),
+                               "z" + std::to_string(i), {});
+    cr_assert(fixture.runUntil([&] {
+        return fixture.nodes[0].view.size() == 3 && fixture.nodes[1].view.size() == 3
+               && fixture.nodes[2].view.size() == 3;
+    }));
+}
+
+// A version whose content does not check was accepted. Every node must keep the version that it holds, report
+// the bad one, and take the next good one.
+Test(control, aBadVersionIsRefusedWholeAndTheNextIsTaken)
+{
+    Fixture fixture;
+    fixture.platform.publish(configuration(1, 10));
+    fixture.startAll();
+    cr_assert(fixture.runUntil([&] { return fixture.allHold(1); }));
+    fixture.platform.publish(configuration(2, 20, true));
+    cr_assert(fixture.runUntil(
+        [&] { return fixture.nodes[0].errors + fixture.nodes[1].errors + fixture.nodes[2].errors > 0; }));
+    cr_assert(fixture.allHold(1));
+    fixture.platform.publish(configuration(3, 30));
+    cr_assert(fixture.runUntil([&] { return fixture.allHold(3); }));
+}
+
+Test(control, aGoodbyeAndADrainAreSeen)
+{
+    Fixture fixture;
+    fixture.platform.publish(configuration(1, 10));
+    fixture.startAll();
+    cr_assert(fixture.runUntil([&] { return fixture.allHold(1) && fixture.nodes[0].view.size() == 3; }));
+    const auto seenAs = [&](MemberState state, UpstreamState upstream) {
+        for (const Member &member : fixture.nodes[0].view) {
+            if (member.id == "n2")
+                return member.state == state && member.upstream == upstream;
+        }
+        return false;
+    };
+    fixture.nodes[2].plane->announceUpstream("booking", UpstreamState::Ready, 6);
+    cr_assert(fixture.runUntil([&] { return seenAs(MemberState::Alive, UpstreamState::Ready); }));
+    fixture.nodes[2].plane->announceUpstream("booking", UpstreamState::Draining, 6);
+    cr_assert(fixture.runUntil([&] { return seenAs(MemberState::Alive, UpstreamState::Draining); }));
+    bool left = false;
+    fixture.nodes[2].plane->leave([&] { left = true; });
+    cr_assert(fixture.runUntil([&] { return left; }));
+    cr_assert(fixture.runUntil([&] { return seenAs(MemberState::Left, UpstreamState::Draining); }));
+}
--- a/Tests/LibSpread/TestSpread.cpp
+++ b/Tests/LibSpread/TestSpread.cpp
@@ -313,3 +313,19 @@
     cr_assert(plan.wanted().version == 5);
     cr_assert(plan.next(now, 5, 0, {}).source == PullSource::None);
 }
+
+// A host is replaced while the platform is out; the newest version was accepted but nobody could read it. The
+// new node must serve with the version that its peers hold, and take the newest when it appears.
+Test(spread, aFreshNodeSettlesForAnOlderVersionAndThenMovesOn)
+{
+    PullPlan plan({}, 11);
+    const Instant now(std::chrono::hours(1));
+    plan.want({9, 1, 1}, now);
+    plan.settleFor({8, 0, 0}, now);
+    cr_assert(plan.wanted().version == 8);
+    cr_assert(plan.next(now, 0, 40, {{"n1", "", true}}).source == PullSource::ZonePeer);
+    plan.want({9, 1, 1}, now);
+    cr_assert(plan.wanted().version == 8);
+    plan.succeeded();
+    cr_assert(plan.wanted().version == 9);
+}
