LibDecide: Take the cold ramp out of the gate

Cause: the gate gave a warming upstream a quarter of its slots and one more for each success. A cold upstream that is merely slow shows in its run times, and one that bears less sheds, which lowers the limit already; so the ramp is taken out.

--- a/Libraries/LibDecide/ConcurrencyLimit.cpp
+++ b/Libraries/LibDecide/ConcurrencyLimit.cpp
@@ -12,8 +12,6 @@
 // leaves most of the capacity in use when the shed was a passing one.
 constexpr double decrease = 0.7;
 
-constexpr double coldShare = 0.25;
-
 } // namespace
 
 ConcurrencyLimit::ConcurrencyLimit(std::uint32_t slots)
@@ -32,27 +30,17 @@
     this->current = wasFull ? top : std::min(this->current, top);
 }
 
-void ConcurrencyLimit::restartCold()
-{
-    const double top = std::max(1U, this->announced);
-    this->current = std::max(1.0, top * coldShare);
-    this->probing = true;
-}
-
 void ConcurrencyLimit::succeeded(bool busy)
 {
     if (!busy)
         return;
+    // One more for each round of successes.
     const double top = std::max(1U, this->announced);
-    // Cold: one more for each success doubles the limit every round. Afterwards one more for each round.
-    this->current = std::min(top, this->current + (this->probing ? 1.0 : 1.0 / this->current));
-    if (this->current >= top)
-        this->probing = false;
+    this->current = std::min(top, this->current + 1.0 / this->current);
 }
 
 void ConcurrencyLimit::shed(Instant now, Duration runTime)
 {
-    this->probing = false;
     // The calls of one round shed together; they are one piece of news, not several.
     if (this->loweredAt != Instant::min() && now - this->loweredAt < runTime)
         return;
--- a/Libraries/LibDecide/ConcurrencyLimit.h
+++ b/Libraries/LibDecide/ConcurrencyLimit.h
@@ -1,5 +1,5 @@
 // How many calls an upstream is given at once. Its announced slots are the upper bound; how many it bears is
-// found from its answers, since the announcement can mislead and a cold start bears less.
+// found from its answers, since the announcement can mislead.
 #pragma once
 
 #include <LibCore/Time.h>
@@ -16,8 +16,6 @@
     // Commands.
 
     void setSlots(std::uint32_t slots);
-    // A cold upstream begins with a quarter of its slots, and every success adds one.
-    void restartCold();
     // `busy` says that the limit was in use: a success proves nothing about a level that was not reached.
     void succeeded(bool busy);
     // The upstream said that it is overloaded.
@@ -30,8 +28,7 @@
 
 private:
     std::uint32_t announced;
-    double current;       // Invariant: 1 <= current <= max(1, announced).
-    bool probing = false; // Set until the first shed or until all slots are in use.
+    double current; // Invariant: 1 <= current <= max(1, announced).
     Instant loweredAt = Instant::min();
 };
 
--- a/Libraries/LibDecide/Gate.cpp
+++ b/Libraries/LibDecide/Gate.cpp
@@ -142,12 +142,9 @@
 void Gate::setState(Instant now, UpstreamCondition condition, std::uint32_t slots,
                     std::vector<GateAction> &actions)
 {
-    const bool wasAbsent = this->state == UpstreamCondition::NotReady;
     const bool takes = condition == UpstreamCondition::Warming || condition == UpstreamCondition::Ready;
     this->limit.setSlots(slots);
     this->state = condition;
-    if (condition == UpstreamCondition::Warming && wasAbsent)
-        this->limit.restartCold();
     if (takes) {
         this->startWaiting(now, actions);
         return;
--- a/Libraries/LibDecide/Gate.h
+++ b/Libraries/LibDecide/Gate.h
@@ -81,7 +81,7 @@
 
 enum class UpstreamCondition : std::uint8_t {
     NotReady, // Not announced, or gone.
-    Warming,  // Takes calls but is slow: it gets few at first.
+    Warming,  // Takes calls and is slow; that shows in its run times.
     Ready,
     Draining, // Finishes what it runs and takes nothing new.
 };
--- a/Libraries/LibDecide/Placer.cpp
+++ b/Libraries/LibDecide/Placer.cpp
@@ -228,7 +228,7 @@
             continue;
         const std::size_t start = this->random() % candidates.size();
         std::size_t compared = 0;
-        for (std::size_t step = 0; step < candidates.size() && compared < 2; ++step) {
+        for (std::size_t step = 0; step < candidates.size() && compared < this->settings.choices; ++step) {
             const std::size_t index = (start + step) % candidates.size();
             const UpstreamFacts &facts = candidates[index];
             if (facts.sameZone != sameZone || !takesCalls(facts) || contains(tried, index))
--- a/Libraries/LibDecide/Placer.h
+++ b/Libraries/LibDecide/Placer.h
@@ -47,6 +47,7 @@
 
 struct PlacerSettings
 {
+    std::size_t choices = 2; // How many of this zone, and of the others, are compared for each call.
     Duration otherZoneCost = std::chrono::milliseconds(1);  // Round trip to another zone beyond one's own.
     double ejectedShare = 0.5;                              // At most this share is ejected at once.
     Duration toldLoadLife = std::chrono::milliseconds(100); // Told load loses most of its weight after this.
--- a/Utilities/PolicyBench/Policy.cpp
+++ b/Utilities/PolicyBench/Policy.cpp
@@ -232,19 +232,6 @@
     return hooks;
 }
 
-// The gate takes a cold upstream for a warm one.
-GateHooks withoutColdRamp(std::uint64_t seed)
-{
-    GateHooks hooks = ourGate(seed);
-    const auto setState = hooks.setState;
-    hooks.setState = [setState](Instant now, UpstreamCondition condition, std::uint32_t slots,
-                                std::vector<GateAction> &actions) {
-        const bool cold = condition == UpstreamCondition::Warming;
-        setState(now, cold ? UpstreamCondition::Ready : condition, slots, actions);
-    };
-    return hooks;
-}
-
 Policy oursWith(std::string name, GateHooks (*makeGate)(std::uint64_t))
 {
     Policy policy = ours();
@@ -278,6 +265,12 @@
     settings.ejectedShare = 0;
     policies.push_back(oursWith("no-ejection", settings));
 
+    for (const std::size_t choices : {1, 3, 16}) {
+        settings = PlacerSettings{};
+        settings.choices = choices;
+        policies.push_back(oursWith("choices-" + std::to_string(choices), settings));
+    }
+
     settings = PlacerSettings{};
     settings.toldLoadLife = 1ns;
     policies.push_back(oursWith("no-told-load", settings));
@@ -298,7 +291,6 @@
     policies.push_back(oursWith("no-deadlines", withoutDeadlines));
     policies.push_back(oursWith("no-classes", withoutClasses));
     policies.push_back(oursWith("no-adaptive-limit", withoutAdaptiveLimit));
-    policies.push_back(oursWith("no-cold-ramp", withoutColdRamp));
     return policies;
 }
 
