Node: Claim keys through the table and join the parts

Cause: a call with an idempotency key may run at most once through any node. Node and status join the parts; the program follows with the control plane.

--- a/Libraries/LibSource/ClaimKeeper.h
+++ b/Libraries/LibSource/ClaimKeeper.h
@@ -93,6 +93,7 @@
     std::optional<Instant> nextWake() const;
 
     ClaimCounters counters() const;
+    std::size_t settlingCount() const { return this->settler.waitingCount(); } // Ends not yet in the table.
     bool tableLooksDown() const { return this->circuit.isOpen(); }
 
 private:
--- a/Services/Node/ClaimHooks.h
+++ b/Services/Node/ClaimHooks.h
@@ -2,47 +2,24 @@
 #pragma once
 
 #include <LibCore/Time.h>
-#include <LibWire/PeerMessages.h>
+#include <LibSource/ClaimKeeper.h>
 
-#include <cstdint>
 #include <functional>
 #include <string>
-#include <vector>
 
 namespace Sagecrank {
 
-// The answer that is given again to a later attempt with the same key.
-struct RecordedAnswer
-{
-    std::uint32_t status = 0;
-    std::string contentType;
-    std::string body;
-    bool bodyKept = true; // False when it was too large to keep.
-};
-
-enum class ClaimVerdict : std::uint8_t {
-    Claimed,     // This attempt alone may run.
-    AlreadyDone, // An earlier attempt ran; its answer is recorded.
-    InProgress,  // An earlier attempt holds the key; whether it ran is not known.
-    NotClaimed,  // The table could not be asked in time; nothing runs.
-};
-
-struct ClaimAnswer
-{
-    ClaimVerdict verdict = ClaimVerdict::NotClaimed;
-    RecordedAnswer recorded; // When AlreadyDone.
-    Duration retryAfter{};   // When InProgress or NotClaimed.
-};
-
-// The hooks may be called from any thread; `done` may come on any thread.
+// The hooks may be called from any thread; `done` may come on any thread. A granted claim ends with exactly
+// one of finish, release and leaveUnknown.
 struct ClaimHooks
 {
     std::function<void(const std::string &key, const std::string &attempt, Instant deadline,
-                       std::function<void(ClaimAnswer)> done)>
+                       ClaimCallback done)>
         claim;
-    std::function<void(const std::string &key, const std::string &attempt, RecordedAnswer answer)> record;
+    std::function<void(const std::string &key, const std::string &attempt, RecordedOutcome outcome)> finish;
     std::function<void(const std::string &key, const std::string &attempt)>
         release; // It provably did not run.
+    std::function<void(const std::string &key, const std::string &attempt)> leaveUnknown;
 };
 
 } // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/ClaimService.cpp
@@ -0,0 +1,73 @@
+// Brings claims to the control thread and keeps the keeper's time.
+#include "ClaimService.h"
+
+#include <boost/asio/post.hpp>
+
+namespace Sagecrank {
+
+namespace {
+
+std::uint64_t wallMilliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now).count());
+}
+
+} // namespace
+
+ClaimService::ClaimService(boost::asio::io_context &control, TablePort table)
+    : control(control)
+    , keeper(std::move(table), ClaimSettings{},
+             ClaimClocks{[] { return SteadyClock::now(); }, wallMilliseconds})
+    , timer(control)
+{
+}
+
+ClaimHooks ClaimService::hooks()
+{
+    ClaimHooks hooks;
+    hooks.claim = [this](const std::string &key, const std::string &attempt, Instant deadline,
+                         ClaimCallback done) {
+        this->post([this, key, attempt, deadline, done = std::move(done)] {
+            this->keeper.claim(key, attempt, deadline, done);
+        });
+    };
+    hooks.finish = [this](const std::string &key, const std::string &attempt, RecordedOutcome outcome) {
+        this->post([this, key, attempt, outcome = std::move(outcome)] {
+            this->keeper.finish(key, attempt, outcome);
+        });
+    };
+    hooks.release = [this](const std::string &key, const std::string &attempt) {
+        this->post([this, key, attempt] { this->keeper.release(key, attempt); });
+    };
+    hooks.leaveUnknown = [this](const std::string &key, const std::string &attempt) {
+        this->post([this, key, attempt] { this->keeper.leaveUnknown(key, attempt); });
+    };
+    return hooks;
+}
+
+void ClaimService::post(std::function<void()> step)
+{
+    ++this->posted;
+    boost::asio::post(this->control, [this, step = std::move(step)] {
+        step();
+        this->wakeLater();
+        --this->posted;
+    });
+}
+
+void ClaimService::wakeLater()
+{
+    const std::optional<Instant> next = this->keeper.nextWake();
+    if (!next)
+        return;
+    this->timer.expires_at(*next);
+    this->timer.async_wait([this](const boost::system::error_code &error) {
+        if (error)
+            return;
+        this->keeper.advance();
+        this->wakeLater();
+    });
+}
+
+} // namespace Sagecrank
--- a/Services/Node/LocalGate.cpp
+++ b/Services/Node/LocalGate.cpp
@@ -12,14 +12,18 @@
 namespace {
 
 // Refusals that LibDecide does not know of, beside its own reasons.
-constexpr std::string_view reasonClaimTable = "claim_table_unavailable";
 constexpr std::string_view reasonKeyInProgress = "key_in_progress";
+constexpr std::string_view reasonKeyUnknown = "key_outcome_unknown";
 constexpr std::string_view reasonShed = "upstream_shed";
 constexpr std::string_view reasonUnreachable = "upstream_unreachable";
 constexpr std::string_view reasonBroken = "upstream_broke_off";
 constexpr std::string_view reasonDeadline = "deadline_passed_while_running";
 constexpr std::string_view reasonCancelled = "cancelled";
 
+constexpr std::uint32_t statusConflict = 409;
+constexpr std::uint32_t statusUnavailable = 503;
+constexpr std::uint32_t statusGatewayTimeout = 504;
+
 // When a caller is told to come back although nothing is known about when the upstream will be well.
 constexpr Duration unreachableRetryAfter = std::chrono::seconds(1);
 
@@ -95,44 +99,57 @@
         return this->refuse(call, refusalReasonNames.name(refusal.reason), refusal.retryAfter);
 
     this->claims.claim(call->request.idempotencyKey, call->request.attempt, call->deadline,
-                       [this, call](ClaimAnswer answer) {
+                       [this, call](const ClaimAnswer &answer) {
                            boost::asio::post(call->home.context,
-                                             [this, call, answer = std::move(answer)]() mutable {
-                                                 this->afterClaim(call, std::move(answer));
-                                             });
+                                             [this, call, answer] { this->afterClaim(call, answer); });
                        });
 }
 
-void LocalGate::afterClaim(const std::shared_ptr<GateCall> &call, ClaimAnswer answer)
+void LocalGate::afterClaim(const std::shared_ptr<GateCall> &call, const ClaimAnswer &answer)
 {
-    CallResponse response;
     switch (answer.verdict) {
-    case ClaimVerdict::Claimed:
+    case ClaimVerdict::Granted:
         call->claimed = true;
         if (call->cancelled)
             return this->refuse(call, reasonCancelled, unreachableRetryAfter);
         return this->offer(call);
     case ClaimVerdict::AlreadyDone:
-        response.outcome = Outcome::Done;
-        response.replayed = true;
-        response.status = answer.recorded.status;
-        if (!answer.recorded.contentType.empty())
-            response.headers.push_back({"Content-Type", answer.recorded.contentType});
-        if (!answer.recorded.bodyKept)
-            response.headers.push_back({"Sagecrank-Body", "not-kept"});
-        response.body = std::move(answer.recorded.body);
-        return this->answer(call, std::move(response));
+        return this->replay(call, answer.outcome);
     case ClaimVerdict::InProgress:
-        response.outcome = Outcome::Unknown;
-        response.reason = reasonKeyInProgress;
-        response.status = 409;
-        response.retryAfterMilliseconds = wholeMilliseconds(answer.retryAfter);
-        return this->answer(call, std::move(response));
-    case ClaimVerdict::NotClaimed:
-        return this->refuse(call, reasonClaimTable, answer.retryAfter);
+        return this->answerUnknown(call, reasonKeyInProgress, statusConflict, answer.retryAfter);
+    case ClaimVerdict::Unknown:
+        return this->answerUnknown(call, reasonKeyUnknown, statusGatewayTimeout, unreachableRetryAfter);
+    case ClaimVerdict::NotRun:
+        return this->refuse(call, answer.reason, answer.retryAfter);
     }
 }
 
+// An earlier attempt with this key ran: its caller, or the same one again, gets that answer and nothing runs.
+void LocalGate::replay(const std::shared_ptr<GateCall> &call, const RecordedOutcome &outcome)
+{
+    CallResponse response;
+    response.outcome = Outcome::Done;
+    response.replayed = true;
+    response.status = outcome.status;
+    if (!outcome.contentType.empty())
+        response.headers.push_back({"Content-Type", outcome.contentType});
+    if (!outcome.bodyKept)
+        response.headers.push_back({"Sagecrank-Body", "not-kept"});
+    response.body = outcome.body;
+    this->answer(call, std::move(response));
+}
+
+void LocalGate::answerUnknown(const std::shared_ptr<GateCall> &call, std::string_view reason,
+                              std::uint32_t status, Duration retryAfter)
+{
+    CallResponse response;
+    response.outcome = Outcome::Unknown;
+    response.reason = reason;
+    response.status = status;
+    response.retryAfterMilliseconds = wholeMilliseconds(retryAfter);
+    this->answer(call, std::move(response));
+}
+
 void LocalGate::offer(const std::shared_ptr<GateCall> &call)
 {
     std::vector<GateAction> actions;
@@ -249,17 +266,17 @@
 void LocalGate::upstreamAnswered(const std::shared_ptr<GateCall> &call, HttpResponse response)
 {
     const std::string_view said = findHeader(response.headers, "Sagecrank-Outcome");
-    if (response.status == 503 && said == outcomeNames.name(Outcome::NotRun)) {
+    if (response.status == statusUnavailable && said == outcomeNames.name(Outcome::NotRun)) {
         this->freeSlot(call, CallEnd::Shed);
         return this->refuse(call, reasonShed, retryAfterOf(response));
     }
     this->freeSlot(call, response.status >= 500 ? CallEnd::Failed : CallEnd::Succeeded);
     if (call->claimed) {
-        RecordedAnswer recorded;
+        RecordedOutcome recorded;
         recorded.status = response.status;
         recorded.contentType = findHeader(response.headers, "Content-Type");
         recorded.body = response.body;
-        this->claims.record(call->request.idempotencyKey, call->request.attempt, std::move(recorded));
+        this->claims.finish(call->request.idempotencyKey, call->request.attempt, std::move(recorded));
     }
     CallResponse answer;
     answer.outcome = Outcome::Done;
@@ -277,12 +294,11 @@
     this->freeSlot(call, call->cancelled ? CallEnd::Cancelled : CallEnd::Failed);
     if (!failure.mayHaveBeenSent)
         return this->refuse(call, reasonUnreachable, unreachableRetryAfter);
-    CallResponse response;
-    response.outcome = Outcome::Unknown;
-    response.reason = SteadyClock::now() >= call->deadline ? reasonDeadline : reasonBroken;
-    response.status = 504;
-    response.retryAfterMilliseconds = wholeMilliseconds(unreachableRetryAfter);
-    this->answer(call, std::move(response));
+    if (call->claimed)
+        this->claims.leaveUnknown(call->request.idempotencyKey, call->request.attempt);
+    const bool late = SteadyClock::now() >= call->deadline;
+    this->answerUnknown(call, late ? reasonDeadline : reasonBroken, statusGatewayTimeout,
+                        unreachableRetryAfter);
 }
 
 void LocalGate::freeSlot(const std::shared_ptr<GateCall> &call, CallEnd end)
@@ -303,7 +319,7 @@
     CallResponse response;
     response.outcome = Outcome::NotRun;
     response.reason = reason;
-    response.status = 503;
+    response.status = statusUnavailable;
     response.retryAfterMilliseconds = wholeMilliseconds(retryAfter);
     response.claimHeld = call->claimed;
     if (call->claimed)
--- a/Services/Node/LocalGate.h
+++ b/Services/Node/LocalGate.h
@@ -71,7 +71,10 @@
 private:
     bool serves(const std::string &cluster) const;
     void claimKey(const std::shared_ptr<GateCall> &call);
-    void afterClaim(const std::shared_ptr<GateCall> &call, ClaimAnswer answer);
+    void afterClaim(const std::shared_ptr<GateCall> &call, const ClaimAnswer &answer);
+    void replay(const std::shared_ptr<GateCall> &call, const RecordedOutcome &outcome);
+    void answerUnknown(const std::shared_ptr<GateCall> &call, std::string_view reason, std::uint32_t status,
+                       Duration retryAfter);
     void offer(const std::shared_ptr<GateCall> &call);
     void perform(std::vector<GateAction> actions);
     void watchQueue(const std::shared_ptr<GateCall> &call);
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -3,9 +3,11 @@
 
 #include "AdminFrontend.h"
 #include "CallerFrontend.h"
+#include "ClaimService.h"
 #include "ControlPlane.h"
 #include "NodeDrain.h"
 #include "NodeSettings.h"
+#include "NodeStatus.h"
 #include "UpstreamPresence.h"
 #include "Worker.h"
 
@@ -34,7 +36,6 @@
     void run();
 
 private:
-    ClaimHooks claimHooks();
     HolderHooks holderHooks();
     ControlHooks controlHooks();
     CallerFrontendHooks callerHooks();
@@ -44,8 +45,9 @@
     void membersChanged(const std::vector<Member> &members);
     void watchSignals();
     void tick();
-    std::string statusText() const;
-    std::string metricsText() const;
+    NodeStatus status() const;
+    Result<void> offer(SiteConfiguration configuration);
+    void recordMember(const Member &member);
 
     const NodeSettings settings;
     HistoryRecorder history;
@@ -55,6 +57,7 @@
     RcuPointer<UpstreamView> view;
     UpstreamViewBuilder viewBuilder; // Only used on the control thread.
     PlatformClient platform;
+    ClaimService claims;
     LocalGate gate;
     UpstreamPresence presence;
     ForwardingContext forwarding;
--- /dev/null
+++ b/Services/Node/NodeStatus.h
@@ -0,0 +1,34 @@
+// What a node says of itself to operators and to metrics.
+#pragma once
+
+#include "ControlPlane.h"
+#include "NodeDrain.h"
+
+#include <LibMembership/Member.h>
+#include <LibPlatform/PlatformClient.h>
+
+#include <string>
+
+namespace Sagecrank {
+
+struct NodeStatus
+{
+    std::string id;
+    std::string region;
+    std::string zone;
+    std::string site;
+    DrainStage stage = DrainStage::Serving;
+    UpstreamState upstream = UpstreamState::None;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    std::uint32_t callsForwarded = 0;
+    ControlStatus control;
+    PlatformCounters platform;
+};
+
+std::string statusJson(const NodeStatus &status);
+
+// Prometheus text.
+std::string controlMetrics(const NodeStatus &status);
+
+} // namespace Sagecrank
--- a/Tests/Node/GateFixture.h
+++ b/Tests/Node/GateFixture.h
@@ -50,7 +50,11 @@
         request.target = "/" + name;
         return this->gate.submit(
             {this->context, this->client}, std::move(request),
-            [this, name](CallResponse response) { this->answers[name] = std::move(response); });
+            [this, name](CallResponse response) {
+                                     this->answers[name] = std::move(response);
+                                     if (this->onAnswer)
+                                         this->onAnswer();
+                                 });
     }
 
     // Runs the loop until the condition holds; the bound only ends a test that fails.
@@ -72,25 +76,29 @@
     HttpServer upstream;
     HistoryRecorder history{"gate", false};
     std::map<std::string, CallResponse> answers;
-    std::vector<std::function<void(ClaimAnswer)>> claims; // Waiting for the test's answer.
+    std::function<void()> onAnswer;
+    std::vector<ClaimCallback> claims; // Waiting for the test's answer.
     std::vector<std::string> recorded;
     std::vector<std::string> released;
+    std::vector<std::string> leftUnknown;
     LocalGate gate;
 
 private:
     ClaimHooks claimHooks()
     {
         ClaimHooks hooks;
-        hooks.claim = [this](const std::string &, const std::string &, Instant,
-                             std::function<void(ClaimAnswer)> done) {
+        hooks.claim = [this](const std::string &, const std::string &, Instant, ClaimCallback done) {
             this->claims.push_back(std::move(done));
         };
-        hooks.record = [this](const std::string &key, const std::string &, const RecordedAnswer &) {
+        hooks.finish = [this](const std::string &key, const std::string &, const RecordedOutcome &) {
             this->recorded.push_back(key);
         };
         hooks.release = [this](const std::string &key, const std::string &) {
             this->released.push_back(key);
         };
+        hooks.leaveUnknown = [this](const std::string &key, const std::string &) {
+            this->leftUnknown.push_back(key);
+        };
         return hooks;
     }
 };
--- a/Tests/Node/TestLocalGate.cpp
+++ b/Tests/Node/TestLocalGate.cpp
@@ -31,7 +31,8 @@
 const ClaimRow claimRows[] = {
     {ClaimVerdict::AlreadyDone, Outcome::Done, 201, true},
     {ClaimVerdict::InProgress, Outcome::Unknown, 409, false},
-    {ClaimVerdict::NotClaimed, Outcome::NotRun, 503, false},
+    {ClaimVerdict::Unknown, Outcome::Unknown, 504, false},
+    {ClaimVerdict::NotRun, Outcome::NotRun, 503, false},
 };
 
 } // namespace
@@ -74,7 +75,7 @@
     cr_assert(fixture.claims.size() == 1);
     ClaimAnswer answer;
     answer.verdict = row.verdict;
-    answer.recorded = {201, "text/plain", "reserved", true};
+    answer.outcome = {201, "text/plain", "reserved", true};
     answer.retryAfter = Milliseconds(1500);
     fixture.claims[0](answer);
     cr_assert(fixture.runUntil([&] { return fixture.answered("again"); }));
@@ -93,7 +94,7 @@
     GateFixture fixture;
     fixture.submit("late", CallClass::NonIdempotent, "key-1", Milliseconds(20));
     std::this_thread::sleep_for(Milliseconds(30));
-    fixture.claims[0]({ClaimVerdict::Claimed, {}, {}});
+    fixture.claims[0]({ClaimVerdict::Granted, {}, {}, {}});
     cr_assert(fixture.runUntil([&] { return fixture.answered("late"); }));
     cr_assert(fixture.answers["late"].outcome == Outcome::NotRun);
     cr_assert(fixture.answers["late"].claimHeld);
@@ -101,12 +102,34 @@
     cr_assert(fixture.began.empty());
 }
 
+// The gate decides that a waiting reservation starts, and the process is paused before it does. When it wakes, the
+// deadline has passed and the caller has been told; starting now would run work that nobody waits for.
+Test(localGate, pausedBetweenDecisionAndStartStartsNothing)
+{
+    GateFixture fixture;
+    fixture.submit("first", CallClass::NonIdempotent, "");
+    fixture.submit("second", CallClass::NonIdempotent, "", Milliseconds(300));
+    cr_assert(fixture.runUntil([&] { return fixture.began.size() == 1; }));
+    cr_assert(fixture.gate.queued() == 1);
+    fixture.onAnswer = [&fixture] {
+        fixture.onAnswer = nullptr;
+        std::this_thread::sleep_for(Milliseconds(350));
+    };
+    fixture.exchanges[0]->respond(makeResponse(200, "text/plain", ""));
+    cr_assert(fixture.runUntil([&] { return fixture.answered("second"); }));
+    cr_assert(fixture.answers["second"].outcome == Outcome::NotRun);
+    cr_assert(fixture.answers["second"].reason == "deadline_passed");
+    fixture.submit("third", CallClass::NonIdempotent, "");
+    cr_assert(fixture.runUntil([&] { return fixture.began.size() == 2; }));
+    cr_assert(fixture.began[1].target == "/third");
+}
+
 // A keyed call runs; its answer is recorded before any retry can ask for it.
 Test(localGate, recordsTheAnswerOfAKeyedCall)
 {
     GateFixture fixture;
     fixture.submit("one", CallClass::NonIdempotent, "key-1");
-    fixture.claims[0]({ClaimVerdict::Claimed, {}, {}});
+    fixture.claims[0]({ClaimVerdict::Granted, {}, {}, {}});
     cr_assert(fixture.runUntil([&] { return fixture.began.size() == 1; }));
     fixture.exchanges[0]->respond(makeResponse(201, "text/plain", "reserved"));
     cr_assert(fixture.runUntil([&] { return fixture.answered("one"); }));
@@ -120,12 +143,13 @@
 {
     GateFixture fixture;
     fixture.submit("one", CallClass::NonIdempotent, "key-1");
-    fixture.claims[0]({ClaimVerdict::Claimed, {}, {}});
+    fixture.claims[0]({ClaimVerdict::Granted, {}, {}, {}});
     cr_assert(fixture.runUntil([&] { return fixture.began.size() == 1; }));
     fixture.upstream.closeAll();
     cr_assert(fixture.runUntil([&] { return fixture.answered("one"); }));
     cr_assert(fixture.answers["one"].outcome == Outcome::Unknown);
     cr_assert(fixture.released.empty());
+    cr_assert(fixture.leftUnknown == std::vector<std::string>{"key-1"});
     cr_assert(fixture.recorded.empty());
 }
 
@@ -135,7 +159,7 @@
     GateFixture fixture;
     fixture.gate.announce({"booking", "127.0.0.1:1", 1, UpstreamCondition::Ready});
     fixture.submit("one", CallClass::NonIdempotent, "key-1");
-    fixture.claims[0]({ClaimVerdict::Claimed, {}, {}});
+    fixture.claims[0]({ClaimVerdict::Granted, {}, {}, {}});
     cr_assert(fixture.runUntil([&] { return fixture.answered("one"); }));
     cr_assert(fixture.answers["one"].outcome == Outcome::NotRun);
     cr_assert(fixture.released == std::vector<std::string>{"key-1"});
@@ -203,7 +227,7 @@
 {
     GateFixture fixture;
     const auto call = fixture.submit("one", CallClass::NonIdempotent, "key-1");
-    fixture.claims[0]({ClaimVerdict::Claimed, {}, {}});
+    fixture.claims[0]({ClaimVerdict::Granted, {}, {}, {}});
     cr_assert(fixture.runUntil([&] { return fixture.began.size() == 1; }));
     fixture.gate.cancel(call);
     fixture.exchanges[0]->respond(makeResponse(201, "text/plain", "reserved"));
