Node: Test what is sent again and what the caller is told

Cause: sending again what may have run makes a booking twice. Change: table tests of a forwarded call against two fake hosts.

--- /dev/null
+++ b/Tests/Node/FakePeer.h
@@ -0,0 +1,87 @@
+// The other node of a peer link: it collects calls, and the test answers them.
+#pragma once
+
+#include <LibNet/FramedConnection.h>
+#include <LibWire/PeerMessages.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address_v4.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Sagecrank {
+
+// The other node: accepts connections and collects calls; the test answers them.
+class FakePeer
+{
+public:
+    explicit FakePeer(boost::asio::io_context &context)
+        : acceptor(context, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    {
+        this->accept();
+    }
+
+    std::string address() const { return addressText(this->acceptor.local_endpoint()); }
+
+    void answer(std::size_t index, const std::string &body)
+    {
+        CallResponse response;
+        response.callId = this->calls[index].callId;
+        response.outcome = Outcome::Done;
+        response.status = 200;
+        response.body = body;
+        this->connections.back()->send(encodeFrame(FrameType::CallResponse, response));
+    }
+
+    void refuse(std::size_t index, bool claimHeld)
+    {
+        CallResponse response;
+        response.callId = this->calls[index].callId;
+        response.outcome = Outcome::NotRun;
+        response.reason = "queue_full";
+        response.status = 503;
+        response.retryAfterMilliseconds = 70;
+        response.claimHeld = claimHeld;
+        this->connections.back()->send(encodeFrame(FrameType::CallResponse, response));
+    }
+
+    std::vector<CallRequest> calls;
+    std::vector<std::shared_ptr<FramedConnection>> connections;
+    bool answersPings = true;
+    int cancels = 0;
+
+private:
+    void accept()
+    {
+        this->acceptor.async_accept(
+            [this](const boost::system::error_code &error, boost::asio::ip::tcp::socket socket) {
+                if (error)
+                    return;
+                const auto connection = std::make_shared<FramedConnection>(
+                    std::move(socket), maximumFrameSize,
+                    FramedConnectionHooks{
+                        [this](FrameType type, std::span<const char> payload) { this->take(type, payload); },
+                        [](const Error &) {}});
+                this->connections.push_back(connection);
+                connection->start();
+                this->accept();
+            });
+    }
+
+    void take(FrameType type, std::span<const char> payload)
+    {
+        if (type == FrameType::CallRequest)
+            this->calls.push_back(decode<CallRequest>(payload, "test", "").value());
+        if (type == FrameType::CallCancel)
+            ++this->cancels;
+        if (type == FrameType::Ping && this->answersPings)
+            this->connections.back()->send(
+                encodeFrame(FrameType::Pong, decode<Heartbeat>(payload, "test", "").value()));
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor;
+};
+
+} // namespace Sagecrank
--- a/Tests/Node/GateFixture.h
+++ b/Tests/Node/GateFixture.h
@@ -48,9 +48,8 @@
         request.idempotencyKey = key;
         request.method = "POST";
         request.target = "/" + name;
-        return this->gate.submit(
-            {this->context, this->client}, std::move(request),
-            [this, name](CallResponse response) {
+        return this->gate.submit({this->context, this->client}, std::move(request),
+                                 [this, name](CallResponse response) {
                                      this->answers[name] = std::move(response);
                                      if (this->onAnswer)
                                          this->onAnswer();
--- /dev/null
+++ b/Tests/Node/TestForwardedCall.cpp
@@ -0,0 +1,235 @@
+// A caller's call between placing and answer, with two upstreams on other hosts: what is sent again, what is
+// not, and what the caller is told.
+#include "FakePeer.h"
+
+#include <Node/ForwardedCall.h>
+
+#include <Support/TableTest.h>
+
+#include <array>
+#include <optional>
+
+using namespace Sagecrank;
+
+namespace {
+
+class ForwardFixture
+{
+public:
+    ForwardFixture()
+    {
+        std::vector<Member> members;
+        for (std::size_t index = 0; index < this->peers.size(); ++index) {
+            Member member;
+            member.id = "host-" + std::to_string(index);
+            member.zone = "zone";
+            member.cluster = "booking";
+            member.upstream = UpstreamState::Ready;
+            member.slots = 4;
+            member.peerAddress = this->peers[index].address();
+            members.push_back(member);
+        }
+        this->view.replace(this->builder.build(members));
+    }
+
+    void call(const CallPlan &plan, const std::string &key = "")
+    {
+        CallRequest request;
+        request.cluster = plan.cluster;
+        request.idempotent = plan.idempotent;
+        request.idempotencyKey = key;
+        this->forwarded = std::make_shared<ForwardedCall>(
+            this->forwarding, this->worker, plan, request,
+            [this](CallResponse response) { this->answer = std::move(response); });
+        this->forwarded->start();
+    }
+
+    static CallPlan plan(bool idempotent, Milliseconds timeout = std::chrono::seconds(30))
+    {
+        CallPlan plan;
+        plan.cluster = "booking";
+        plan.idempotent = idempotent;
+        plan.maximumRetries = 1;
+        plan.deadline = SteadyClock::now() + timeout;
+        return plan;
+    }
+
+    bool runUntil(const std::function<bool()> &condition)
+    {
+        const Instant limit = SteadyClock::now() + std::chrono::seconds(20);
+        while (!condition() && SteadyClock::now() < limit)
+            this->worker.ioContext().run_one_for(Milliseconds(20));
+        return condition();
+    }
+
+    // The peer that was sent the first call; the other one is 1 - first().
+    std::size_t first() const { return this->peers[0].calls.empty() ? 1 : 0; }
+    std::size_t callsSent() const { return this->peers[0].calls.size() + this->peers[1].calls.size(); }
+
+    RcuThread reader;
+    NodeSettings settings = makeSettings();
+    HistoryRecorder history{"node", false};
+    LocalGate gate{"node", {}, this->history, {}};
+    Worker worker{this->settings, this->gate, {}};
+    std::array<FakePeer, 2> peers{FakePeer(this->worker.ioContext()), FakePeer(this->worker.ioContext())};
+    std::shared_ptr<ServiceState> service = std::make_shared<ServiceState>(
+        PlacerSettings{}, 0.1, [number = std::uint64_t{0}]() mutable { return number += 7919; });
+    UpstreamViewBuilder builder{"node", "zone", [this] { return this->service; }};
+    RcuPointer<UpstreamView> view;
+    CallIds ids{"node"};
+    ForwardingContext forwarding{"node", this->gate, this->view, this->ids, this->history};
+    std::shared_ptr<ForwardedCall> forwarded;
+    std::optional<CallResponse> answer;
+
+private:
+    static NodeSettings makeSettings()
+    {
+        NodeSettings settings;
+        settings.id = "node";
+        settings.requests.peerSilence = Milliseconds(60000);
+        return settings;
+    }
+};
+
+struct LostRow
+{
+    const char *what;
+    bool idempotent;
+    const char *key;
+    bool sentAgain;
+};
+
+const LostRow lostRows[] = {
+    {"a lookup", true, "", true},
+    {"a booking without a key", false, "", false},
+    {"a booking with a key", false, "key-1", false},
+    {"a keyed call on an idempotent route", true, "key-1", false},
+};
+
+struct RefusedRow
+{
+    const char *what;
+    bool idempotent;
+    bool claimHeld;
+    bool sentAgain;
+};
+
+const RefusedRow refusedRows[] = {
+    {"a lookup", true, false, true},
+    {"a booking", false, false, true},
+    {"a booking whose key was claimed", false, true, false},
+};
+
+} // namespace
+
+// The host of a running call dies and its outcome is unknown. A lookup goes to another host; a booking must
+// not, for it may have been made, so its caller is told "unknown" at once and when to come back.
+TABLE_TEST(forwardedCall, lostCallGoesOutAgainOnlyWhenThatIsHarmless, lostRows)
+{
+    ForwardFixture fixture;
+    fixture.call(ForwardFixture::plan(row.idempotent), row.key);
+    cr_assert(fixture.runUntil([&] { return fixture.callsSent() == 1; }));
+    const std::size_t first = fixture.first();
+    fixture.peers[first].connections[0]->close(makeError(ErrorKind::Unavailable, "test", "", "killed"));
+    cr_assert(fixture.runUntil([&] { return fixture.answer || fixture.callsSent() == 2; }));
+    cr_assert((fixture.callsSent() == 2) == row.sentAgain, "%s", row.what);
+    if (!row.sentAgain) {
+        cr_assert(fixture.answer->outcome == Outcome::Unknown);
+        cr_assert(fixture.answer->retryAfterMilliseconds > 0);
+        return;
+    }
+    fixture.peers[1 - first].answer(0, "second");
+    cr_assert(fixture.runUntil([&] { return fixture.answer.has_value(); }));
+    cr_assert(fixture.answer->body == "second");
+}
+
+// A full gate refuses a call as not run. Any call may go to another gate then, except one whose key is still
+// claimed for the refused attempt: the second attempt would meet that claim and end as "unknown" for no
+// reason.
+TABLE_TEST(forwardedCall, refusedCallGoesElsewhere, refusedRows)
+{
+    ForwardFixture fixture;
+    fixture.call(ForwardFixture::plan(row.idempotent), row.claimHeld ? "key-1" : "");
+    cr_assert(fixture.runUntil([&] { return fixture.callsSent() == 1; }));
+    const std::size_t first = fixture.first();
+    fixture.peers[first].refuse(0, row.claimHeld);
+    cr_assert(fixture.runUntil([&] { return fixture.answer || fixture.callsSent() == 2; }));
+    cr_assert((fixture.callsSent() == 2) == row.sentAgain, "%s", row.what);
+    if (row.sentAgain) {
+        cr_assert(fixture.peers[1 - first].calls.size() == 1, "the same gate was asked twice");
+        return;
+    }
+    cr_assert(fixture.answer->outcome == Outcome::NotRun);
+    cr_assert(fixture.answer->retryAfterMilliseconds == 70);
+}
+
+// Every gate refuses. The caller is told so after a bounded number of tries, and not when its deadline comes.
+Test(forwardedCall, givesUpWhenEveryGateRefuses)
+{
+    ForwardFixture fixture;
+    fixture.call(ForwardFixture::plan(true));
+    cr_assert(fixture.runUntil([&] { return fixture.callsSent() == 1; }));
+    const std::size_t first = fixture.first();
+    fixture.peers[first].refuse(0, false);
+    cr_assert(fixture.runUntil([&] { return fixture.callsSent() == 2; }));
+    fixture.peers[1 - first].refuse(0, false);
+    cr_assert(fixture.runUntil([&] { return fixture.answer.has_value(); }));
+    cr_assert(fixture.answer->outcome == Outcome::NotRun);
+    cr_assert(SteadyClock::now()
+              < ForwardFixture::plan(true, Milliseconds(0)).deadline + std::chrono::seconds(25));
+}
+
+// A call is still running at its caller's deadline. The caller gets its final answer then, and the other node
+// is told that nobody waits.
+Test(forwardedCall, deadlineAnswersAndCancels)
+{
+    ForwardFixture fixture;
+    fixture.call(ForwardFixture::plan(true, Milliseconds(400)));
+    cr_assert(fixture.runUntil([&] { return fixture.callsSent() == 1; }));
+    cr_assert(fixture.runUntil([&] { return fixture.answer.has_value(); }));
+    cr_assert(fixture.answer->outcome == Outcome::Unknown);
+    cr_assert(fixture.answer->status == 504);
+    cr_assert(fixture.runUntil([&] { return fixture.peers[fixture.first()].cancels == 1; }));
+}
+
+Test(forwardedCall, noUpstreamIsNotRun)
+{
+    ForwardFixture fixture;
+    fixture.view.replace(fixture.builder.build({}));
+    fixture.call(ForwardFixture::plan(false));
+    cr_assert(fixture.answer.has_value());
+    cr_assert(fixture.answer->outcome == Outcome::NotRun);
+    cr_assert(fixture.answer->reason == "no_upstream_present");
+}
+
+// The caller gives up. The other node hears of it, and a late answer goes nowhere.
+Test(forwardedCall, abandonedCallIsCancelled)
+{
+    ForwardFixture fixture;
+    fixture.call(ForwardFixture::plan(true));
+    cr_assert(fixture.runUntil([&] { return fixture.callsSent() == 1; }));
+    fixture.forwarded->abandon();
+    const std::size_t first = fixture.first();
+    cr_assert(fixture.runUntil([&] { return fixture.peers[first].cancels == 1; }));
+    cr_assert(!fixture.answer);
+    cr_assert(fixture.service->placer.outstanding("host-" + std::to_string(first)) == 0);
+}
+
+// One upstream is slow. After the time in which nearly all calls were answered a second copy goes to the
+// other one; its answer is the caller's, and the slow copy is cancelled.
+Test(forwardedCall, hedgeTakesTheFirstAnswer)
+{
+    ForwardFixture fixture;
+    for (int seen = 0; seen < 1000; ++seen)
+        fixture.service->hedge.observed(Milliseconds(5));
+    CallPlan plan = ForwardFixture::plan(true);
+    plan.hedged = true;
+    fixture.call(plan);
+    cr_assert(fixture.runUntil([&] { return fixture.callsSent() == 2; }));
+    cr_assert(fixture.peers[0].calls.size() == 1);
+    cr_assert(fixture.peers[0].calls[0].attempt != fixture.peers[1].calls[0].attempt);
+    fixture.peers[1].answer(0, "fast");
+    cr_assert(fixture.runUntil([&] { return fixture.answer.has_value(); }));
+    cr_assert(fixture.answer->body == "fast");
+    cr_assert(fixture.runUntil([&] { return fixture.peers[0].cancels == 1; }));
+}
--- a/Tests/Node/TestLocalGate.cpp
+++ b/Tests/Node/TestLocalGate.cpp
@@ -102,8 +102,9 @@
     cr_assert(fixture.began.empty());
 }
 
-// The gate decides that a waiting reservation starts, and the process is paused before it does. When it wakes, the
-// deadline has passed and the caller has been told; starting now would run work that nobody waits for.
+// The gate decides that a waiting reservation starts, and the process is paused before it does. When it
+// wakes, the deadline has passed and the caller has been told; starting now would run work that nobody waits
+// for.
 Test(localGate, pausedBetweenDecisionAndStartStartsNothing)
 {
     GateFixture fixture;
--- a/Tests/Node/TestPeerLink.cpp
+++ b/Tests/Node/TestPeerLink.cpp
@@ -1,76 +1,16 @@
 // The connection to another node when the other side is late, out of order, silent, or gone.
+#include "FakePeer.h"
+
 #include <Node/PeerLink.h>
 
 #include <Support/TableTest.h>
 
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
-
 #include <map>
 
 using namespace Sagecrank;
-using boost::asio::ip::tcp;
 
 namespace {
 
-// The other node: accepts connections and collects calls; the test answers them.
-class FakePeer
-{
-public:
-    explicit FakePeer(boost::asio::io_context &context)
-        : acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
-    {
-        this->accept();
-    }
-
-    std::string address() const { return addressText(this->acceptor.local_endpoint()); }
-
-    void answer(std::size_t index, const std::string &body)
-    {
-        CallResponse response;
-        response.callId = this->calls[index].callId;
-        response.outcome = Outcome::Done;
-        response.status = 200;
-        response.body = body;
-        this->connections.back()->send(encodeFrame(FrameType::CallResponse, response));
-    }
-
-    std::vector<CallRequest> calls;
-    std::vector<std::shared_ptr<FramedConnection>> connections;
-    bool answersPings = true;
-    int cancels = 0;
-
-private:
-    void accept()
-    {
-        this->acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
-            if (error)
-                return;
-            const auto connection = std::make_shared<FramedConnection>(
-                std::move(socket), maximumFrameSize,
-                FramedConnectionHooks{
-                    [this](FrameType type, std::span<const char> payload) { this->take(type, payload); },
-                    [](const Error &) {}});
-            this->connections.push_back(connection);
-            connection->start();
-            this->accept();
-        });
-    }
-
-    void take(FrameType type, std::span<const char> payload)
-    {
-        if (type == FrameType::CallRequest)
-            this->calls.push_back(decode<CallRequest>(payload, "test", "").value());
-        if (type == FrameType::CallCancel)
-            ++this->cancels;
-        if (type == FrameType::Ping && this->answersPings)
-            this->connections.back()->send(
-                encodeFrame(FrameType::Pong, decode<Heartbeat>(payload, "test", "").value()));
-    }
-
-    tcp::acceptor acceptor;
-};
-
 class LinkFixture
 {
 public:
