LibDecide: Place around an upstream that has gone silent

Cause: a host that was lost without a word drew calls until their time was out, since nothing came back that could speak against it. Change: while two or more calls wait there and nothing has ended for four usual run times, the silence counts as its run time.

--- a/Libraries/LibDecide/Placer.cpp
+++ b/Libraries/LibDecide/Placer.cpp
@@ -32,8 +32,7 @@
 // A new or returned upstream counts as having at least this share of its slots.
 constexpr double leastSlowStart = 0.1;
 
-// A gate refuses when it is full: taken as this much of a queue, in rounds of its slots.
-constexpr double refusedRounds = 1.0;
+constexpr double silentRuns = 4;
 
 double toSeconds(Duration duration)
 {
@@ -71,6 +70,8 @@
 void Placer::started(std::string_view id, Instant now)
 {
     Upstream &upstream = this->obtain(id, now);
+    if (upstream.outstanding == 0)
+        upstream.progressAt = now;
     upstream.outstanding += 1;
     upstream.toldExcess += 1;
 }
@@ -81,6 +82,8 @@
     if (upstream.outstanding > 0)
         upstream.outstanding -= 1;
     upstream.toldExcess -= 1;
+    if (end != PlacedEnd::Unknown && end != PlacedEnd::Cancelled)
+        upstream.progressAt = now;
     switch (end) {
     case PlacedEnd::Succeeded: {
         const double seconds = toSeconds(took);
@@ -196,6 +199,14 @@
         if (upstream->took[indexOf(callClass)] != 0)
             run = upstream->took[indexOf(callClass)];
         occupied = upstream->outstanding;
+        // Failure: a host is gone without a word, and its calls come back only when their time is out.
+        // Symptom: it draws calls until then. While several wait there, what it takes is at least its
+        // silence.
+        if (upstream->outstanding >= 2) {
+            const double silence = toSeconds(now - upstream->progressAt);
+            if (silence > silentRuns * run)
+                run = silence;
+        }
         if (upstream->toldAt != Instant::min()) {
             const double age = toSeconds(now - upstream->toldAt) / toSeconds(this->settings.toldLoadLife);
             const double others = slots + upstream->toldExcess - occupied;
--- a/Libraries/LibDecide/Placer.h
+++ b/Libraries/LibDecide/Placer.h
@@ -98,6 +98,7 @@
         Instant probeAt = Instant::min(); // When an ejected one is tried again.
         Instant since = Instant::min();   // When it was first seen or came back.
         Instant usedAt = Instant::min();
+        Instant progressAt = Instant::min(); // Its last end, or when the oldest idle period ended.
     };
 
     struct TextHash
