LibDecide: Place around an upstream that refused a moment ago

Cause: an upstream that is absent while membership still says ready was tried first by every call, which spent the retry budget. Change: a refusal counts as two rounds of waiting, fading within 0.1 s.

--- a/Libraries/LibDecide/Placer.cpp
+++ b/Libraries/LibDecide/Placer.cpp
@@ -32,8 +32,14 @@
 // A new or returned upstream counts as having at least this share of its slots.
 constexpr double leastSlowStart = 0.1;
 
+// An upstream is taken for silent after so many of its usual run times without an answer: fewer would
+// distrust one that runs a long call.
 constexpr double silentRuns = 4;
 
+// A refusal counts as this many rounds of waiting, fading within about a tenth of a second.
+constexpr double refusedRounds = 2;
+constexpr double refusalLife = 0.1;
+
 double toSeconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -97,6 +103,8 @@
         this->noteFailure(upstream, now);
         break;
     case PlacedEnd::RefusedNotRun:
+        upstream.refusedAt = now;
+        break;
     case PlacedEnd::Cancelled:
         break;
     }
@@ -213,7 +221,11 @@
             occupied += std::max(0.0, others) * std::exp(-age);
         }
     }
-    const double rounds = std::max(0.0, occupied + 1 - slots) / slots;
+    double rounds = std::max(0.0, occupied + 1 - slots) / slots;
+    // Failure: an upstream is absent or full and membership says that it is ready. Symptom: every call tries
+    // it first and spends its retries. One that refused a moment ago is tried after the others.
+    if (upstream != nullptr && upstream->refusedAt != Instant::min())
+        rounds += refusedRounds * std::exp(-toSeconds(now - upstream->refusedAt) / refusalLife);
     const double spread = occupied / slots * 0.01;
     const double way = facts.sameZone ? 0 : toSeconds(this->settings.otherZoneCost);
     return run * (1 + rounds + spread) + way;
--- a/Libraries/LibDecide/Placer.h
+++ b/Libraries/LibDecide/Placer.h
@@ -89,7 +89,8 @@
         double toldExcess = 0;         // Queued minus free slots when told, less this node's part since.
         Instant toldAt = Instant::min();
         bool toldDraining = false;
-        double failures = 0; // Recent failures and recent ends, decaying by count.
+        Instant refusedAt = Instant::min(); // When its gate last refused a call.
+        double failures = 0;                // Recent failures and recent ends, decaying by count.
         double ends = 0;
         std::uint32_t consecutiveFailures = 0;
         std::uint32_t probesPassed = 0;
