Node: Record an offered version before it is swapped in

Cause: node.offered was written after node.swapped, so a history said that a node held a version before it had found it good; a node killed between the two would have left only the swap.

Change: a good offer is recorded by the hook that runs before the swap, a bad one once it is refused. Ruled out: an unchecked swap; ConfigurationHolder checks first.

--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -49,6 +49,12 @@
     return server;
 }
 
+// Valid when there is no reason against it.
+NodeOffered offeredEvent(const SiteManifest &manifest, std::string reason)
+{
+    return {manifest.version, toHex(sectionListDigest(manifest.sections)), reason.empty(), std::move(reason)};
+}
+
 } // namespace
 
 Node::Node(NodeSettings settings)
@@ -74,8 +80,8 @@
                   [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
                       exchange->respond(this->admin.answer(request));
                   })
-    , plane(this->control, controlSettings(this->settings), this->platform.tablePort(), this->platform.objectPort(),
-            this->controlHooks())
+    , plane(this->control, controlSettings(this->settings), this->platform.tablePort(),
+            this->platform.objectPort(), this->controlHooks())
     , drain({this->settings.drain.linger, this->settings.drain.maximum}, this->drainHooks())
     , ticker(this->control)
     , signals(this->control, SIGTERM, SIGINT)
@@ -117,7 +123,10 @@
 HolderHooks Node::holderHooks()
 {
     HolderHooks hooks;
+    // The version has been found good, and nothing of it is in force yet: a history must say both in this
+    // order.
     hooks.swapping = [this](const Snapshot &next, std::uint64_t previous) {
+        this->history.record([&] { return offeredEvent(next.configuration().manifest, {}); });
         this->history.record([&] {
             NodeSwapped event;
             event.version = next.version();
@@ -147,14 +156,10 @@
 
 Result<void> Node::offer(SiteConfiguration configuration)
 {
-    NodeOffered event;
-    event.version = configuration.manifest.version;
-    event.digest = toHex(sectionListDigest(configuration.manifest.sections));
+    const SiteManifest manifest = configuration.manifest;
     const Result<void> taken = this->configuration.offer(std::move(configuration));
-    event.valid = taken.has_value();
     if (!taken)
-        event.reason = taken.error().describe();
-    this->history.record(event);
+        this->history.record([&] { return offeredEvent(manifest, taken.error().describe()); });
     return taken;
 }
 
@@ -174,7 +179,9 @@
 CallerFrontendHooks Node::callerHooks()
 {
     CallerFrontendHooks hooks;
-    hooks.route = [this](std::string_view method, std::string_view path) { return this->route(method, path); };
+    hooks.route = [this](std::string_view method, std::string_view path) {
+        return this->route(method, path);
+    };
     hooks.holdsConfiguration = [this] { return this->configuration.version() > 0; };
     hooks.began = [this] { ++this->callsForwarded; };
     hooks.ended = [this] { --this->callsForwarded; };
