Caller: Send some done bookings once more

Change: a tenth of done keyed bookings are sent once more, as by a person who comes back; the visitors are fewer and pause longer, so that a run without faults stays under the platform's 500 writes a second.

--- a/Meta/prove/fleet.py
+++ b/Meta/prove/fleet.py
@@ -112,10 +112,10 @@
             "--slots", "4", "--work", "/booking/reserve=25:exponential", "--work", "/=8:exponential",
             "--history", *extra], node=seat.name)
 
-    def launch_callers(self, seconds, seed, visitors):
+    def launch_callers(self, seconds, seed, visitors, pause_ms):
         """The relayed node is also called through its relay, under the same address in the history."""
         arguments = [f"{self.binaries}/sagecrank-caller", "--name", "callers", "--seconds", str(seconds),
-                     "--visitors", str(visitors), "--seed", str(seed)]
+                     "--visitors", str(visitors), "--seed", str(seed), "--pause-ms", str(pause_ms)]
         for seat in self.seats:
             relayed = seat.callers == self.caller_relay.to
             arguments += ["--node", self.caller_relay.listen if relayed else seat.callers]
--- a/Meta/prove/prove.py
+++ b/Meta/prove/prove.py
@@ -16,7 +16,7 @@
 from fleet import Fleet
 
 QUIET_SECONDS = 2.0  # Before the first fault.
-SETTLE_SECONDS = 8.0  # After the last one, longer than a version may take to be in force.
+SETTLE_SECONDS = 1.0  # After the last one, beyond the time that a version may take to be in force.
 PUBLISH_EVERY = 2.5  # Seconds.
 CALLERS_END_SECONDS = 40.0  # For the last calls to be answered or lost.
 
@@ -42,7 +42,10 @@
                         help="scenarios with commas; alone = each fault, pairs = the chosen pairs (default both)")
     parser.add_argument("--seconds", type=float, default=20.0, help="disturbed part of each run (default 20)")
     parser.add_argument("--nodes", type=int, default=6, help="nodes in three zones (default 6)")
-    parser.add_argument("--visitors", type=int, default=24, help="callers at one time (default 24)")
+    parser.add_argument("--visitors", type=int, default=16, help="callers at one time (default 16)")
+    parser.add_argument("--pause-ms", type=int, default=80, help="longest pause of a caller (default 80)")
+    parser.add_argument("--convergence", type=float, default=7.0,
+                        help="seconds in which an accepted version must be in force (default 7)")
     parser.add_argument("--binaries", default="Build/release/bin")
     parser.add_argument("--keep", default="Build/prove", help="where the histories of failing runs are kept")
     parser.add_argument("--keep-all", action="store_true", help="keep the histories of good runs too")
@@ -98,7 +101,8 @@
     """The timed part of a run: callers and publishes throughout, faults in the middle."""
     background = Background()
     until = time.monotonic() + QUIET_SECONDS + options.seconds
-    callers = fleet.launch_callers(QUIET_SECONDS + options.seconds + SETTLE_SECONDS, seed, options.visitors)
+    settle = options.convergence + SETTLE_SECONDS
+    callers = fleet.launch_callers(QUIET_SECONDS + options.seconds + settle, seed, options.visitors, options.pause_ms)
     background.start(publish_regularly, fleet, until, background.stopping)
     time.sleep(QUIET_SECONDS)
     for number, name in enumerate(names):
@@ -106,7 +110,7 @@
         source = random.Random(f"{seed}/{number}/{name}")
         background.start(faults.run_fault, name, fleet, source, until, background.stopping)
     background.join()
-    if not callers.wait(SETTLE_SECONDS + options.seconds + CALLERS_END_SECONDS):
+    if not callers.wait(settle + CALLERS_END_SECONDS):
         background.failures.append("the callers did not end")
     return background.failures
 
@@ -130,13 +134,14 @@
         files = fleet.snapshot_histories()
         fleet.stop()
         history.close()
-    verdict = check(options.binaries, files, folder)
+    verdict = check(options, files, folder)
     verdict["failures"] = failures
     return verdict, folder
 
 
-def check(binaries, files, folder):
-    command = [f"{binaries}/sagecrank-check", *files]
+def check(options, files, folder):
+    command = [f"{options.binaries}/sagecrank-check", *files,
+               "--convergence-ms", str(int(options.convergence * 1000))]
     with open(os.path.join(folder, "verdict.txt"), "w") as report:
         subprocess.run([*command, "--show", "20"], stdout=report, stderr=subprocess.STDOUT, check=False)
     result = subprocess.run([*command, "--json"], capture_output=True, text=True, check=False)
--- a/Utilities/Caller/Visitor.cpp
+++ b/Utilities/Caller/Visitor.cpp
@@ -136,14 +136,20 @@
     this->waitBeforeAgain = std::max(this->waitBeforeAgain, std::min(comeBack, longestWait));
     if (--this->openCalls > 0)
         return;
-    const bool again = !this->errandSettled && !this->errand.key.empty()
-                       && this->errand.sendings < maximumSendings && SteadyClock::now() < this->end;
-    if (again)
+    if (this->wantsAgain())
         return this->pause(this->waitBeforeAgain, &Visitor::sendAgain);
     this->pause(Milliseconds(this->random() % (this->settings.longestPause.count() + 1)),
                 &Visitor::nextErrand);
 }
 
+bool Visitor::wantsAgain()
+{
+    if (this->errand.key.empty() || this->errand.sendings >= maximumSendings
+        || SteadyClock::now() >= this->end)
+        return false;
+    return !this->errandSettled || this->draw(this->settings.repeatShare);
+}
+
 void Visitor::sendAgain()
 {
     this->openCalls = 1;
--- a/Utilities/Caller/Visitor.h
+++ b/Utilities/Caller/Visitor.h
@@ -23,8 +23,10 @@
     std::vector<std::string> nodes; // "ip:port" of callers' ports.
     std::string name;
     double keyedShare = 0.5;
-    double keylessShare = 0.1;  // Bookings without a key; the rest are lookups.
-    double doubleShare = 0.1;   // Of keyed bookings: sent twice at the same moment.
+    double keylessShare = 0.1; // Bookings without a key; the rest are lookups.
+    double doubleShare = 0.1;  // Of keyed bookings: sent twice at the same moment.
+    double repeatShare =
+        0.1; // Of keyed bookings that are done: sent once more, as by a person who came back.
     double deadlineShare = 0.3; // Of calls: name a deadline of their own.
     Milliseconds deadline{400};
     Milliseconds patience{10000};  // Without any answer for so long, a call is given up as lost.
@@ -57,6 +59,7 @@
     void pause(Duration time, void (Visitor::*then)());
     void send();
     void closed(bool settled, Duration comeBack);
+    bool wantsAgain();
     void sendAgain();
     bool draw(double share);
 
