LibDecide: Take the slow start out of the placer

Cause: an upstream that was new or returned counted as having fewer slots for two seconds. Run times and refusals already speak for a cold upstream. The bench also measures a fixed time to return, free retries, a service of 60 servers (--fleet large) and the cost of one decision (--cost).

--- a/Libraries/LibDecide/Placer.cpp
+++ b/Libraries/LibDecide/Placer.cpp
@@ -29,9 +29,6 @@
 // So many probes in a row must succeed before an upstream is trusted again.
 constexpr std::uint32_t probesToTrust = 3;
 
-// A new or returned upstream counts as having at least this share of its slots.
-constexpr double leastSlowStart = 0.1;
-
 // An upstream is taken for silent after so many of its usual run times without an answer: fewer would
 // distrust one that runs a long call.
 constexpr double silentRuns = 4;
@@ -95,7 +92,7 @@
         const double seconds = toSeconds(took);
         for (double *mean : {&upstream.took[indexOf(callClass)], &this->usualTook[indexOf(callClass)]})
             *mean = *mean == 0 ? seconds : *mean + tookWeight * (seconds - *mean);
-        this->noteSuccess(upstream, now);
+        this->noteSuccess(upstream);
         break;
     }
     case PlacedEnd::Failed:
@@ -163,10 +160,8 @@
 Placer::Upstream &Placer::obtain(std::string_view id, Instant now)
 {
     auto found = this->upstreams.find(id);
-    if (found == this->upstreams.end()) {
+    if (found == this->upstreams.end())
         found = this->upstreams.emplace(std::string(id), Upstream{}).first;
-        found->second.since = now;
-    }
     found->second.usedAt = now;
     return found->second;
 }
@@ -183,15 +178,6 @@
     return probeDue && callClass != CallClass::NonIdempotent;
 }
 
-double Placer::usableSlots(const UpstreamFacts &facts, const Upstream *upstream, Instant now) const
-{
-    const double slots = std::max(1U, facts.slots);
-    if (upstream == nullptr)
-        return slots;
-    const double age = toSeconds(now - upstream->since) / toSeconds(this->settings.slowStart);
-    return std::max(1.0, slots * std::clamp(age, leastSlowStart, 1.0));
-}
-
 // Expected seconds until an answer: the run time seen there, times the rounds that the call waits, and the
 // way. Own outstanding calls are exact. Told load holds the other nodes' part, but loses weight as it ages:
 // it was true when the gate wrote it, and a whole fleet that still acts on it would flood the one that looked
@@ -201,7 +187,7 @@
 {
     const double usual = this->usualTook[indexOf(callClass)];
     double run = usual == 0 ? firstGuess : usual;
-    const double slots = this->usableSlots(facts, upstream, now);
+    const double slots = std::max(1U, facts.slots);
     double occupied = 0;
     if (upstream != nullptr) {
         if (upstream->took[indexOf(callClass)] != 0)
@@ -289,7 +275,7 @@
         this->eject(upstream, now);
 }
 
-void Placer::noteSuccess(Upstream &upstream, Instant now)
+void Placer::noteSuccess(Upstream &upstream)
 {
     const double keep = 1 - 1 / endsRemembered;
     upstream.failures *= keep;
@@ -304,7 +290,6 @@
     upstream.failures = 0;
     upstream.ends = 0;
     upstream.ejections = 0;
-    upstream.since = now;
     this->ejectedCount -= 1;
 }
 
--- a/Libraries/LibDecide/Placer.h
+++ b/Libraries/LibDecide/Placer.h
@@ -51,7 +51,6 @@
     Duration otherZoneCost = std::chrono::milliseconds(1);  // Round trip to another zone beyond one's own.
     double ejectedShare = 0.5;                              // At most this share is ejected at once.
     Duration toldLoadLife = std::chrono::milliseconds(100); // Told load loses most of its weight after this.
-    Duration slowStart = std::chrono::seconds(2); // A returned upstream gets its full part after this.
 };
 
 class Placer
@@ -97,7 +96,6 @@
         std::uint32_t ejections = 0; // In a row; the time out grows with it.
         Standing standing = Standing::Trusted;
         Instant probeAt = Instant::min(); // When an ejected one is tried again.
-        Instant since = Instant::min();   // When it was first seen or came back.
         Instant usedAt = Instant::min();
         Instant progressAt = Instant::min(); // Its last end, or when the oldest idle period ended.
     };
@@ -115,12 +113,11 @@
     bool usable(const UpstreamFacts &facts, const Upstream *upstream, CallClass callClass, Instant now) const;
     double score(const UpstreamFacts &facts, const Upstream *upstream, CallClass callClass,
                  Instant now) const;
-    double usableSlots(const UpstreamFacts &facts, const Upstream *upstream, Instant now) const;
     std::optional<std::size_t> chooseAmong(Instant now, std::span<const UpstreamFacts> candidates,
                                            CallClass callClass, std::span<const std::size_t> tried,
                                            bool trustedOnly);
     void noteFailure(Upstream &upstream, Instant now);
-    void noteSuccess(Upstream &upstream, Instant now);
+    void noteSuccess(Upstream &upstream);
     void eject(Upstream &upstream, Instant now);
 
     PlacerSettings settings;
--- a/Utilities/PolicyBench/Main.cpp
+++ b/Utilities/PolicyBench/Main.cpp
@@ -1,4 +1,5 @@
 // Measures each policy at both users' sizes and in every scenario, and prints a Markdown table.
+#include <PolicyBench/Cost.h>
 #include <PolicyBench/Fleet.h>
 #include <PolicyBench/Policy.h>
 #include <PolicyBench/Report.h>
@@ -22,6 +23,7 @@
     std::uint32_t seeds = 3;
     bool ablate = false;
     bool summary = false;
+    bool cost = false;
     std::vector<std::string> fleets;
     std::vector<std::string> scenarios;
     std::vector<std::string> policies;
@@ -82,7 +84,9 @@
     add("seeds", options::value(&request.seeds), "runs for each row, with seeds 1, 2, ... (default 3)");
     add("ablate", options::bool_switch(&request.ablate), "also measure ours without one mechanism each");
     add("summary", options::bool_switch(&request.summary), "one row for all classes together");
-    add("fleet", options::value(&request.fleets), "only this fleet; may be given more than once");
+    add("cost", options::bool_switch(&request.cost), "measure only what one decision costs");
+    add("fleet", options::value(&request.fleets),
+        "only this fleet (borgbillet, borra-limpio, large); may be given more than once");
     add("scenario", options::value(&request.scenarios), "only this scenario; may be given more than once");
     add("policy", options::value(&request.policies), "only this policy; may be given more than once");
     try {
@@ -97,6 +101,12 @@
         std::cerr << "sagecrank-policy-bench: " << error.what() << "\n";
         return exitUsage;
     }
+    if (request.cost) {
+        printCosts(std::cout);
+        return 0;
+    }
+    if (!request.fleets.empty() && wanted(request.fleets, largeService().name))
+        measureFleet(largeService(), request);
     for (const FleetShape &fleet : todaysFleets()) {
         if (wanted(request.fleets, fleet.name))
             measureFleet(fleet, request);
--- a/Utilities/PolicyBench/Policy.cpp
+++ b/Utilities/PolicyBench/Policy.cpp
@@ -232,6 +232,21 @@
     return hooks;
 }
 
+// Every refused caller is told the same time to come back.
+GateHooks withFixedReturn(std::uint64_t seed)
+{
+    static constexpr Duration fixedReturn = 100ms;
+    GateHooks hooks = ourGate(seed);
+    const auto offer = hooks.offer;
+    hooks.offer = [offer](Instant now, const CallFacts &facts, std::vector<GateAction> &actions) {
+        GateDecision decision = offer(now, facts, actions);
+        if (decision.verdict == GateVerdict::Refuse)
+            decision.retryAfter = fixedReturn;
+        return decision;
+    };
+    return hooks;
+}
+
 Policy oursWith(std::string name, GateHooks (*makeGate)(std::uint64_t))
 {
     Policy policy = ours();
@@ -265,7 +280,7 @@
     settings.ejectedShare = 0;
     policies.push_back(oursWith("no-ejection", settings));
 
-    for (const std::size_t choices : {1, 3, 16}) {
+    for (const std::size_t choices : {1, 4, 16}) {
         settings = PlacerSettings{};
         settings.choices = choices;
         policies.push_back(oursWith("choices-" + std::to_string(choices), settings));
@@ -279,10 +294,6 @@
     settings.otherZoneCost = Duration::zero();
     policies.push_back(oursWith("no-zone-cost", settings));
 
-    settings = PlacerSettings{};
-    settings.slowStart = 1ns;
-    policies.push_back(oursWith("no-slow-start", settings));
-
     Policy plainPlacing = ours();
     plainPlacing.name = "no-placer";
     plainPlacing.makePlacer = roundRobinPlacer;
@@ -291,6 +302,12 @@
     policies.push_back(oursWith("no-deadlines", withoutDeadlines));
     policies.push_back(oursWith("no-classes", withoutClasses));
     policies.push_back(oursWith("no-adaptive-limit", withoutAdaptiveLimit));
+    policies.push_back(oursWith("fixed-return", withFixedReturn));
+
+    Policy freeRetries = ours();
+    freeRetries.name = "no-retry-budget";
+    freeRetries.budgetsRetries = false;
+    policies.push_back(freeRetries);
     return policies;
 }
 
--- a/Utilities/PolicyBench/Scenario.cpp
+++ b/Utilities/PolicyBench/Scenario.cpp
@@ -62,6 +62,11 @@
     };
 }
 
+FleetShape largeService()
+{
+    return FleetShape{"large", {60}, 6, 5, 500us, 1ms};
+}
+
 std::vector<Scenario> scenariosFor(const FleetShape &fleet)
 {
     std::vector<Scenario> scenarios;
--- a/Utilities/PolicyBench/Scenario.h
+++ b/Utilities/PolicyBench/Scenario.h
@@ -64,6 +64,8 @@
 };
 
 std::vector<FleetShape> todaysFleets();
+// One service of a size that the users expect in two years; not run by default.
+FleetShape largeService();
 std::vector<Scenario> scenariosFor(const FleetShape &fleet);
 Scenario scenarioNamed(const FleetShape &fleet, const std::string &name);
 
