Node: Report spans, metrics and numbered events

Cause: an operator has to see what each hop did. Change: spans for call, forward, claim, queue, gate and upstream with traceparent passed in and out, counters by outcome and reason, distributions by class, log events for members, configuration, upstream and lost peers.

--- a/Services/Node/CallerFrontend.cpp
+++ b/Services/Node/CallerFrontend.cpp
@@ -123,14 +123,20 @@
     if (call.callerCallId.empty())
         call.callerCallId = this->context.ids.next();
     const auto open = std::make_shared<OpenCall>(this->hooks.began, this->hooks.ended);
+    RequestObserver &observer = this->context.observer;
+    const auto span = std::make_shared<Span>(observer.openSpan(SpanName::Call, call.traceParent, arrived));
+    span->field("route", route->name);
+    call.traceParent = formatTraceParent(span->context());
+    const std::string callerCallId = call.callerCallId;
     const auto forwarded = std::make_shared<ForwardedCall>(
-        this->context, worker, std::move(plan), call,
-        [this, exchange, open, route = *route, call, arrived](CallResponse response) {
-            const auto self = open->running.lock();
-            if (this->hooks.answered)
-                this->hooks.answered(call, route, response, SteadyClock::now() - arrived,
-                                     self ? self->attemptsMade() : 0);
-            exchange->respond(makeAnswer(std::move(response), call.traceParent, call.callerCallId));
+        this->context, worker, std::move(plan), std::move(call),
+        [&observer, exchange, open, span, route = *route, callerCallId, arrived](CallResponse response) {
+            const Instant now = SteadyClock::now();
+            observer.callAnswered(route.cluster, route.callClass, response, now - arrived);
+            span->field("outcome", outcomeNames.name(response.outcome));
+            span->end(now);
+            exchange->respond(
+                makeAnswer(std::move(response), formatTraceParent(span->context()), callerCallId));
             open->end();
         });
     open->running = forwarded;
--- a/Services/Node/CallerFrontend.h
+++ b/Services/Node/CallerFrontend.h
@@ -15,6 +15,7 @@
 
 struct RouteChoice
 {
+    std::string name;
     std::string cluster;
     CallClass callClass = CallClass::Interactive;
     bool idempotent = false;
@@ -32,10 +33,6 @@
     // Every call that got past its checks begins and ends once, answered or given up by its caller.
     std::function<void()> began;
     std::function<void()> ended;
-    // Told of each answered call, for metrics and spans.
-    std::function<void(const CallRequest &, const RouteChoice &, const CallResponse &, Duration took,
-                       std::uint32_t attempts)>
-        answered;
 };
 
 class CallerFrontend
--- a/Services/Node/ForwardedCall.cpp
+++ b/Services/Node/ForwardedCall.cpp
@@ -83,6 +83,8 @@
     attempt.upstreamId = target.candidate.id;
     attempt.startedAt = SteadyClock::now();
     this->triedIds.push_back(target.candidate.id);
+    if (!this->attempts.empty())
+        this->context.observer.callSentAgain();
     this->attempts.push_back(std::move(attempt));
     this->send(this->attempts.size() - 1, target);
     return true;
@@ -126,6 +128,10 @@
         return NodePlaced{attempt.callerCallId, attempt.attempt, this->plan.cluster, target.candidate.id,
                           this->plan.configurationVersion};
     });
+    Span span = this->context.observer.openSpan(SpanName::Forward, attempt.traceParent, SteadyClock::now());
+    span.field("upstream", target.candidate.id);
+    attempt.traceParent = formatTraceParent(span.context());
+    this->attempts[index].span = span;
     auto ended = [self = this->shared_from_this(), index](CallResponse response) {
         self->attemptEnded(index, std::move(response));
     };
@@ -147,6 +153,8 @@
         return;
     attempt.open = false;
     const Instant now = SteadyClock::now();
+    attempt.span->field("outcome", outcomeNames.name(response.outcome));
+    attempt.span->end(now);
     this->tellPlacer(attempt, response, now);
     if (!this->answer)
         return;
@@ -224,6 +232,8 @@
         if (!attempt.open)
             continue;
         attempt.open = false;
+        attempt.span->field("outcome", "cancelled");
+        attempt.span->end(SteadyClock::now());
         {
             const std::lock_guard guard(this->service->mutex);
             const Instant now = SteadyClock::now();
--- a/Services/Node/ForwardedCall.h
+++ b/Services/Node/ForwardedCall.h
@@ -39,6 +39,7 @@
     RcuPointer<UpstreamView> &view;
     CallIds &ids;
     HistoryRecorder &history;
+    RequestObserver &observer;
 };
 
 class ForwardedCall : public std::enable_shared_from_this<ForwardedCall>
@@ -66,6 +67,7 @@
         std::shared_ptr<GateCall> local; // Set when the upstream is beside this node.
         std::string peerAddress;         // Set when it is beside another.
         std::uint64_t peerCallId = 0;
+        std::optional<Span> span; // Set from its sending on.
     };
 
     // Where an attempt goes, copied out of the view.
--- a/Services/Node/GateCall.h
+++ b/Services/Node/GateCall.h
@@ -17,13 +17,14 @@
 class GateCall
 {
 public:
-    GateCall(GateHome home, CallRequest request, LocalGate::AnswerHook answer)
+    GateCall(GateHome home, CallRequest request, LocalGate::AnswerHook answer, RequestObserver &observer)
         : home(home)
         , request(std::move(request))
         , answer(std::move(answer))
         , arrived(SteadyClock::now())
         , deadline(this->arrived + Microseconds(this->request.remainingMicroseconds))
         , waitTimer(home.context)
+        , gateSpan(observer.openSpan(SpanName::Gate, this->request.traceParent, this->arrived))
     {
     }
 
@@ -45,6 +46,8 @@
     bool cancelled = false; // The caller gave up; nothing of it starts any more.
     HttpClient::Handle sending;
     boost::asio::steady_timer waitTimer; // Runs while the call waits in the queue.
+    Span gateSpan;
+    std::optional<Span> stepSpan; // Of the claim, the queue or the upstream, whichever is under way.
 };
 
 } // namespace Sagecrank
--- a/Services/Node/LocalGate.cpp
+++ b/Services/Node/LocalGate.cpp
@@ -54,18 +54,19 @@
 
 } // namespace
 
-LocalGate::LocalGate(std::string nodeId, ClaimHooks claims, HistoryRecorder &history, Observer observer)
+LocalGate::LocalGate(std::string nodeId, ClaimHooks claims, HistoryRecorder &history,
+                     RequestObserver &observer)
     : nodeId(std::move(nodeId))
     , claims(std::move(claims))
     , history(history)
-    , observer(std::move(observer))
+    , observer(observer)
     , gate(GateSettings{1, 64, std::hash<std::string>{}(this->nodeId)})
 {
 }
 
 std::shared_ptr<GateCall> LocalGate::submit(GateHome home, CallRequest request, AnswerHook answer)
 {
-    const auto call = std::make_shared<GateCall>(home, std::move(request), std::move(answer));
+    const auto call = std::make_shared<GateCall>(home, std::move(request), std::move(answer), this->observer);
     ++this->callsInside;
     // A host may have been given to another service while the sender's view is old.
     if (!this->serves(call->request.cluster))
@@ -98,6 +99,7 @@
     if (refusal.reason != RefusalReason::None)
         return this->refuse(call, refusalReasonNames.name(refusal.reason), refusal.retryAfter);
 
+    this->openStep(*call, SpanName::Claim);
     this->claims.claim(call->request.idempotencyKey, call->request.attempt, call->deadline,
                        [this, call](const ClaimAnswer &answer) {
                            boost::asio::post(call->home.context,
@@ -107,6 +109,7 @@
 
 void LocalGate::afterClaim(const std::shared_ptr<GateCall> &call, const ClaimAnswer &answer)
 {
+    closeStep(*call);
     switch (answer.verdict) {
     case ClaimVerdict::Granted:
         call->claimed = true;
@@ -150,6 +153,19 @@
     this->answer(call, std::move(response));
 }
 
+void LocalGate::openStep(GateCall &call, SpanName name)
+{
+    call.stepSpan.emplace(
+        this->observer.openSpan(name, formatTraceParent(call.gateSpan.context()), SteadyClock::now()));
+}
+
+void LocalGate::closeStep(GateCall &call)
+{
+    if (call.stepSpan)
+        call.stepSpan->end(SteadyClock::now());
+    call.stepSpan.reset();
+}
+
 void LocalGate::offer(const std::shared_ptr<GateCall> &call)
 {
     std::vector<GateAction> actions;
@@ -173,6 +189,7 @@
     });
     if (decision.verdict == GateVerdict::Start)
         return this->begin(call);
+    this->openStep(*call, SpanName::Queue);
     this->watchQueue(call);
 }
 
@@ -222,6 +239,7 @@
     call->stage = GateCallStage::Running;
     call->waitTimer.cancel();
     call->started = SteadyClock::now();
+    closeStep(*call);
     const bool late = call->started >= call->deadline;
     if (late || call->cancelled) {
         this->freeSlot(call, CallEnd::Cancelled);
@@ -231,6 +249,8 @@
     }
     this->history.record([&] { return GateStarted{call->request.callerCallId, call->request.attempt}; });
     const Duration remaining = call->deadline - call->started;
+    this->observer.gateWaited(call->started - call->arrived);
+    this->openStep(*call, SpanName::Upstream);
     call->sending =
         call->home.client.send(call->upstreamAddress, this->upstreamRequest(*call, remaining), remaining,
                                [this, call](const HttpFailure *failure, HttpResponse response) {
@@ -257,8 +277,7 @@
         request.headers.push_back({"Sagecrank-Call-Id", call.request.callerCallId});
     if (call.keyed())
         request.headers.push_back({"Idempotency-Key", call.request.idempotencyKey});
-    if (!call.request.traceParent.empty())
-        request.headers.push_back({"traceparent", call.request.traceParent});
+    request.headers.push_back({"traceparent", formatTraceParent(call.stepSpan->context())});
     request.body = call.request.body;
     return request;
 }
@@ -270,6 +289,7 @@
         this->freeSlot(call, CallEnd::Shed);
         return this->refuse(call, reasonShed, retryAfterOf(response));
     }
+    this->observer.upstreamTook(SteadyClock::now() - call->started);
     this->freeSlot(call, response.status >= 500 ? CallEnd::Failed : CallEnd::Succeeded);
     if (call->claimed) {
         RecordedOutcome recorded;
@@ -303,6 +323,7 @@
 
 void LocalGate::freeSlot(const std::shared_ptr<GateCall> &call, CallEnd end)
 {
+    closeStep(*call);
     std::vector<GateAction> actions;
     {
         const std::lock_guard guard(this->mutex);
@@ -316,6 +337,7 @@
     this->history.record([&] {
         return GateRefused{call->request.callerCallId, call->request.attempt, std::string(reason)};
     });
+    this->observer.gateRefused(reason);
     CallResponse response;
     response.outcome = Outcome::NotRun;
     response.reason = reason;
@@ -347,8 +369,9 @@
     }
     response.callId = call->request.callId;
     --this->callsInside;
-    if (this->observer.ended)
-        this->observer.ended(call->request, response, call->arrived, call->started);
+    closeStep(*call);
+    call->gateSpan.field("outcome", outcomeNames.name(response.outcome));
+    call->gateSpan.end(SteadyClock::now());
     const AnswerHook hook = std::move(call->answer);
     hook(std::move(response));
 }
--- a/Services/Node/LocalGate.h
+++ b/Services/Node/LocalGate.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "ClaimHooks.h"
+#include "RequestObserver.h"
 
 #include <LibDecide/Gate.h>
 #include <LibHistory/HistoryRecorder.h>
@@ -44,14 +45,9 @@
 public:
     using AnswerHook = std::function<void(CallResponse)>;
 
-    // Told of each call's end, for the spans of a trace.
-    struct Observer
-    {
-        std::function<void(const CallRequest &, const CallResponse &, Instant arrived, Instant started)>
-            ended;
-    };
+    // The observer outlives the gate.
 
-    LocalGate(std::string nodeId, ClaimHooks claims, HistoryRecorder &history, Observer observer);
+    LocalGate(std::string nodeId, ClaimHooks claims, HistoryRecorder &history, RequestObserver &observer);
 
     // Runs on the home's thread, and so does the answer, which comes exactly once.
     std::shared_ptr<GateCall> submit(GateHome home, CallRequest request, AnswerHook answer);
@@ -77,6 +73,8 @@
                        Duration retryAfter);
     void offer(const std::shared_ptr<GateCall> &call);
     void perform(std::vector<GateAction> actions);
+    void openStep(GateCall &call, SpanName name);
+    static void closeStep(GateCall &call);
     void watchQueue(const std::shared_ptr<GateCall> &call);
     void advance();
     void begin(const std::shared_ptr<GateCall> &call);
@@ -90,7 +88,7 @@
     const std::string nodeId;
     const ClaimHooks claims;
     HistoryRecorder &history;
-    const Observer observer;
+    RequestObserver &observer;
 
     mutable std::mutex mutex; // Guards what follows; never held over input or output.
     Gate gate;
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -13,6 +13,17 @@
 // How often presence and drain look at the clock.
 constexpr Duration tickInterval = Milliseconds(100);
 
+// At about 200 bytes each, half a megabyte of the node's 32.
+constexpr std::size_t spanCapacity = 2048;
+constexpr std::size_t spansShown = 500;
+
+EventLogSettings logSettings(const NodeSettings &settings)
+{
+    EventLogSettings log;
+    log.minimumLevel = logLevelNames.value(settings.logLevel).value_or(LogLevel::Info);
+    return log;
+}
+
 std::function<std::uint64_t()> makeRandom()
 {
     return [generator = std::mt19937_64(std::random_device{}())]() mutable { return generator(); };
@@ -60,6 +71,10 @@
 Node::Node(NodeSettings settings)
     : settings(std::move(settings))
     , history(this->settings.id, this->settings.history)
+    , log(this->settings.id, logSettings(this->settings))
+    , nodeLog(this->log, this->settings.id)
+    , spans(spanCapacity)
+    , observer(this->log, this->metrics, this->spans)
     , ids(this->settings.id)
     , configuration(this->settings.site, this->holderHooks())
     , viewBuilder(this->settings.id, this->settings.zone,
@@ -68,12 +83,13 @@
                   })
     , platform(this->control, platformSettings(this->settings))
     , claims(this->control, this->platform.tablePort())
-    , gate(this->settings.id, this->claims.hooks(), this->history, {})
+    , gate(this->settings.id, this->claims.hooks(), this->history, this->observer)
     , presence({[this](const UpstreamAnnouncement &announcement) { this->gate.announce(announcement); },
                 [this](const std::string &cluster, UpstreamState state, std::uint32_t slots) {
+                    this->nodeLog.upstreamChanged(cluster, state, slots);
                     this->plane.announceUpstream(cluster, state, slots);
                 }})
-    , forwarding{this->settings.id, this->gate, this->view, this->ids, this->history}
+    , forwarding{this->settings.id, this->gate, this->view, this->ids, this->history, this->observer}
     , callers(this->forwarding, this->settings.requests.maximumTimeout, this->callerHooks())
     , admin(this->adminHooks())
     , adminServer(this->control, adminServerSettings(),
@@ -88,7 +104,7 @@
 {
     for (std::uint32_t index = 0; index < this->settings.threads; ++index) {
         this->workers.push_back(std::make_unique<Worker>(
-            this->settings, this->gate,
+            this->settings, this->gate, this->observer,
             [this](Worker &worker, HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
                 this->callers.handle(worker, std::move(request), std::move(exchange));
             }));
@@ -111,6 +127,8 @@
         worker->start();
     this->watchSignals();
     this->tick();
+    this->log.write(EventId::ProcessStarted,
+                    {{"callers", this->settings.listen.callers}, {"zone", this->settings.zone}});
     return success();
 }
 
@@ -118,6 +136,8 @@
 {
     const RcuThread reader;
     this->control.run();
+    this->log.write(EventId::ProcessStopped,
+                    {{"in_flight", this->gate.inFlight()}, {"calls_forwarded", this->callsForwarded.load()}});
 }
 
 HolderHooks Node::holderHooks()
@@ -140,6 +160,9 @@
             return event;
         });
     };
+    hooks.swapped = [this](const Snapshot &next, std::uint64_t previous) {
+        this->nodeLog.configurationSwapped(next.version(), previous);
+    };
     return hooks;
 }
 
@@ -150,7 +173,11 @@
     hooks.configurationOffered = [this](SiteConfiguration configuration) {
         return this->offer(std::move(configuration));
     };
-    hooks.memberChanged = [this](const Member &member) { this->recordMember(member); };
+    hooks.memberChanged = [this](const Member &member) {
+        this->nodeLog.memberChanged(member);
+        this->recordMember(member);
+    };
+    hooks.failed = [this](const Error &error) { this->nodeLog.controlFailed(error); };
     return hooks;
 }
 
@@ -158,8 +185,10 @@
 {
     const SiteManifest manifest = configuration.manifest;
     const Result<void> taken = this->configuration.offer(std::move(configuration));
-    if (!taken)
+    if (!taken) {
+        this->nodeLog.configurationRefused(manifest.version, taken.error());
         this->history.record([&] { return offeredEvent(manifest, taken.error().describe()); });
+    }
     return taken;
 }
 
@@ -195,6 +224,7 @@
     if (entry == nullptr)
         return std::nullopt;
     RouteChoice choice;
+    choice.name = entry->route->name;
     choice.cluster = entry->section->cluster;
     choice.callClass = entry->route->callClass;
     choice.idempotent = entry->route->idempotent;
@@ -215,8 +245,8 @@
     hooks.inFlight = [this] { return this->gate.inFlight(); };
     hooks.ready = [this] { return this->plane.ready() && this->drain.stage() == DrainStage::Serving; };
     hooks.status = [this] { return statusJson(this->status()); };
-    hooks.metrics = [this] { return controlMetrics(this->status()); };
-    hooks.spans = [] { return std::string("[]"); };
+    hooks.metrics = [this] { return controlMetrics(this->status()) + this->metrics.prometheusText(); };
+    hooks.spans = [this] { return this->spans.json(this->settings.id, spansShown); };
     return hooks;
 }
 
@@ -241,6 +271,7 @@
 {
     NodeDrainHooks hooks;
     hooks.announceDraining = [this] {
+        this->log.write(EventId::ProcessDraining, {{"in_flight", this->gate.inFlight()}});
         this->presence.drain();
         for (const auto &worker : this->workers)
             worker->askCallersToClose();
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -6,8 +6,10 @@
 #include "ClaimService.h"
 #include "ControlPlane.h"
 #include "NodeDrain.h"
+#include "NodeLog.h"
 #include "NodeSettings.h"
 #include "NodeStatus.h"
+#include "RequestObserver.h"
 #include "UpstreamPresence.h"
 #include "Worker.h"
 
@@ -51,6 +53,11 @@
 
     const NodeSettings settings;
     HistoryRecorder history;
+    EventLog log;
+    NodeLog nodeLog;
+    Metrics metrics;
+    SpanRing spans;
+    RequestObserver observer;
     CallIds ids;
     boost::asio::io_context control{1}; // Everything that is not a request, on the main thread.
     ConfigurationHolder configuration;
--- /dev/null
+++ b/Services/Node/NodeLog.cpp
@@ -0,0 +1,87 @@
+// Writes a node's log events.
+#include "NodeLog.h"
+
+#include <array>
+
+namespace Sagecrank {
+
+namespace {
+
+EventId eventOf(MemberState state)
+{
+    switch (state) {
+    case MemberState::Alive:
+        return EventId::MemberJoined;
+    case MemberState::Suspect:
+        return EventId::MemberSuspected;
+    case MemberState::Dead:
+        return EventId::MemberDead;
+    case MemberState::Left:
+        break;
+    }
+    return EventId::MemberLeft;
+}
+
+EventId eventOf(UpstreamState state)
+{
+    switch (state) {
+    case UpstreamState::Ready:
+        return EventId::UpstreamReady;
+    case UpstreamState::Draining:
+        return EventId::UpstreamDraining;
+    case UpstreamState::Gone:
+        return EventId::UpstreamGone;
+    case UpstreamState::None:
+    case UpstreamState::Warming:
+        break;
+    }
+    return EventId::UpstreamAnnounced;
+}
+
+} // namespace
+
+NodeLog::NodeLog(EventLog &log, std::string ownId)
+    : log(log)
+    , ownId(std::move(ownId))
+{
+}
+
+void NodeLog::configurationSwapped(std::uint64_t version, std::uint64_t previous)
+{
+    this->log.write(EventId::ConfigurationSwapped, {{"version", version}, {"previous", previous}});
+}
+
+// Crossing updates bring old versions all the time; only one that does not check is worth a look.
+void NodeLog::configurationRefused(std::uint64_t version, const Error &error)
+{
+    const bool stale = error.kind == ErrorKind::Refused;
+    this->log.write(
+        stale ? EventId::ConfigurationStale : EventId::ConfigurationRejected,
+        {{"version", version}, {"step", error.step}, {"peer", error.peer}, {"message", error.message}});
+}
+
+void NodeLog::controlFailed(const Error &error)
+{
+    this->log.write(EventId::ConfigurationPullFailed,
+                    {{"step", error.step}, {"peer", error.peer}, {"message", error.message}});
+}
+
+void NodeLog::memberChanged(const Member &member)
+{
+    if (member.id == this->ownId)
+        return;
+    const auto [entry, added] = this->seen.try_emplace(member.id, member.state);
+    if (!added && entry->second == member.state)
+        return;
+    entry->second = member.state;
+    this->log.write(eventOf(member.state), {{"member", member.id}, {"incarnation", member.incarnation}});
+    if (member.state == MemberState::Left || member.state == MemberState::Dead)
+        this->seen.erase(entry);
+}
+
+void NodeLog::upstreamChanged(const std::string &cluster, UpstreamState state, std::uint32_t slots)
+{
+    this->log.write(eventOf(state), {{"cluster", cluster}, {"slots", slots}});
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/NodeLog.h
@@ -0,0 +1,32 @@
+// Which log event each change of a node is.
+#pragma once
+
+#include <LibCore/Error.h>
+#include <LibMembership/Member.h>
+#include <LibObserve/EventLog.h>
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+namespace Sagecrank {
+
+// Used on the control thread.
+class NodeLog
+{
+public:
+    NodeLog(EventLog &log, std::string ownId);
+
+    void configurationSwapped(std::uint64_t version, std::uint64_t previous);
+    void configurationRefused(std::uint64_t version, const Error &error);
+    void controlFailed(const Error &error);
+    void memberChanged(const Member &member);
+    void upstreamChanged(const std::string &cluster, UpstreamState state, std::uint32_t slots);
+
+private:
+    EventLog &log;
+    const std::string ownId;
+    std::unordered_map<std::string, MemberState> seen; // To log a member's state only when it changes.
+};
+
+} // namespace Sagecrank
--- a/Services/Node/NodeSettings.cpp
+++ b/Services/Node/NodeSettings.cpp
@@ -2,6 +2,7 @@
 #include "NodeSettings.h"
 
 #include <LibNet/FramedConnection.h>
+#include <LibObserve/Events.h>
 
 #include <toml++/toml.h>
 
@@ -13,6 +14,8 @@
 
 namespace {
 
+constexpr std::int64_t oneMebibyte = std::int64_t{1} << 20;
+
 // Reads one table key by key, remembers which keys were asked for, and collects what is wrong.
 class SettingsTable
 {
@@ -44,6 +47,20 @@
         target = *value;
     }
 
+    // A name out of a table of names.
+    template <typename Names>
+    void readName(const char *key, std::string &target, const Names &names)
+    {
+        this->read(key, target, false);
+        const toml::node *node = this->find(key, false);
+        if (node == nullptr || names.value(target))
+            return;
+        std::string allowed;
+        for (const auto &row : names.rows)
+            allowed += (allowed.empty() ? "" : ", ") + std::string(row.second);
+        this->problem(*node, this->path(key), "must be one of " + allowed);
+    }
+
     void readAddress(const char *key, std::string &target)
     {
         this->read(key, target, true);
@@ -170,7 +187,8 @@
         this->readDrain(settings.drain);
         this->section("gossip", [&](SettingsTable &table) { table.readAddresses("seeds", settings.seeds); });
         this->section("history", [&](SettingsTable &table) { table.readFlag("enabled", settings.history); });
-        this->section("log", [&](SettingsTable &table) { table.read("level", settings.logLevel, false); });
+        this->section(
+            "log", [&](SettingsTable &table) { table.readName("level", settings.logLevel, logLevelNames); });
         this->refuseUnknownTables();
         return settings;
     }
@@ -226,8 +244,8 @@
             table.readMilliseconds("peer_silence_ms", requests.peerSilence, 100, 60000);
             table.readMilliseconds("connect_timeout_ms", requests.connectTimeout, 10, 60000);
             table.readInteger("maximum_connections", requests.maximumConnections, 1, 100000);
-            table.readInteger("maximum_header_bytes", requests.maximumHeaderBytes, 1024, 1024 * 1024);
-            table.readInteger("maximum_body_bytes", requests.maximumBodyBytes, 1024, 2 * 1024 * 1024);
+            table.readInteger("maximum_header_bytes", requests.maximumHeaderBytes, 1024, oneMebibyte);
+            table.readInteger("maximum_body_bytes", requests.maximumBodyBytes, 1024, 2 * oneMebibyte);
             table.readShare("retry_share", requests.retryShare);
         });
     }
--- a/Services/Node/PeerLink.cpp
+++ b/Services/Node/PeerLink.cpp
@@ -29,10 +29,12 @@
 
 } // namespace
 
-PeerLink::PeerLink(boost::asio::io_context &context, std::string address, PeerLinkSettings settings)
+PeerLink::PeerLink(boost::asio::io_context &context, std::string address, PeerLinkSettings settings,
+                   LostHook lost)
     : context(context)
     , address(std::move(address))
     , settings(std::move(settings))
+    , lost(std::move(lost))
     , timer(context)
 {
 }
@@ -118,8 +120,10 @@
 }
 
 // A call that was handed to the connection may have run; one that was not has not.
-void PeerLink::closed(const Error &)
+void PeerLink::closed(const Error &reason)
 {
+    if (!this->calls.empty())
+        this->lost(reason);
     this->connection.reset();
     std::unordered_map<std::uint64_t, Pending> ended;
     ended.swap(this->calls);
@@ -155,7 +159,8 @@
     Result<CallResponse> response = decode<CallResponse>(payload, "read call answer", this->address);
     if (!response)
         return this->connection->close(response.error());
-    this->give(response.value().callId, std::move(response).assume_value());
+    const std::uint64_t callId = response.value().callId;
+    this->give(callId, std::move(response).assume_value());
 }
 
 void PeerLink::give(std::uint64_t callId, CallResponse response)
--- a/Services/Node/PeerLink.h
+++ b/Services/Node/PeerLink.h
@@ -37,8 +37,9 @@
 {
 public:
     using AnswerHook = std::function<void(CallResponse)>;
+    using LostHook = std::function<void(const Error &)>; // The connection broke with calls on it.
 
-    PeerLink(boost::asio::io_context &context, std::string address, PeerLinkSettings settings);
+    PeerLink(boost::asio::io_context &context, std::string address, PeerLinkSettings settings, LostHook lost);
 
     // The answer comes exactly once, never from inside this call. Returns the number for cancel().
     std::uint64_t call(CallRequest request, AnswerHook answer);
@@ -68,6 +69,7 @@
     boost::asio::io_context &context;
     const std::string address;
     const PeerLinkSettings settings;
+    const LostHook lost;
     std::shared_ptr<FramedConnection> connection; // Null while there is none.
     std::unordered_map<std::uint64_t, Pending> calls;
     std::uint64_t nextCallId = 1;
--- /dev/null
+++ b/Services/Node/RequestObserver.cpp
@@ -0,0 +1,84 @@
+// Turns what happens to calls into spans, metrics and log events.
+#include "RequestObserver.h"
+
+namespace Sagecrank {
+
+namespace {
+
+constexpr double secondsPerNanosecond = 1e-9;
+
+std::uint64_t nanoseconds(Duration span)
+{
+    const auto count = std::chrono::duration_cast<std::chrono::nanoseconds>(span).count();
+    return count > 0 ? static_cast<std::uint64_t>(count) : 0;
+}
+
+} // namespace
+
+RequestObserver::RequestObserver(EventLog &log, Metrics &metrics, SpanRing &ring)
+    : log(log)
+    , metrics(metrics)
+    , ring(ring)
+    , ids(randomSeed())
+    , sentAgain(metrics.counter("sagecrank_calls_sent_again_total", "Retries and hedges."))
+    , waitSeconds(metrics.distribution("sagecrank_gate_wait_seconds", "Time that calls waited for a slot.",
+                                       secondsPerNanosecond))
+    , upstreamSeconds(metrics.distribution("sagecrank_upstream_seconds", "Time that the upstream took.",
+                                           secondsPerNanosecond))
+{
+    for (const auto &row : outcomeNames.rows)
+        this->calls[static_cast<std::size_t>(row.first)] = &metrics.counter(
+            "sagecrank_calls_total", "Callers' calls by outcome.", {{"outcome", std::string(row.second)}});
+    for (const auto &row : callClassNames.rows)
+        this->callSeconds[static_cast<std::size_t>(row.first)] =
+            &metrics.distribution("sagecrank_call_seconds", "Time from a caller's request to its answer.",
+                                  secondsPerNanosecond, {{"class", std::string(row.second)}});
+}
+
+Span RequestObserver::openSpan(SpanName name, const std::string &traceParent, Instant start)
+{
+    return Span(this->ring, this->ids, name, parseTraceParent(traceParent), start);
+}
+
+void RequestObserver::callAnswered(const std::string &cluster, CallClass callClass,
+                                   const CallResponse &response, Duration took)
+{
+    this->calls[static_cast<std::size_t>(response.outcome)]->add();
+    this->callSeconds[static_cast<std::size_t>(callClass)]->record(nanoseconds(took));
+    if (response.outcome == Outcome::NotRun)
+        this->log.write(EventId::CallsRefused, {{"cluster", cluster}, {"reason", response.reason}});
+    if (response.outcome == Outcome::Unknown)
+        this->log.write(EventId::OutcomeUnknown, {{"cluster", cluster}, {"reason", response.reason}});
+}
+
+void RequestObserver::callSentAgain()
+{
+    this->sentAgain.add();
+}
+
+// Refusals are rarer than calls, and their reasons are few: looking the counter up by name is cheap enough.
+void RequestObserver::gateRefused(std::string_view reason)
+{
+    this->metrics
+        .counter("sagecrank_gate_refused_total", "Calls that the gate refused as not run.",
+                 {{"reason", std::string(reason)}})
+        .add();
+}
+
+void RequestObserver::gateWaited(Duration waited)
+{
+    this->waitSeconds.record(nanoseconds(waited));
+}
+
+void RequestObserver::upstreamTook(Duration took)
+{
+    this->upstreamSeconds.record(nanoseconds(took));
+}
+
+void RequestObserver::peerLost(const std::string &peer, const Error &reason)
+{
+    const EventId event = reason.kind == ErrorKind::Timeout ? EventId::PeerSilent : EventId::PeerLost;
+    this->log.write(event, {{"peer", peer}, {"step", reason.step}, {"message", reason.message}});
+}
+
+} // namespace Sagecrank
--- a/Services/Node/Worker.cpp
+++ b/Services/Node/Worker.cpp
@@ -21,8 +21,10 @@
 
 } // namespace
 
-Worker::Worker(const NodeSettings &settings, LocalGate &gate, CallerHandler callers)
+Worker::Worker(const NodeSettings &settings, LocalGate &gate, RequestObserver &observer,
+               CallerHandler callers)
     : settings(settings)
+    , observer(observer)
     , work(boost::asio::make_work_guard(this->context))
     , client(this->context, HttpClientSettings{})
     , callerServer(
@@ -78,7 +80,9 @@
         peer.ownId = this->settings.id;
         peer.connectTimeout = this->settings.requests.connectTimeout;
         peer.silence = this->settings.requests.peerSilence;
-        link = std::make_shared<PeerLink>(this->context, peerAddress, peer);
+        link = std::make_shared<PeerLink>(
+            this->context, peerAddress, peer,
+            [this, peerAddress](const Error &reason) { this->observer.peerLost(peerAddress, reason); });
     }
     return *link;
 }
--- a/Services/Node/Worker.h
+++ b/Services/Node/Worker.h
@@ -25,7 +25,7 @@
 public:
     using CallerHandler = std::function<void(Worker &, HttpRequest, std::shared_ptr<HttpExchange>)>;
 
-    Worker(const NodeSettings &settings, LocalGate &gate, CallerHandler callers);
+    Worker(const NodeSettings &settings, LocalGate &gate, RequestObserver &observer, CallerHandler callers);
     ~Worker();
     Worker(const Worker &) = delete;
     Worker &operator=(const Worker &) = delete;
@@ -46,6 +46,7 @@
 
 private:
     const NodeSettings &settings;
+    RequestObserver &observer;
     boost::asio::io_context context{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
     HttpClient client;
--- a/Tests/Node/GateFixture.h
+++ b/Tests/Node/GateFixture.h
@@ -23,7 +23,7 @@
                        this->began.push_back(request);
                        this->exchanges.push_back(std::move(exchange));
                    })
-        , gate("gate", this->claimHooks(), this->history, {})
+        , gate("gate", this->claimHooks(), this->history, this->observer)
     {
         cr_assert(this->upstream.listen("127.0.0.1:0").has_value());
         this->announce(1, UpstreamCondition::Ready);
@@ -74,6 +74,10 @@
     std::vector<std::shared_ptr<HttpExchange>> exchanges;
     HttpServer upstream;
     HistoryRecorder history{"gate", false};
+    EventLog log{"gate", {}, [](LogLevel, const std::string &) {}};
+    Metrics metrics;
+    SpanRing spans{64};
+    RequestObserver observer{this->log, this->metrics, this->spans};
     std::map<std::string, CallResponse> answers;
     std::function<void()> onAnswer;
     std::vector<ClaimCallback> claims; // Waiting for the test's answer.
--- a/Tests/Node/TestNodeSettings.cpp
+++ b/Tests/Node/TestNodeSettings.cpp
@@ -46,6 +46,7 @@
     {"no table", "log = 3\n[log]\nlevel = 1\n", "node.toml:21: log.level: must be a string"},
     {"not a share", "[requests]\nretry_share = 2.5\n",
      "node.toml:20: requests.retry_share: must be a number from 0 to 1"},
+    {"not a level", "[log]\nlevel = \"loud\"\n", "node.toml:20: log.level: must be one of debug, info"},
     {"not TOML", "[requests\n", "node.toml:19: "},
 };
 
--- a/Tests/Node/TestPeerLink.cpp
+++ b/Tests/Node/TestPeerLink.cpp
@@ -16,7 +16,8 @@
 public:
     LinkFixture()
         : peer(this->context)
-        , link(std::make_shared<PeerLink>(this->context, this->peer.address(), this->settings()))
+        , link(std::make_shared<PeerLink>(this->context, this->peer.address(), this->settings(),
+                                          [](const Error &) {}))
     {
     }
 
@@ -134,7 +135,8 @@
 Test(peerLink, unreachableIsNotRun)
 {
     LinkFixture fixture;
-    fixture.link = std::make_shared<PeerLink>(fixture.context, "127.0.0.1:1", LinkFixture::settings());
+    fixture.link = std::make_shared<PeerLink>(fixture.context, "127.0.0.1:1", LinkFixture::settings(),
+                                              [](const Error &) {});
     fixture.call("one");
     cr_assert(fixture.runUntil([&] { return fixture.answers.contains("one"); }));
     cr_assert(fixture.answers["one"].outcome == Outcome::NotRun);
