Node: Say once what an upstream's state means

Cause: the same table from state to condition stood in the presence and in the view. Change: one function serves both. Measured: the tests of this program pass as before.

--- a/Services/Node/UpstreamPresence.cpp
+++ b/Services/Node/UpstreamPresence.cpp
@@ -3,8 +3,6 @@
 
 namespace Sagecrank {
 
-namespace {
-
 UpstreamCondition conditionOf(UpstreamState state)
 {
     switch (state) {
@@ -21,8 +19,6 @@
     return UpstreamCondition::NotReady;
 }
 
-} // namespace
-
 UpstreamPresence::UpstreamPresence(UpstreamPresenceHooks hooks)
     : hooks(std::move(hooks))
 {
--- a/Services/Node/UpstreamPresence.h
+++ b/Services/Node/UpstreamPresence.h
@@ -15,6 +15,9 @@
 // An upstream renews its announcement each second; three missed ones in a row are no accident.
 inline constexpr Duration announcementLife = std::chrono::seconds(3);
 
+// What an upstream's own word means to those who send it calls.
+UpstreamCondition conditionOf(UpstreamState state);
+
 struct UpstreamPresenceHooks
 {
     std::function<void(const UpstreamAnnouncement &)> gate; // At every announcement.
--- a/Services/Node/UpstreamView.cpp
+++ b/Services/Node/UpstreamView.cpp
@@ -1,28 +1,19 @@
 // Builds views from the members that gossip knows.
 #include "UpstreamView.h"
 
+#include "UpstreamPresence.h"
+
 namespace Sagecrank {
 
 namespace {
 
 // A suspect is still used: the placer avoids it by what its own calls show, and one lost probe shall not take
 // an upstream out everywhere. A node that is dead or has left takes no calls.
-UpstreamCondition conditionOf(const Member &member)
+UpstreamCondition conditionOfMember(const Member &member)
 {
     if (member.state == MemberState::Dead || member.state == MemberState::Left)
         return UpstreamCondition::NotReady;
-    switch (member.upstream) {
-    case UpstreamState::Warming:
-        return UpstreamCondition::Warming;
-    case UpstreamState::Ready:
-        return UpstreamCondition::Ready;
-    case UpstreamState::Draining:
-        return UpstreamCondition::Draining;
-    case UpstreamState::None:
-    case UpstreamState::Gone:
-        break;
-    }
-    return UpstreamCondition::NotReady;
+    return conditionOf(member.upstream);
 }
 
 bool takesCalls(UpstreamCondition condition)
@@ -50,7 +41,7 @@
 {
     auto view = std::make_unique<UpstreamView>();
     for (const Member &member : members) {
-        const UpstreamCondition condition = conditionOf(member);
+        const UpstreamCondition condition = conditionOfMember(member);
         if (member.cluster.empty() || !takesCalls(condition))
             continue;
         std::unique_ptr<ServiceView> &service = view->services[member.cluster];
