LibMembership: Join a full-size mesh zone first and spread no old news

Now answers of a comparison are not spread, a join is answered by each seed with its own part of the joiner's zone, and a node that still learns compares again within a second when an answer is lost.

--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -63,7 +63,11 @@
         this->probeNext(now);
     }
     if (!this->leaving && now >= this->nextSync) {
-        this->nextSync = now + this->jittered(this->settings.syncInterval);
+        // A lost answer while there is much to learn must not cost a whole interval.
+        const bool behind = this->catchUpRounds > 0;
+        this->catchUpRounds -= behind ? 1 : 0;
+        this->nextSync =
+            now + this->jittered(behind ? this->settings.catchUpInterval * 2 : this->settings.syncInterval);
         this->startSync(now);
     }
     if (!this->leaving && now >= this->nextReconnect) {
@@ -152,13 +156,19 @@
 
 void Membership::takeChanges(Instant now, const std::string &from, const Datagram &datagram)
 {
+    // What came by comparison is old news to the mesh. Telling it on would cost a node that has just joined
+    // its whole budget for minutes; whoever else missed it finds it by comparison too.
+    const bool answersSync = datagram.kind == DatagramKind::Gossip && datagram.sequence != 0;
     for (const Member &member : datagram.members) {
         const std::uint64_t idHash = hashId(member.id);
         if (this->concernsOwn(now, idHash, member.incarnation, member.state))
             continue;
         const MemberRecord *before = this->table.find(idHash);
         const bool whole = before == nullptr || before->fixedHash != hashFixedFacts(member);
-        this->afterMerge(now, idHash, this->table.merge(member, now), whole);
+        const MergeOutcome outcome = this->table.merge(member, now);
+        this->afterMerge(now, idHash, outcome);
+        if (!answersSync)
+            this->spread(idHash, outcome, whole);
     }
     std::vector<std::uint64_t> unknown;
     for (const MemberBrief &brief : datagram.briefs) {
@@ -167,13 +177,12 @@
         const MergeOutcome outcome = this->table.merge(brief, now);
         if (outcome == MergeOutcome::Unknown)
             unknown.push_back(brief.idHash);
-        else
-            this->afterMerge(now, brief.idHash, outcome, false);
+        this->afterMerge(now, brief.idHash, outcome);
+        this->spread(brief.idHash, outcome, false);
     }
     this->request(now, from, unknown);
-    const bool answersSync = datagram.kind == DatagramKind::Gossip && datagram.sequence != 0;
     if (answersSync && !datagram.members.empty())
-        this->nextSync = std::min(this->nextSync, now + this->jittered(this->settings.catchUpInterval));
+        this->catchUp(now);
 }
 
 // Load: a false suspicion, a pause, a split, or a restart whose clock was set back. Harm: the mesh would go
@@ -195,19 +204,25 @@
     return true;
 }
 
-void Membership::afterMerge(Instant now, std::uint64_t idHash, MergeOutcome outcome, bool whole)
+void Membership::afterMerge(Instant now, std::uint64_t idHash, MergeOutcome outcome)
 {
     if (outcome == MergeOutcome::Ignored || outcome == MergeOutcome::Unknown)
         return;
-    const MemberRecord *record = this->table.find(idHash);
-    const Member &member = record->member;
+    const Member &member = this->table.find(idHash)->member;
     if (member.state == MemberState::Suspect)
         this->table.setSuspectDeadline(idHash, now + this->suspicionTime());
+    if (this->hooks.memberChanged)
+        this->hooks.memberChanged(member);
+}
+
+void Membership::spread(std::uint64_t idHash, MergeOutcome outcome, bool whole)
+{
+    if (outcome == MergeOutcome::Ignored || outcome == MergeOutcome::Unknown)
+        return;
+    const Member &member = this->table.find(idHash)->member;
     const bool stopsWork = !isPresent(member.state) || member.upstream == UpstreamState::Draining
                            || member.upstream == UpstreamState::Gone;
     this->changes.add(idHash, stopsWork, whole);
-    if (this->hooks.memberChanged)
-        this->hooks.memberChanged(member);
 }
 
 void Membership::noteHead(const ConfigurationMark &head)
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -36,7 +36,8 @@
     Duration gossipInterval = Milliseconds(200);
     std::uint32_t gossipFanout = 3; // All but one stay in the zone.
     Duration syncInterval = Milliseconds(10000);
-    Duration catchUpInterval = Milliseconds(500);
+    // An answer is at most four datagrams, so a node that catches up receives at most 12 KB a second.
+    Duration catchUpInterval = Milliseconds(400);
     Duration reconnectInterval = Milliseconds(5000);
     // Longer than the longest split expected (an hour), so that a split member is still known when it heals
     // and an old record from a paused node is still recognised as old.
@@ -125,7 +126,8 @@
     void noteSender(Instant now, const std::string &from, const Datagram &datagram);
     void takeChanges(Instant now, const std::string &from, const Datagram &datagram);
     bool concernsOwn(Instant now, std::uint64_t idHash, std::uint64_t incarnation, MemberState state);
-    void afterMerge(Instant now, std::uint64_t idHash, MergeOutcome outcome, bool whole);
+    void afterMerge(Instant now, std::uint64_t idHash, MergeOutcome outcome);
+    void spread(std::uint64_t idHash, MergeOutcome outcome, bool whole);
     void noteHead(const ConfigurationMark &head);
     void publishOwn(Instant now, bool urgent, bool whole);
 
@@ -148,6 +150,7 @@
     void gossip(Instant now);
     void join(Instant now);
     void startSync(Instant now);
+    void catchUp(Instant now); // There was news; there may be more.
     void handleJoin(Instant now, const std::string &from, const Datagram &datagram);
     void handleSyncDigest(Instant now, const std::string &from, const Datagram &datagram);
     void handleSyncEntries(Instant now, const std::string &from, const Datagram &datagram);
@@ -198,6 +201,7 @@
     Instant nextForget{};
     Instant nextJoin{};
     Duration joinBackoff;
+    std::uint32_t catchUpRounds = 0; // Comparisons still to be made at the faster pace.
     bool heardAnyone = false;
     bool leaving = false;
     std::uint32_t goodbyeRounds = 0;
--- a/Libraries/LibMembership/MembershipProbe.cpp
+++ b/Libraries/LibMembership/MembershipProbe.cpp
@@ -127,7 +127,9 @@
     ++this->counts.suspicions;
     MemberBrief brief = MemberTable::briefOf(*record);
     brief.state = MemberState::Suspect;
-    this->afterMerge(now, target, this->table.merge(brief, now), false);
+    const MergeOutcome outcome = this->table.merge(brief, now);
+    this->afterMerge(now, target, outcome);
+    this->spread(target, outcome, false);
 }
 
 void Membership::checkSuspects(Instant now)
@@ -139,7 +141,9 @@
         ++this->counts.deaths;
         MemberBrief brief = MemberTable::briefOf(*record);
         brief.state = MemberState::Dead;
-        this->afterMerge(now, idHash, this->table.merge(brief, now), false);
+        const MergeOutcome outcome = this->table.merge(brief, now);
+        this->afterMerge(now, idHash, outcome);
+        this->spread(idHash, outcome, false);
     }
 }
 
--- a/Libraries/LibMembership/MembershipSync.cpp
+++ b/Libraries/LibMembership/MembershipSync.cpp
@@ -11,8 +11,9 @@
 constexpr Duration longestJoinBackoff = Milliseconds(10000);
 constexpr Duration rejoinInterval = std::chrono::minutes(1);
 constexpr std::uint32_t joinTargets = 3;
-constexpr std::size_t joinAnswerDatagrams = 4;
+constexpr std::size_t joinAnswerDatagrams = 8; // A third of a zone of 260 in 1,200-byte datagrams.
 constexpr std::size_t syncAnswerDatagrams = 4;
+constexpr std::uint32_t roundsAfterNews = 4;
 constexpr std::size_t maximumWanted = 100;
 constexpr Duration requestAgainAfter = Milliseconds(1000);
 // What may be put off leaves a part of the budget to probes and changes.
@@ -73,10 +74,12 @@
     std::erase(addresses, this->own.gossipAddress);
     if (addresses.size() > joinTargets)
         addresses.resize(joinTargets);
-    for (const std::string &address : addresses) {
+    for (std::size_t i = 0; i < addresses.size(); ++i) {
         Datagram datagram = this->makeDatagram(DatagramKind::Join);
         datagram.members.push_back(this->own);
-        this->transmit(address, datagram);
+        // Each of those that are asked answers with another part of the zone.
+        datagram.buckets = {static_cast<std::uint8_t>(i), static_cast<std::uint8_t>(addresses.size())};
+        this->transmit(addresses[i], datagram);
     }
     this->nextSync = std::min(this->nextSync, now + this->settings.catchUpInterval);
 }
@@ -87,11 +90,19 @@
     const MemberRecord *joiner = this->table.find(datagram.sender);
     if (joiner == nullptr)
         return;
+    const bool divided = datagram.buckets.size() == 2 && datagram.buckets[1] > 0;
+    const std::uint64_t parts = divided ? datagram.buckets[1] : 1;
+    const std::uint64_t part = divided ? datagram.buckets[0] % parts : 0;
     std::vector<const MemberRecord *> near;
     std::vector<const MemberRecord *> far;
     this->table.forEach([&](const MemberRecord &record) {
-        if (isPresent(record.member.state) && record.idHash != joiner->idHash)
-            (record.member.zone == joiner->member.zone ? near : far).push_back(&record);
+        if (!isPresent(record.member.state) || record.idHash == joiner->idHash)
+            return;
+        const bool sameZone = record.member.zone == joiner->member.zone;
+        if (sameZone && record.idHash / bucketCount % parts == part)
+            near.push_back(&record);
+        else
+            far.push_back(&record);
     });
     std::shuffle(near.begin(), near.end(), this->random);
     std::shuffle(far.begin(), far.end(), this->random);
@@ -105,6 +116,12 @@
     }
 }
 
+void Membership::catchUp(Instant now)
+{
+    this->catchUpRounds = roundsAfterNews;
+    this->nextSync = std::min(this->nextSync, now + this->jittered(this->settings.catchUpInterval));
+}
+
 void Membership::startSync(Instant /*now*/)
 {
     if (!this->mayspend(syncReserve)) {
@@ -156,6 +173,13 @@
     }
     if (!reply.buckets.empty())
         this->transmit(from, reply);
+    // A node that has just joined calls its own zone most.
+    const MemberRecord *asker = this->table.find(datagram.sender);
+    if (asker != nullptr) {
+        std::stable_partition(missing.begin(), missing.end(), [&](const MemberRecord *record) {
+            return record->member.zone == asker->member.zone;
+        });
+    }
     this->sendRecords(from, missing, syncAnswerDatagrams);
 }
 
@@ -192,7 +216,7 @@
     this->request(now, from, wanted);
     this->sendRecords(from, offered, syncAnswerDatagrams);
     if (!wanted.empty() || !offered.empty())
-        this->nextSync = std::min(this->nextSync, now + this->jittered(this->settings.catchUpInterval));
+        this->catchUp(now);
 }
 
 void Membership::handleSyncRequest(Instant /*now*/, const std::string &from, const Datagram &datagram)
