LibCommandLine: Read every program's command line in one place

Cause: help and usage errors stood in the main file of each program, each a little different. Change: a library for both, first used by the node.

--- a/Services/Node/Main.cpp
+++ b/Services/Node/Main.cpp
@@ -1,7 +1,7 @@
 // sagecrank-node: the one small process beside each upstream host.
 #include "Node.h"
 
-#include <boost/program_options.hpp>
+#include <LibCommandLine/CommandLine.h>
 
 #include <iostream>
 
@@ -9,12 +9,8 @@
 
 namespace options = boost::program_options;
 
-enum ExitCode : int {
-    Success = 0,
-    BadUsage = 2,
-    BadSettings = 3,
-    CannotStart = 4,
-};
+constexpr int exitBadSettings = 3;
+constexpr int exitCannotStart = 4;
 
 constexpr const char *usage = R"(Usage: sagecrank-node --settings FILE [--check]
 
@@ -30,45 +26,33 @@
     const auto started = node.start();
     if (!started) {
         std::cerr << started.error().describe() << "\n";
-        return CannotStart;
+        return exitCannotStart;
     }
     node.run();
-    return Success;
+    return Sagecrank::exitSuccess;
 }
 
-int runCommandLine(const options::variables_map &values)
+} // namespace
+
+int main(int argumentCount, char **arguments)
 {
+    Sagecrank::CommandLine line;
+    line.usage = usage;
+    auto add = line.options.add_options();
+    add("settings,s", options::value<std::string>()->required(), "settings file (TOML)");
+    add("check", "only check the settings");
+    options::variables_map values;
+    if (const auto exitCode = Sagecrank::readCommandLine(line, argumentCount, arguments, values))
+        return *exitCode;
+
     const auto settings = Sagecrank::readNodeSettings(values["settings"].as<std::string>());
     if (!settings) {
         std::cerr << settings.error().describe() << "\n";
-        return BadSettings;
+        return exitBadSettings;
     }
     if (values.count("check") > 0) {
         std::cout << "settings check\n";
-        return Success;
+        return Sagecrank::exitSuccess;
     }
     return runNode(settings.value());
 }
-
-} // namespace
-
-int main(int argumentCount, char **arguments)
-{
-    options::options_description description("Options");
-    description.add_options()("help,h",
-                              "show this text")("settings,s", options::value<std::string>()->required(),
-                                                "settings file (TOML)")("check", "only check the settings");
-    try {
-        options::variables_map values;
-        options::store(options::parse_command_line(argumentCount, arguments, description), values);
-        if (values.count("help") > 0) {
-            std::cout << usage << "\n" << description;
-            return Success;
-        }
-        options::notify(values);
-        return runCommandLine(values);
-    } catch (const options::error &error) {
-        std::cerr << "sagecrank-node: " << error.what() << "\n\n" << usage;
-        return BadUsage;
-    }
-}
