--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -47,7 +47,7 @@
     control.zone = settings.zone;
     control.site = settings.site;
     control.gossipAddress = settings.listen.gossip;
-    control.peerAddress = settings.listen.peers;
+    control.peerAddress = settings.advertise.peers;
     control.controlAddress = settings.listen.control;
     control.seeds = settings.seeds;
     return control;
--- a/Services/Node/NodeSettings.cpp
+++ b/Services/Node/NodeSettings.cpp
@@ -61,6 +61,8 @@
         this->problem(*node, this->path(key), "must be one of " + allowed);
     }
 
+    bool has(const char *key) { return this->find(key, false) != nullptr; }
+
     void readAddress(const char *key, std::string &target)
     {
         this->read(key, target, true);
@@ -182,6 +184,7 @@
         NodeSettings settings;
         this->readNode(settings);
         this->readListen(settings.listen);
+        this->readAdvertise(settings.advertise, settings.listen);
         this->readPlatform(settings.platform);
         this->readRequests(settings.requests);
         this->readDrain(settings.drain);
@@ -227,6 +230,15 @@
         });
     }
 
+    void readAdvertise(NodeSettings::Advertise &advertise, const NodeSettings::Listen &listen)
+    {
+        advertise.peers = listen.peers;
+        this->section("advertise", [&](SettingsTable &table) {
+            if (table.has("peers"))
+                table.readAddress("peers", advertise.peers);
+        });
+    }
+
     void readPlatform(NodeSettings::Platform &platform)
     {
         this->section("platform", [&](SettingsTable &table) {
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -28,6 +28,12 @@
         std::string admin;   // HTTP from the upstream beside the node and from operators.
     } listen;
 
+    // Where other nodes reach this one when that is not where it listens, as behind address translation.
+    struct Advertise
+    {
+        std::string peers; // The address it listens on unless given.
+    } advertise;
+
     struct Platform
     {
         std::string table;
--- a/Tests/Node/TestNodeSettings.cpp
+++ b/Tests/Node/TestNodeSettings.cpp
@@ -47,9 +47,23 @@
     {"not a share", "[requests]\nretry_share = 2.5\n",
      "node.toml:20: requests.retry_share: must be a number from 0 to 1"},
     {"not a level", "[log]\nlevel = \"loud\"\n", "node.toml:20: log.level: must be one of debug, info"},
+    {"bad address to advertise", "[advertise]\npeers = \"here\"\n",
+     "node.toml:20: advertise.peers: wanted ip:port"},
     {"not TOML", "[requests\n", "node.toml:19: "},
 };
 
+struct AdvertiseRow
+{
+    const char *added;
+    const char *peers;
+};
+
+const AdvertiseRow advertiseRows[] = {
+    {"", "127.0.0.1:8101"},
+    {"[advertise]\n", "127.0.0.1:8101"},
+    {"[advertise]\npeers = \"10.0.0.7:9101\"\n", "10.0.0.7:9101"},
+};
+
 struct BadAddressRow
 {
     const char *address;
@@ -76,6 +90,13 @@
     cr_assert(settings.value().requests.peerSilence == Milliseconds(1000));
 }
 
+TABLE_TEST(nodeSettings, advertisesWhereItListensUnlessTold, advertiseRows)
+{
+    const Result<NodeSettings> settings = parseNodeSettings(goodSettings + row.added, "node.toml");
+    cr_assert(settings.has_value());
+    cr_assert(settings.value().advertise.peers == row.peers);
+}
+
 TABLE_TEST(nodeSettings, namesTheMistake, badRows)
 {
     const Result<NodeSettings> settings = parseNodeSettings(goodSettings + row.added, "node.toml");
