--- a/Utilities/PolicyBench/FakeNode.cpp
+++ b/Utilities/PolicyBench/FakeNode.cpp
@@ -12,13 +12,16 @@
 constexpr std::size_t mostTries = 3;
 constexpr double retryShare = 0.2;
 constexpr double retryReserve = 10;
+constexpr double hedgeShare = 0.05;
 
 } // namespace
 
 FakeNode::FakeNode(Timeline &timeline, const Policy &policy, std::uint64_t seed, std::size_t services)
     : timeline(timeline)
     , budgetsRetries(policy.budgetsRetries)
+    , hedges(policy.hedges)
     , budget(retryShare, retryReserve)
+    , hedgeBudget(hedgeShare, retryReserve)
     , services(services)
 {
     for (std::size_t service = 0; service < services; ++service)
@@ -48,6 +51,24 @@
             this->giveUp(call);
     });
     this->send(call);
+    this->hedge(call);
+}
+
+void FakeNode::hedge(const std::shared_ptr<Call> &call)
+{
+    if (!this->hedges || call->callClass != CallClass::Interactive)
+        return;
+    this->hedgeBudget.firstTry(this->timeline.now());
+    const std::optional<Duration> delay = this->hedgeDelay.delay();
+    if (!delay)
+        return;
+    this->timeline.after(*delay, [this, call] {
+        const std::size_t known = this->services[call->service].facts.size();
+        if (call->over || call->tried.size() > 1 || known < 2 || !this->waitsElsewhere(call))
+            return;
+        if (this->hedgeBudget.tryRetry(this->timeline.now()))
+            this->send(call);
+    });
 }
 
 void FakeNode::send(const std::shared_ptr<Call> &call)
@@ -56,6 +77,8 @@
     const Instant now = this->timeline.now();
     const auto position = service.placer.place(now, service.facts, call->callClass, call->tried);
     if (!position) {
+        if (this->waitsElsewhere(call))
+            return;
         this->finish(call, Answer{Reply::NotRun, 250ms, 0, 0, false, false});
         return;
     }
@@ -93,10 +116,12 @@
         if (answer.reply == Reply::NotRun)
             end = PlacedEnd::RefusedNotRun;
         service.placer.ended(id, now, call->callClass, now - sending->sentAt, end);
+        if (end == PlacedEnd::Succeeded && call->callClass == CallClass::Interactive)
+            this->hedgeDelay.observed(now - sending->sentAt);
     }
     if (answer.loadTold)
         service.placer.told(id, now, answer.freeSlots, answer.queued, answer.draining);
-    if (call->over)
+    if (call->over || (answer.reply != Reply::Done && this->waitsElsewhere(call)))
         return;
     if (this->sendsAgain(*call, answer.reply))
         this->send(call);
@@ -116,7 +141,14 @@
     return !this->budgetsRetries || this->budget.tryRetry(this->timeline.now());
 }
 
-void FakeNode::giveUp(const std::shared_ptr<Call> &call)
+bool FakeNode::waitsElsewhere(const std::shared_ptr<Call> &call) const
+{
+    return std::any_of(this->sendings.begin(), this->sendings.end(),
+                       [&](const auto &entry) { return entry.first->call == call; });
+}
+
+// Ends what is still out for the call and cancels it there.
+void FakeNode::dropSendings(const std::shared_ptr<Call> &call, PlacedEnd end)
 {
     Service &service = this->services[call->service];
     for (const auto &[sending, position] : this->sendings) {
@@ -125,18 +157,23 @@
         const Instant now = this->timeline.now();
         const Candidate candidate = service.candidates[position];
         sending->over = true;
-        service.placer.ended(service.facts[position].id, now, call->callClass, now - sending->sentAt,
-                             PlacedEnd::Unknown);
+        service.placer.ended(service.facts[position].id, now, call->callClass, now - sending->sentAt, end);
         this->timeline.after(candidate.way,
                              [candidate, cancelled = sending] { candidate.upstream->cancel(cancelled); });
     }
     std::erase_if(this->sendings, [&](const auto &entry) { return entry.first->call == call; });
+}
+
+void FakeNode::giveUp(const std::shared_ptr<Call> &call)
+{
+    this->dropSendings(call, PlacedEnd::Unknown);
     this->finish(call, Answer{});
 }
 
 void FakeNode::finish(const std::shared_ptr<Call> &call, const Answer &answer)
 {
     call->over = true;
+    this->dropSendings(call, PlacedEnd::Cancelled);
     call->reply(answer);
 }
 
--- a/Utilities/PolicyBench/FakeNode.h
+++ b/Utilities/PolicyBench/FakeNode.h
@@ -44,12 +44,18 @@
     void send(const std::shared_ptr<Call> &call);
     void answered(const std::shared_ptr<Sending> &sending, std::size_t position, const Answer &answer);
     bool sendsAgain(const Call &call, Reply reply);
+    void hedge(const std::shared_ptr<Call> &call);
+    bool waitsElsewhere(const std::shared_ptr<Call> &call) const;
+    void dropSendings(const std::shared_ptr<Call> &call, PlacedEnd end);
     void giveUp(const std::shared_ptr<Call> &call);
     void finish(const std::shared_ptr<Call> &call, const Answer &answer);
 
     Timeline &timeline;
     bool budgetsRetries;
+    bool hedges;
     RetryBudget budget;
+    RetryBudget hedgeBudget;
+    HedgeDelay hedgeDelay; // Of interactive calls.
     std::vector<Service> services;
     std::vector<std::pair<std::shared_ptr<Sending>, std::size_t>> sendings; // Not answered, with position.
 };
--- a/Utilities/PolicyBench/Policy.cpp
+++ b/Utilities/PolicyBench/Policy.cpp
@@ -259,12 +259,12 @@
 
 Policy roundRobin()
 {
-    return Policy{"round-robin", plainGate, roundRobinPlacer, false};
+    return Policy{"round-robin", plainGate, roundRobinPlacer, false, false};
 }
 
 Policy leastOutstanding()
 {
-    return Policy{"least-outstanding", plainGate, leastOutstandingPlacer, false};
+    return Policy{"least-outstanding", plainGate, leastOutstandingPlacer, false, false};
 }
 
 Policy ours()
@@ -304,6 +304,11 @@
     policies.push_back(oursWith("no-adaptive-limit", withoutAdaptiveLimit));
     policies.push_back(oursWith("fixed-return", withFixedReturn));
 
+    Policy hedged = ours();
+    hedged.name = "hedges";
+    hedged.hedges = true;
+    policies.push_back(hedged);
+
     Policy freeRetries = ours();
     freeRetries.name = "no-retry-budget";
     freeRetries.budgetsRetries = false;
--- a/Utilities/PolicyBench/Policy.h
+++ b/Utilities/PolicyBench/Policy.h
@@ -42,6 +42,7 @@
     std::function<GateHooks(std::uint64_t seed)> makeGate;
     std::function<PlacerHooks(std::uint64_t seed)> makePlacer;
     bool budgetsRetries = true;
+    bool hedges = false; // Sends a second copy of an interactive call that is late.
 };
 
 // Round robin over all upstreams and no admission: an endless queue in order of arrival.
