--- a/Libraries/LibSource/ClaimSettler.h
+++ b/Libraries/LibSource/ClaimSettler.h
@@ -42,6 +42,7 @@
 
     void advance();
     std::optional<Instant> nextDue() const;
+    bool awaiting() const { return this->waiting.size() > this->retries.size(); } // An answer of the table.
     std::size_t waitingCount() const { return this->waiting.size(); }
     const SettlerCounters &counters() const { return this->counts; }
 
--- a/Tests/LibSource/TestClaims.cpp
+++ b/Tests/LibSource/TestClaims.cpp
@@ -359,6 +359,39 @@
     cr_assert(bench.platform.putRequests == 9);
 }
 
+// The owner of a keeper looks at nextWake() when it has claimed and when it has woken, not after each answer
+// of the table. The answer to the claim is lost, and so is the answer to the record of its outcome: both must
+// be followed up in time all the same.
+Test(claims, wakesItsOwnerWhileAnAnswerIsAwaited)
+{
+    ClaimBench bench(1);
+    bench.platform.fate = inOrder({WriteFate::RequestLost, WriteFate::Answered, WriteFate::RequestLost});
+    std::optional<Instant> timer;
+    const auto runUntil = [&](Instant end) {
+        while (true) {
+            const auto event = bench.platform.nextEvent();
+            const bool timerFirst = timer && *timer <= end && (!event || *timer <= *event);
+            if (timerFirst) {
+                bench.platform.now = std::max(bench.platform.now, *timer);
+                bench.gates[0]->advance();
+                timer = bench.gates[0]->nextWake();
+            } else if (!bench.platform.step(end)) {
+                break;
+            }
+        }
+        bench.platform.now = end;
+    };
+    const auto answer = bench.claim(0, "k", "a1");
+    timer = bench.gates[0]->nextWake();
+    runUntil(bench.platform.now + Milliseconds(300));
+    cr_assert(answer->verdict == ClaimVerdict::Granted, "%s", answer->reason.c_str());
+    bench.gates[0]->finish("k", "a1", paid);
+    timer = bench.gates[0]->nextWake();
+    runUntil(bench.platform.now + Milliseconds(500));
+    cr_assert(stateOf(bench, "k") == "done");
+    cr_assert(!bench.gates[0]->nextWake(), "nothing is left to wait for");
+}
+
 TABLE_TEST(claims, keepsBodiesThatFit, bodyRows)
 {
     ClaimBench bench(2);
