LibHistory: Tell a refused connection from a call that was taken and lost

Cause: own-whole-answer held every call without an answer against a node that leaves in good order. Change: caller.lost says whether anything was sent, and the fault "leaving" excuses only what was not. A call that a leaving node took and lost stays a violation, which a new row of the damaged histories shows; it also gives no excuse to shutdown-cuts-nothing any more. Narrowed by this case only. Tests: TestLibHistory 84 of 84 pass, two of them new.

--- a/Libraries/LibHistory/CallCheckers.cpp
+++ b/Libraries/LibHistory/CallCheckers.cpp
@@ -52,7 +52,7 @@
                 {"call " + sent.call + " was answered to another caller", {&sentRecord, closed.front()}});
         if (const auto *answered = std::get_if<CallerAnswered>(&closed.front()->event))
             this->judgeAnswer(verdict, sentRecord, *closed.front(), *answered);
-        else if (!this->lossIsExcused(sent, sentRecord.time, closed.front()->time))
+        else if (!this->lossIsExcused(sent, sentRecord.time, *closed.front()))
             verdict.violations.push_back({"call " + sent.call + " was lost though nothing disturbed its node",
                                           {&sentRecord, closed.front()}});
     }
@@ -124,14 +124,18 @@
         return all;
     }
 
-    // Only a fault of the very node that the caller was connected to may leave it without an answer.
-    bool lossIsExcused(const CallerSent &sent, std::uint64_t from, std::uint64_t until) const
+    // Only a fault of the very node that the caller was connected to may leave it without an answer. A node
+    // that leaves in good order may refuse connections, and nothing more.
+    bool lossIsExcused(const CallerSent &sent, std::uint64_t from, const HistoryRecord &closed) const
     {
         const auto node = this->nodes.find(sent.node);
         if (node == this->nodes.end())
             return false;
+        const bool taken = std::get<CallerLost>(closed.event).sent;
         return std::any_of(this->faults.begin(), this->faults.end(), [&](const FaultWindow &window) {
-            return window.target == node->second && window.began <= until && window.ended >= from;
+            const bool covers =
+                window.target == node->second && window.began <= closed.time && window.ended >= from;
+            return covers && (window.fault != leavingFault || !taken);
         });
     }
 
--- a/Libraries/LibHistory/DrainCheckers.cpp
+++ b/Libraries/LibHistory/DrainCheckers.cpp
@@ -150,7 +150,8 @@
     bool disturbed(std::string_view process, std::uint64_t from, std::uint64_t until) const
     {
         return std::any_of(this->faults.begin(), this->faults.end(), [&](const FaultWindow &window) {
-            return window.target == process && window.began <= until && window.ended >= from;
+            const bool covers = window.target == process && window.began <= until && window.ended >= from;
+            return covers && window.fault != leavingFault;
         });
     }
 
--- a/Libraries/LibHistory/HistoryEvents.h
+++ b/Libraries/LibHistory/HistoryEvents.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -133,11 +134,13 @@
     static constexpr HistoryEventKind kind = HistoryEventKind::CallerLost;
     std::string call;
     std::string reason;
+    bool sent = true; // False only when no byte of the request left, as when a connection is refused.
 
     static void visitFields(auto &self, auto &&visit)
     {
         visit("call", self.call);
         visit("reason", self.reason);
+        visit("sent", self.sent);
     }
 };
 
@@ -396,6 +399,10 @@
     }
 };
 
+// The fault that stands for a node's own orderly leaving, from SIGTERM until the next one is up in its place.
+// It excuses only calls that the node did not take.
+inline constexpr std::string_view leavingFault = "leaving";
+
 // The driver disturbs the target from here on.
 struct FaultBegan
 {
--- a/Tests/LibHistory/TestCheckers.cpp
+++ b/Tests/LibHistory/TestCheckers.cpp
@@ -189,6 +189,10 @@
          auto faults = recordsOf<FaultBegan>(history);
          eventOf<FaultBegan>(faults.front()).target = "c1";
      }},
+    {"a call that a leaving node took and lost", PromisePoint::OwnWholeAnswer,
+     [](History &history, Random &) {
+         eventOf<FaultBegan>(recordsOf<FaultBegan>(history).front()).fault = "leaving";
+     }},
     {"a refused call that had run", PromisePoint::NotRunNeverRan,
      [](History &history, Random &random) {
          eventOf<CallerAnswered>(doneAnswer(history, random, false)).outcome = "not-run";
@@ -303,6 +307,11 @@
      [](History &history, Random &random) {
          eventOf<CallerAnswered>(doneAnswer(history, random, false)).outcome = "unknown";
      }},
+    {"a connection that a leaving node refused", PromisePoint::OwnWholeAnswer,
+     [](History &history, Random &) {
+         eventOf<FaultBegan>(recordsOf<FaultBegan>(history).front()).fault = "leaving";
+         eventOf<CallerLost>(recordsOf<CallerLost>(history).front()).sent = false;
+     }},
     {"a member that died a moment ago", PromisePoint::NoDanglingRoute,
      [](History &history, Random &) {
          auto placed = recordsOf<NodePlaced>(history);
--- a/Tests/LibHistory/TestHistoryRecorder.cpp
+++ b/Tests/LibHistory/TestHistoryRecorder.cpp
@@ -30,7 +30,8 @@
 {
     const std::string line = formatHistoryLine(7, "a", 2, CallerLost{"c1", row.text});
     const std::string expected =
-        std::string(R"({"t":7,"p":"a","n":2,"e":"caller.lost","call":"c1","reason":)") + row.written + "}";
+        std::string(R"({"t":7,"p":"a","n":2,"e":"caller.lost","call":"c1","reason":)") + row.written
+        + ",\"sent\":true}";
     cr_assert(line == expected, "%s", line.c_str());
 }
 
--- a/Utilities/Caller/Visitor.cpp
+++ b/Utilities/Caller/Visitor.cpp
@@ -121,7 +121,7 @@
         node, std::move(request), this->settings.patience,
         [self = this->shared_from_this(), call](const HttpFailure *failure, const HttpResponse &response) {
             if (failure != nullptr) {
-                self->history.record(CallerLost{call, failure->error.describe()});
+                self->history.record(CallerLost{call, failure->error.describe(), failure->mayHaveBeenSent});
                 return self->closed(false, Duration::zero());
             }
             const CallerAnswered answered = answeredEvent(call, response);
