Meta: Disturb the connections between nodes

Cause: connections between nodes that go silent, break or come late were not brought about. Change: the calls to one zone's nodes go through relays that four new faults command; nothing is excused by them. A node that leaves is marked from SIGTERM on.

--- a/Meta/prove/faults.py
+++ b/Meta/prove/faults.py
@@ -147,15 +147,16 @@
 def drain_node(this_round):
     """A node leaves by SIGTERM while its upstream stays, as at an upgrade of the node."""
     with this_round.node_seats() as [seat]:
+        # A node that leaves stops listening some time, so from here on callers may find it closed; what it has
+        # taken it must still answer.
+        this_round.began("leaving", seat.name)
         seat.node.drain()
         if not seat.node.wait(DRAIN_SECONDS):
             raise RuntimeError(f"{seat.name} did not end after SIGTERM")
-        # Callers still know its address; the kernel refuses them until it is back.
-        this_round.began("away", seat.name)
         this_round.pause(0.2, 1.0)
         this_round.fleet.launch_node(seat)
         this_round.pause(1.0)
-        this_round.ended("away", seat.name)
+        this_round.ended("leaving", seat.name)
     this_round.pause(1.0)
 
 
@@ -225,6 +226,41 @@
     this_round.pause(0.5, 2.0)
 
 
+def _peer_round(this_round, name, *commands):
+    """Nothing is excused by a fault between two nodes, so its target is the relay and not a node."""
+    relay = this_round.random.choice(this_round.fleet.peer_relays)
+    this_round.began(name, relay.name)
+    for command in commands:
+        relay.command(command)
+    this_round.pause(0.5, 2.0)
+    relay.command("pass")
+    this_round.ended(name, relay.name)
+    this_round.pause(0.5, 1.5)
+
+
+@fault
+def peers_silent(this_round):
+    """Open connections to a node go silent for good, in one direction or both; new ones work."""
+    _peer_round(this_round, "peers-silent", this_round.random.choice(["silence", "silence up", "silence down"]))
+
+
+@fault
+def peers_cut(this_round):
+    _peer_round(this_round, "peers-cut", "cut")
+
+
+@fault
+def peers_hole(this_round):
+    """Nothing reaches a node from the others, on new connections either."""
+    _peer_round(this_round, "peers-hole", "hole")
+
+
+@fault
+def peers_late(this_round):
+    """Answers come late, and those of a later connection overtake them."""
+    _peer_round(this_round, "peers-late", f"delay down {this_round.random.choice([30, 150, 600])}")
+
+
 @fault
 def two_operators(this_round):
     """Two operators publish at the same moment; exactly one may win."""
--- a/Meta/prove/fleet.py
+++ b/Meta/prove/fleet.py
@@ -28,6 +28,7 @@
         self.callers, self.peers, self.gossip, self.control, self.admin, self.upstream = (
             f"127.0.0.1:{next(ports)}" for _ in range(6))
         self.platform = ""  # Where the node reaches the platform; set by the fleet.
+        self.advertised_peers = self.peers  # Where other nodes reach it.
         self.node = None
         self.upstream_process = None
         self.node_lock, self.upstream_lock = threading.Lock(), threading.Lock()
@@ -69,6 +70,13 @@
             relayed = seat.zone == relayed_zone
             seat.platform = self.platform_relay.listen if relayed else self.platform_address
         self.caller_relay = self._relay("relay-callers", self.seats[1].callers, ports)
+        # Calls to the nodes of another zone go through relays of their own.
+        self.peer_relays = []
+        for seat in self.seats:
+            if seat.zone == ZONES[2]:
+                relay = self._relay(f"relay-{seat.name}", seat.peers, ports)
+                seat.advertised_peers = relay.listen
+                self.peer_relays.append(relay)
 
     @staticmethod
     def _relay(name, to, ports):
@@ -83,7 +91,7 @@
         self.platform = self.launch("platform", "platform", [
             f"{self.binaries}/sagecrank-platform-emulator", "--listen", self.platform_address])
         self._await(self._platform_answers, "the platform's emulator")
-        for relay in (self.platform_relay, self.caller_relay):
+        for relay in (self.platform_relay, self.caller_relay, *self.peer_relays):
             self.launch(relay.name, "relay", [
                 f"{self.binaries}/sagecrank-relay", "--listen", relay.listen, "--to", relay.to,
                 "--control", relay.control])
--- a/Meta/prove/prove.py
+++ b/Meta/prove/prove.py
@@ -28,7 +28,8 @@
     ("kill-node", "platform-late"), ("platform-cut", "two-operators"), ("platform-lost", "two-operators"),
     ("drop-answers", "platform-lost"), ("shed", "drain"), ("misleading", "kill-node"), ("cold", "herd"),
     ("caller-cut", "platform-down"), ("platform-silent", "kill-node"), ("drain-node", "platform-lost"),
-    ("drain-node", "drain"),
+    ("drain-node", "drain"), ("peers-silent", "platform-lost"), ("peers-silent", "kill-node"),
+    ("peers-late", "pause-node"), ("peers-cut", "shed"), ("peers-hole", "kill-upstream"),
 ]
 
 
