Ctl: Add the operator's command line

Cause: operators check, publish, roll back and read what is in force. A publish has to say which version it was made from.

--- a/Libraries/LibSource/ClaimKeeper.cpp
+++ b/Libraries/LibSource/ClaimKeeper.cpp
@@ -98,8 +98,8 @@
         sooner(this->deadlines.begin()->first);
     if (!this->retries.empty())
         sooner(this->retries.begin()->first);
-    // An answer that is awaited may make something due, and the owner is not told when it comes. Without this,
-    // a retry after a lost answer would wait for the owner's next visit, up to the caller's deadline.
+    // An answer that is awaited may make something due, and the owner is not told when it comes. Without
+    // this, a retry after a lost answer would wait for the owner's next visit, up to the caller's deadline.
     const bool awaiting = this->deadlines.size() > this->retries.size() || this->settler.awaiting();
     if (awaiting)
         sooner(this->clocks.now() + this->settings.firstRetry);
--- /dev/null
+++ b/Tests/Ctl/TestArguments.cpp
@@ -0,0 +1,149 @@
+// What sagecrankctl accepts on its command line, and how it ends.
+#include <Ctl/Arguments.h>
+#include <Ctl/Content.h>
+#include <Ctl/Files.h>
+
+#include <Support/TableTest.h>
+
+using namespace Sagecrank;
+
+namespace {
+
+struct LineRow
+{
+    const char *name;
+    std::vector<const char *> words;
+    std::optional<ExitCode> ends; // None when the arguments are taken.
+};
+
+const LineRow lineRows[] = {
+    {"nothing", {}, ExitCode::Usage},
+    {"help", {"--help"}, ExitCode::Success},
+    {"no such action", {"deploy"}, ExitCode::Usage},
+    {"no such option", {"status", "--fast"}, ExitCode::Usage},
+    {"status", {"status"}, std::nullopt},
+    {"status of nodes", {"status", "--node", "127.0.0.1:1", "127.0.0.1:2"}, std::nullopt},
+    {"validate without files", {"validate", "--base", "b"}, ExitCode::Usage},
+    {"validate", {"validate", "--base", "b", "--overlays", "o"}, std::nullopt},
+    {"publish without an expectation",
+     {"publish", "--base", "b", "--overlays", "o", "--operator", "anna"},
+     ExitCode::Usage},
+    {"publish without a name",
+     {"publish", "--base", "b", "--overlays", "o", "--expect", "3"},
+     ExitCode::Usage},
+    {"publish over a word",
+     {"publish", "--base", "b", "--overlays", "o", "--operator", "anna", "--expect", "newest"},
+     ExitCode::Usage},
+    {"rollback to a version with letters", {"rollback", "--operator", "anna", "--to", "3x"}, ExitCode::Usage},
+    {"publish over the current version",
+     {"publish", "--base", "b", "--overlays", "o", "--operator", "anna", "--expect", "current"},
+     std::nullopt},
+    {"rollback to nowhere", {"rollback", "--operator", "anna"}, ExitCode::Usage},
+    {"rollback", {"rollback", "--operator", "anna", "--to", "3"}, std::nullopt},
+    {"drain two at once", {"drain", "--node", "127.0.0.1:1", "127.0.0.1:2"}, ExitCode::Usage},
+    {"drain", {"drain", "--node", "127.0.0.1:1"}, std::nullopt},
+    {"diff against nothing", {"diff"}, ExitCode::Usage},
+    {"timeout of zero", {"status", "--timeout-ms", "0"}, ExitCode::Usage},
+};
+
+struct ExampleRow
+{
+    const char *mesh;
+    std::size_t sites;
+};
+
+const ExampleRow exampleRows[] = {{"borgbillet", 3}, {"borra-limpio", 4}};
+
+struct ReportRow
+{
+    PublishVerdict verdict;
+    ErrorKind kind;
+    ExitCode code;
+};
+
+const ReportRow reportRows[] = {
+    {PublishVerdict::Accepted, ErrorKind::Timeout, ExitCode::Success},
+    {PublishVerdict::Conflict, ErrorKind::Internal, ExitCode::Conflict},
+    {PublishVerdict::Unknown, ErrorKind::Timeout, ExitCode::Unknown},
+    {PublishVerdict::Failed, ErrorKind::Unavailable, ExitCode::Unavailable},
+    {PublishVerdict::Failed, ErrorKind::InvalidInput, ExitCode::InvalidInput},
+    {PublishVerdict::Failed, ErrorKind::NotFound, ExitCode::NotFound},
+};
+
+std::variant<Arguments, ExitCode> read(std::vector<const char *> words)
+{
+    words.insert(words.begin(), "sagecrankctl");
+    std::vector<char *> values;
+    for (const char *word : words)
+        values.push_back(const_cast<char *>(word));
+    return readArguments(static_cast<int>(values.size()), values.data());
+}
+
+RenderedSite siteWith(const std::string &name, std::uint32_t queue, std::vector<std::string> routes)
+{
+    RenderedSite site{name, {{"booking", queue, {}}}};
+    for (const std::string &route : routes) {
+        site.sections[0].routes.push_back({});
+        site.sections[0].routes.back().name = route;
+        site.sections[0].routes.back().prefix = "/" + route;
+    }
+    return site;
+}
+
+} // namespace
+
+TABLE_TEST(arguments, areCheckedBeforeAnythingIsTried, lineRows)
+{
+    const auto result = read(row.words);
+    const auto *code = std::get_if<ExitCode>(&result);
+    cr_assert((code != nullptr) == row.ends.has_value(), "%s", row.name);
+    if (code != nullptr)
+        cr_assert(*code == *row.ends, "%s", row.name);
+}
+
+Test(arguments, expectationIsAVersionOrTheCurrentOne)
+{
+    const std::vector<const char *> words = {"publish",    "--base", "b",        "--overlays", "o",
+                                             "--operator", "anna",   "--expect", "17"};
+    cr_assert(std::get<Arguments>(read(words)).expected == 17);
+    std::vector<const char *> current = words;
+    current.back() = "current";
+    cr_assert(!std::get<Arguments>(read(current)).expected);
+}
+
+// A script that publishes must tell "lost to another" from "try again" and from "look first".
+TABLE_TEST(exitCodes, tellReportsApart, reportRows)
+{
+    PublishReport report;
+    report.verdict = row.verdict;
+    report.error.kind = row.kind;
+    cr_assert(exitCodeOf(report) == row.code);
+}
+
+TABLE_TEST(examples, areValid, exampleRows)
+{
+    Arguments arguments;
+    const std::string folder = std::string(EXAMPLES) + "/" + row.mesh;
+    arguments.base = folder + "/base.toml";
+    arguments.overlays = {folder + "/overlays"};
+    const Result<LocalFiles> files = readFiles(arguments);
+    cr_assert(files.has_value());
+    const RenderResult result = renderSites(files.value().base, files.value().overlays);
+    cr_assert(result.errors.empty());
+    cr_assert(result.mesh == row.mesh);
+    cr_assert(result.sites.size() == row.sites);
+}
+
+Test(content, differencesNameSiteAndRoute)
+{
+    const std::vector<RenderedSite> before = {siteWith("a", 1, {"x", "y"}), siteWith("b", 1, {"x"})};
+    const std::vector<RenderedSite> after = {siteWith("a", 2, {"x", "z"}), siteWith("c", 1, {"x"})};
+    cr_assert(compareContent(before, before).empty());
+    std::string text;
+    for (const Change &change : compareContent(before, after))
+        text += change.site + " " + change.what + " " + std::string(changeKindNames.name(change.kind)) + "\n";
+    cr_assert(text
+                  == "a cluster booking changed\na route y removed\na route z added\nb site removed\n"
+                     "c site added\n",
+              "%s", text.c_str());
+}
--- /dev/null
+++ b/Utilities/Ctl/Arguments.cpp
@@ -0,0 +1,171 @@
+// The command line: see Arguments.h.
+#include <Ctl/Arguments.h>
+#include <LibCommandLine/CommandLine.h>
+
+#include <boost/program_options.hpp>
+
+#include <charconv>
+#include <iostream>
+
+namespace Sagecrank {
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr const char *usageText = R"(Usage: sagecrankctl ACTION [options]
+
+Queries, which change nothing:
+  validate  --base FILE --overlays PATH...             check the files; every fault with file, line and key
+  render    --base FILE --overlays PATH... [--site S]  show what each site would hold
+  diff      --base FILE --overlays PATH...             local files against the version in force
+  diff      --from V [--to V]                          two versions; without --to, against the one in force
+  status    [--node ADMIN_ADDRESS...]                  version in force, and what each node holds
+  history   [--limit N]                                accepted versions, newest first
+
+Commands, which change what is in force:
+  publish   --base FILE --overlays PATH... --expect VERSION|current --operator NAME
+  rollback  --to VERSION --operator NAME [--expect VERSION|current]
+            a new, higher version with the content of an older one
+  drain     --node ADMIN_ADDRESS                       no new work to the upstream beside this node
+
+)";
+
+struct RawArguments
+{
+    std::string action;
+    std::string expect;
+    std::string platform;
+    std::string table;
+    std::string objects;
+    std::string from;
+    std::string to;
+    std::int64_t timeout = 2000;
+};
+
+options::options_description describe(Arguments &arguments, RawArguments &raw)
+{
+    options::options_description description("Options");
+    auto add = description.add_options();
+    add("action", options::value(&raw.action)->required(), "one of the actions above; comes first");
+    add("base", options::value(&arguments.base), "base file (TOML)");
+    add("overlays", options::value(&arguments.overlays)->multitoken(),
+        "overlay files, or folders whose *.toml files are overlays");
+    add("site", options::value(&arguments.site), "only this site");
+    add("expect", options::value(&raw.expect),
+        "version that the files were made from; another in force is a conflict. \"current\" takes the one "
+        "read at the start");
+    add("operator", options::value(&arguments.operatorName), "who publishes; stands in the history");
+    add("from", options::value(&raw.from), "older version");
+    add("to", options::value(&raw.to), "newer version (diff), or the one to go back to (rollback)");
+    add("limit", options::value(&arguments.limit)->default_value(arguments.limit), "rows of history");
+    add("node", options::value(&arguments.nodes)->multitoken(), "a node's admin address, ip:port");
+    add("platform", options::value(&raw.platform)->default_value("127.0.0.1:9000"),
+        "table service and object store, ip:port");
+    add("table", options::value(&raw.table), "table service, when it is elsewhere");
+    add("objects", options::value(&raw.objects), "object store, when it is elsewhere");
+    add("table-name", options::value(&arguments.platform.tableName)->default_value("sagecrank"), "table");
+    add("bucket", options::value(&arguments.platform.bucket)->default_value("sagecrank"), "bucket");
+    add("timeout-ms", options::value(&raw.timeout)->default_value(raw.timeout), "of each request");
+    add("json", options::bool_switch(&arguments.json), "print JSON");
+    add("events", options::bool_switch(&arguments.events), "history events on standard output");
+    return description;
+}
+
+Result<std::optional<std::uint64_t>> readVersion(const std::string &name, const std::string &text)
+{
+    if (text.empty())
+        return std::optional<std::uint64_t>();
+    std::uint64_t version = 0;
+    const auto end = std::from_chars(text.data(), text.data() + text.size(), version);
+    if (end.ec != std::errc() || end.ptr != text.data() + text.size())
+        return makeError(ErrorKind::InvalidInput, "read arguments", "", "--" + name + " must be a version");
+    return std::optional<std::uint64_t>(version);
+}
+
+Error missing(const std::string &what)
+{
+    return makeError(ErrorKind::InvalidInput, "read arguments", "", "missing: " + what);
+}
+
+// What the action cannot do without. A publish without --expect would silently overwrite a colleague's
+// change, so it has to be said.
+Result<void> checkPresent(const Arguments &arguments, const RawArguments &raw)
+{
+    const bool hasFiles = !arguments.base.empty() && !arguments.overlays.empty();
+    switch (arguments.action) {
+    case Action::Validate:
+    case Action::Render:
+        if (!hasFiles)
+            return missing("--base and --overlays");
+        break;
+    case Action::Diff:
+        if (!hasFiles && !arguments.from)
+            return missing("--base and --overlays, or --from");
+        break;
+    case Action::Publish:
+        if (!hasFiles)
+            return missing("--base and --overlays");
+        if (raw.expect.empty())
+            return missing("--expect VERSION, or --expect current");
+        if (arguments.operatorName.empty())
+            return missing("--operator");
+        break;
+    case Action::Rollback:
+        if (!arguments.to)
+            return missing("--to VERSION");
+        if (arguments.operatorName.empty())
+            return missing("--operator");
+        break;
+    case Action::Drain:
+        if (arguments.nodes.size() != 1)
+            return missing("one --node");
+        break;
+    case Action::Status:
+    case Action::History:
+        break;
+    }
+    return success();
+}
+
+Result<void> complete(Arguments &arguments, const RawArguments &raw)
+{
+    const auto action = actionNames.value(raw.action);
+    if (!action)
+        return makeError(ErrorKind::InvalidInput, "read arguments", "", "no such action: " + raw.action);
+    arguments.action = *action;
+    if (raw.expect != "current")
+        arguments.expected = TRY(readVersion("expect", raw.expect));
+    arguments.from = TRY(readVersion("from", raw.from));
+    arguments.to = TRY(readVersion("to", raw.to));
+    if (raw.timeout < 1 || raw.timeout > 600000)
+        return makeError(ErrorKind::InvalidInput, "read arguments", "",
+                         "--timeout-ms is outside 1 to 600000");
+    arguments.platform.table = raw.table.empty() ? raw.platform : raw.table;
+    arguments.platform.objects = raw.objects.empty() ? raw.platform : raw.objects;
+    arguments.platform.requestTimeout = Milliseconds(raw.timeout);
+    return checkPresent(arguments, raw);
+}
+
+} // namespace
+
+std::variant<Arguments, ExitCode> readArguments(int count, char **values)
+{
+    Arguments arguments;
+    RawArguments raw;
+    CommandLine line;
+    line.usage = usageText + exitCodeHelp();
+    line.options.add(describe(arguments, raw));
+    line.positional.add("action", 1);
+    options::variables_map map;
+    if (const auto exitCode = readCommandLine(line, count, values, map))
+        return *exitCode == exitSuccess ? ExitCode::Success : ExitCode::Usage;
+    const Result<void> completed = complete(arguments, raw);
+    if (!completed) {
+        std::cerr << "sagecrankctl: " << completed.error().message << " (see --help)\n";
+        return ExitCode::Usage;
+    }
+    return arguments;
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Utilities/Ctl/Commands.h
@@ -0,0 +1,13 @@
+// The actions of sagecrankctl that change what is in force, or a node.
+#pragma once
+
+#include <Ctl/Arguments.h>
+#include <Ctl/Print.h>
+
+namespace Sagecrank {
+
+ExitCode publish(const Arguments &arguments, const Printer &printer);
+ExitCode rollback(const Arguments &arguments, const Printer &printer);
+ExitCode drain(const Arguments &arguments, const Printer &printer);
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Utilities/Ctl/Content.cpp
@@ -0,0 +1,134 @@
+// Reading and comparing of versions: see Content.h.
+#include <Ctl/Content.h>
+#include <LibConfig/Assemble.h>
+
+#include <map>
+
+namespace Sagecrank {
+
+namespace {
+
+using Lines = std::map<std::string, std::string>; // What it is, to its description.
+
+std::string join(const std::vector<std::string> &parts)
+{
+    std::string all;
+    for (const std::string &part : parts)
+        all += (all.empty() ? "" : ",") + part;
+    return all;
+}
+
+Lines linesOf(const RenderedSite &site)
+{
+    Lines lines;
+    for (const Section &section : site.sections) {
+        lines["cluster " + section.cluster] = "maximum_queue=" + std::to_string(section.maximumQueue);
+        for (const Route &route : section.routes)
+            lines["route " + route.name] = describeRoute(route, section.cluster);
+    }
+    return lines;
+}
+
+std::map<std::string, Lines> bySite(const std::vector<RenderedSite> &sites)
+{
+    std::map<std::string, Lines> all;
+    for (const RenderedSite &site : sites)
+        all.emplace(site.site, linesOf(site));
+    return all;
+}
+
+void compareLines(const std::string &site, const Lines &before, const Lines &after,
+                  std::vector<Change> &changes)
+{
+    for (const auto &[what, line] : before) {
+        const auto found = after.find(what);
+        if (found == after.end())
+            changes.push_back({ChangeKind::Removed, site, what, line, ""});
+        else if (found->second != line)
+            changes.push_back({ChangeKind::Changed, site, what, line, found->second});
+    }
+    for (const auto &[what, line] : after) {
+        if (before.count(what) == 0)
+            changes.push_back({ChangeKind::Added, site, what, "", line});
+    }
+}
+
+Result<SiteConfiguration> readSite(Session &session, const VersionManifest &manifest, const std::string &name,
+                                   SectionBytes &known)
+{
+    const VersionReader reader(session.objects());
+    const SiteManifest site = TRY(
+        session.read<SiteManifest>([&](auto callback) { reader.site(manifest, name, std::move(callback)); }));
+    for (const SectionReference &section : site.sections) {
+        if (known.count(section.digest) != 0)
+            continue;
+        known[section.digest] = TRY(session.read<ObjectBytes>(
+            [&](auto callback) { reader.section(section.digest, std::move(callback)); }));
+    }
+    return assemble(site, known);
+}
+
+} // namespace
+
+Result<std::vector<RenderedSite>> readContent(Session &session, const Head &head)
+{
+    std::vector<RenderedSite> sites;
+    if (head.version == 0)
+        return sites;
+    const VersionReader reader(session.objects());
+    const VersionManifest manifest = TRY(
+        session.read<VersionManifest>([&](auto callback) { reader.manifest(head, std::move(callback)); }));
+    SectionBytes known;
+    for (const VersionManifest::SiteReference &reference : manifest.sites) {
+        SiteConfiguration site = TRY(readSite(session, manifest, reference.site, known));
+        sites.push_back({reference.site, std::move(site.sections)});
+    }
+    return sites;
+}
+
+Result<Head> headOfVersion(Session &session, std::uint64_t version)
+{
+    const auto row = TRY(session.read<std::optional<Row>>(
+        [&](auto callback) { session.table().get(historyKey(version), std::move(callback)); }));
+    if (!row)
+        return makeError(ErrorKind::NotFound, "read history", "",
+                         "there is no version " + std::to_string(version));
+    const HistoryEntry entry = TRY(parseHistory(*row));
+    return Head{entry.version, entry.digest, entry.publishId};
+}
+
+std::vector<Change> compareContent(const std::vector<RenderedSite> &before,
+                                   const std::vector<RenderedSite> &after)
+{
+    std::vector<Change> changes;
+    const auto old = bySite(before);
+    const auto next = bySite(after);
+    for (const auto &[site, lines] : old) {
+        const auto found = next.find(site);
+        if (found == next.end())
+            changes.push_back(
+                {ChangeKind::Removed, site, "site", std::to_string(lines.size()) + " lines", ""});
+        else
+            compareLines(site, lines, found->second, changes);
+    }
+    for (const auto &[site, lines] : next) {
+        if (old.count(site) == 0)
+            changes.push_back({ChangeKind::Added, site, "site", "", std::to_string(lines.size()) + " lines"});
+    }
+    return changes;
+}
+
+std::string describeRoute(const Route &route, const std::string &cluster)
+{
+    std::string text = "prefix=" + route.prefix;
+    text += " methods=" + (route.methods.empty() ? std::string("any") : join(route.methods));
+    text += " cluster=" + cluster;
+    text += " class=" + std::string(callClassNames.name(route.callClass));
+    text += route.idempotent ? " idempotent=true" : " idempotent=false";
+    text += " timeout_ms=" + std::to_string(route.timeout.count());
+    text += " maximum_retries=" + std::to_string(route.maximumRetries);
+    text += route.hedged ? " hedged=true" : " hedged=false";
+    return text;
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Utilities/Ctl/ExitCode.cpp
@@ -0,0 +1,49 @@
+// Exit codes from errors and reports: see ExitCode.h.
+#include <Ctl/ExitCode.h>
+
+namespace Sagecrank {
+
+ExitCode exitCodeOf(const Error &error)
+{
+    switch (error.kind) {
+    case ErrorKind::InvalidInput:
+    case ErrorKind::TooLarge:
+        return ExitCode::InvalidInput;
+    case ErrorKind::NotFound:
+        return ExitCode::NotFound;
+    case ErrorKind::Conflict:
+        return ExitCode::Conflict;
+    case ErrorKind::Unavailable:
+    case ErrorKind::Refused:
+    case ErrorKind::Timeout: // Of a read or an object; the writes that matter report themselves.
+        return ExitCode::Unavailable;
+    case ErrorKind::Internal:
+        break;
+    }
+    return ExitCode::Internal;
+}
+
+ExitCode exitCodeOf(const PublishReport &report)
+{
+    switch (report.verdict) {
+    case PublishVerdict::Accepted:
+        return ExitCode::Success;
+    case PublishVerdict::Conflict:
+        return ExitCode::Conflict;
+    case PublishVerdict::Unknown:
+        return ExitCode::Unknown;
+    case PublishVerdict::Failed:
+        break;
+    }
+    return exitCodeOf(report.error);
+}
+
+std::string exitCodeHelp()
+{
+    std::string text = "Exit codes:\n";
+    for (const auto &row : exitCodeMeanings.rows)
+        text += "  " + std::to_string(static_cast<int>(row.first)) + "  " + std::string(row.second) + "\n";
+    return text;
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Utilities/Ctl/Main.cpp
@@ -0,0 +1,46 @@
+// sagecrankctl: the operator's command line.
+#include <Ctl/Arguments.h>
+#include <Ctl/Commands.h>
+#include <Ctl/Print.h>
+#include <Ctl/Queries.h>
+
+#include <iostream>
+
+using namespace Sagecrank;
+
+namespace {
+
+ExitCode perform(const Arguments &arguments, const Printer &printer)
+{
+    switch (arguments.action) {
+    case Action::Validate:
+        return validate(arguments, printer);
+    case Action::Render:
+        return render(arguments, printer);
+    case Action::Diff:
+        return diff(arguments, printer);
+    case Action::Status:
+        return status(arguments, printer);
+    case Action::History:
+        return history(arguments, printer);
+    case Action::Publish:
+        return publish(arguments, printer);
+    case Action::Rollback:
+        return rollback(arguments, printer);
+    case Action::Drain:
+        return drain(arguments, printer);
+    }
+    return ExitCode::Internal;
+}
+
+} // namespace
+
+int main(int count, char **values)
+{
+    const auto arguments = readArguments(count, values);
+    if (const auto *code = std::get_if<ExitCode>(&arguments))
+        return static_cast<int>(*code);
+    const auto &asked = std::get<Arguments>(arguments);
+    const Printer printer(std::cout, std::cerr, asked.json);
+    return static_cast<int>(perform(asked, printer));
+}
--- /dev/null
+++ b/Utilities/Ctl/Print.cpp
@@ -0,0 +1,288 @@
+// Text and JSON for operators: see Print.h.
+#include <Ctl/Print.h>
+
+#include <boost/json.hpp>
+
+#include <ctime>
+
+namespace json = boost::json;
+
+namespace Sagecrank {
+
+namespace {
+
+std::string timeText(std::uint64_t seconds)
+{
+    const auto time = static_cast<std::time_t>(seconds);
+    std::tm parts{};
+    gmtime_r(&time, &parts);
+    char text[32];
+    std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%SZ", &parts);
+    return text;
+}
+
+json::array textArray(const std::vector<std::string> &texts)
+{
+    return json::array(texts.begin(), texts.end());
+}
+
+json::object routeJson(const Route &route)
+{
+    return {{"name", route.name},
+            {"prefix", route.prefix},
+            {"methods", textArray(route.methods)},
+            {"class", callClassNames.name(route.callClass)},
+            {"idempotent", route.idempotent},
+            {"timeout_ms", route.timeout.count()},
+            {"maximum_retries", route.maximumRetries},
+            {"hedged", route.hedged}};
+}
+
+json::object siteJson(const RenderedSite &site)
+{
+    json::array clusters;
+    for (const Section &section : site.sections) {
+        json::array routes;
+        for (const Route &route : section.routes)
+            routes.emplace_back(routeJson(route));
+        clusters.emplace_back(json::object{{"cluster", section.cluster},
+                                           {"maximum_queue", section.maximumQueue},
+                                           {"routes", std::move(routes)}});
+    }
+    return {{"site", site.site}, {"clusters", std::move(clusters)}};
+}
+
+json::object entryJson(const HistoryEntry &entry)
+{
+    json::object object{{"version", entry.version},
+                        {"digest", toHex(entry.digest)},
+                        {"publish_id", entry.publishId},
+                        {"operator", entry.operatorName},
+                        {"accepted_at", timeText(entry.acceptedAt)}};
+    if (entry.rolledBackTo != 0)
+        object["rolled_back_to"] = entry.rolledBackTo;
+    return object;
+}
+
+// The node's answer as an object; one that does not parse is shown as it is.
+json::value nodeJson(const std::string &status)
+{
+    json::error_code error;
+    json::value value = json::parse(status, error);
+    return error ? json::value(status) : value;
+}
+
+std::string memberText(const json::value &node, const char *name)
+{
+    const json::value *value = node.is_object() ? node.as_object().if_contains(name) : nullptr;
+    if (value == nullptr)
+        return "?";
+    return value->is_string() ? std::string(value->as_string().c_str()) : json::serialize(*value);
+}
+
+std::string winnerText(const HistoryEntry &winner)
+{
+    std::string text = "version " + std::to_string(winner.version);
+    if (!winner.operatorName.empty())
+        text += " by " + winner.operatorName + " at " + timeText(winner.acceptedAt) + " (publish id "
+                + winner.publishId + ")";
+    return text;
+}
+
+std::string reportText(const PublishReport &report)
+{
+    switch (report.verdict) {
+    case PublishVerdict::Accepted:
+        return "accepted: version " + std::to_string(report.version) + " (publish id " + report.publishId
+               + ")";
+    case PublishVerdict::Conflict:
+        return "conflict: " + winnerText(report.winner)
+               + " was accepted first. Nothing was published. Run diff, merge, and publish again with "
+                 "--expect "
+               + std::to_string(report.winner.version);
+    case PublishVerdict::Unknown:
+        return "unknown: no answer to the write of version " + std::to_string(report.version)
+               + ", and it may still take effect. It was accepted if history shows publish id "
+               + report.publishId + ". Last error: " + report.error.describe();
+    case PublishVerdict::Failed:
+        break;
+    }
+    return "failed: nothing took effect: " + report.error.describe();
+}
+
+} // namespace
+
+void Printer::error(const Error &error) const
+{
+    if (!this->json) {
+        this->errors << "sagecrankctl: " << error.describe() << "\n";
+        return;
+    }
+    this->out << json::object{{"error",
+                               {{"kind", errorKindNames.name(error.kind)},
+                                {"step", error.step},
+                                {"peer", error.peer},
+                                {"message", error.message}}}}
+              << "\n";
+}
+
+void Printer::faults(const std::vector<SourceError> &faults) const
+{
+    if (!this->json) {
+        for (const SourceError &fault : faults)
+            this->errors << fault.describe() << "\n";
+        this->errors << faults.size() << (faults.size() == 1 ? " fault" : " faults")
+                     << "; nothing was published\n";
+        return;
+    }
+    json::array all;
+    for (const SourceError &fault : faults)
+        all.emplace_back(json::object{
+            {"file", fault.file}, {"line", fault.line}, {"key", fault.key}, {"message", fault.message}});
+    this->out << json::object{{"valid", false}, {"faults", std::move(all)}} << "\n";
+}
+
+void Printer::checked(const RenderResult &result) const
+{
+    std::size_t clusters = 0;
+    std::size_t routes = 0;
+    for (const RenderedSite &site : result.sites) {
+        clusters += site.sections.size();
+        for (const Section &section : site.sections)
+            routes += section.routes.size();
+    }
+    if (this->json)
+        this->out << json::object{{"valid", true},
+                                  {"mesh", result.mesh},
+                                  {"sites", result.sites.size()},
+                                  {"clusters", clusters},
+                                  {"routes", routes}}
+                  << "\n";
+    else
+        this->out << "valid: mesh " << result.mesh << ", " << result.sites.size() << " sites, " << clusters
+                  << " clusters, " << routes << " routes\n";
+}
+
+void Printer::sites(const std::vector<RenderedSite> &sites) const
+{
+    if (this->json) {
+        json::array all;
+        for (const RenderedSite &site : sites)
+            all.emplace_back(siteJson(site));
+        this->out << json::object{{"sites", std::move(all)}} << "\n";
+        return;
+    }
+    for (const RenderedSite &site : sites) {
+        this->out << "site " << site.site << "\n";
+        for (const Section &section : site.sections) {
+            this->out << "  cluster " << section.cluster << " maximum_queue=" << section.maximumQueue << "\n";
+            for (const Route &route : section.routes)
+                this->out << "    route " << route.name << " " << describeRoute(route, section.cluster)
+                          << "\n";
+        }
+    }
+}
+
+void Printer::changes(const std::vector<Change> &changes) const
+{
+    if (this->json) {
+        json::array all;
+        for (const Change &change : changes)
+            all.emplace_back(json::object{{"kind", changeKindNames.name(change.kind)},
+                                          {"site", change.site},
+                                          {"what", change.what},
+                                          {"before", change.before},
+                                          {"after", change.after}});
+        this->out << json::object{{"changes", std::move(all)}} << "\n";
+        return;
+    }
+    for (const Change &change : changes) {
+        this->out << change.site << ": " << change.what << " " << changeKindNames.name(change.kind) << "\n";
+        if (!change.before.empty())
+            this->out << "  - " << change.before << "\n";
+        if (!change.after.empty())
+            this->out << "  + " << change.after << "\n";
+    }
+    this->out << changes.size() << (changes.size() == 1 ? " change\n" : " changes\n");
+}
+
+void Printer::status(const Head &head, const std::vector<NodeAnswer> &nodes) const
+{
+    json::array all;
+    for (const NodeAnswer &node : nodes) {
+        json::object entry{{"address", node.address}};
+        if (node.status)
+            entry["status"] = nodeJson(node.status.value());
+        else
+            entry["error"] = node.status.error().describe();
+        all.emplace_back(std::move(entry));
+    }
+    if (this->json) {
+        this->out << json::object{{"version", head.version},
+                                  {"digest", toHex(head.digest)},
+                                  {"publish_id", head.publishId},
+                                  {"nodes", std::move(all)}}
+                  << "\n";
+        return;
+    }
+    this->out << "version in force: " << head.version;
+    if (head.version > 0)
+        this->out << " (publish id " << head.publishId << ")";
+    this->out << "\n";
+    for (const json::value &entry : all) {
+        const json::object &node = entry.as_object();
+        this->out << "  " << node.at("address").as_string().c_str() << ": ";
+        if (const json::value *status = node.if_contains("status"))
+            this->out << memberText(*status, "id") << " zone=" << memberText(*status, "zone")
+                      << " version=" << memberText(*status, "version")
+                      << " ready=" << memberText(*status, "ready")
+                      << " upstream=" << memberText(*status, "upstream") << "\n";
+        else
+            this->out << node.at("error").as_string().c_str() << "\n";
+    }
+}
+
+void Printer::history(const std::vector<HistoryEntry> &entries) const
+{
+    if (this->json) {
+        json::array all;
+        for (const HistoryEntry &entry : entries)
+            all.emplace_back(entryJson(entry));
+        this->out << json::object{{"history", std::move(all)}} << "\n";
+        return;
+    }
+    for (const HistoryEntry &entry : entries) {
+        this->out << entry.version << "  " << timeText(entry.acceptedAt) << "  " << entry.operatorName
+                  << "  publish id " << entry.publishId;
+        if (entry.rolledBackTo != 0)
+            this->out << "  back to the content of " << entry.rolledBackTo;
+        this->out << "\n";
+    }
+}
+
+void Printer::report(const PublishReport &report) const
+{
+    if (!this->json) {
+        std::ostream &stream = report.verdict == PublishVerdict::Accepted ? this->out : this->errors;
+        stream << reportText(report) << "\n";
+        return;
+    }
+    json::object object{{"verdict", publishVerdictNames.name(report.verdict)},
+                        {"version", report.version},
+                        {"publish_id", report.publishId}};
+    if (report.verdict == PublishVerdict::Conflict)
+        object["winner"] = entryJson(report.winner);
+    if (report.verdict == PublishVerdict::Failed || report.verdict == PublishVerdict::Unknown)
+        object["error"] = report.error.describe();
+    this->out << object << "\n";
+}
+
+void Printer::drained(const std::string &node, const std::string &answer) const
+{
+    if (this->json)
+        this->out << json::object{{"node", node}, {"draining", true}, {"answer", nodeJson(answer)}} << "\n";
+    else
+        this->out << node << ": draining, " << answer << "\n";
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Utilities/Ctl/Print.h
@@ -0,0 +1,47 @@
+// What the operator sees, as text or as one JSON object.
+#pragma once
+
+#include <Ctl/Arguments.h>
+#include <Ctl/Content.h>
+#include <LibConfig/SourceFiles.h>
+#include <LibSource/Head.h>
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace Sagecrank {
+
+struct NodeAnswer
+{
+    std::string address;
+    Result<std::string> status; // The node's own JSON.
+};
+
+class Printer
+{
+public:
+    Printer(std::ostream &out, std::ostream &errors, bool json)
+        : out(out)
+        , errors(errors)
+        , json(json)
+    {
+    }
+
+    void error(const Error &error) const;
+    void faults(const std::vector<SourceError> &faults) const;
+    void checked(const RenderResult &result) const;
+    void sites(const std::vector<RenderedSite> &sites) const;
+    void changes(const std::vector<Change> &changes) const;
+    void status(const Head &head, const std::vector<NodeAnswer> &nodes) const;
+    void history(const std::vector<HistoryEntry> &entries) const;
+    void report(const PublishReport &report) const;
+    void drained(const std::string &node, const std::string &answer) const;
+
+private:
+    std::ostream &out;
+    std::ostream &errors; // Text only; JSON always goes to `out`, so that a script reads one stream.
+    const bool json;
+};
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Utilities/Ctl/Queries.h
@@ -0,0 +1,15 @@
+// The actions of sagecrankctl that change nothing.
+#pragma once
+
+#include <Ctl/Arguments.h>
+#include <Ctl/Print.h>
+
+namespace Sagecrank {
+
+ExitCode validate(const Arguments &arguments, const Printer &printer);
+ExitCode render(const Arguments &arguments, const Printer &printer);
+ExitCode diff(const Arguments &arguments, const Printer &printer);
+ExitCode status(const Arguments &arguments, const Printer &printer);
+ExitCode history(const Arguments &arguments, const Printer &printer);
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Utilities/Ctl/Session.cpp
@@ -0,0 +1,41 @@
+// Waiting for the platform and for nodes: see Session.h.
+#include <Ctl/Session.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+
+namespace Sagecrank {
+
+Session::Session(const PlatformClientSettings &platformSettings)
+    : settings(platformSettings)
+    , platform(this->context, platformSettings)
+    , nodes(this->context, {})
+{
+}
+
+Later Session::later()
+{
+    return [this](Duration delay, std::function<void()> event) {
+        const auto timer = std::make_shared<boost::asio::steady_timer>(this->context, delay);
+        timer->async_wait([timer, event = std::move(event)](const boost::system::error_code &) { event(); });
+    };
+}
+
+Result<std::string> Session::askNode(const std::string &address, const std::string &method,
+                                     const std::string &target)
+{
+    return this->wait<Result<std::string>>([&](const std::function<void(Result<std::string>)> &callback) {
+        const auto done = [callback, address](const HttpFailure *failure, HttpResponse response) {
+            if (failure != nullptr)
+                return callback(failure->error);
+            if (response.status / 100 != 2)
+                return callback(makeError(ErrorKind::Refused, "ask node", address,
+                                          "answered status " + std::to_string(response.status)));
+            callback(std::move(response.body));
+        };
+        this->nodes.send(address, {method, target, {}, ""}, this->settings.requestTimeout, done);
+    });
+}
+
+} // namespace Sagecrank
