LibNet: Write HTTP messages in one pass over plain executors

Profiling a node at 10,000 calls/s showed a sixth of its time in Beast's nested buffer sequences while writing messages and a tenth in copies of the type-erased executor. A header is now written into one run of bytes, and connections know their io_context by type; parsing and limits are untouched.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -1,10 +1,9 @@
 // The client's side of HTTP/1.1 by Beast.
 #include <LibNet/FramedConnection.h>
 #include <LibNet/HttpClient.h>
+#include <LibNet/HttpWire.h>
 
 #include <boost/asio/post.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 
 #include <sys/socket.h>
 
@@ -22,7 +21,7 @@
 {
     struct IdleConnection
     {
-        std::unique_ptr<beast::tcp_stream> stream;
+        std::unique_ptr<HttpStream> stream;
         Instant since;
     };
 
@@ -32,8 +31,8 @@
     {
     }
 
-    std::unique_ptr<beast::tcp_stream> take(const std::string &address);
-    void keep(const std::string &address, std::unique_ptr<beast::tcp_stream> stream);
+    std::unique_ptr<HttpStream> take(const std::string &address);
+    void keep(const std::string &address, std::unique_ptr<HttpStream> stream);
 
     boost::asio::io_context &context;
     HttpClientSettings settings;
@@ -44,7 +43,7 @@
 
 // The other side may close a kept connection at any time. One that has been closed, or that has bytes nobody
 // asked for, is not used again: a request sent on it would have an unknown outcome for no reason.
-bool stillUsable(beast::tcp_stream &stream)
+bool stillUsable(HttpStream &stream)
 {
     char byte = 0;
     const ssize_t size = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
@@ -53,7 +52,7 @@
 
 } // namespace
 
-std::unique_ptr<beast::tcp_stream> HttpClient::Pool::take(const std::string &address)
+std::unique_ptr<HttpStream> HttpClient::Pool::take(const std::string &address)
 {
     const auto found = this->idle.find(address);
     if (found == this->idle.end())
@@ -68,7 +67,7 @@
     return nullptr;
 }
 
-void HttpClient::Pool::keep(const std::string &address, std::unique_ptr<beast::tcp_stream> stream)
+void HttpClient::Pool::keep(const std::string &address, std::unique_ptr<HttpStream> stream)
 {
     std::deque<IdleConnection> &connections = this->idle[address];
     if (connections.size() >= this->settings.maximumIdleConnections)
@@ -107,7 +106,7 @@
         const Result<tcp::endpoint> endpoint = parseTcpEndpoint(this->address);
         if (!endpoint)
             return this->failLater(endpoint.error());
-        this->stream = std::make_unique<beast::tcp_stream>(this->pool->context);
+        this->stream = std::make_unique<HttpStream>(this->pool->context);
         this->stream->expires_after(timeout);
         this->stream->async_connect(endpoint.value(),
                                     [self = this->shared_from_this()](const beast::error_code &error) {
@@ -130,12 +129,13 @@
     void write()
     {
         this->sent = true;
-        http::async_write(*this->stream, this->message,
-                          [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
-                              if (error)
-                                  return self->fail("send request", error);
-                              self->read();
-                          });
+        this->header = headerBytes(this->message);
+        writeMessage(*this->stream, this->header, this->message,
+                     [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
+                         if (error)
+                             return self->fail("send request", error);
+                         self->read();
+                     });
     }
 
     void read()
@@ -198,7 +198,8 @@
     std::string address;
     HttpClient::AnswerHook done; // Empty once the answer has been given.
     http::request<http::string_body> message;
-    std::unique_ptr<beast::tcp_stream> stream;
+    std::string header; // Of the message, while it is written.
+    std::unique_ptr<HttpStream> stream;
     beast::flat_buffer buffer;
     std::optional<http::response_parser<http::string_body>> parser;
     bool sent = false; // Set before the first byte may leave.
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -1,9 +1,7 @@
 // The server's side of HTTP/1.1 by Beast.
 #include <LibNet/FramedConnection.h>
 #include <LibNet/HttpServer.h>
-
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <LibNet/HttpWire.h>
 
 #include <sys/socket.h>
 
@@ -27,12 +25,14 @@
     State(boost::asio::io_context &context, HttpServerSettings settings, HttpHandler handler)
         : settings(settings)
         , handler(std::move(handler))
+        , context(context)
         , acceptor(context)
     {
     }
 
     HttpServerSettings settings;
     HttpHandler handler;
+    boost::asio::io_context &context;
     tcp::acceptor acceptor;
     std::unordered_set<Session *> sessions; // Open ones; each takes itself out when it ends.
     bool closing = false;
@@ -56,7 +56,7 @@
 class Session : public std::enable_shared_from_this<Session>
 {
 public:
-    Session(tcp::socket socket, std::shared_ptr<HttpServer::State> server);
+    Session(HttpSocket socket, std::shared_ptr<HttpServer::State> server);
     ~Session() { this->server->sessions.erase(this); }
     Session(const Session &) = delete;
     Session &operator=(const Session &) = delete;
@@ -74,11 +74,12 @@
     void refuse(std::uint32_t status, std::string_view message);
     void writeResponse(HttpResponse response, bool keepAlive);
 
-    beast::tcp_stream stream;
+    HttpStream stream;
     std::shared_ptr<HttpServer::State> server;
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
     std::optional<http::response<http::string_body>> response; // Alive while it is written.
+    std::string responseHeader;                                // The same.
     std::function<void()> abandoned;
     std::uint64_t currentExchange = 0; // Counts requests, so that a late or second answer is told apart.
     bool waitingForAnswer = false;
@@ -111,7 +112,7 @@
     std::uint64_t number;
 };
 
-Session::Session(tcp::socket socket, std::shared_ptr<HttpServer::State> server)
+Session::Session(HttpSocket socket, std::shared_ptr<HttpServer::State> server)
     : stream(std::move(socket))
     , server(std::move(server))
 {
@@ -231,14 +232,14 @@
     if (this->headOnly)
         message.body().clear();
     this->stream.expires_after(this->server->settings.idleTimeout);
-    http::async_write(
-        this->stream, message,
-        [self = this->shared_from_this(), keepAlive](const beast::error_code &error, std::size_t) {
-            self->response.reset();
-            if (error || !keepAlive)
-                return self->close();
-            self->readRequest();
-        });
+    this->responseHeader = headerBytes(message);
+    writeMessage(this->stream, this->responseHeader, message,
+                 [self = this->shared_from_this(), keepAlive](const beast::error_code &error, std::size_t) {
+                     self->response.reset();
+                     if (error || !keepAlive)
+                         return self->close();
+                     self->readRequest();
+                 });
 }
 
 void Session::close()
@@ -250,18 +251,19 @@
 
 void acceptNext(const std::shared_ptr<HttpServer::State> &state)
 {
-    state->acceptor.async_accept([state](const beast::error_code &error, tcp::socket socket) {
-        if (!state->acceptor.is_open())
-            return;
-        // Above the limit a connection is closed at once: those that are served keep their memory.
-        const bool room = state->sessions.size() < state->settings.maximumConnections;
-        if (!error && room) {
-            beast::error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            std::make_shared<Session>(std::move(socket), state)->readRequest();
-        }
-        acceptNext(state);
-    });
+    state->acceptor.async_accept(
+        state->context.get_executor(), [state](const beast::error_code &error, HttpSocket socket) {
+            if (!state->acceptor.is_open())
+                return;
+            // Above the limit a connection is closed at once: those that are served keep their memory.
+            const bool room = state->sessions.size() < state->settings.maximumConnections;
+            if (!error && room) {
+                beast::error_code ignored;
+                socket.set_option(tcp::no_delay(true), ignored);
+                std::make_shared<Session>(std::move(socket), state)->readRequest();
+            }
+            acceptNext(state);
+        });
 }
 
 } // namespace
