--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -102,7 +102,7 @@
 
 holds_version() { curl -sf "http://$(admin "$1")/status" | grep -q "\"version\":$2,"; }
 answers() { curl -sf -o /dev/null "http://$(callers 1)/slots"; }
-show() { grep -E '^HTTP|^[Ss]agecrank|^[Rr]etry-After|^$|^.+$' | tr -d '\r' | sed 's/^/   /'; }
+show() { tr -d '\r' | sed 's/^/   /'; echo; }
 
 say "platform emulator at $platform; version 1 sends /slots to the service booking"
 start platform "$bin/sagecrank-platform-emulator" --listen "$platform"
