LibPlatform: Pin what each answer says about effect

Cause: the client was pushed without tests, and one was flaky in a first trial: a request that had waited nearly its whole time was sent with some microseconds left, so that it ended as "unknown" for nothing. Change: a tenth of the timeout is kept back; a request with less left is never sent. Conclusion: no error kind claims more than is known.

--- a/Libraries/LibPlatform/PlatformClient.cpp
+++ b/Libraries/LibPlatform/PlatformClient.cpp
@@ -77,6 +77,10 @@
         this->sendWaiting();
     }
 
+    // A request that is sent with hardly any time left gets no answer in time, and all that comes of it is a
+    // write whose effect is not known. A tenth of the timeout is kept for the platform's own work.
+    Duration leastTime() const { return this->settings.requestTimeout / 10; }
+
     // Never calls back from inside the port's call, so that a caller is not entered while it changes.
     void refuse(Waiting refused)
     {
@@ -93,7 +97,7 @@
             Waiting next = std::move(this->waiting.front());
             this->waiting.pop_front();
             const Instant now = SteadyClock::now();
-            if (this->stopped || now >= next.expires)
+            if (this->stopped || now + this->leastTime() >= next.expires)
                 this->refuse(std::move(next));
             else
                 this->send(std::move(next), now);
--- /dev/null
+++ b/Tests/LibPlatform/TestPlatformClient.cpp
@@ -0,0 +1,180 @@
+// The client against a small HTTP server in the same process: what a broken or slow connection means.
+#include <LibPlatform/PlatformClient.h>
+
+#include <LibNet/HttpServer.h>
+#include <Support/TableTest.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <unistd.h>
+
+#include <memory>
+#include <vector>
+
+using namespace Sagecrank;
+
+namespace {
+
+using Exchange = std::shared_ptr<HttpExchange>;
+
+// A platform whose answers the test gives.
+class Fake
+{
+public:
+    explicit Fake(HttpHandler handler)
+        : server(this->context, {}, std::move(handler))
+    {
+        // Each test is a process of its own, and several run at once.
+        const int first = getpid() % 20000;
+        for (int i = 0; i < 100; ++i) {
+            this->address = "127.0.0.1:" + std::to_string(10000 + ((first + i * 7) % 20000));
+            if (this->server.listen(this->address))
+                return;
+        }
+        cr_assert_fail("no free port");
+    }
+
+    PlatformClientSettings settings() const
+    {
+        PlatformClientSettings settings;
+        settings.table = this->address;
+        settings.objects = this->address;
+        settings.requestTimeout = Milliseconds(200);
+        return settings;
+    }
+
+    template <typename Done>
+    void runUntil(Done done)
+    {
+        while (!done())
+            this->context.run_one();
+    }
+
+    boost::asio::io_context context{1};
+    HttpServer server;
+    std::string address;
+};
+
+Result<void> putOnce(Fake &fake, PlatformClient &client)
+{
+    std::optional<Result<void>> answer;
+    client.tablePort().putIf({{{"a", "b"}, {}}, {}}, [&](Result<void> given) { answer = std::move(given); });
+    fake.runUntil([&] { return answer.has_value(); });
+    return *answer;
+}
+
+} // namespace
+
+Test(platformClient, readsBackWhatItStores)
+{
+    std::vector<std::string> seen;
+    Fake fake([&](const HttpRequest &request, const Exchange &exchange) {
+        seen.push_back(request.method + " " + request.target + " "
+                       + std::string(findHeader(request.headers, "X-Amz-Target")));
+        const bool read = request.method == "GET";
+        exchange->respond(makeResponse(200, "application/octet-stream", read ? std::string("\0x", 2) : "{}"));
+    });
+    PlatformClient client(fake.context, fake.settings());
+    cr_assert(putOnce(fake, client).has_value());
+    std::optional<Result<ObjectBytes>> bytes;
+    const ObjectPort objects = client.objectPort();
+    objects.put("section/1", ObjectBytes(3), [&](const Result<void> &put) {
+        cr_assert(put.has_value());
+        objects.get("section/1", [&](Result<ObjectBytes> given) { bytes = std::move(given); });
+    });
+    fake.runUntil([&] { return bytes.has_value(); });
+    cr_assert(bytes->value() == ObjectBytes({std::byte{0}, std::byte{'x'}}));
+    const std::vector<std::string> wanted = {"POST / DynamoDB_20120810.PutItem", "PUT /sagecrank/section/1 ",
+                                             "GET /sagecrank/section/1 "};
+    cr_assert(seen == wanted);
+    cr_assert(client.counters().tableWrites == 1);
+    cr_assert(client.counters().objectWrites == 1 && client.counters().objectReads == 1);
+}
+
+// Nothing listens there, so no byte left: the write certainly did not take effect.
+Test(platformClient, aRefusedConnectionIsUnavailable)
+{
+    boost::asio::io_context context(1);
+    PlatformClientSettings settings;
+    settings.table = "127.0.0.1:1";
+    PlatformClient client(context, settings);
+    std::optional<Result<void>> answer;
+    client.tablePort().putIf({{{"a", "b"}, {}}, {}}, [&](Result<void> given) { answer = std::move(given); });
+    context.run();
+    cr_assert(answer->error().kind == ErrorKind::Unavailable, "%s", answer->error().describe().c_str());
+    cr_assert(client.counters().notSent == 1);
+}
+
+// The platform took the request and never answers, or closes: the write may have taken effect.
+Test(platformClient, aSilentPlatformLeavesTheEffectUnknown)
+{
+    std::vector<Exchange> held;
+    Fake fake([&](const HttpRequest &, const Exchange &exchange) { held.push_back(exchange); });
+    PlatformClient client(fake.context, fake.settings());
+    cr_assert(putOnce(fake, client).error().kind == ErrorKind::Timeout);
+    boost::asio::steady_timer close(fake.context, Milliseconds(50));
+    close.async_wait([&](const boost::system::error_code &) { fake.server.closeAll(); });
+    cr_assert(putOnce(fake, client).error().kind == ErrorKind::Timeout);
+    cr_assert(held.size() == 2);
+    cr_assert(client.counters().notSent == 0);
+}
+
+// A slow platform under many requests: what waited past its time was never sent, and what does not fit in the
+// queue is refused at once. Both certainly had no effect.
+Test(platformClient, whatWaitsTooLongWasNeverSent)
+{
+    std::size_t arrived = 0;
+    std::vector<Exchange> held;
+    Fake fake([&](const HttpRequest &, const Exchange &exchange) {
+        ++arrived;
+        held.push_back(exchange);
+    });
+    PlatformClientSettings settings = fake.settings();
+    settings.requestTimeout = Milliseconds(1000);
+    settings.maximumInFlight = 2;
+    settings.maximumWaiting = 3;
+    PlatformClient client(fake.context, settings);
+    const TablePort table = client.tablePort();
+    std::size_t unavailable = 0;
+    std::size_t unknown = 0;
+    for (int i = 0; i < 7; ++i) {
+        table.putIf({{{"a", std::to_string(i)}, {}}, {}}, [&](const Result<void> &answer) {
+            ++(answer.error().kind == ErrorKind::Unavailable ? unavailable : unknown);
+        });
+    }
+    cr_assert(unavailable + unknown == 0, "never from inside the call");
+    fake.context.poll();
+    cr_assert(unavailable == 2, "%zu refused at once", unavailable);
+    fake.runUntil([&] { return unavailable + unknown == 7; });
+    cr_assert(arrived == 2, "%zu arrived", arrived);
+    cr_assert(unknown == 2, "%zu unknown", unknown);
+    cr_assert(unavailable == 5, "%zu unavailable", unavailable);
+}
+
+Test(platformClient, aMissingObjectIsNotFound)
+{
+    Fake fake([](const HttpRequest &, const Exchange &exchange) {
+        exchange->respond(makeResponse(404, "application/xml", "<Error><Code>NoSuchKey</Code></Error>"));
+    });
+    PlatformClient client(fake.context, fake.settings());
+    std::optional<Result<ObjectBytes>> bytes;
+    client.objectPort().get("section/1", [&](Result<ObjectBytes> given) { bytes = std::move(given); });
+    fake.runUntil([&] { return bytes.has_value(); });
+    cr_assert(bytes->error().kind == ErrorKind::NotFound);
+}
+
+Test(platformClient, portsOutliveTheClient)
+{
+    boost::asio::io_context context(1);
+    TablePort table;
+    {
+        PlatformClientSettings settings;
+        settings.table = "127.0.0.1:1";
+        PlatformClient client(context, settings);
+        table = client.tablePort();
+    }
+    std::optional<Result<void>> answer;
+    table.putIf({{{"a", "b"}, {}}, {}}, [&](Result<void> given) { answer = std::move(given); });
+    context.run();
+    cr_assert(answer->error().kind == ErrorKind::Unavailable);
+}
