UpstreamEmulator: Record an answered deadline as an answer

Change: cancelled means that no answer was sent. Ruled out: a mixed-up or cut answer; both traces show the same body digest at both ends. The check itself is unchanged.

--- a/Services/UpstreamEmulator/WorkService.cpp
+++ b/Services/UpstreamEmulator/WorkService.cpp
@@ -201,7 +201,7 @@
         return UpstreamEnded{headerText(this->request, "Sagecrank-Call-Id"),
                              headerText(this->request, "Sagecrank-Attempt"), response ? response->status : 0,
                              response ? historyDigest(response->body) : std::string(),
-                             !response || response->status == 504};
+                             !response};
     });
     this->service.startNext();
     if (!response)
