Node: Apply the queue's setting and forget unused hosts

Change: the gate takes its queue's length from the service's section at each swap and announcement; links, their connections and placers' entries that nothing used for ten minutes are dropped. Measured: with either change taken out, its test fails (queueIsAsLongAsTheConfigurationSays, droppedLinkClosesItsConnection); with both in, all tests of this program pass.

--- a/Libraries/LibDecide/Gate.cpp
+++ b/Libraries/LibDecide/Gate.cpp
@@ -153,6 +153,11 @@
     this->refuseQueue(now, draining ? RefusalReason::Draining : RefusalReason::NotReady, actions);
 }
 
+void Gate::setMaximumQueue(std::uint32_t maximumQueue)
+{
+    this->settings.maximumQueue = maximumQueue;
+}
+
 bool Gate::wouldAdmit(Instant now, const CallFacts &facts) const
 {
     return this->refusal(now, facts) == RefusalReason::None;
--- a/Libraries/LibDecide/Gate.h
+++ b/Libraries/LibDecide/Gate.h
@@ -116,6 +116,9 @@
     void setState(Instant now, UpstreamCondition condition, std::uint32_t slots,
                   std::vector<GateAction> &actions);
 
+    // For calls that come from now on; those that wait stay.
+    void setMaximumQueue(std::uint32_t maximumQueue);
+
     // Queries.
 
     // What offer() would say now, without taking a place. Asked before an idempotency key is claimed.
--- a/Services/Node/LocalGate.cpp
+++ b/Services/Node/LocalGate.cpp
@@ -416,6 +416,12 @@
     this->perform(std::move(actions));
 }
 
+void LocalGate::limitQueue(std::uint32_t maximumQueue)
+{
+    const std::lock_guard guard(this->mutex);
+    this->gate.setMaximumQueue(maximumQueue);
+}
+
 void LocalGate::advance()
 {
     std::vector<GateAction> actions;
--- a/Services/Node/LocalGate.h
+++ b/Services/Node/LocalGate.h
@@ -58,6 +58,7 @@
 
     // From any thread.
     void announce(const UpstreamAnnouncement &announcement);
+    void limitQueue(std::uint32_t maximumQueue); // As the configuration says for the service.
 
     std::uint32_t inFlight() const { return this->callsInside.load(); } // Waiting, claiming or running.
     std::uint32_t queued() const;
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -13,6 +13,9 @@
 // How often presence and drain look at the clock.
 constexpr Duration tickInterval = Milliseconds(100);
 
+// Longer than any backoff or ejection, short against the 1,100 hosts that are replaced in a day.
+constexpr Duration forgetInterval = std::chrono::minutes(10);
+
 // At about 200 bytes each, half a megabyte of the node's 32.
 constexpr std::size_t spanCapacity = 2048;
 constexpr std::size_t spansShown = 500;
@@ -88,6 +91,7 @@
                 [this](const std::string &cluster, UpstreamState state, std::uint32_t slots) {
                     this->nodeLog.upstreamChanged(cluster, state, slots);
                     this->plane.announceUpstream(cluster, state, slots);
+                    this->limitQueue();
                 }})
     , forwarding{this->settings.id, this->gate, this->view, this->ids, this->history, this->observer}
     , callers(this->forwarding, this->settings.requests.maximumTimeout, this->callerHooks())
@@ -162,6 +166,7 @@
     };
     hooks.swapped = [this](const Snapshot &next, std::uint64_t previous) {
         this->nodeLog.configurationSwapped(next.version(), previous);
+        this->limitQueue();
     };
     return hooks;
 }
@@ -250,6 +255,27 @@
     return hooks;
 }
 
+// The queue's length is a setting of the service, and which service this is says the upstream.
+void Node::limitQueue()
+{
+    const auto snapshot = this->configuration.read();
+    const Section *section = snapshot ? snapshot->section(this->gate.announced().cluster) : nullptr;
+    if (section != nullptr)
+        this->gate.limitQueue(section->maximumQueue);
+}
+
+// Failure: hosts come and go all day, and what was learnt of each is kept. Symptom: memory that grows for
+// weeks. What nothing has used for a while is of no worth to the next decision.
+void Node::forgetUnused(Instant now)
+{
+    if (now - this->forgotAt < forgetInterval)
+        return;
+    this->forgotAt = now;
+    this->viewBuilder.forgetUnused(now - forgetInterval);
+    for (const auto &worker : this->workers)
+        worker->forgetUnused(now - forgetInterval);
+}
+
 NodeStatus Node::status() const
 {
     NodeStatus status;
@@ -305,6 +331,7 @@
     const Instant now = SteadyClock::now();
     this->presence.advance(now);
     this->drain.advance(now);
+    this->forgetUnused(now);
     this->ticker.expires_after(tickInterval);
     this->ticker.async_wait([this](const boost::system::error_code &error) {
         if (!error)
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -47,6 +47,8 @@
     void membersChanged(const std::vector<Member> &members);
     void watchSignals();
     void tick();
+    void limitQueue();
+    void forgetUnused(Instant now);
     NodeStatus status() const;
     Result<void> offer(SiteConfiguration configuration);
     void recordMember(const Member &member);
@@ -74,6 +76,7 @@
     ControlPlane plane;
     NodeDrain drain;
     std::vector<std::unique_ptr<Worker>> workers;
+    Instant forgotAt; // When forgetUnused last ran.
     boost::asio::steady_timer ticker;
     boost::asio::signal_set signals;
     std::atomic<std::uint32_t> callsForwarded = 0; // From callers, not answered yet.
--- a/Services/Node/PeerLink.cpp
+++ b/Services/Node/PeerLink.cpp
@@ -39,6 +39,14 @@
 {
 }
 
+// The connection keeps itself alive while it reads, so it has to be told.
+PeerLink::~PeerLink()
+{
+    if (this->connection)
+        this->connection->close(
+            makeError(ErrorKind::Unavailable, "keep connection", this->address, "dropped"));
+}
+
 std::uint64_t PeerLink::call(CallRequest request, AnswerHook answer)
 {
     const std::uint64_t callId = this->nextCallId++;
--- a/Services/Node/PeerLink.h
+++ b/Services/Node/PeerLink.h
@@ -40,6 +40,9 @@
     using LostHook = std::function<void(const Error &)>; // The connection broke with calls on it.
 
     PeerLink(boost::asio::io_context &context, std::string address, PeerLinkSettings settings, LostHook lost);
+    ~PeerLink();
+    PeerLink(const PeerLink &) = delete;
+    PeerLink &operator=(const PeerLink &) = delete;
 
     // The answer comes exactly once, never from inside this call. Returns the number for cancel().
     std::uint64_t call(CallRequest request, AnswerHook answer);
@@ -48,6 +51,7 @@
     void cancel(std::uint64_t callId);
 
     std::size_t outstanding() const { return this->calls.size(); }
+    bool unusedSince(Instant before) const { return this->calls.empty() && this->usedAt < before; }
 
 private:
     struct Pending
--- a/Services/Node/UpstreamView.cpp
+++ b/Services/Node/UpstreamView.cpp
@@ -37,6 +37,14 @@
 {
 }
 
+void UpstreamViewBuilder::forgetUnused(Instant before)
+{
+    for (const auto &[cluster, state] : this->states) {
+        const std::lock_guard guard(state->mutex);
+        state->placer.forget(before);
+    }
+}
+
 std::unique_ptr<const UpstreamView> UpstreamViewBuilder::build(const std::vector<Member> &members)
 {
     auto view = std::make_unique<UpstreamView>();
--- a/Services/Node/UpstreamView.h
+++ b/Services/Node/UpstreamView.h
@@ -47,6 +47,9 @@
 
     std::unique_ptr<const UpstreamView> build(const std::vector<Member> &members);
 
+    // Drops what was learnt of upstreams that no call has used since.
+    void forgetUnused(Instant before);
+
 private:
     std::string ownId;
     std::string ownZone;
--- a/Services/Node/Worker.cpp
+++ b/Services/Node/Worker.cpp
@@ -72,6 +72,13 @@
     boost::asio::post(this->context, [this] { this->callerServer.stopAccepting(); });
 }
 
+void Worker::forgetUnused(Instant before)
+{
+    boost::asio::post(this->context, [this, before] {
+        std::erase_if(this->links, [before](const auto &entry) { return entry.second->unusedSince(before); });
+    });
+}
+
 PeerLink &Worker::link(const std::string &peerAddress)
 {
     std::shared_ptr<PeerLink> &link = this->links[peerAddress];
--- a/Services/Node/Worker.h
+++ b/Services/Node/Worker.h
@@ -41,6 +41,9 @@
     boost::asio::io_context &ioContext() { return this->context; }
     GateHome gateHome() { return {this->context, this->client}; }
 
+    // Drops connections to nodes that no call has used since.
+    void forgetUnused(Instant before);
+
     // On the worker's own thread.
     PeerLink &link(const std::string &peerAddress);
 
--- a/Tests/Node/TestLocalGate.cpp
+++ b/Tests/Node/TestLocalGate.cpp
@@ -52,6 +52,20 @@
     cr_assert(fixture.gate.inFlight() == 0);
 }
 
+// The operators allow one waiting call for this service. A second one is refused at once with when to come
+// back.
+Test(localGate, queueIsAsLongAsTheConfigurationSays)
+{
+    GateFixture fixture;
+    fixture.gate.limitQueue(1);
+    for (const char *name : {"runs", "waits", "refused"})
+        fixture.submit(name, CallClass::NonIdempotent, "");
+    cr_assert(fixture.answered("refused"));
+    cr_assert(fixture.answers["refused"].reason == "queue_full");
+    cr_assert(fixture.answers["refused"].retryAfterMilliseconds > 0);
+    cr_assert(!fixture.answered("waits"));
+}
+
 // The upstream leaves or is gone. The caller is told at once that its call did not run and when to come back,
 // and the upstream sees nothing of it.
 TABLE_TEST(localGate, shutGateRefusesAtOnce, shutRows)
--- a/Tests/Node/TestPeerLink.cpp
+++ b/Tests/Node/TestPeerLink.cpp
@@ -172,3 +172,18 @@
     cr_assert(fixture.runUntil([&] { return fixture.answers.contains("two"); }));
     cr_assert(!fixture.answers.contains("one"));
 }
+
+// A node that has not called another one for long drops what it knows of it. The connection has to go with
+// it: it keeps itself alive while it reads, and hosts that are replaced all day would leave one behind each.
+Test(peerLink, droppedLinkClosesItsConnection)
+{
+    LinkFixture fixture;
+    fixture.call("one");
+    cr_assert(fixture.runUntil([&] { return fixture.peer.calls.size() == 1; }));
+    cr_assert(!fixture.link->unusedSince(SteadyClock::now() + std::chrono::hours(1)));
+    fixture.peer.answer(0, "one");
+    cr_assert(fixture.runUntil([&] { return fixture.answers.contains("one"); }));
+    cr_assert(fixture.link->unusedSince(SteadyClock::now() + std::chrono::hours(1)));
+    fixture.link.reset();
+    cr_assert(fixture.runUntil([&] { return !fixture.peer.connections[0]->isOpen(); }));
+}
