LibDecide: Eject an upstream after two calls without an answer

Cause: an upstream that went silent was ejected after five calls had run out of time, in two or three rounds of one patience each. Change: a call without an answer counts as three failures of the five.

--- a/Libraries/LibDecide/Placer.cpp
+++ b/Libraries/LibDecide/Placer.cpp
@@ -20,6 +20,10 @@
 constexpr double failureShare = 0.5;
 constexpr std::uint32_t consecutiveToEject = 5;
 
+// A call without an answer counts for more than a failure: it took its whole time to be heard of, and calls
+// that may not run twice were lost meanwhile. Two in a row eject.
+constexpr std::uint32_t unknownWeight = 3;
+
 // How long an upstream stays out, doubling with each ejection in a row. The first is short, since a restart
 // is the usual cause; the longest bounds how long a mended one stands idle.
 constexpr Duration firstEjection = std::chrono::milliseconds(500);
@@ -94,8 +98,10 @@
         break;
     }
     case PlacedEnd::Failed:
+        this->noteFailure(upstream, now, 1);
+        break;
     case PlacedEnd::Unknown:
-        this->noteFailure(upstream, now);
+        this->noteFailure(upstream, now, unknownWeight);
         break;
     case PlacedEnd::RefusedNotRun:
         upstream.refusedAt = now;
@@ -269,12 +275,12 @@
 
 // Load: an upstream that fails at once looks idle and quick, whatever its health endpoint says. Harm: it
 // draws all calls and fails them. It is ejected on what this node saw of its own calls.
-void Placer::noteFailure(Upstream &upstream, Instant now)
+void Placer::noteFailure(Upstream &upstream, Instant now, std::uint32_t weight)
 {
     const double keep = 1 - 1 / endsRemembered;
     upstream.failures = upstream.failures * keep + 1;
     upstream.ends = upstream.ends * keep + 1;
-    upstream.consecutiveFailures += 1;
+    upstream.consecutiveFailures += weight;
     if (upstream.standing == Standing::Probing || upstream.standing == Standing::Ejected) {
         this->eject(upstream, now);
         return;
--- a/Libraries/LibDecide/Placer.h
+++ b/Libraries/LibDecide/Placer.h
@@ -133,7 +133,7 @@
     double others(const Upstream &upstream, double slots, Instant now) const;
     static double silence(const Upstream &upstream, double usual, Instant now);
     static double refusal(const Upstream &upstream, Instant now);
-    void noteFailure(Upstream &upstream, Instant now);
+    void noteFailure(Upstream &upstream, Instant now, std::uint32_t weight);
     void noteSuccess(Upstream &upstream);
     void eject(Upstream &upstream, Instant now);
 
