LibDecide: Raise the limit by a tenth of a slot a round

Change: a tenth of a slot each round, and a success counts when the limit was reached while it ran and not only when it ended.

--- a/Libraries/LibDecide/ConcurrencyLimit.cpp
+++ b/Libraries/LibDecide/ConcurrencyLimit.cpp
@@ -12,6 +12,10 @@
 // leaves most of the capacity in use when the shed was a passing one.
 constexpr double decrease = 0.7;
 
+// A round of successes adds a tenth of a slot. Load: an upstream that goes on bearing less than it announced.
+// Harm of a whole slot: every other round sheds a call, which may have waited in vain.
+constexpr double increase = 0.1;
+
 } // namespace
 
 ConcurrencyLimit::ConcurrencyLimit(std::uint32_t slots)
@@ -34,9 +38,8 @@
 {
     if (!busy)
         return;
-    // One more for each round of successes.
     const double top = std::max(1U, this->announced);
-    this->current = std::min(top, this->current + 1.0 / this->current);
+    this->current = std::min(top, this->current + increase / this->current);
 }
 
 void ConcurrencyLimit::shed(Instant now, Duration runTime)
--- a/Libraries/LibDecide/ConcurrencyLimit.h
+++ b/Libraries/LibDecide/ConcurrencyLimit.h
@@ -16,7 +16,8 @@
     // Commands.
 
     void setSlots(std::uint32_t slots);
-    // `busy` says that the limit was in use: a success proves nothing about a level that was not reached.
+    // `busy` says that the limit was reached while the call ran; otherwise it it proves nothing about more
+    // calls.
     void succeeded(bool busy);
     // The upstream said that it is overloaded.
     void shed(Instant now, Duration runTime);
--- a/Libraries/LibDecide/Gate.cpp
+++ b/Libraries/LibDecide/Gate.cpp
@@ -100,7 +100,7 @@
         return;
     this->decayUsage(now);
     const Running ended = *found;
-    const bool busy = this->running() >= this->limit.value();
+    const bool busy = this->fullAt >= ended.startedAt;
     *found = this->runningCalls.back();
     this->runningCalls.pop_back();
 
@@ -334,6 +334,8 @@
     const Duration charged = this->runTimes.mean(callClass);
     this->usage[indexOf(callClass)] += toSeconds(charged);
     this->runningCalls.push_back(Running{ticket, callClass, now, charged});
+    if (this->running() >= this->limit.value())
+        this->fullAt = now;
 }
 
 std::optional<CallClass> Gate::nextClass(Instant now) const
--- a/Libraries/LibDecide/Gate.h
+++ b/Libraries/LibDecide/Gate.h
@@ -178,6 +178,7 @@
     std::array<double, classCount> usage{};             // Recent slot time by class, in seconds, decaying.
     Instant usageDecayedAt;
     Instant othersSeenAt = Instant::min(); // When a call that is not batch was last offered.
+    Instant fullAt = Instant::min();       // When the limit was last in use to the full.
     Instant nextReturn = Instant::min();   // When the next refused caller is told to come back.
     std::uint64_t jitterState;
 };
--- a/Tests/LibDecide/TestGate.cpp
+++ b/Tests/LibDecide/TestGate.cpp
@@ -208,11 +208,12 @@
 }
 
 // The upstream announces eight slots and bears two. Callers' calls are shed until the gate gives it no more
-// than it bears; when it recovers, the gate finds back to eight.
+// than it bears, and then only when the gate tries one more; when it recovers, the gate finds back to eight.
 Test(gate, sheddingLowersTheLimitAndSuccessRaisesIt)
 {
     Gate gate = readyGate(8);
     Instant now = begin;
+    std::size_t shed = 0;
     const auto round = [&](std::uint32_t bears) {
         Actions actions;
         std::vector<Ticket> tickets;
@@ -226,12 +227,17 @@
         now += 10ms;
         for (std::size_t index = 0; index < tickets.size(); ++index)
             gate.finish(now, tickets[index], index < bears ? CallEnd::Succeeded : CallEnd::Shed, actions);
+        shed += tickets.size() - std::min<std::size_t>(tickets.size(), bears);
         return tickets.size();
     };
     for (int index = 0; index < 20; ++index)
         round(2);
     cr_assert_leq(round(2), 3U);
+    shed = 0;
     for (int index = 0; index < 40; ++index)
+        round(2);
+    cr_assert_leq(shed, 6U, "%zu calls were shed in 40 rounds", shed);
+    for (int index = 0; index < 80; ++index)
         round(8);
     cr_assert_eq(round(8), 8U);
 }
--- a/Tests/LibDecide/TestOutcomes.cpp
+++ b/Tests/LibDecide/TestOutcomes.cpp
@@ -22,7 +22,8 @@
 };
 
 // Burst and saturation: not all can be served in time, so the rest is refused at once and comes back.
-// Slow, fails-fast, sheds, cold-start, drain, silent: one upstream (half of them for cold-start) misbehaves.
+// Slow, fails-fast, sheds, cold-start, drain, silent: one upstream (half of them for cold-start, each for
+// all-shed) misbehaves.
 const OutcomeRow outcomeRows[] = {
     {"steady", {0.999, 0.999, 0.999}, {0.999, 0.999, 0.999}, false},
     {"burst", {0.85, 0.95, 0.95}, {0.995, 0.995, 0.99}, true},
@@ -32,6 +33,7 @@
     {"slow", {0.995, 0.995, 0.99}, {0.999, 0.995, 0.99}, true},
     {"fails-fast", {0.995, 0.985, 0.99}, {0.999, 0.985, 0.999}, true},
     {"sheds", {0.995, 0.995, 0.99}, {0.999, 0.999, 0.99}, false},
+    {"all-shed", {0.98, 0.98, 0.90}, {0.995, 0.995, 0.99}, true},
     {"cold-start", {0.99, 0.99, 0.98}, {0.995, 0.995, 0.99}, true},
     {"drain", {0.995, 0.995, 0.99}, {0.999, 0.999, 0.999}, false},
     {"silent", {0.985, 0.98, 0.95}, {0.995, 0.98, 0.99}, true},
--- a/Utilities/PolicyBench/Scenario.cpp
+++ b/Utilities/PolicyBench/Scenario.cpp
@@ -52,6 +52,17 @@
     return scenario;
 }
 
+// Every server bears half of what it announces.
+Scenario allShed(const FleetShape &fleet)
+{
+    Scenario scenario = plain("all-shed", 0.45);
+    for (std::uint32_t service = 0; service < fleet.servers.size(); ++service) {
+        for (std::uint32_t server = 0; server < fleet.servers[service]; ++server)
+            scenario.faults.push_back(Fault{FaultKind::Sheds, service, server, 1500ms, 4500ms, 0.5});
+    }
+    return scenario;
+}
+
 } // namespace
 
 std::vector<FleetShape> todaysFleets()
@@ -91,6 +102,7 @@
     scenarios.push_back(faulty("slow", 0.6, FaultKind::Slow, 8, fleet));
     scenarios.push_back(faulty("fails-fast", 0.6, FaultKind::FailsFast, 1, fleet));
     scenarios.push_back(faulty("sheds", 0.6, FaultKind::Sheds, 0.34, fleet));
+    scenarios.push_back(allShed(fleet));
     scenarios.push_back(coldHerd(fleet));
     scenarios.push_back(faulty("drain", 0.6, FaultKind::Drains, 1, fleet));
     scenarios.push_back(faulty("silent", 0.5, FaultKind::Silent, 1, fleet));
