Meta: Move the head to bad versions and count what nobody accepted

Cause: a bad version was never brought about in a run, and a node that held a version that nobody accepted was not noticed. Change: the fault bad-version moves the head row to a manifest that is cut short or names another version; whole-versions also holds each swap against the accepted versions. Callers book and look up at both services, so drains of either are under load. The short proof run disturbs by shedding, so that refusals are sure to be there.

--- a/Libraries/LibHistory/VersionCheckers.cpp
+++ b/Libraries/LibHistory/VersionCheckers.cpp
@@ -98,6 +98,17 @@
 
 using Offer = std::pair<std::uint64_t, std::string_view>; // Version and digest.
 
+// At any time of the run: a node may hear of a version before its operator does.
+std::set<std::uint64_t> acceptedVersions(const History &history)
+{
+    std::set<std::uint64_t> versions;
+    for (const HistoryRecord &record : history.records) {
+        if (const auto *accepted = std::get_if<PublishAccepted>(&record.event))
+            versions.insert(accepted->version);
+    }
+    return versions;
+}
+
 // Two nodes of one site that hold the same version must hold the same content.
 void compareContent(Verdict &verdict, const HistoryRecord &first, const HistoryRecord &other)
 {
@@ -180,6 +191,7 @@
 
 Verdict checkWholeVersions(const History &history, const CheckLimits &)
 {
+    const std::set<std::uint64_t> accepted = acceptedVersions(history);
     Verdict verdict{PromisePoint::WholeVersions, 0, {}, {}};
     std::map<std::size_t, std::map<Offer, const HistoryRecord *>> offersByLifetime;
     std::map<std::pair<std::string_view, std::uint64_t>, const HistoryRecord *> contentBySiteVersion;
@@ -205,6 +217,10 @@
                 {record.process + " holds " + versionText(swap->version) + ", which it had found bad",
                  {offer->second, &record}});
         }
+        if (!accepted.contains(swap->version))
+            verdict.violations.push_back(
+                {record.process + " holds " + versionText(swap->version) + ", which was never accepted",
+                 {&record}});
         const auto [first, inserted] = contentBySiteVersion.try_emplace({swap->site, swap->version}, &record);
         if (!inserted)
             compareContent(verdict, *first->second, record);
--- a/Meta/prove/configuration.py
+++ b/Meta/prove/configuration.py
@@ -64,6 +64,14 @@
 maximum_retries = 1
 hedged = true
 
+[[route]]
+name = "refund"
+prefix = "/entry/refund"
+methods = ["POST"]
+cluster = "entry"
+class = "non_idempotent"
+timeout_ms = 2000
+
 [[route]]
 name = "gate"
 prefix = "/entry/gate"
--- a/Meta/prove/faults.py
+++ b/Meta/prove/faults.py
@@ -4,6 +4,8 @@
 import contextlib
 import time
 
+import platform_rows
+
 FAULTS = {}
 DRAIN_SECONDS = 70.0  # Longer than a draining process may take at most.
 
@@ -268,6 +270,14 @@
     this_round.pause(1.0, 2.0)
 
 
+@fault
+def bad_version(this_round):
+    """The head moves to a version whose content is damaged or says another number, as after a broken publisher.
+    No node may take any of it, and the next publish mends the head."""
+    platform_rows.move_head_to_bad_version(this_round.fleet.platform_address, this_round.random)
+    this_round.pause(3.0, 5.0)
+
+
 def _upstream_round(this_round, **faults):
     with this_round.upstream_seat() as seat:
         this_round.fleet.upstream_faults(seat, seed=this_round.random.randrange(1 << 30), **faults)
--- a/Meta/prove/fleet.py
+++ b/Meta/prove/fleet.py
@@ -116,13 +116,15 @@
         seat.upstream_process = self.launch(seat.upstream_name, "upstream", [
             f"{self.binaries}/sagecrank-upstream-emulator", "--listen", seat.upstream,
             "--name", seat.upstream_name, "--cluster", seat.cluster, "--node-admin", seat.admin,
-            "--slots", "4", "--work", "/booking/reserve=25:exponential", "--work", "/=8:exponential",
+            "--slots", "4", "--work", "/booking/reserve=25:exponential", "--work", "/entry/refund=25:exponential", "--work", "/=8:exponential",
             "--history", *extra], node=seat.name)
 
     def launch_callers(self, seconds, seed, visitors, pause_ms):
         """The relayed node is also called through its relay, under the same address in the history."""
         arguments = [f"{self.binaries}/sagecrank-caller", "--name", "callers", "--seconds", str(seconds),
-                     "--visitors", str(visitors), "--seed", str(seed), "--pause-ms", str(pause_ms)]
+                     "--visitors", str(visitors), "--seed", str(seed), "--pause-ms", str(pause_ms),
+                     "--book", "/booking/reserve", "--book", "/entry/refund",
+                     "--look-up", "/booking/slots", "--look-up", "/entry/gate"]
         for seat in self.seats:
             relayed = seat.callers == self.caller_relay.to
             arguments += ["--node", self.caller_relay.listen if relayed else seat.callers]
--- a/Tests/EndToEnd/TestProof.py
+++ b/Tests/EndToEnd/TestProof.py
@@ -17,11 +17,11 @@
         with tempfile.TemporaryDirectory() as folder:
             return subprocess.run(
                 [sys.executable, "Meta/prove/prove.py", "--binaries", BIN, "--keep", folder, "--faults", faults,
-                 "--seconds", "10", "--convergence", "10", "--visitors", "12", "--first-seed", "7"],
+                 "--seconds", "6", "--convergence", "10", "--visitors", "12", "--first-seed", "7"],
                 capture_output=True, text=True)
 
     def test_two_faults_at_once(self):
-        result = self.prove("drain+kill-node,platform-lost+two-operators")
+        result = self.prove("drain+shed,kill-node+two-operators")
         self.assertEqual(result.returncode, 0, result.stdout + result.stderr)
 
 
--- a/Tests/LibHistory/TestCheckers.cpp
+++ b/Tests/LibHistory/TestCheckers.cpp
@@ -152,6 +152,11 @@
          swap.clusters.pop_back();
          swap.routeClusters.pop_back();
      }},
+    {"a version that nobody accepted", PromisePoint::WholeVersions,
+     [](History &history, Random &random) {
+         auto accepted = recordsOf<PublishAccepted>(history);
+         eraseOne(history, pickOne(accepted, random));
+     }},
     {"an answer never given", PromisePoint::OwnWholeAnswer,
      [](History &history, Random &random) { eraseOne(history, doneAnswer(history, random, false)); }},
     {"an answer given twice", PromisePoint::OwnWholeAnswer,
--- a/Utilities/Caller/Main.cpp
+++ b/Utilities/Caller/Main.cpp
@@ -45,9 +45,9 @@
         "longest pause between two errands of one visitor");
     add("deadline-ms", options::value(&settings.deadlineMilliseconds)->default_value(400),
         "deadline of the calls that name one");
-    add("book", options::value(&visitor.bookTarget)->default_value(visitor.bookTarget), "target of bookings");
-    add("look-up", options::value(&visitor.lookupTarget)->default_value(visitor.lookupTarget),
-        "target of lookups");
+    add("book", options::value(&visitor.bookTargets)->required(), "target of bookings; may be given often");
+    add("look-up", options::value(&visitor.lookupTargets)->required(),
+        "target of lookups; may be given often");
     return description;
 }
 
--- a/Utilities/Caller/Visitor.cpp
+++ b/Utilities/Caller/Visitor.cpp
@@ -57,6 +57,11 @@
     return std::uniform_real_distribution<double>(0, 1)(this->random) < share;
 }
 
+const std::string &Visitor::drawOne(const std::vector<std::string> &choices)
+{
+    return choices[this->random() % choices.size()];
+}
+
 void Visitor::pause(Duration time, void (Visitor::*then)())
 {
     this->timer.expires_after(time);
@@ -75,13 +80,13 @@
     this->errand = Booking{};
     if (kind < this->settings.keyedShare + this->settings.keylessShare) {
         this->errand.method = "POST";
-        this->errand.target = this->settings.bookTarget;
+        this->errand.target = this->drawOne(this->settings.bookTargets);
         this->errand.body = "tour for " + id;
         if (kind < this->settings.keyedShare)
             this->errand.key = "key-" + id;
     } else {
         this->errand.method = "GET";
-        this->errand.target = this->settings.lookupTarget;
+        this->errand.target = this->drawOne(this->settings.lookupTargets);
         this->errand.idempotent = true;
     }
     this->errandSettled = false;
@@ -97,7 +102,7 @@
 {
     ++this->errand.sendings;
     const std::string call = this->prefix + "." + std::to_string(++this->calls);
-    const std::string &node = this->settings.nodes[this->random() % this->settings.nodes.size()];
+    const std::string &node = this->drawOne(this->settings.nodes);
     CallerSent sent;
     sent.call = call;
     sent.key = this->errand.key;
--- a/Utilities/Caller/Visitor.h
+++ b/Utilities/Caller/Visitor.h
@@ -29,10 +29,10 @@
         0.1; // Of keyed bookings that are done: sent once more, as by a person who came back.
     double deadlineShare = 0.3; // Of calls: name a deadline of their own.
     Milliseconds deadline{400};
-    Milliseconds patience{10000};  // Without any answer for so long, a call is given up as lost.
-    Milliseconds longestPause{20}; // Between two errands of one visitor.
-    std::string bookTarget = "/booking/reserve";
-    std::string lookupTarget = "/booking/slots";
+    Milliseconds patience{10000};           // Without any answer for so long, a call is given up as lost.
+    Milliseconds longestPause{20};          // Between two errands of one visitor.
+    std::vector<std::string> bookTargets;   // One is drawn for each booking; never empty.
+    std::vector<std::string> lookupTargets; // The same for lookups.
 };
 
 struct Booking
@@ -62,6 +62,7 @@
     bool wantsAgain();
     void sendAgain();
     bool draw(double share);
+    const std::string &drawOne(const std::vector<std::string> &choices);
 
     boost::asio::steady_timer timer;
     HttpClient &client;
