--- a/Services/UpstreamEmulator/WorkService.cpp
+++ b/Services/UpstreamEmulator/WorkService.cpp
@@ -200,8 +200,7 @@
     this->service.history.record([&] {
         return UpstreamEnded{headerText(this->request, "Sagecrank-Call-Id"),
                              headerText(this->request, "Sagecrank-Attempt"), response ? response->status : 0,
-                             response ? historyDigest(response->body) : std::string(),
-                             !response};
+                             response ? historyDigest(response->body) : std::string(), !response};
     });
     this->service.startNext();
     if (!response)
