LibWire: Give a frame room before it is encoded

Cause: a frame's byte vector grew several times while a call was encoded. Change: a kilobyte is reserved first.

--- a/Libraries/LibWire/Frame.h
+++ b/Libraries/LibWire/Frame.h
@@ -30,10 +30,15 @@
 
 inline constexpr std::size_t frameHeaderSize = 5;
 
+// Room that most frames fit in without growing.
+inline constexpr std::size_t usualFrameSize = 1024;
+
 template <typename Message>
 Bytes encodeFrame(FrameType type, const Message &message)
 {
-    Bytes bytes(frameHeaderSize);
+    Bytes bytes;
+    bytes.reserve(usualFrameSize);
+    bytes.resize(frameHeaderSize);
     appendEncoded(bytes, message);
     const auto length = static_cast<std::uint32_t>(bytes.size() - frameHeaderSize);
     std::memcpy(bytes.data(), &length, sizeof(length));
