--- a/Libraries/LibDecide/ConcurrencyLimit.h
+++ b/Libraries/LibDecide/ConcurrencyLimit.h
@@ -16,7 +16,7 @@
     // Commands.
 
     void setSlots(std::uint32_t slots);
-    // `busy` says that the limit was reached while the call ran; otherwise it it proves nothing about more
+    // `busy` says that the limit was reached while the call ran; otherwise it proves nothing about more
     // calls.
     void succeeded(bool busy);
     // The upstream said that it is overloaded.
--- a/Utilities/PolicyBench/Policy.cpp
+++ b/Utilities/PolicyBench/Policy.cpp
@@ -91,9 +91,9 @@
     return hooks;
 }
 
-GateHooks ourGate(std::uint64_t seed)
+GateHooks ourGateWith(std::uint64_t seed, std::uint32_t maximumQueue)
 {
-    const auto gate = std::make_shared<Gate>(GateSettings{0, GateSettings{}.maximumQueue, seed});
+    const auto gate = std::make_shared<Gate>(GateSettings{0, maximumQueue, seed});
     GateHooks hooks;
     hooks.offer = [gate](Instant now, const CallFacts &facts, std::vector<GateAction> &actions) {
         return gate->offer(now, facts, actions);
@@ -115,6 +115,16 @@
     return hooks;
 }
 
+GateHooks ourGate(std::uint64_t seed)
+{
+    return ourGateWith(seed, GateSettings{}.maximumQueue);
+}
+
+GateHooks shortQueue(std::uint64_t seed)
+{
+    return ourGateWith(seed, 64);
+}
+
 PlacerHooks ourPlacer(std::uint64_t seed, PlacerSettings settings)
 {
     const auto numbers = std::make_shared<std::mt19937_64>(seed);
@@ -303,6 +313,7 @@
     policies.push_back(oursWith("no-classes", withoutClasses));
     policies.push_back(oursWith("no-adaptive-limit", withoutAdaptiveLimit));
     policies.push_back(oursWith("fixed-return", withFixedReturn));
+    policies.push_back(oursWith("queue-64", shortQueue));
 
     Policy hedged = ours();
     hedged.name = "hedges";
