LibDecide: Test that a silent upstream is avoided

Trial on a scratch change of eleven decisions, one at a time: nine made tests fail; leaving out the silence rule did not, so it gets a test now (seen failing without the rule). The eleventh change altered nothing that can be seen. Ran: ctest -R LibDecide, 55 tests, all pass.

--- a/Tests/LibDecide/TestPlacer.cpp
+++ b/Tests/LibDecide/TestPlacer.cpp
@@ -176,6 +176,23 @@
     cr_assert_eq(probes, 3);
 }
 
+// A host is gone without a word. Its calls come back only when their time is out, so nothing speaks against
+// it yet. With two calls waiting there for many times their usual run time, the next caller must go
+// elsewhere.
+Test(placer, avoidsAnUpstreamThatHasGoneSilent)
+{
+    Placer placer(PlacerSettings{}, seeded(1));
+    const std::array candidates{upstream("silent", true), upstream("other", false)};
+    Instant now{};
+    for (const std::string_view id : {"silent", "other"})
+        play(placer, id, now, 5ms, PlacedEnd::Succeeded);
+    now += 1s;
+    placer.started("silent", now);
+    placer.started("silent", now);
+    cr_assert(placer.place(now + 10ms, candidates, CallClass::Interactive, nothingTried) == 0U);
+    cr_assert(placer.place(now + 50ms, candidates, CallClass::Interactive, nothingTried) == 1U);
+}
+
 // Twenty nodes hear at the same moment that one of ten upstreams stands idle. Were all to act on it, that one
 // would be flooded. Stale word must weigh little.
 Test(placer, doesNotFloodTheOneThatLookedIdle)
