--- a/Utilities/Load/Generator.cpp
+++ b/Utilities/Load/Generator.cpp
@@ -11,6 +11,7 @@
 
 // A call is given up on this long after its deadline: the node's own answer to a deadline comes first.
 constexpr Milliseconds grace{500};
+constexpr Milliseconds longestWithoutDeadline{35'000}; // Above every route's time limit.
 constexpr Milliseconds sweepInterval{10};
 constexpr Milliseconds repeatAfter{20}; // After an unknown outcome, which names no time to come back.
 // Calls that wait for a connection in one thread. Beyond it the system takes far less than is offered, and
@@ -217,9 +218,10 @@
     const MixEntry &entry = this->settings.mix[call.kind];
     connection.call = index;
     this->recordSent(call, this->targetOf(call).address);
-    connection.send(OutgoingRequest{entry.method, call.path, call.callId, call.key,
-                                    entry.method == "GET" ? std::string() : this->body,
-                                    std::to_string(this->settings.deadline.count())});
+    connection.send(OutgoingRequest{
+        entry.method, call.path, call.callId, call.key, entry.method == "GET" ? std::string() : this->body,
+        this->settings.deadline.count() == 0 ? std::string()
+                                             : std::to_string(this->settings.deadline.count())});
 }
 
 void Generator::answered(Target &target, LoadConnection &connection, const Answer &answer)
@@ -292,7 +294,7 @@
         ++kind.replayed;
     if (outcome == FinalOutcome::Done) {
         kind.done.record(latency);
-        if (latency <= this->settings.deadline)
+        if (this->settings.deadline.count() == 0 || latency <= this->settings.deadline)
             ++kind.inTime;
         return;
     }
@@ -313,7 +315,8 @@
 void Generator::giveUpOverdue(Instant now)
 {
     this->nextSweep = now + sweepInterval;
-    const Duration longest = this->settings.deadline + grace;
+    const bool told = this->settings.deadline.count() != 0;
+    const Duration longest = (told ? this->settings.deadline : longestWithoutDeadline) + grace;
     for (std::vector<Target> &way : this->targets) {
         for (Target &target : way) {
             std::vector<LoadConnection *> overdue;
--- a/Utilities/Load/LoadConnection.cpp
+++ b/Utilities/Load/LoadConnection.cpp
@@ -51,7 +51,10 @@
     message.method_string(request.method);
     message.target(request.target);
     message.set("Sagecrank-Call-Id", request.callId);
-    message.set("Sagecrank-Deadline-Ms", request.deadline);
+    if (request.deadline.empty())
+        message.erase("Sagecrank-Deadline-Ms");
+    else
+        message.set("Sagecrank-Deadline-Ms", request.deadline);
     if (request.key.empty())
         message.erase("Idempotency-Key");
     else
--- a/Utilities/Load/LoadConnection.h
+++ b/Utilities/Load/LoadConnection.h
@@ -20,7 +20,7 @@
     std::string callId;
     std::string key; // Empty: no idempotency key.
     std::string body;
-    std::string deadline; // Milliseconds as text.
+    std::string deadline; // Milliseconds as text; empty: none is told.
 };
 
 class LoadConnection : public std::enable_shared_from_this<LoadConnection>
--- a/Utilities/Load/Main.cpp
+++ b/Utilities/Load/Main.cpp
@@ -55,7 +55,7 @@
     add("connections", options::value(&load.connections)->default_value(load.connections),
         "connections for each way");
     add("deadline-ms", options::value(&line.deadlineMilliseconds)->default_value(line.deadlineMilliseconds),
-        "deadline of each call");
+        "deadline of each call; 0: the routes' own");
     add("retries", options::value(&load.retries)->default_value(load.retries),
         "retries of a call, when the refusal says");
     add("body-bytes", options::value(&load.bodyBytes)->default_value(load.bodyBytes),
@@ -105,8 +105,8 @@
     if (!(load.rate > 0) || !(load.seconds > 0) || load.warmupSeconds < 0 || load.threads < 1
         || load.threads > 64)
         return invalid("rate and duration must be above zero and threads between 1 and 64");
-    if (line.deadlineMilliseconds < 1)
-        return invalid("--deadline-ms must be above zero");
+    if (line.deadlineMilliseconds < 0)
+        return invalid("--deadline-ms must not be below zero");
     load.arrivals = *arrivals;
     load.mix = TRY(readMix(line));
     load.deadline = Milliseconds(line.deadlineMilliseconds);
