--- a/Libraries/LibSource/Publisher.h
+++ b/Libraries/LibSource/Publisher.h
@@ -1,9 +1,9 @@
 // Publishes a version of the whole mesh, or an older one's content under a new number. Writes the objects
 // first and moves the head last, so that an accepted version is always there whole.
 //
-// Objects are never removed, neither those of old versions nor those of a publish that lost its race. They cost
-// room and do no harm, and a rollback needs them. FIXME: Nothing collects them yet; a site list of 820 services
-// is 23.7 KB, so 7,800 changes a day of the base file at 25 sites leave up to 4.6 GB a day.
+// Objects are never removed, neither those of old versions nor those of a publish that lost its race. They
+// cost room and do no harm, and a rollback needs them. FIXME: Nothing collects them yet; a site list of 820
+// services is 23.7 KB, so 7,800 changes a day of the base file at 25 sites leave up to 4.6 GB a day.
 #pragma once
 
 #include <LibConfig/SourceFiles.h>
