Node: Say "not run" only when it is true of every attempt

Cause: an idempotent call whose first attempt was lost went out again, the second gate refused it, and the caller was told "not run" by that refusal although the first attempt may have run. Change: once an attempt ended otherwise than "not run", a last refusal is passed on as "unknown" with its time to come back. Ruled out: the gate's own word; gate.refused holds for its attempt.

--- a/Services/Node/ForwardedCall.cpp
+++ b/Services/Node/ForwardedCall.cpp
@@ -159,12 +159,19 @@
     if (!this->answer)
         return;
     const bool good = response.outcome == Outcome::Done && response.status < 500;
+    this->mayHaveRun = this->mayHaveRun || response.outcome != Outcome::NotRun;
     if (!good) {
         if (this->anyOpen())
             return; // A second copy is under way and may still bring an answer.
         if (this->tryAgain(response, now))
             return;
     }
+    // Failure: one attempt is lost, the next one is refused. Symptom: the refusal's "not run" would stand for
+    // a call whose first attempt ran. It is passed on only when it is true of every attempt.
+    if (response.outcome == Outcome::NotRun && this->mayHaveRun) {
+        response.outcome = Outcome::Unknown;
+        response.status = 504;
+    }
     this->finish(std::move(response));
 }
 
--- a/Services/Node/ForwardedCall.h
+++ b/Services/Node/ForwardedCall.h
@@ -97,6 +97,7 @@
     std::shared_ptr<ServiceState> service;
     std::vector<Attempt> attempts;
     std::vector<std::string> triedIds;
+    bool mayHaveRun = false; // Some attempt ended otherwise than "not run".
     boost::asio::steady_timer deadlineTimer;
     boost::asio::steady_timer hedgeTimer;
 };
--- a/Tests/Node/TestForwardedCall.cpp
+++ b/Tests/Node/TestForwardedCall.cpp
@@ -183,6 +183,26 @@
               < ForwardFixture::plan(true, Milliseconds(0)).deadline + std::chrono::seconds(25));
 }
 
+// A lookup's host dies while the call runs, it goes out again, and every other gate refuses it. The caller
+// must not be told "not run" because of the last refusal: the first attempt may have run.
+Test(forwardedCall, aRefusalAfterALostAttemptIsUnknown)
+{
+    ForwardFixture fixture;
+    fixture.call(ForwardFixture::plan(true));
+    cr_assert(fixture.runUntil([&] { return fixture.callsSent() == 1; }));
+    const std::size_t first = fixture.first();
+    fixture.peers[first].connections[0]->close(makeError(ErrorKind::Unavailable, "test", "", "killed"));
+    cr_assert(fixture.runUntil([&] { return fixture.callsSent() == 2; }));
+    fixture.peers[1 - first].refuse(0, false);
+    cr_assert(fixture.runUntil([&] { return fixture.answer.has_value() || fixture.callsSent() == 3; }));
+    if (!fixture.answer)
+        fixture.peers[fixture.peers[first].calls.size() > 1 ? first : 1 - first].refuse(1, false);
+    cr_assert(fixture.runUntil([&] { return fixture.answer.has_value(); }));
+    cr_assert(fixture.answer->outcome == Outcome::Unknown);
+    cr_assert(fixture.answer->status == 504);
+    cr_assert(fixture.answer->retryAfterMilliseconds > 0);
+}
+
 // A call is still running at its caller's deadline. The caller gets its final answer then, and the other node
 // is told that nobody waits.
 Test(forwardedCall, deadlineAnswersAndCancels)
