--- a/Services/Node/PeerServer.cpp
+++ b/Services/Node/PeerServer.cpp
@@ -149,12 +149,18 @@
 
 Result<void> PeerServer::listen(const std::string &address)
 {
-    const tcp::endpoint endpoint = TRY(parseTcpEndpoint(address));
+    const tcp::endpoint endpoint = TRY(parseTcpEndpoint(address, true));
     TRY_VOID(openListener(this->state->acceptor, endpoint, true));
     acceptNext(this->state);
     return success();
 }
 
+std::string PeerServer::address() const
+{
+    boost::system::error_code ignored;
+    return addressText(this->state->acceptor.local_endpoint(ignored));
+}
+
 void PeerServer::stopAccepting()
 {
     boost::system::error_code ignored;
--- a/Services/Node/PeerServer.h
+++ b/Services/Node/PeerServer.h
@@ -21,7 +21,9 @@
     PeerServer &operator=(const PeerServer &) = delete;
 
     // Several threads listen on the same address; the kernel spreads the connections.
+    // Port 0 takes any free port.
     Result<void> listen(const std::string &address);
+    std::string address() const; // Where it listens.
     void stopAccepting();
 
     struct State; // Only the .cpp file knows what is in it.
