LibDecide: Reckon silence only where calls wait

Cause: the sanitizer's build found a signed overflow in TestLibDecide: the silence of an upstream that had only told its load was reckoned from the earliest instant. The result was not used, as nothing waited there. Change: without two waiting calls nothing is reckoned. Ran TestLibDecide in the sanitize preset: one overflow before, none after; 55 tests pass in both presets.

--- a/Libraries/LibDecide/Placer.cpp
+++ b/Libraries/LibDecide/Placer.cpp
@@ -35,6 +35,7 @@
 // An upstream is taken for silent after so many of its usual run times without an answer: fewer would
 // distrust one that runs a long call.
 constexpr double silentRuns = 4;
+constexpr std::uint32_t fewestSilent = 2;
 
 // A refusal counts as this many rounds of waiting, fading within about a tenth of a second.
 constexpr double refusedRounds = 2;
@@ -214,9 +215,10 @@
 // draws calls until then. While several wait there, what it takes is at least its silence.
 double Placer::silence(const Upstream &upstream, double usual, Instant now)
 {
+    if (upstream.outstanding < fewestSilent)
+        return 0;
     const double seconds = toSeconds(now - upstream.progressAt);
-    const bool silent = upstream.outstanding >= 2 && seconds > silentRuns * usual;
-    return silent ? seconds : 0;
+    return seconds > silentRuns * usual ? seconds : 0;
 }
 
 // Failure: an upstream is absent or full and membership says that it is ready. Symptom: every call tries it
