--- a/Meta/prove/fleet.py
+++ b/Meta/prove/fleet.py
@@ -51,11 +51,12 @@
 class Fleet:
     """Launches and stops everything of one run. Only what it started is ever signalled."""
 
-    def __init__(self, binaries, folder, history, random, nodes):
+    def __init__(self, binaries, folder, history, random, nodes, work_ms):
         self.binaries, self.folder, self.history, self.random = binaries, folder, history, random
         base = choose_ports(random, PORTS)
         ports = iter(range(base, base + PORTS))
         self.platform_address = f"127.0.0.1:{next(ports)}"
+        self.booking_work = f"{work_ms}:exponential"
         self.processes = []
         self.platform = None
         self.operators = configuration.Operators(self, ZONES)
@@ -116,7 +117,8 @@
         seat.upstream_process = self.launch(seat.upstream_name, "upstream", [
             f"{self.binaries}/sagecrank-upstream-emulator", "--listen", seat.upstream,
             "--name", seat.upstream_name, "--cluster", seat.cluster, "--node-admin", seat.admin,
-            "--slots", "4", "--work", "/booking/reserve=25:exponential", "--work", "/entry/refund=25:exponential", "--work", "/=8:exponential",
+            "--slots", "4", "--work", f"/booking/reserve={self.booking_work}",
+            "--work", f"/entry/refund={self.booking_work}", "--work", "/=8:exponential",
             "--history", *extra], node=seat.name)
 
     def launch_callers(self, seconds, seed, visitors, pause_ms):
--- a/Meta/prove/prove.py
+++ b/Meta/prove/prove.py
@@ -45,6 +45,8 @@
     parser.add_argument("--nodes", type=int, default=6, help="nodes in three zones (default 6)")
     parser.add_argument("--visitors", type=int, default=16, help="callers at one time (default 16)")
     parser.add_argument("--pause-ms", type=int, default=80, help="longest pause of a caller (default 80)")
+    parser.add_argument("--work-ms", type=int, default=25,
+                        help="mean time that a booking runs on its upstream (default 25)")
     parser.add_argument("--convergence", type=float, default=7.0,
                         help="seconds in which an accepted version must be in force (default 7)")
     parser.add_argument("--binaries", default="Build/release/bin")
@@ -130,7 +132,8 @@
     shutil.rmtree(folder, ignore_errors=True)
     os.makedirs(folder)
     history = DriverHistory(os.path.join(folder, "driver.history"))
-    fleet = Fleet(options.binaries, folder, history, random.Random(f"{seed}/fleet"), options.nodes)
+    fleet = Fleet(options.binaries, folder, history, random.Random(f"{seed}/fleet"), options.nodes,
+                  options.work_ms)
     failures = []
     try:
         fleet.start()
