LibPlatform: End held connections before their context in the tests

Cause: under the address sanitizer two tests failed: connections that the test holds outlived the server's io_context. Change: the tests let go of them first; nothing that is asserted changed. Conclusion: a fault of the tests, not of the client.

--- a/Tests/LibPlatform/TestPlatformClient.cpp
+++ b/Tests/LibPlatform/TestPlatformClient.cpp
@@ -117,6 +117,7 @@
     cr_assert(putOnce(fake, client).error().kind == ErrorKind::Timeout);
     cr_assert(held.size() == 2);
     cr_assert(client.counters().notSent == 0);
+    held.clear(); // A connection belongs to the server's context and may not outlive it.
 }
 
 // A slow platform under many requests: what waited past its time was never sent, and what does not fit in the
@@ -149,6 +150,7 @@
     cr_assert(arrived == 2, "%zu arrived", arrived);
     cr_assert(unknown == 2, "%zu unknown", unknown);
     cr_assert(unavailable == 5, "%zu unavailable", unavailable);
+    held.clear(); // A connection belongs to the server's context and may not outlive it.
 }
 
 Test(platformClient, aMissingObjectIsNotFound)
