--- a/Libraries/LibDecide/Gate.cpp
+++ b/Libraries/LibDecide/Gate.cpp
@@ -2,7 +2,6 @@
 #include <LibDecide/Gate.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace Sagecrank {
 
@@ -10,24 +9,11 @@
 
 using namespace std::chrono_literals;
 
-// Load: sustained demand above what the slots bear, in which the class that goes first could take every slot.
-// Harm: an invoice or reservation waits until its deadline, is refused, and so never lands. While calls of
-// the class wait, the class is owed this share of recent slot time, ahead of the class order. About a third
-// keeps invoices moving and costs interactive calls at most that when both are in excess. Batch is owed so
-// little that the others do not feel it, yet a night job ends at last.
-constexpr std::array<double, 3> owedShares{0.0, 0.35, 0.02};
-
 // How many expected waits a call needs room for before it is queued. Load: demand that stays above the slots,
 // in which every queue grows to what is let in. Harm: with room for one wait, each call ends at the edge of
 // its deadline and many beyond it. With room for two, the queue still rides out a burst.
 constexpr double waitMargin = 2.0;
 
-// No class is reckoned to get less of the slots than this.
-constexpr double leastShare = 0.02;
-
-// Slot time counts for about this long: long against one call, short against a caller's patience.
-constexpr double usageWindow = 0.2;
-
 // Load: a batch job of long calls beside short interactive ones. Harm: once a long call has a slot, nothing
 // takes it back, so a burst of batch work would make every interactive call wait for it. While others have
 // been seen lately, batch holds at most half of the slots and leaves a third of them free when it starts;
@@ -59,9 +45,6 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
-constexpr std::array<CallClass, 3> classOrder{CallClass::Interactive, CallClass::NonIdempotent,
-                                              CallClass::Batch};
-
 } // namespace
 
 Gate::Gate(GateSettings settings)
@@ -74,7 +57,6 @@
 GateDecision Gate::offer(Instant now, const CallFacts &facts, std::vector<GateAction> &actions)
 {
     const RefusalReason reason = this->refusal(now, facts);
-    this->decayUsage(now);
     if (facts.callClass != CallClass::Batch)
         this->othersSeenAt = now;
     if (reason != RefusalReason::None)
@@ -98,14 +80,13 @@
                      [ticket](const Running &candidate) { return candidate.ticket == ticket; });
     if (found == this->runningCalls.end())
         return;
-    this->decayUsage(now);
     const Running ended = *found;
     const bool busy = this->fullAt >= ended.startedAt;
     *found = this->runningCalls.back();
     this->runningCalls.pop_back();
 
     const Duration took = now - ended.startedAt;
-    this->usage[indexOf(ended.callClass)] += toSeconds(took - ended.charged);
+    this->shares.charge(now, ended.callClass, took - ended.charged);
     if (end == CallEnd::Succeeded) {
         this->runTimes.observed(ended.callClass, took);
         this->limit.succeeded(busy);
@@ -124,7 +105,6 @@
 
 void Gate::advance(Instant now, std::vector<GateAction> &actions)
 {
-    this->decayUsage(now);
     for (const CallClass callClass : classOrder) {
         const Instant latest = now + this->runTimes.quick(callClass);
         std::erase_if(this->queueOf(callClass), [&](const Waiting &waiting) {
@@ -208,18 +188,14 @@
     const double slots = std::max(1U, this->limit.value());
     const double own =
         toSeconds(this->runTimes.mean(callClass)) * static_cast<double>(this->queueOf(callClass).size() + 1);
-    const double fading = this->usageFading(now);
     double ahead = 0;
-    double left = 1;
     for (const CallClass other : classOrder) {
         if (other >= callClass)
             break;
         ahead += toSeconds(this->runTimes.mean(other)) * static_cast<double>(this->queueOf(other).size());
-        left -= fading * this->usage[indexOf(other)] / (slots * usageWindow);
     }
-    const double owed = owedShares[indexOf(callClass)];
-    const double byOrder = (own + ahead) / (slots * std::max(left, leastShare));
-    const double byRight = own / (slots * std::max(owed, leastShare));
+    const double byOrder = (own + ahead) / (slots * this->shares.leftPart(now, callClass, slots));
+    const double byRight = own / (slots * SlotShares::owedPart(callClass));
     return fromSeconds(std::min(byOrder, byRight));
 }
 
@@ -332,7 +308,7 @@
 void Gate::begin(Instant now, Ticket ticket, CallClass callClass)
 {
     const Duration charged = this->runTimes.mean(callClass);
-    this->usage[indexOf(callClass)] += toSeconds(charged);
+    this->shares.charge(now, callClass, charged);
     this->runningCalls.push_back(Running{ticket, callClass, now, charged});
     if (this->running() >= this->limit.value())
         this->fullAt = now;
@@ -345,7 +321,7 @@
                && (callClass != CallClass::Batch || this->batchMayStart(now));
     };
     for (const CallClass callClass : classOrder) {
-        if (mayGo(callClass) && this->belowShare(callClass))
+        if (mayGo(callClass) && this->shares.owed(callClass))
             return callClass;
     }
     for (const CallClass callClass : classOrder) {
@@ -355,14 +331,6 @@
     return std::nullopt;
 }
 
-bool Gate::belowShare(CallClass callClass) const
-{
-    double total = 0;
-    for (const double used : this->usage)
-        total += used;
-    return this->usage[indexOf(callClass)] < owedShares[indexOf(callClass)] * total;
-}
-
 void Gate::startWaiting(Instant now, std::vector<GateAction> &actions)
 {
     while (this->freeSlots() > 0) {
@@ -403,17 +371,4 @@
     }
 }
 
-void Gate::decayUsage(Instant now)
-{
-    const double fading = this->usageFading(now);
-    this->usageDecayedAt = now;
-    for (double &used : this->usage)
-        used = std::max(0.0, used * fading);
-}
-
-double Gate::usageFading(Instant now) const
-{
-    return std::exp(-toSeconds(now - this->usageDecayedAt) / usageWindow);
-}
-
 } // namespace Sagecrank
--- a/Libraries/LibDecide/Gate.h
+++ b/Libraries/LibDecide/Gate.h
@@ -8,6 +8,7 @@
 
 #include <LibDecide/ConcurrencyLimit.h>
 #include <LibDecide/RunTimes.h>
+#include <LibDecide/SlotShares.h>
 
 #include <array>
 #include <cstddef>
@@ -161,12 +162,9 @@
     Duration jittered(Duration span);
     void begin(Instant now, Ticket ticket, CallClass callClass);
     std::optional<CallClass> nextClass(Instant now) const;
-    bool belowShare(CallClass callClass) const;
     void startWaiting(Instant now, std::vector<GateAction> &actions);
     void displaceBatch(Instant now, std::vector<GateAction> &actions);
     void refuseQueue(Instant now, RefusalReason reason, std::vector<GateAction> &actions);
-    void decayUsage(Instant now);
-    double usageFading(Instant now) const;
 
     GateSettings settings;
     UpstreamCondition state = UpstreamCondition::NotReady;
@@ -175,8 +173,7 @@
     Ticket nextTicket = 1;
     std::vector<Running> runningCalls;                  // Never more than the announced slots.
     std::array<std::deque<Waiting>, classCount> queues; // In order of arrival.
-    std::array<double, classCount> usage{};             // Recent slot time by class, in seconds, decaying.
-    Instant usageDecayedAt;
+    SlotShares shares;
     Instant othersSeenAt = Instant::min(); // When a call that is not batch was last offered.
     Instant fullAt = Instant::min();       // When the limit was last in use to the full.
     Instant nextReturn = Instant::min();   // When the next refused caller is told to come back.
--- a/Utilities/PolicyBench/Main.cpp
+++ b/Utilities/PolicyBench/Main.cpp
@@ -24,6 +24,7 @@
     bool ablate = false;
     bool summary = false;
     bool cost = false;
+    std::uint32_t duration = 0; // Seconds; zero keeps the scenario's own.
     std::vector<std::string> fleets;
     std::vector<std::string> scenarios;
     std::vector<std::string> policies;
@@ -62,9 +63,11 @@
         printSummaryHeader(std::cout);
     else
         printHeader(std::cout);
-    for (const Scenario &scenario : scenariosFor(fleet)) {
+    for (Scenario scenario : scenariosFor(fleet)) {
         if (!wanted(request.scenarios, scenario.name))
             continue;
+        if (request.duration > 0)
+            scenario.duration = std::chrono::seconds(request.duration);
         for (const Policy &policy : chosenPolicies(request)) {
             const Outcome outcome = measure(fleet, scenario, policy, request.seeds);
             const auto print = request.summary ? printSummary : printRows;
@@ -82,6 +85,7 @@
     auto add = description.add_options();
     add("help,h", "print this text");
     add("seeds", options::value(&request.seeds), "runs for each row, with seeds 1, 2, ... (default 3)");
+    add("duration", options::value(&request.duration), "seconds that callers arrive (default 6)");
     add("ablate", options::bool_switch(&request.ablate), "also measure ours without one mechanism each");
     add("summary", options::bool_switch(&request.summary), "one row for all classes together");
     add("cost", options::bool_switch(&request.cost), "measure only what one decision costs");
--- a/Utilities/PolicyBench/Report.cpp
+++ b/Utilities/PolicyBench/Report.cpp
@@ -1,7 +1,8 @@
 // Table rows.
 #include <PolicyBench/Report.h>
 
-#include <array>
+#include <LibDecide/SlotShares.h>
+
 #include <functional>
 #include <iomanip>
 #include <sstream>
@@ -29,9 +30,6 @@
     return percent(outcome.busySeconds == 0 ? 0 : outcome.wastedSeconds / outcome.busySeconds);
 }
 
-constexpr std::array<CallClass, 3> classOrder{CallClass::Interactive, CallClass::NonIdempotent,
-                                              CallClass::Batch};
-
 } // namespace
 
 void printHeader(std::ostream &out)
