PolicyBench: Refuse names that nothing bears

An unknown fleet, scenario or policy printed an empty table and exit code 0; now it is named and the code is 2.

--- a/Utilities/PolicyBench/Main.cpp
+++ b/Utilities/PolicyBench/Main.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,27 @@
     return all;
 }
 
+// The first name that was asked for and does not exist.
+std::optional<std::string> unknownName(const Request &request)
+{
+    std::vector<std::string> known{largeService().name};
+    for (const FleetShape &fleet : todaysFleets())
+        known.push_back(fleet.name);
+    for (const Scenario &scenario : scenariosFor(largeService()))
+        known.push_back(scenario.name);
+    for (const Policy &policy : {roundRobin(), leastOutstanding(), ours()})
+        known.push_back(policy.name);
+    for (const Policy &policy : ablations())
+        known.push_back(policy.name);
+    for (const auto *names : {&request.fleets, &request.scenarios, &request.policies}) {
+        for (const std::string &name : *names) {
+            if (std::find(known.begin(), known.end(), name) == known.end())
+                return name;
+        }
+    }
+    return std::nullopt;
+}
+
 Outcome measure(const FleetShape &fleet, const Scenario &scenario, const Policy &policy, std::uint32_t seeds)
 {
     Outcome sum;
@@ -105,6 +127,10 @@
         std::cerr << "sagecrank-policy-bench: " << error.what() << "\n";
         return exitUsage;
     }
+    if (const std::optional<std::string> unknown = unknownName(request)) {
+        std::cerr << "sagecrank-policy-bench: nothing is named '" << *unknown << "'\n";
+        return exitUsage;
+    }
     if (request.cost) {
         printCosts(std::cout);
         return 0;
