Emulators: Let the tests' exchange forget its hook when it is answered

Under the address sanitizer TestEmulators passed 79 of 79 and then reported leaks: the stand-in kept the hook for a caller that goes, the hook kept the call, and the call kept the stand-in. A real connection clears the hook with the answer; the stand-in now does too. Before: 10 leaked allocations in one of the tests; after: none, in the sanitize preset (TestLibObserve 57, TestLoad 30 and TestEmulators 79 pass there as well).

--- a/Tests/Emulators/FakeExchange.h
+++ b/Tests/Emulators/FakeExchange.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <optional>
+#include <utility>
 
 namespace Sagecrank {
 
@@ -15,15 +16,22 @@
     {
         if (!this->dropped && !this->response)
             this->response = std::move(response);
+        this->hook =
+            nullptr; // As a connection does: the hook may keep the call alive that holds the exchange.
+    }
+    void drop() override
+    {
+        this->dropped = true;
+        this->hook = nullptr;
     }
-    void drop() override { this->dropped = true; }
     void onAbandoned(std::function<void()> hook) override { this->hook = std::move(hook); }
 
     void abandon()
     {
         this->dropped = true;
-        if (this->hook)
-            this->hook();
+        const std::function<void()> gone = std::exchange(this->hook, nullptr);
+        if (gone)
+            gone();
     }
 
     std::optional<HttpResponse> response;
