LibSource: Refuse a waiting claim as soon as the table counts as down

Cause: a table that drops connections leaves every put in doubt, so a claim was read back again and again until the caller's deadline; seen on a node with the emulator's `down`: "claims_table_slow" at the deadline. Change: when the circuit is open and a claim's request fails in doubt, its caller is answered "not run" at once, and the release goes on behind.

--- a/Libraries/LibSource/ClaimKeeper.cpp
+++ b/Libraries/LibSource/ClaimKeeper.cpp
@@ -180,6 +180,8 @@
         return this->refuse(*entry, "claims_table_down");
     // The claim may stand, may land later, or may be lost. Nothing is said until the row tells.
     entry->mayHaveLanded = true;
+    if (this->circuit.isOpen())
+        return this->refuse(*entry, "claims_table_down");
     this->read(*entry);
 }
 
@@ -194,6 +196,10 @@
     if (entry == nullptr)
         return;
     entry->underWay = false;
+    // Load: a table that drops connections, under callers with long deadlines. Waiting them out would hold
+    // the callers back for an answer that is clear by now.
+    if (!result && this->circuit.isOpen())
+        return this->refuse(*entry, "claims_table_down");
     if (!result)
         return this->retryLater(*entry, true);
     this->judge(*entry, result.assume_value());
--- a/Tests/LibSource/TestClaims.cpp
+++ b/Tests/LibSource/TestClaims.cpp
@@ -253,6 +253,28 @@
     cr_assert(next->verdict == ClaimVerdict::Granted);
 }
 
+// The table takes connections and drops them, so every put may have taken effect. A caller with a long
+// deadline must not wait it out for a table that is down; it is refused as soon as that is clear, and its key
+// is freed once the table is back.
+Test(claims, anOutageThatDropsConnectionsRefusesBeforeTheDeadline)
+{
+    ClaimBench bench(2);
+    bench.platform.down = true;
+    bench.platform.timeout = Milliseconds(2);
+    bench.platform.fate = [] { return WriteFate::RequestLost; };
+    const auto answer = bench.claim(0, "k", "a1", Milliseconds(30000));
+    bench.run(Milliseconds(700));
+    cr_assert(answer->verdict == ClaimVerdict::NotRun);
+    cr_assert(answer->reason == "claims_table_down", "%s", answer->reason.c_str());
+    cr_assert(answer->retryAfter > Duration(0));
+    bench.platform.down = false;
+    bench.platform.fate = [] { return WriteFate::Answered; };
+    bench.run(Milliseconds(6000));
+    const auto second = bench.claim(1, "k", "b1");
+    bench.run(Milliseconds(50));
+    cr_assert(second->verdict == ClaimVerdict::Granted, "%s", second->reason.c_str());
+}
+
 // The table takes seconds. Claims pile up to the cap; the rest are refused at once, and those that wait are
 // answered at their own deadline, not later.
 Test(claims, aSlowTableHoldsNobodyPastItsDeadline)
