Node: Let a peer's session end with its context

Cause: a session and its connection held each other, so both were left over when the thread's context ended; the address sanitizer reported 17,120 bytes for each test with a connection open at its end. Change: the session holds the connection weakly, which keeps itself alive while it reads. Measured: the 93 tests under address and undefined behaviour sanitizers went from 7 reports to none; nodes built with both, under 500 calls/s for 10 s with keyed calls and through the drain of one node, reported nothing.

--- a/Services/Node/PeerServer.cpp
+++ b/Services/Node/PeerServer.cpp
@@ -42,9 +42,11 @@
             self->takeFrame(type, payload);
         };
         hooks.closed = [self = this->shared_from_this()](const Error &) { self->closed(); };
-        this->connection =
+        const auto opened =
             std::make_shared<FramedConnection>(std::move(socket), maximumFrameSize, std::move(hooks));
-        this->connection->start();
+        this->connection = opened;
+        this->peer = opened->peerName();
+        opened->start();
     }
 
 private:
@@ -60,35 +62,34 @@
         case FrameType::CallCancel:
             return this->takeCancel(payload);
         default:
-            this->connection->close(
-                makeError(ErrorKind::InvalidInput, "read peer frame", "", "unexpected type"));
+            this->close(makeError(ErrorKind::InvalidInput, "read peer frame", "", "unexpected type"));
         }
     }
 
     void answerPing(std::span<const char> payload)
     {
-        const Result<Heartbeat> ping = decode<Heartbeat>(payload, "read ping", this->connection->peerName());
+        const Result<Heartbeat> ping = decode<Heartbeat>(payload, "read ping", this->peer);
         if (!ping)
-            return this->connection->close(ping.error());
-        this->connection->send(encodeFrame(FrameType::Pong, ping.value()));
+            return this->close(ping.error());
+        this->send(encodeFrame(FrameType::Pong, ping.value()));
     }
 
     void takeCall(std::span<const char> payload)
     {
-        Result<CallRequest> request = decode<CallRequest>(payload, "read call", this->connection->peerName());
+        Result<CallRequest> request = decode<CallRequest>(payload, "read call", this->peer);
         if (!request)
-            return this->connection->close(request.error());
+            return this->close(request.error());
         const std::uint64_t callId = request.value().callId;
         if (this->calls.contains(callId))
-            return this->connection->close(
+            return this->close(
                 makeError(ErrorKind::InvalidInput, "read call", "", "a call number is used twice"));
         this->calls.emplace(callId, nullptr);
-        const auto call = this->server->gate.submit(this->server->home, std::move(request).assume_value(),
-                                                    [self = this->shared_from_this()](CallResponse response) {
-                                                        self->calls.erase(response.callId);
-                                                        self->connection->send(
-                                                            encodeFrame(FrameType::CallResponse, response));
-                                                    });
+        const auto call =
+            this->server->gate.submit(this->server->home, std::move(request).assume_value(),
+                                      [self = this->shared_from_this()](CallResponse response) {
+                                          self->calls.erase(response.callId);
+                                          self->send(encodeFrame(FrameType::CallResponse, response));
+                                      });
         // It may have been answered inside submit.
         const auto found = this->calls.find(callId);
         if (found != this->calls.end())
@@ -97,10 +98,9 @@
 
     void takeCancel(std::span<const char> payload)
     {
-        const Result<CallCancel> cancel =
-            decode<CallCancel>(payload, "read cancel", this->connection->peerName());
+        const Result<CallCancel> cancel = decode<CallCancel>(payload, "read cancel", this->peer);
         if (!cancel)
-            return this->connection->close(cancel.error());
+            return this->close(cancel.error());
         const auto found = this->calls.find(cancel.value().callId);
         if (found == this->calls.end())
             return;
@@ -119,8 +119,22 @@
         }
     }
 
+    void send(Bytes frame)
+    {
+        if (const auto open = this->connection.lock())
+            open->send(std::move(frame));
+    }
+
+    void close(Error reason)
+    {
+        if (const auto open = this->connection.lock())
+            open->close(std::move(reason));
+    }
+
     std::shared_ptr<PeerServer::State> server;
-    std::shared_ptr<FramedConnection> connection;
+    std::weak_ptr<FramedConnection>
+        connection; // It keeps itself alive while it reads, and its hooks keep this.
+    std::string peer;
     std::unordered_map<std::uint64_t, std::shared_ptr<GateCall>> calls; // Not answered yet.
 };
 
