LibDecide: Let one call correct an old estimate

Cause: after a spell in which every call ran longer than callers wait, the quickest expected run time stood above every deadline; all calls of the class were refused at a free slot, and none could show that the upstream had recovered (new test, seen failing). Change: the estimate does not count while no other call of the class runs, so one at a time goes.

--- a/Libraries/LibDecide/Gate.cpp
+++ b/Libraries/LibDecide/Gate.cpp
@@ -225,15 +225,21 @@
     return this->state == UpstreamCondition::Warming || this->state == UpstreamCondition::Ready;
 }
 
+std::uint32_t Gate::runningOf(CallClass callClass) const
+{
+    const auto count =
+        std::count_if(this->runningCalls.begin(), this->runningCalls.end(),
+                      [callClass](const Running &call) { return call.callClass == callClass; });
+    return static_cast<std::uint32_t>(count);
+}
+
 bool Gate::batchMayStart(Instant now) const
 {
     const bool othersPresent =
         this->othersSeenAt != Instant::min() && now - this->othersSeenAt < othersRemembered;
     if (!othersPresent)
         return true;
-    const auto batchRunning =
-        std::count_if(this->runningCalls.begin(), this->runningCalls.end(),
-                      [](const Running &call) { return call.callClass == CallClass::Batch; });
+    const std::uint32_t batchRunning = this->runningOf(CallClass::Batch);
     if (batchRunning == 0)
         return true;
     const bool leavesReserve = this->freeSlots() > this->limit.value() / slotsPerReservedSlot;
@@ -249,13 +255,18 @@
     return this->queueOf(callClass).empty();
 }
 
-// A call that starts at once is judged by what a quick one takes, so that the estimate can still be
-// corrected. One that waits must have room for the usual run time and for a wait longer than expected: it has
-// another place to go now, and none once it has waited.
+// A call that starts at once is judged by what a quick one takes, and not at all when no other of its class
+// runs. Failure: the upstream was slow for a while and its estimate is above every deadline. Symptom: all
+// calls of the class are refused, so none can show that it is quick again. One at a time is enough to correct
+// the estimate. One that waits must have room for the usual run time and for a wait longer than expected: it
+// has another place to go now, and none once it has waited.
 bool Gate::inTime(Instant now, const CallFacts &facts, Duration wait) const
 {
-    if (wait <= Duration::zero())
-        return now + this->runTimes.quick(facts.callClass) < facts.deadline;
+    if (wait <= Duration::zero()) {
+        const bool onlyOne = this->runningOf(facts.callClass) == 0;
+        const Duration least = onlyOne ? Duration::zero() : this->runTimes.quick(facts.callClass);
+        return now + least < facts.deadline;
+    }
     const Duration room = fromSeconds(toSeconds(wait) * waitMargin);
     return now + room + this->runTimes.mean(facts.callClass) < facts.deadline;
 }
--- a/Libraries/LibDecide/Gate.h
+++ b/Libraries/LibDecide/Gate.h
@@ -153,6 +153,7 @@
     std::deque<Waiting> &queueOf(CallClass callClass);
     const std::deque<Waiting> &queueOf(CallClass callClass) const;
     bool takesCalls() const;
+    std::uint32_t runningOf(CallClass callClass) const;
     bool batchMayStart(Instant now) const;
     bool mayStartNow(Instant now, CallClass callClass) const;
     bool inTime(Instant now, const CallFacts &facts, Duration wait) const;
--- a/Tests/LibDecide/TestGate.cpp
+++ b/Tests/LibDecide/TestGate.cpp
@@ -94,6 +94,28 @@
     cr_assert_eq(actions[0].ticket, urgent.ticket);
 }
 
+// The upstream was slow for a while: every call took longer than interactive callers wait. It is quick again,
+// but nothing ran since that could show it. Callers must not be refused for ever by an old estimate.
+Test(gate, anOldEstimateDoesNotRefuseForEver)
+{
+    Gate gate = readyGate(4);
+    Instant now = teach(gate, CallClass::Interactive, 200ms);
+    int admitted = 0;
+    for (int caller = 0; caller < 100; ++caller) {
+        Actions actions;
+        now += 10ms;
+        const GateDecision first = gate.offer(now, call(CallClass::Interactive, 100ms, now), actions);
+        const GateDecision second = gate.offer(now, call(CallClass::Interactive, 100ms, now), actions);
+        for (const GateDecision &decision : {first, second}) {
+            if (decision.verdict == GateVerdict::Start)
+                gate.finish(now + 4ms, decision.ticket, CallEnd::Succeeded, actions);
+        }
+        admitted += second.verdict == GateVerdict::Start ? 1 : 0;
+        cr_assert(first.verdict == GateVerdict::Start);
+    }
+    cr_assert_geq(admitted, 80);
+}
+
 // A burst meets one slot whose calls take 10 ms. Callers who would wait past their deadline are told so at
 // once; each is given a later turn than the one before, so that they do not return together.
 Test(gate, refusedCallersAreSentBackOneAfterTheOther)
