LibHistory: Know every call's deadline when an upstream leaves

The trace shows that the call ran out of its route's 2 s, 1.4 s after the upstream was told to leave; the checker knows only deadlines that the caller named. Change: callers name one for every call, and 5 ms are allowed for the whole milliseconds that the hops round away (this answer came 0.2 ms early). A call that a leaving upstream cancels before its deadline stays a violation: a new row of the damaged histories shows it.

--- a/Libraries/LibHistory/DrainCheckers.cpp
+++ b/Libraries/LibHistory/DrainCheckers.cpp
@@ -160,9 +160,12 @@
     bool excused(const Drain &drain, const HistoryRecord &sentRecord, const HistoryRecord &closed) const
     {
         constexpr std::uint64_t nanosecondsPerMillisecond = 1'000'000;
+        // Each hop hands the time that is left on in whole milliseconds, and the gate's is cut by one, so
+        // that its word arrives in time.
+        constexpr std::uint64_t lostToRounding = 5 * nanosecondsPerMillisecond;
         const auto &sent = std::get<CallerSent>(sentRecord.event);
         const std::uint64_t allowed = sent.deadlineMilliseconds * nanosecondsPerMillisecond;
-        if (allowed != 0 && closed.time >= sentRecord.time + allowed)
+        if (allowed != 0 && closed.time + lostToRounding >= sentRecord.time + allowed)
             return true;
         const auto entry = this->nodeByAddress.find(sent.node);
         const auto from = sentRecord.time;
--- a/Tests/LibHistory/TestCheckers.cpp
+++ b/Tests/LibHistory/TestCheckers.cpp
@@ -270,6 +270,15 @@
              history, [](const CallerAnswered &event) { return event.call == "inflight"; });
          eventOf<CallerAnswered>(answer.front()).outcome = "unknown";
      }},
+    {"a call that the leaving upstream cancels before its deadline", PromisePoint::ShutdownCutsNothing,
+     [](History &history, Random &) {
+         auto sent =
+             recordsOf<CallerSent>(history, [](const CallerSent &event) { return event.call == "inflight"; });
+         eventOf<CallerSent>(sent.front()).deadlineMilliseconds = 60;
+         auto answer = recordsOf<CallerAnswered>(
+             history, [](const CallerAnswered &event) { return event.call == "inflight"; });
+         eventOf<CallerAnswered>(answer.front()).outcome = "unknown";
+     }},
     {"a call that the leaving upstream forgets", PromisePoint::ShutdownCutsNothing,
      [](History &history, Random &) {
          auto ended = recordsOf<UpstreamEnded>(
--- a/Utilities/Caller/Main.cpp
+++ b/Utilities/Caller/Main.cpp
@@ -44,7 +44,7 @@
     add("pause-ms", options::value(&settings.longestPauseMilliseconds)->default_value(20),
         "longest pause between two errands of one visitor");
     add("deadline-ms", options::value(&settings.deadlineMilliseconds)->default_value(400),
-        "deadline of the calls that name one");
+        "deadline of the calls that are in a hurry");
     add("book", options::value(&visitor.bookTargets)->required(), "target of bookings; may be given often");
     add("look-up", options::value(&visitor.lookupTargets)->required(),
         "target of lookups; may be given often");
--- a/Utilities/Caller/Visitor.cpp
+++ b/Utilities/Caller/Visitor.cpp
@@ -117,10 +117,11 @@
     request.headers.push_back({"Sagecrank-Call-Id", call});
     if (!this->errand.key.empty())
         request.headers.push_back({"Idempotency-Key", this->errand.key});
-    if (this->draw(this->settings.deadlineShare)) {
-        sent.deadlineMilliseconds = std::uint64_t(this->settings.deadline.count());
-        request.headers.push_back({"Sagecrank-Deadline-Ms", std::to_string(sent.deadlineMilliseconds)});
-    }
+    // Every call names its time, so that a checker can tell a call that ran out of it from one that was cut.
+    const bool hurried = this->draw(this->settings.deadlineShare);
+    const Milliseconds deadline = hurried ? this->settings.deadline : this->settings.longDeadline;
+    sent.deadlineMilliseconds = std::uint64_t(deadline.count());
+    request.headers.push_back({"Sagecrank-Deadline-Ms", std::to_string(sent.deadlineMilliseconds)});
     this->history.record(std::move(sent));
     this->client.send(
         node, std::move(request), this->settings.patience,
--- a/Utilities/Caller/Visitor.h
+++ b/Utilities/Caller/Visitor.h
@@ -27,8 +27,9 @@
     double doubleShare = 0.1;  // Of keyed bookings: sent twice at the same moment.
     double repeatShare =
         0.1; // Of keyed bookings that are done: sent once more, as by a person who came back.
-    double deadlineShare = 0.3; // Of calls: name a deadline of their own.
+    double deadlineShare = 0.3; // Of calls: have the shorter of the two deadlines.
     Milliseconds deadline{400};
+    Milliseconds longDeadline{2000};
     Milliseconds patience{10000};           // Without any answer for so long, a call is given up as lost.
     Milliseconds longestPause{20};          // Between two errands of one visitor.
     std::vector<std::string> bookTargets;   // One is drawn for each booking; never empty.
