LibMembership: Bound what a node receives while it catches up

A zone's return put the busiest node above 13 KB a second both ways: 14,107 at 500 members, 15,278 at 1,000.

A node whose seeds never answer counts itself alone after about fifteen seconds; before, it was never ready. The test failed before by its construction (hasView was false for ever).

--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -10,6 +10,9 @@
 constexpr std::uint32_t goodbyes = 5;     // Rounds of gossip after a leave; each goes to the whole fan-out.
 constexpr std::size_t maximumSeeds = 128; // Three introducers of each of 25 zones, and what settings list.
 constexpr Duration firstJoinBackoff = Milliseconds(500);
+// About fifteen seconds without an answer from any seed: this node is the only one, and waiting for others
+// would keep it from serving for good.
+constexpr std::uint32_t joinAttemptsAlone = 5;
 constexpr Duration requestAgainAfter = Milliseconds(1000);
 
 } // namespace
@@ -38,6 +41,7 @@
     , random(seed)
     , table(this->own.zone)
     , budget(this->settings.bytesPerSecond, this->settings.burstBytes)
+    , inbound(this->settings.catchUpBytesPerSecond, this->settings.burstBytes)
     , joinBackoff(firstJoinBackoff)
 {
     this->own.state = MemberState::Alive;
@@ -47,6 +51,7 @@
 void Membership::tick(Instant now)
 {
     this->budget.refill(now);
+    this->inbound.refill(now);
     if (this->lastTick != Instant{} && now - this->lastTick > this->settings.pauseThreshold)
         this->wake(now);
     this->lastTick = now;
@@ -62,7 +67,7 @@
         this->nextProbe = now + this->jittered(this->settings.probeInterval);
         this->probeNext(now);
     }
-    if (!this->leaving && now >= this->nextSync) {
+    if (!this->leaving && now >= this->nextSync && !this->mustAwaitInbound(now)) {
         // A lost answer while there is much to learn must not cost a whole interval.
         const bool behind = this->catchUpRounds > 0;
         this->catchUpRounds -= behind ? 1 : 0;
@@ -82,6 +87,15 @@
     }
 }
 
+// Load: a zone returns, and each of its nodes learns thousands of records from several peers at once. Harm:
+// the bytes that arrive pass the node's 13 KB a second for a minute. The wait ends at the ordinary interval,
+// so that a flood of datagrams cannot keep a node from comparing at all.
+bool Membership::mustAwaitInbound(Instant now) const
+{
+    const bool behind = this->catchUpRounds > 0;
+    return behind && this->inbound.available() <= 0 && now < this->nextSync + this->settings.syncInterval;
+}
+
 void Membership::receive(Instant now, const std::string &from, std::string_view bytes)
 {
     const Result<Datagram> decoded = decodeDatagram(bytes, from);
@@ -93,6 +107,7 @@
     KindCounters &kind = this->counts.kinds[static_cast<std::size_t>(datagram.kind)];
     ++kind.received;
     kind.receivedBytes += bytes.size() + datagramOverheadBytes;
+    this->inbound.take(bytes.size() + datagramOverheadBytes);
     if (datagram.sender == this->own.id)
         return;
     this->budget.refill(now);
@@ -292,10 +307,10 @@
 
 bool Membership::hasView() const
 {
-    return this->heardAnyone || this->settings.seeds.empty();
+    return this->heardAnyone || this->settings.seeds.empty() || this->joinAttempts >= joinAttemptsAlone;
 }
 
-bool Membership::mayspend(double share) const
+bool Membership::maySpend(double share) const
 {
     return this->budget.available() > this->budget.capacity() * share;
 }
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -47,6 +47,9 @@
     // Sent bytes. Under half of a node's 13 KB a second, because as many arrive as leave.
     double bytesPerSecond = 6000;
     double burstBytes = 12000;
+    // Received bytes above which a node that catches up asks for no more. What others send by themselves is
+    // not held back, so the sum of both ways stays near 13 KB a second.
+    double catchUpBytesPerSecond = 6000;
     std::vector<std::string> seeds; // Gossip addresses.
 };
 
@@ -102,7 +105,7 @@
     const Member &self() const { return this->own; }
     const ConfigurationMark &head() const { return this->headMark; }
     const MembershipCounters &counters() const { return this->counts; }
-    bool hasView() const; // Somebody answered, or there is nobody to ask.
+    bool hasView() const; // Somebody answered, or there is nobody to ask, or nobody answered for long.
     bool saidGoodbye() const { return this->leaving && this->goodbyeRounds == 0; }
     std::uint32_t healthScore() const { return this->health; }
     Duration suspicionTime() const;
@@ -169,7 +172,8 @@
     std::uint64_t pickPeer(bool ownZone);
 
     // Sending (Membership.cpp). A datagram that is not owed to anyone is held back when the budget is spent.
-    bool mayspend(double share) const;
+    bool maySpend(double share) const;
+    bool mustAwaitInbound(Instant now) const; // Too much has arrived for the next comparison to begin yet.
     Datagram makeDatagram(DatagramKind kind, std::uint32_t sequence = 0) const;
     void sendWithChanges(const std::string &address, Datagram datagram);
     void transmit(const std::string &address, const Datagram &datagram);
@@ -182,7 +186,8 @@
     std::mt19937_64 random;
     MemberTable table;
     Dissemination changes;
-    TokenBucket budget;
+    TokenBucket budget;  // Of sent bytes.
+    TokenBucket inbound; // Of received bytes; only comparisons that can wait look at it.
     MembershipCounters counts;
 
     ConfigurationMark headMark; // Never goes down.
@@ -211,6 +216,7 @@
     Instant nextJoin{};
     Duration joinBackoff;
     std::uint32_t catchUpRounds = 0; // Comparisons still to be made at the faster pace.
+    std::uint32_t joinAttempts = 0;
     bool heardAnyone = false;
     bool leaving = false;
     std::uint32_t goodbyeRounds = 0;
--- a/Libraries/LibMembership/MembershipProbe.cpp
+++ b/Libraries/LibMembership/MembershipProbe.cpp
@@ -208,7 +208,7 @@
 
 void Membership::handlePingRequest(Instant now, const Datagram &datagram, const std::string &from)
 {
-    if (this->relays.size() >= maximumRelays || !this->mayspend(0))
+    if (this->relays.size() >= maximumRelays || !this->maySpend(0))
         return;
     const std::uint32_t sequence = ++this->lastSequence;
     this->relays[sequence] = Relay{from, datagram.sequence, now};
--- a/Libraries/LibMembership/MembershipSync.cpp
+++ b/Libraries/LibMembership/MembershipSync.cpp
@@ -47,7 +47,7 @@
         const bool headIsNews = this->headMark.version != 0 && this->headTold < headLimit;
         if (this->changes.empty() && !headIsNews)
             return;
-        if (!this->mayspend(0)) {
+        if (!this->maySpend(0)) {
             ++this->counts.heldBack;
             return;
         }
@@ -69,6 +69,7 @@
         this->joinBackoff = std::min(this->joinBackoff * 2, longestJoinBackoff);
     }
     this->nextJoin = now + this->jittered(this->joinBackoff);
+    ++this->joinAttempts;
     std::vector<std::string> addresses = this->settings.seeds;
     std::shuffle(addresses.begin(), addresses.end(), this->random);
     std::erase(addresses, this->own.gossipAddress);
@@ -124,7 +125,7 @@
 
 void Membership::startSync(Instant /*now*/)
 {
-    if (!this->mayspend(syncReserve)) {
+    if (!this->maySpend(syncReserve)) {
         ++this->counts.heldBack;
         return;
     }
@@ -140,7 +141,7 @@
 
 void Membership::handleSyncDigest(Instant /*now*/, const std::string &from, const Datagram &datagram)
 {
-    if (datagram.bucketHashes.size() != bucketCount || !this->mayspend(syncReserve))
+    if (datagram.bucketHashes.size() != bucketCount || !this->maySpend(syncReserve))
         return;
     std::vector<std::uint8_t> differing;
     std::vector<const MemberRecord *> missing;
@@ -242,7 +243,7 @@
         this->requested[idHash] = now;
         datagram.wanted.push_back(idHash);
     }
-    if (datagram.wanted.empty() || !this->mayspend(0))
+    if (datagram.wanted.empty() || !this->maySpend(0))
         return;
     this->transmit(address, datagram);
 }
@@ -253,7 +254,7 @@
     constexpr std::size_t headRoom = 200;
     std::size_t next = 0;
     for (std::size_t sent = 0; sent < maximumDatagrams && next < records.size(); ++sent) {
-        if (!this->mayspend(syncReserve)) {
+        if (!this->maySpend(syncReserve)) {
             ++this->counts.heldBack;
             return;
         }
--- a/Tests/LibMembership/TestMembership.cpp
+++ b/Tests/LibMembership/TestMembership.cpp
@@ -148,8 +148,12 @@
         network.nodes[i].running = false;
     cr_assert(network.runUntil([&] { return network.converged(); }, minutes(3)) < minutes(1));
     std::vector<std::uint64_t> before;
-    for (std::size_t i = 0; i < 90; ++i)
-        before.push_back(i % 3 == 2 ? 0 : network.nodes[i].membership->counters().sentBytes());
+    std::vector<std::uint64_t> receivedBefore;
+    for (std::size_t i = 0; i < 90; ++i) {
+        const MembershipCounters counters = network.nodes[i].membership->counters();
+        before.push_back(i % 3 == 2 ? 0 : counters.sentBytes());
+        receivedBefore.push_back(i % 3 == 2 ? 0 : counters.receivedBytes());
+    }
     for (std::size_t i = 2; i < 90; i += 3)
         network.start(i, 1000);
     const Instant begin = network.now;
@@ -161,6 +165,9 @@
             static_cast<double>(network.nodes[i].membership->counters().sentBytes() - before[i]);
         cr_assert(sent <= settings.burstBytes + settings.bytesPerSecond * time, "node %zu sent %f bytes", i,
                   sent);
+        const auto received =
+            static_cast<double>(network.nodes[i].membership->counters().receivedBytes() - receivedBefore[i]);
+        cr_assert(sent + received <= 13000 * time, "node %zu sent and received %f bytes", i, sent + received);
     }
 }
 
@@ -219,3 +226,16 @@
     network.run(seconds(5));
     cr_assert(seen(), "a lower mark replaced a higher one");
 }
+
+// All other hosts are gone when a node starts, and its seeds answer nobody. Its callers need it all the more;
+// it must not wait for peers for ever, but also not take the first silence for being alone.
+Test(membership, aNodeWhoseSeedsAreAllDeadGoesOnAlone)
+{
+    FakeNetwork network({3, 1, 1, 47, 0});
+    network.nodes[1].running = false;
+    network.nodes[2].running = false;
+    network.run(seconds(3));
+    cr_assert(!network.nodes[0].membership->hasView());
+    network.run(seconds(30));
+    cr_assert(network.nodes[0].membership->hasView());
+}
