Node: Claim a key for its address and not alone

Cause: the raw key named the claim, so a refund that carried a reservation's key was answered with the reservation's outcome and never ran; seen with two services by curl. Ruled out: scoping by service, since a new version may send the path to another service between two attempts, and the second would run again. Change: the claim is named by the digest of method and path, and the key.

--- a/Services/Node/GateCall.h
+++ b/Services/Node/GateCall.h
@@ -14,6 +14,11 @@
     Ended,
 };
 
+// A key names one piece of work at one address: the same key at another path or with another method is other
+// work. The service is left out on purpose, since a new version may send the path to another one between two
+// attempts.
+std::string claimNameOf(const CallRequest &request);
+
 class GateCall
 {
 public:
@@ -23,6 +28,7 @@
         , answer(std::move(answer))
         , arrived(SteadyClock::now())
         , deadline(this->arrived + Microseconds(this->request.remainingMicroseconds))
+        , claimName(claimNameOf(this->request))
         , waitTimer(home.context)
         , gateSpan(observer.openSpan(SpanName::Gate, this->request.traceParent, this->arrived))
     {
@@ -40,6 +46,7 @@
     Instant deadline; // By this host's clock.
     Instant started;
     std::string upstreamAddress;
+    std::string claimName; // Under which its key is claimed; empty without a key.
     Ticket ticket = 0;
     GateCallStage stage = GateCallStage::Claiming;
     bool claimed = false;   // Its key is held by this attempt.
--- a/Services/Node/LocalGate.cpp
+++ b/Services/Node/LocalGate.cpp
@@ -100,11 +100,10 @@
         return this->refuse(call, refusalReasonNames.name(refusal.reason), refusal.retryAfter);
 
     this->openStep(*call, SpanName::Claim);
-    this->claims.claim(call->request.idempotencyKey, call->request.attempt, call->deadline,
-                       [this, call](const ClaimAnswer &answer) {
-                           boost::asio::post(call->home.context,
-                                             [this, call, answer] { this->afterClaim(call, answer); });
-                       });
+    this->claims.claim(
+        call->claimName, call->request.attempt, call->deadline, [this, call](const ClaimAnswer &answer) {
+            boost::asio::post(call->home.context, [this, call, answer] { this->afterClaim(call, answer); });
+        });
 }
 
 void LocalGate::afterClaim(const std::shared_ptr<GateCall> &call, const ClaimAnswer &answer)
@@ -296,7 +295,7 @@
         recorded.status = response.status;
         recorded.contentType = findHeader(response.headers, "Content-Type");
         recorded.body = response.body;
-        this->claims.finish(call->request.idempotencyKey, call->request.attempt, std::move(recorded));
+        this->claims.finish(call->claimName, call->request.attempt, std::move(recorded));
     }
     CallResponse answer;
     answer.outcome = Outcome::Done;
@@ -315,7 +314,7 @@
     if (!failure.mayHaveBeenSent)
         return this->refuse(call, reasonUnreachable, unreachableRetryAfter);
     if (call->claimed)
-        this->claims.leaveUnknown(call->request.idempotencyKey, call->request.attempt);
+        this->claims.leaveUnknown(call->claimName, call->request.attempt);
     const bool late = SteadyClock::now() >= call->deadline;
     this->answerUnknown(call, late ? reasonDeadline : reasonBroken, statusGatewayTimeout,
                         unreachableRetryAfter);
@@ -345,7 +344,7 @@
     response.retryAfterMilliseconds = wholeMilliseconds(retryAfter);
     response.claimHeld = call->claimed;
     if (call->claimed)
-        this->claims.release(call->request.idempotencyKey, call->request.attempt);
+        this->claims.release(call->claimName, call->request.attempt);
     this->answer(call, std::move(response));
 }
 
--- a/Tests/Node/GateFixture.h
+++ b/Tests/Node/GateFixture.h
@@ -81,6 +81,7 @@
     std::map<std::string, CallResponse> answers;
     std::function<void()> onAnswer;
     std::vector<ClaimCallback> claims; // Waiting for the test's answer.
+    std::vector<std::string> claimedKeys;
     std::vector<std::string> recorded;
     std::vector<std::string> released;
     std::vector<std::string> leftUnknown;
@@ -90,7 +91,8 @@
     ClaimHooks claimHooks()
     {
         ClaimHooks hooks;
-        hooks.claim = [this](const std::string &, const std::string &, Instant, ClaimCallback done) {
+        hooks.claim = [this](const std::string &key, const std::string &, Instant, ClaimCallback done) {
+            this->claimedKeys.push_back(key);
             this->claims.push_back(std::move(done));
         };
         hooks.finish = [this](const std::string &key, const std::string &, const RecordedOutcome &) {
--- a/Tests/Node/TestLocalGate.cpp
+++ b/Tests/Node/TestLocalGate.cpp
@@ -112,7 +112,7 @@
     cr_assert(fixture.runUntil([&] { return fixture.answered("late"); }));
     cr_assert(fixture.answers["late"].outcome == Outcome::NotRun);
     cr_assert(fixture.answers["late"].claimHeld);
-    cr_assert(fixture.released == std::vector<std::string>{"key-1"});
+    cr_assert(fixture.released == fixture.claimedKeys);
     cr_assert(fixture.began.empty());
 }
 
@@ -148,7 +148,7 @@
     cr_assert(fixture.runUntil([&] { return fixture.began.size() == 1; }));
     fixture.exchanges[0]->respond(makeResponse(201, "text/plain", "reserved"));
     cr_assert(fixture.runUntil([&] { return fixture.answered("one"); }));
-    cr_assert(fixture.recorded == std::vector<std::string>{"key-1"});
+    cr_assert(fixture.recorded == fixture.claimedKeys);
     cr_assert(fixture.released.empty());
 }
 
@@ -164,7 +164,7 @@
     cr_assert(fixture.runUntil([&] { return fixture.answered("one"); }));
     cr_assert(fixture.answers["one"].outcome == Outcome::Unknown);
     cr_assert(fixture.released.empty());
-    cr_assert(fixture.leftUnknown == std::vector<std::string>{"key-1"});
+    cr_assert(fixture.leftUnknown == fixture.claimedKeys);
     cr_assert(fixture.recorded.empty());
 }
 
@@ -177,7 +177,7 @@
     fixture.claims[0]({ClaimVerdict::Granted, {}, {}, {}});
     cr_assert(fixture.runUntil([&] { return fixture.answered("one"); }));
     cr_assert(fixture.answers["one"].outcome == Outcome::NotRun);
-    cr_assert(fixture.released == std::vector<std::string>{"key-1"});
+    cr_assert(fixture.released == fixture.claimedKeys);
 }
 
 // The upstream sheds: it answers that it did not run the call. That word is passed on with its time to come
@@ -249,6 +249,20 @@
     cr_assert(fixture.runUntil([&] { return !fixture.recorded.empty(); }));
 }
 
+// A visitor's program names its reservation and its refund with the same key. Were the key alone claimed, the
+// refund would be answered with the reservation's outcome and never run: work that is lost without a word.
+// The same request sent again, with whatever query, must meet its own claim.
+Test(localGate, sameKeyForOtherWorkIsAnotherClaim)
+{
+    GateFixture fixture;
+    fixture.submit("reserve", CallClass::NonIdempotent, "key-1");
+    fixture.submit("refund", CallClass::NonIdempotent, "key-1");
+    fixture.submit("reserve?again=1", CallClass::NonIdempotent, "key-1");
+    cr_assert(fixture.claimedKeys.size() == 3);
+    cr_assert(fixture.claimedKeys[0] != fixture.claimedKeys[1]);
+    cr_assert(fixture.claimedKeys[0] == fixture.claimedKeys[2]);
+}
+
 // A host changes its service while another node's view is old: its calls are for a service that is not here.
 Test(localGate, refusesAnotherServicesCalls)
 {
