--- a/Libraries/LibDecide/Gate.h
+++ b/Libraries/LibDecide/Gate.h
@@ -172,7 +172,7 @@
     ConcurrencyLimit limit;
     RunTimes runTimes;
     Ticket nextTicket = 1;
-    std::vector<Running> runningCalls;                  // Never more than the announced slots.
+    std::vector<Running> runningCalls; // None starts above the limit; a lowered one cuts none off.
     std::array<std::deque<Waiting>, classCount> queues; // In order of arrival.
     SlotShares shares;
     Instant othersSeenAt = Instant::min(); // When a call that is not batch was last offered.
