Meta: Let no node leave behind the callers' relay

The traces show one address only, the relay's: it took the connections, the node behind it refused them, and the relay reset what the callers had sent. No such call reached the node. Change: the driver lets only those nodes leave that callers reach directly. The check is unchanged. Ruled out: a call that the node took and dropped; every reset is on the relay's address and after the node had closed its port.

--- a/Meta/prove/faults.py
+++ b/Meta/prove/faults.py
@@ -27,9 +27,9 @@
         return not self.stopping.wait(seconds)
 
     @contextlib.contextmanager
-    def node_seats(self, count=1):
+    def node_seats(self, count=1, among=None):
         """Seats whose nodes nobody else disturbs meanwhile, so that two faults never fight over one process."""
-        with self._held(self.random.sample(self.fleet.seats, count), "node_lock") as seats:
+        with self._held(self.random.sample(among or self.fleet.seats, count), "node_lock") as seats:
             yield seats
 
     @contextlib.contextmanager
@@ -148,7 +148,11 @@
 @fault
 def drain_node(this_round):
     """A node leaves by SIGTERM while its upstream stays, as at an upgrade of the node."""
-    with this_round.node_seats() as [seat]:
+    # The relay before one node's port would go on taking connections for it, so that the caller could not see
+    # whether the node itself took its call.
+    relayed = this_round.fleet.caller_relay_node()
+    unrelayed = [seat for seat in this_round.fleet.seats if seat is not relayed]
+    with this_round.node_seats(among=unrelayed) as [seat]:
         # A node that leaves stops listening some time, so from here on callers may find it closed; what it has
         # taken it must still answer.
         this_round.began("leaving", seat.name)
