--- a/Services/PlatformEmulator/Main.cpp
+++ b/Services/PlatformEmulator/Main.cpp
@@ -2,6 +2,8 @@
 // a developer's machine. Keeps everything in memory and forgets it when it ends.
 #include <PlatformEmulator/PlatformService.h>
 
+#include <LibObserve/EventLog.h>
+
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/program_options.hpp>
@@ -30,13 +32,17 @@
 
 int run(const std::string &listen, PlatformSettings settings)
 {
+    EventLog log("platform-emulator", {});
     asio::io_context context(1);
     PlatformService service(
         settings,
         [&context](Milliseconds delay, std::function<void()> step) {
             runAfter(context, delay, std::move(step));
         },
-        [] { return SteadyClock::now(); });
+        [] { return SteadyClock::now(); },
+        [&log](std::string_view json) {
+            log.write(EventId::EmulatorFaultsSet, {{"faults", json}});
+        });
     HttpServerSettings serverSettings;
     serverSettings.maximumBodyBytes = maximumObjectBytes;
     HttpServer server(context, serverSettings,
@@ -45,13 +51,14 @@
                       });
     const Result<void> listening = server.listen(listen);
     if (!listening) {
-        std::cerr << listening.error().describe() << "\n";
+        log.write(EventId::ListenFailed, {{"error", listening.error().describe()}});
         return listening.error().kind == ErrorKind::InvalidInput ? exitUsage : exitFailure;
     }
     asio::signal_set signals(context, SIGINT, SIGTERM);
     signals.async_wait([&context](const boost::system::error_code &, int) { context.stop(); });
-    std::cerr << "platform emulator listens on " << listen << "\n";
+    log.write(EventId::ProcessReady, {{"listen", listen}});
     context.run();
+    log.write(EventId::ProcessStopped, {});
     return 0;
 }
 
--- a/Services/PlatformEmulator/PlatformService.cpp
+++ b/Services/PlatformEmulator/PlatformService.cpp
@@ -36,9 +36,10 @@
 
 } // namespace
 
-PlatformService::PlatformService(PlatformSettings settings, After after, Now now)
+PlatformService::PlatformService(PlatformSettings settings, After after, Now now, FaultsSet faultsSet)
     : after(std::move(after))
     , now(std::move(now))
+    , faultsSet(std::move(faultsSet))
     , writes(settings.writeRate)
     , reads(settings.readRate)
 {
@@ -82,6 +83,7 @@
         return;
     }
     this->faults.set(settings.value());
+    this->faultsSet(request.body);
     exchange.respond(makeResponse(200, "application/json", "{}"));
 }
 
--- a/Services/PlatformEmulator/PlatformService.h
+++ b/Services/PlatformEmulator/PlatformService.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace Sagecrank {
 
@@ -47,8 +48,9 @@
     // Runs the step after the delay, on the service's thread.
     using After = std::function<void(Milliseconds delay, std::function<void()> step)>;
     using Now = std::function<Instant()>;
+    using FaultsSet = std::function<void(std::string_view json)>; // Told of each change by command.
 
-    PlatformService(PlatformSettings settings, After after, Now now);
+    PlatformService(PlatformSettings settings, After after, Now now, FaultsSet faultsSet);
 
     void handle(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange);
 
@@ -63,6 +65,7 @@
 
     After after;
     Now now;
+    FaultsSet faultsSet;
     Faults faults;
     RateLimit writes; // Shared by table and objects: the stricter reading of the platform's limit.
     RateLimit reads;
--- a/Services/UpstreamEmulator/Main.cpp
+++ b/Services/UpstreamEmulator/Main.cpp
@@ -3,6 +3,8 @@
 #include <UpstreamEmulator/Announcer.h>
 #include <UpstreamEmulator/WorkService.h>
 
+#include <LibObserve/EventLog.h>
+
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 
@@ -37,7 +39,12 @@
     explicit Program(Settings settings)
         : settings(std::move(settings))
         , history(this->settings.name, this->settings.history)
-        , service(this->settings.work, this->history, [] { return SteadyClock::now(); })
+        , log(this->settings.name, {})
+        , service(
+              this->settings.work, this->history, [] { return SteadyClock::now(); },
+              [this](std::string_view json) {
+                  this->log.write(EventId::EmulatorFaultsSet, {{"faults", json}});
+              })
         , signals(this->mainContext, SIGINT, SIGTERM)
         , announcer(
               this->mainContext, this->settings.announce, [this] { return this->announcedState(); },
@@ -52,7 +59,7 @@
             const Result<void> listening =
                 this->listenOn(index == 0 ? this->mainContext : this->moreContext());
             if (!listening) {
-                std::cerr << listening.error().describe() << "\n";
+                this->log.write(EventId::ListenFailed, {{"error", listening.error().describe()}});
                 return listening.error().kind == ErrorKind::InvalidInput ? exitUsage : exitFailure;
             }
         }
@@ -61,13 +68,13 @@
         std::vector<std::thread> threads;
         for (const auto &context : this->contexts)
             threads.emplace_back([&context] { context->run(); });
-        std::cerr << "upstream emulator " << this->settings.name << " listens on " << this->settings.listen
-                  << "\n";
+        this->log.write(EventId::ProcessReady, {{"listen", this->settings.listen}});
         this->mainContext.run();
         for (const auto &context : this->contexts)
             context->stop();
         for (std::thread &thread : threads)
             thread.join();
+        this->log.write(EventId::ProcessStopped, {{"running", this->service.report().running}});
         return 0;
     }
 
@@ -101,6 +108,7 @@
                 return UpstreamDraining{this->settings.announce.cluster, this->settings.listen};
             });
             this->drain.begin(SteadyClock::now());
+            this->log.write(EventId::ProcessDraining, {});
             this->service.beginDrain();
             this->announcer.announce(UpstreamState::Draining, [](std::optional<std::uint64_t>) {});
             this->awaitSignal();
@@ -127,6 +135,7 @@
 
     Settings settings;
     HistoryRecorder history;
+    EventLog log;
     asio::io_context mainContext{1};
     std::vector<std::unique_ptr<asio::io_context>> contexts; // One for each further thread.
     WorkService service;
--- a/Services/UpstreamEmulator/WorkService.cpp
+++ b/Services/UpstreamEmulator/WorkService.cpp
@@ -211,10 +211,11 @@
         this->exchange->respond(std::move(*response));
 }
 
-WorkService::WorkService(WorkSettings settings, HistoryRecorder &history, Now now)
+WorkService::WorkService(WorkSettings settings, HistoryRecorder &history, Now now, FaultsSet faultsSet)
     : settings(std::move(settings))
     , history(history)
     , now(std::move(now))
+    , faultsSet(std::move(faultsSet))
     , started(this->now())
     , slots(this->settings.slots, this->settings.maximumWaiting)
     , times(this->settings.paths, this->settings.cold, this->settings.seed)
@@ -273,6 +274,7 @@
         const std::lock_guard guard(this->lock);
         this->faults.set(wanted.value());
     }
+    this->faultsSet(request.body);
     exchange.respond(makeResponse(200, "application/json", "{}"));
 }
 
--- a/Services/UpstreamEmulator/WorkService.h
+++ b/Services/UpstreamEmulator/WorkService.h
@@ -20,6 +20,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 namespace Sagecrank {
@@ -46,8 +47,9 @@
 {
 public:
     using Now = std::function<Instant()>;
+    using FaultsSet = std::function<void(std::string_view json)>; // Told of each change by command.
 
-    WorkService(WorkSettings settings, HistoryRecorder &history, Now now);
+    WorkService(WorkSettings settings, HistoryRecorder &history, Now now, FaultsSet faultsSet);
     ~WorkService();
     WorkService(const WorkService &) = delete;
     WorkService &operator=(const WorkService &) = delete;
@@ -72,6 +74,7 @@
     WorkSettings settings;
     HistoryRecorder &history;
     Now now;
+    FaultsSet faultsSet;
     Instant started;
     std::atomic<UpstreamState> state = UpstreamState::Ready;
     std::atomic<std::uint64_t> nextCall = 1;
--- a/Tests/Emulators/TestPlatformService.cpp
+++ b/Tests/Emulators/TestPlatformService.cpp
@@ -20,7 +20,7 @@
         : service(
             settings,
             [this](Milliseconds, std::function<void()> step) { this->delayed.push_back(std::move(step)); },
-            [this] { return this->now; })
+            [this] { return this->now; }, [this](std::string_view json) { this->faultsSeen = json; })
     {
     }
 
@@ -56,6 +56,7 @@
 
     Instant now{std::chrono::seconds(1000)};
     std::deque<std::function<void()>> delayed;
+    std::string faultsSeen; // The last change that the service told of.
     PlatformService service;
 };
 
@@ -123,6 +124,7 @@
     Platform platform;
     for (const char *faults : badFaults)
         cr_assert(platform.send("POST", "/emulator/faults", faults)->response->status == 400, "%s", faults);
+    cr_assert(platform.faultsSeen.empty(), "what is refused is not told of");
 }
 
 // The caller gives its write up and closes the connection while the platform is slow. The write still takes
--- a/Tests/Emulators/TestUpstream.cpp
+++ b/Tests/Emulators/TestUpstream.cpp
@@ -60,8 +60,9 @@
 public:
     explicit Upstream(std::size_t slots, std::size_t waiting)
         : history("u", true, [this](std::string_view line) { this->lines.emplace_back(line); })
-        , service(settingsOf(slots, waiting), this->history,
-                  [] { return Instant(std::chrono::seconds(1000)); })
+        , service(
+              settingsOf(slots, waiting), this->history, [] { return Instant(std::chrono::seconds(1000)); },
+              [](std::string_view) {})
     {
     }
 
