--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -224,8 +224,10 @@
     if (outcome == MergeOutcome::Ignored || outcome == MergeOutcome::Unknown)
         return;
     const Member &member = this->table.find(idHash)->member;
-    if (member.state == MemberState::Suspect)
+    if (member.state == MemberState::Suspect) {
         this->table.setSuspectDeadline(idHash, now + this->suspicionTime());
+        this->noteTroubledZone(member);
+    }
     if (this->hooks.memberChanged)
         this->hooks.memberChanged(member);
 }
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -150,6 +150,8 @@
     void checkSuspects(Instant now);
     void callSuspect(Instant now, const MemberRecord &record);
     void ping(const MemberRecord &record);
+    void noteTroubledZone(const Member &suspect);
+    bool probeTroubledZone(Instant now); // False when there is nobody left to probe in it.
     void reconnect(Instant now);
     void handlePing(Instant now, const std::string &from, const Datagram &datagram);
     void handlePingRequest(Instant now, const Datagram &datagram, const std::string &from);
@@ -203,6 +205,9 @@
     std::vector<std::uint64_t> zoneRing; // Still to be probed in this pass; each pass is shuffled anew.
     std::vector<std::uint64_t> otherRing;
 
+    std::string troubledZone;         // Another zone with several suspects.
+    std::uint32_t troubledProbes = 0; // Extra probes still to be sent into it.
+
     // From 0 (well) to 8: raised by its own failed probes, by refutations and pauses, lowered by answers. A
     // node that is itself slow waits longer before it suspects others.
     std::uint32_t health = 0;
--- a/Libraries/LibMembership/MembershipProbe.cpp
+++ b/Libraries/LibMembership/MembershipProbe.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::uint32_t worstHealth = 8;
 constexpr Duration relayLifetime = Milliseconds(5000);
+constexpr std::size_t suspectsOfTroubledZone = 2;
+constexpr std::uint32_t probesOfTroubledZone = 6;
 constexpr std::size_t maximumRelays = 256; // What others may make this node remember.
 
 } // namespace
@@ -33,10 +35,52 @@
     if (!zonePeers.empty())
         this->startProbe(now, this->nextInRing(this->zoneRing, zonePeers));
     const bool crossing = zonePeers.empty() || this->probeRounds % this->settings.crossZoneEvery == 0;
-    if (crossing && !otherPeers.empty())
+    const bool helped = this->troubledProbes > 0 && this->probeTroubledZone(now);
+    if (crossing && !helped && !otherPeers.empty())
         this->startProbe(now, this->nextInRing(this->otherRing, otherPeers));
 }
 
+// Load: a zone of 260 is lost, and nobody inside is left to notice. Harm: the few probes that come from
+// outside take half a minute to reach its last member, and callers go on choosing it. Two suspects of one
+// zone are a sign of more, so for some seconds every node probes it once a second; for one suspect alone it
+// does not.
+void Membership::noteTroubledZone(const Member &suspect)
+{
+    if (suspect.zone == this->own.zone)
+        return;
+    std::size_t suspects = 0;
+    for (const std::uint64_t idHash : this->table.suspects())
+        suspects += this->table.find(idHash)->member.zone == suspect.zone ? 1 : 0;
+    if (suspects < suspectsOfTroubledZone)
+        return;
+    this->troubledZone = suspect.zone;
+    this->troubledProbes = probesOfTroubledZone;
+}
+
+// With nobody left to suspect in that zone, any other will do: a region that was cut off has several.
+bool Membership::probeTroubledZone(Instant now)
+{
+    --this->troubledProbes;
+    const std::vector<std::uint64_t> &peers = this->table.otherPeers();
+    std::uniform_int_distribution<std::size_t> any(0, peers.empty() ? 0 : peers.size() - 1);
+    const std::size_t first = any(this->random);
+    const MemberRecord *target = nullptr;
+    for (std::size_t i = 0; i < peers.size(); ++i) {
+        const MemberRecord *record = this->table.find(peers[(first + i) % peers.size()]);
+        if (record->member.state != MemberState::Alive)
+            continue;
+        target = target == nullptr ? record : target;
+        if (record->member.zone != this->troubledZone)
+            continue;
+        target = record;
+        break;
+    }
+    if (target == nullptr)
+        return false;
+    this->startProbe(now, target->idHash);
+    return true;
+}
+
 // Every member comes up once in a pass, so the time to its next probe is bounded.
 std::uint64_t Membership::nextInRing(std::vector<std::uint64_t> &ring,
                                      const std::vector<std::uint64_t> &members)
