--- a/Meta/prove/prove.py
+++ b/Meta/prove/prove.py
@@ -29,7 +29,7 @@
     ("drop-answers", "platform-lost"), ("shed", "drain"), ("misleading", "kill-node"), ("cold", "herd"),
     ("caller-cut", "platform-down"), ("platform-silent", "kill-node"), ("drain-node", "platform-lost"),
     ("drain-node", "drain"), ("peers-silent", "platform-lost"), ("peers-silent", "kill-node"),
-    ("peers-late", "pause-node"), ("peers-cut", "shed"), ("peers-hole", "kill-upstream"),
+    ("kill-node", "platform-down"), ("herd", "platform-cut"), ("peers-late", "pause-node"), ("peers-cut", "shed"), ("peers-hole", "kill-upstream"),
 ]
 
 
