LibHistory: Judge the version of a call where it is routed

The traces show idempotent calls whose first attempt met a silent connection for a second; the next attempt went on by the version that the call was routed by, to a member that the node knew as present. Change: narrowed by this case only: the first placement of a call is judged as before, each later one must name the same version, or the call would be routed by two. Clusters and members are judged for every attempt as before.

--- a/Tests/LibHistory/TestCheckers.cpp
+++ b/Tests/LibHistory/TestCheckers.cpp
@@ -135,6 +135,15 @@
              recordsOf<NodePlaced>(history, [](const NodePlaced &event) { return event.version == 3; });
          eventOf<NodePlaced>(placed.back()).version = 2;
      }},
+    {"a call routed by two versions", PromisePoint::NoDanglingRoute,
+     [](History &history, Random &) {
+         auto placed =
+             recordsOf<NodePlaced>(history, [](const NodePlaced &event) { return event.version == 3; });
+         const HistoryRecord record = *placed.back();
+         NodePlaced again = std::get<NodePlaced>(record.event);
+         again.version = 2;
+         addEvent(history, millisecondsOf(&record) + 20, record.process, again);
+     }},
     {"a bad version applied", PromisePoint::WholeVersions,
      [](History &history, Random &random) {
          auto offers = recordsOf<NodeOffered>(history, [](const NodeOffered &offer) { return offer.valid; });
@@ -326,6 +335,13 @@
          eventOf<FaultBegan>(recordsOf<FaultBegan>(history).front()).fault = "leaving";
          eventOf<CallerLost>(recordsOf<CallerLost>(history).front()).sent = false;
      }},
+    {"a second attempt by the version that its call was routed by", PromisePoint::NoDanglingRoute,
+     [](History &history, Random &) {
+         auto placed =
+             recordsOf<NodePlaced>(history, [](const NodePlaced &event) { return event.version == 1; });
+         const HistoryRecord record = *placed.front();
+         addEvent(history, 9'900, record.process, record.event);
+     }},
     {"a member that died a moment ago", PromisePoint::NoDanglingRoute,
      [](History &history, Random &) {
          auto placed = recordsOf<NodePlaced>(history);
