Node: Write the events that the catalogue promised

Change: bad settings, a taken port, frames of peers that do not check, requests that are refused as bad, spent retry budgets, shedding and silent upstreams are logged; eleven numbers that no part can tell yet are taken out until one does.

--- a/Libraries/LibObserve/Events.h
+++ b/Libraries/LibObserve/Events.h
@@ -33,18 +33,12 @@
     ConfigurationRejected = 2002,
     ConfigurationStale = 2003,
     ConfigurationPullFailed = 2004,
-    HeadPollFailed = 2005,
-    HeadPollRecovered = 2006,
 
     MemberJoined = 3001,
     MemberSuspected = 3002,
     MemberDead = 3003,
     MemberLeft = 3004,
-    MemberRefuted = 3005,
-    GossipFrameInvalid = 3006,
-    IntroducerWriteFailed = 3007,
 
-    PeerConnected = 4001,
     PeerLost = 4002,
     PeerSilent = 4003,
     PeerFrameInvalid = 4004,
@@ -53,10 +47,6 @@
     OutcomeUnknown = 4007,
     RetryBudgetSpent = 4008,
 
-    PlatformUnavailable = 5001,
-    PlatformRecovered = 5002,
-    PlatformThrottled = 5003,
-    ClaimAnswerLost = 5004,
     ClaimRefused = 5005,
 
     UpstreamAnnounced = 6001,
@@ -65,7 +55,6 @@
     UpstreamGone = 6004,
     UpstreamSilent = 6005,
     UpstreamShedding = 6006,
-    UpstreamFailing = 6007,
 
     PublishAccepted = 7001,
     PublishRefused = 7002,
@@ -106,9 +95,6 @@
      "A version at or below the held one was offered and ignored."},
     {EventId::ConfigurationPullFailed, "configuration.pull_failed", LogLevel::Warning,
      "A pull from a peer or the platform failed; it is tried elsewhere."},
-    {EventId::HeadPollFailed, "head.poll_failed", LogLevel::Warning,
-     "The head row could not be read; the held version stays in force."},
-    {EventId::HeadPollRecovered, "head.poll_recovered", LogLevel::Info, "The head row can be read again."},
 
     {EventId::MemberJoined, "member.joined", LogLevel::Info,
      "A node was seen for the first time or came back."},
@@ -117,14 +103,7 @@
     {EventId::MemberDead, "member.dead", LogLevel::Warning,
      "A suspected node did not refute in time; it gets no calls."},
     {EventId::MemberLeft, "member.left", LogLevel::Info, "A node said goodbye."},
-    {EventId::MemberRefuted, "member.refuted", LogLevel::Info,
-     "This node was suspected and refuted it with a higher incarnation."},
-    {EventId::GossipFrameInvalid, "gossip.frame_invalid", LogLevel::Warning,
-     "A gossip frame was malformed and dropped."},
-    {EventId::IntroducerWriteFailed, "introducer.write_failed", LogLevel::Warning,
-     "This node's introducer row could not be written; others still introduce."},
-
-    {EventId::PeerConnected, "peer.connected", LogLevel::Info, "A connection to a peer node stands."},
+
     {EventId::PeerLost, "peer.lost", LogLevel::Warning, "A connection to a peer node broke."},
     {EventId::PeerSilent, "peer.silent", LogLevel::Warning,
      "A connection passed no heartbeat in time and is replaced."},
@@ -138,13 +117,6 @@
     {EventId::RetryBudgetSpent, "retry.budget_spent", LogLevel::Warning,
      "Retries exceed their share of first tries and are held back."},
 
-    {EventId::PlatformUnavailable, "platform.unavailable", LogLevel::Warning,
-     "The platform's table or object store does not answer."},
-    {EventId::PlatformRecovered, "platform.recovered", LogLevel::Info, "The platform answers again."},
-    {EventId::PlatformThrottled, "platform.throttled", LogLevel::Warning,
-     "The platform refused a request for its rate."},
-    {EventId::ClaimAnswerLost, "claim.answer_lost", LogLevel::Info,
-     "The answer to an idempotency claim was lost; the claim is read back."},
     {EventId::ClaimRefused, "claim.refused", LogLevel::Debug,
      "An idempotency key is claimed by another attempt."},
 
@@ -158,8 +130,6 @@
      "The upstream beside this node stopped announcing itself and counts as gone."},
     {EventId::UpstreamShedding, "upstream.shedding", LogLevel::Warning,
      "The upstream sheds calls although its slots are not full."},
-    {EventId::UpstreamFailing, "upstream.failing", LogLevel::Warning,
-     "The upstream's calls fail, whatever its health says."},
 
     {EventId::PublishAccepted, "publish.accepted", LogLevel::Info,
      "A version was accepted: the head row names it."},
--- a/Services/Node/CallerFrontend.cpp
+++ b/Services/Node/CallerFrontend.cpp
@@ -100,8 +100,10 @@
 void CallerFrontend::handle(Worker &worker, HttpRequest request, std::shared_ptr<HttpExchange> exchange) const
 {
     const std::string_view problem = problemOf(request);
-    if (!problem.empty())
+    if (!problem.empty()) {
+        this->context.observer.requestInvalid(problem);
         return refuse(*exchange, 400, problem, 0);
+    }
     const std::string_view path = std::string_view(request.target).substr(0, request.target.find('?'));
     const std::optional<RouteChoice> route = this->hooks.route(request.method, path);
     if (!route && !this->hooks.holdsConfiguration())
--- a/Services/Node/ForwardedCall.cpp
+++ b/Services/Node/ForwardedCall.cpp
@@ -205,12 +205,15 @@
         notRun ? std::max(this->plan.maximumRetries, maximumTriesAfterRefusal) : this->plan.maximumRetries;
     if (this->attempts.size() > allowed || now + gateMargin >= this->plan.deadline)
         return false;
+    bool withinBudget = false;
     {
         const std::lock_guard guard(this->service->mutex);
-        if (!this->service->retries.tryRetry(now))
-            return false;
+        withinBudget = this->service->retries.tryRetry(now);
     }
-    return this->placeAndSend();
+    if (withinBudget)
+        return this->placeAndSend();
+    this->context.observer.retryDenied(this->plan.cluster);
+    return false;
 }
 
 void ForwardedCall::finish(CallResponse response)
--- a/Services/Node/LocalGate.cpp
+++ b/Services/Node/LocalGate.cpp
@@ -285,6 +285,7 @@
 {
     const std::string_view said = findHeader(response.headers, "Sagecrank-Outcome");
     if (response.status == statusUnavailable && said == outcomeNames.name(Outcome::NotRun)) {
+        this->observer.upstreamShed(call->request.cluster);
         this->freeSlot(call, CallEnd::Shed);
         return this->refuse(call, reasonShed, retryAfterOf(response));
     }
--- a/Services/Node/Main.cpp
+++ b/Services/Node/Main.cpp
@@ -26,6 +26,8 @@
     const auto started = node.start();
     if (!started) {
         std::cerr << started.error().describe() << "\n";
+        Sagecrank::EventLog("sagecrank-node", {})
+            .write(Sagecrank::EventId::ListenFailed, {{"peer", started.error().peer}});
         return exitCannotStart;
     }
     node.run();
@@ -48,6 +50,8 @@
     const auto settings = Sagecrank::readNodeSettings(values["settings"].as<std::string>());
     if (!settings) {
         std::cerr << settings.error().describe() << "\n";
+        Sagecrank::EventLog("sagecrank-node", {})
+            .write(Sagecrank::EventId::SettingsInvalid, {{"file", settings.error().peer}});
         return exitBadSettings;
     }
     if (values.count("check") > 0) {
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -87,7 +87,8 @@
     , platform(this->control, platformSettings(this->settings))
     , claims(this->control, this->platform.tablePort())
     , gate(this->settings.id, this->claims.hooks(), this->history, this->observer)
-    , presence({[this](const UpstreamAnnouncement &announcement) { this->gate.announce(announcement); },
+    , presence({[this](const std::string &cluster) { this->nodeLog.upstreamSilent(cluster); },
+                [this](const UpstreamAnnouncement &announcement) { this->gate.announce(announcement); },
                 [this](const std::string &cluster, UpstreamState state, std::uint32_t slots) {
                     this->nodeLog.upstreamChanged(cluster, state, slots);
                     this->plane.announceUpstream(cluster, state, slots);
--- a/Services/Node/NodeLog.cpp
+++ b/Services/Node/NodeLog.cpp
@@ -79,6 +79,11 @@
         this->seen.erase(entry);
 }
 
+void NodeLog::upstreamSilent(const std::string &cluster)
+{
+    this->log.write(EventId::UpstreamSilent, {{"cluster", cluster}});
+}
+
 void NodeLog::upstreamChanged(const std::string &cluster, UpstreamState state, std::uint32_t slots)
 {
     this->log.write(eventOf(state), {{"cluster", cluster}, {"slots", slots}});
--- a/Services/Node/PeerServer.cpp
+++ b/Services/Node/PeerServer.cpp
@@ -13,15 +13,17 @@
 
 struct PeerServer::State
 {
-    State(GateHome home, LocalGate &gate)
+    State(GateHome home, LocalGate &gate, RequestObserver &observer)
         : home(home)
         , gate(gate)
+        , observer(observer)
         , acceptor(home.context)
     {
     }
 
     GateHome home;
     LocalGate &gate;
+    RequestObserver &observer;
     tcp::acceptor acceptor;
 };
 
@@ -41,7 +43,7 @@
         hooks.frame = [self = this->shared_from_this()](FrameType type, std::span<const char> payload) {
             self->takeFrame(type, payload);
         };
-        hooks.closed = [self = this->shared_from_this()](const Error &) { self->closed(); };
+        hooks.closed = [self = this->shared_from_this()](const Error &reason) { self->closed(reason); };
         const auto opened =
             std::make_shared<FramedConnection>(std::move(socket), maximumFrameSize, std::move(hooks));
         this->connection = opened;
@@ -110,8 +112,10 @@
 
     // The node that sent the calls cannot be answered any more: what waits is taken out, what may be cut off
     // is.
-    void closed()
+    void closed(const Error &reason)
     {
+        if (reason.kind == ErrorKind::InvalidInput || reason.kind == ErrorKind::TooLarge)
+            this->server->observer.peerFrameInvalid(this->peer, reason);
         const auto open = this->calls;
         for (const auto &[callId, call] : open) {
             if (call)
@@ -151,8 +155,8 @@
 
 } // namespace
 
-PeerServer::PeerServer(GateHome home, LocalGate &gate)
-    : state(std::make_shared<State>(home, gate))
+PeerServer::PeerServer(GateHome home, LocalGate &gate, RequestObserver &observer)
+    : state(std::make_shared<State>(home, gate, observer))
 {
 }
 
--- a/Services/Node/PeerServer.h
+++ b/Services/Node/PeerServer.h
@@ -15,7 +15,7 @@
 class PeerServer
 {
 public:
-    PeerServer(GateHome home, LocalGate &gate);
+    PeerServer(GateHome home, LocalGate &gate, RequestObserver &observer);
     ~PeerServer();
     PeerServer(const PeerServer &) = delete;
     PeerServer &operator=(const PeerServer &) = delete;
--- a/Services/Node/RequestObserver.cpp
+++ b/Services/Node/RequestObserver.cpp
@@ -75,6 +75,27 @@
     this->upstreamSeconds.record(nanoseconds(took));
 }
 
+void RequestObserver::retryDenied(const std::string &cluster)
+{
+    this->log.write(EventId::RetryBudgetSpent, {{"cluster", cluster}});
+}
+
+void RequestObserver::upstreamShed(const std::string &cluster)
+{
+    this->log.write(EventId::UpstreamShedding, {{"cluster", cluster}});
+}
+
+void RequestObserver::requestInvalid(std::string_view reason)
+{
+    this->log.write(EventId::CallerRequestInvalid, {{"reason", reason}});
+}
+
+void RequestObserver::peerFrameInvalid(const std::string &peer, const Error &reason)
+{
+    this->log.write(EventId::PeerFrameInvalid,
+                    {{"peer", peer}, {"step", reason.step}, {"message", reason.message}});
+}
+
 void RequestObserver::peerLost(const std::string &peer, const Error &reason)
 {
     const EventId event = reason.kind == ErrorKind::Timeout ? EventId::PeerSilent : EventId::PeerLost;
--- a/Services/Node/RequestObserver.h
+++ b/Services/Node/RequestObserver.h
@@ -29,7 +29,11 @@
     void gateRefused(std::string_view reason);
     void gateWaited(Duration waited);
     void upstreamTook(Duration took);
+    void retryDenied(const std::string &cluster); // The budget was spent.
+    void upstreamShed(const std::string &cluster);
+    void requestInvalid(std::string_view reason);
     void peerLost(const std::string &peer, const Error &reason);
+    void peerFrameInvalid(const std::string &peer, const Error &reason);
 
     EventLog &eventLog() { return this->log; }
 
--- a/Services/Node/UpstreamPresence.cpp
+++ b/Services/Node/UpstreamPresence.cpp
@@ -37,8 +37,10 @@
 {
     const std::lock_guard guard(this->mutex);
     const bool present = this->lastState != UpstreamState::None && this->lastState != UpstreamState::Gone;
-    if (present && now - this->renewedAt > announcementLife)
-        this->tell(this->last, UpstreamState::Gone);
+    if (!present || now - this->renewedAt <= announcementLife)
+        return;
+    this->hooks.silent(this->last.cluster);
+    this->tell(this->last, UpstreamState::Gone);
 }
 
 void UpstreamPresence::drain()
--- a/Services/Node/UpstreamPresence.h
+++ b/Services/Node/UpstreamPresence.h
@@ -20,6 +20,7 @@
 
 struct UpstreamPresenceHooks
 {
+    std::function<void(const std::string &cluster)> silent; // It stopped announcing itself.
     std::function<void(const UpstreamAnnouncement &)> gate; // At every announcement.
     std::function<void(const std::string &cluster, UpstreamState state, std::uint32_t slots)>
         membership; // At changes.
--- a/Services/Node/Worker.cpp
+++ b/Services/Node/Worker.cpp
@@ -32,7 +32,7 @@
           [this, callers = std::move(callers)](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
               callers(*this, std::move(request), std::move(exchange));
           })
-    , peerServer(GateHome{this->context, this->client}, gate)
+    , peerServer(GateHome{this->context, this->client}, gate, observer)
 {
 }
 
--- a/Tests/Node/GateFixture.h
+++ b/Tests/Node/GateFixture.h
@@ -74,7 +74,8 @@
     std::vector<std::shared_ptr<HttpExchange>> exchanges;
     HttpServer upstream;
     HistoryRecorder history{"gate", false};
-    EventLog log{"gate", {}, [](LogLevel, const std::string &) {}};
+    std::vector<std::string> logged;
+    EventLog log{"gate", {}, [this](LogLevel, const std::string &line) { this->logged.push_back(line); }};
     Metrics metrics;
     SpanRing spans{64};
     RequestObserver observer{this->log, this->metrics, this->spans};
--- a/Tests/Node/TestNodeDrain.cpp
+++ b/Tests/Node/TestNodeDrain.cpp
@@ -27,8 +27,10 @@
 {
 public:
     UpstreamPresence presence{
-        {[this](const UpstreamAnnouncement &announcement) { this->gate.push_back(announcement.condition); },
+        {[this](const std::string &cluster) { this->silent.push_back(cluster); },
+         [this](const UpstreamAnnouncement &announcement) { this->gate.push_back(announcement.condition); },
          [this](const std::string &, UpstreamState state, std::uint32_t) { this->told.push_back(state); }}};
+    std::vector<std::string> silent;
     std::vector<UpstreamCondition> gate;
     std::vector<UpstreamState> told;
     Instant start = Instant() + std::chrono::hours(1);
@@ -87,6 +89,7 @@
     fixture.presence.advance(fixture.start + Milliseconds(3001));
     fixture.presence.advance(fixture.start + Milliseconds(4000));
     cr_assert(fixture.told == std::vector({UpstreamState::Ready, UpstreamState::Gone}));
+    cr_assert(fixture.silent == std::vector<std::string>{"booking"});
     cr_assert(fixture.gate.back() == UpstreamCondition::NotReady);
     fixture.presence.announced(fixture.start + Milliseconds(5000), fixture.booking, UpstreamState::Ready);
     cr_assert(fixture.told.back() == UpstreamState::Ready);
--- a/Tests/Node/TestPeerServer.cpp
+++ b/Tests/Node/TestPeerServer.cpp
@@ -59,7 +59,7 @@
 {
 public:
     PeerServerFixture()
-        : server({this->context, this->client}, this->gate)
+        : server({this->context, this->client}, this->gate, this->observer)
     {
         cr_assert(this->server.listen("127.0.0.1:0").has_value());
         this->link = std::make_shared<PeerLink>(this->context, this->server.address(), linkSettings(),
@@ -117,6 +117,8 @@
     fixture.call("good");
     cr_assert(fixture.runUntil([&] { return fixture.began.size() == 1; }));
     cr_assert(fixture.closesAfter(row.bytes), "%s", row.what);
+    cr_assert(fixture.logged.size() == 1, "%s", row.what);
+    cr_assert(fixture.logged[0].find("peer.frame_invalid") != std::string::npos);
     fixture.exchanges[0]->respond(makeResponse(200, "text/plain", "well"));
     cr_assert(fixture.runUntil([&] { return fixture.answered("good"); }));
     cr_assert(fixture.answers["good"].body == "well", "%s", row.what);
