--- a/Services/Node/LocalGate.cpp
+++ b/Services/Node/LocalGate.cpp
@@ -86,14 +86,11 @@
     GateDecision refusal;
     {
         const std::lock_guard guard(this->mutex);
+        const Instant now = SteadyClock::now();
         const CallFacts facts{call->request.callClass, call->deadline};
-        if (!this->gate.wouldAdmit(SteadyClock::now(), facts))
-            refusal = this->gate.offer(SteadyClock::now(), facts, actions);
-        // The gate may have changed its mind between the two; the place it gave is then handed back.
-        if (refusal.ticket != 0) {
-            this->gate.finish(SteadyClock::now(), refusal.ticket, CallEnd::Cancelled, actions);
-            this->gate.cancel(SteadyClock::now(), refusal.ticket, actions);
-        }
+        // At the same instant offer() refuses exactly what wouldAdmit() denies, and says why.
+        if (!this->gate.wouldAdmit(now, facts))
+            refusal = this->gate.offer(now, facts, actions);
     }
     this->perform(std::move(actions));
     if (refusal.reason != RefusalReason::None)
