Node: Let a route's own timeout stand above the node's maximum

Cause: the node's maximum for callers' deadlines also cut the timeout that operators give a route, so a nightly pull of a minute ended as unknown after 30 s without a word. Change: the maximum bounds what callers ask for, and not below the route's own.

--- a/Services/Node/CallerFrontend.cpp
+++ b/Services/Node/CallerFrontend.cpp
@@ -119,7 +119,10 @@
     plan.maximumRetries = route->maximumRetries;
     plan.configurationVersion = route->configurationVersion;
     const Instant arrived = SteadyClock::now();
-    plan.deadline = arrived + this->timeoutOf(request, *route);
+    std::optional<Milliseconds> asked;
+    if (const auto milliseconds = wholeNumber(findHeader(request.headers, "Sagecrank-Deadline-Ms")))
+        asked = Milliseconds(*milliseconds);
+    plan.deadline = arrived + callTimeout(asked, route->timeout, this->maximumTimeout);
 
     CallRequest call = makeCall(std::move(request), *route);
     if (call.callerCallId.empty())
@@ -150,13 +153,11 @@
     forwarded->start();
 }
 
-Duration CallerFrontend::timeoutOf(const HttpRequest &request, const RouteChoice &route) const
+Milliseconds callTimeout(std::optional<Milliseconds> asked, Milliseconds routes, Milliseconds maximum)
 {
-    const std::optional<std::int64_t> asked =
-        wholeNumber(findHeader(request.headers, "Sagecrank-Deadline-Ms"));
-    const std::int64_t limit = this->maximumTimeout.count();
-    const std::int64_t own = std::min<std::int64_t>(route.timeout.count(), limit);
-    return Milliseconds(asked ? std::min(*asked, limit) : own);
+    if (!asked)
+        return routes;
+    return std::min(*asked, std::max(routes, maximum));
 }
 
 CallRequest CallerFrontend::makeCall(HttpRequest request, const RouteChoice &route)
--- a/Services/Node/CallerFrontend.h
+++ b/Services/Node/CallerFrontend.h
@@ -35,6 +35,10 @@
     std::function<void()> ended;
 };
 
+// How long a call may take: what its caller asked for, else what its route says. A caller may ask for more
+// than the node's maximum only where the operators gave the route more themselves.
+Milliseconds callTimeout(std::optional<Milliseconds> asked, Milliseconds routes, Milliseconds maximum);
+
 class CallerFrontend
 {
 public:
@@ -43,7 +47,6 @@
     void handle(Worker &worker, HttpRequest request, std::shared_ptr<HttpExchange> exchange) const;
 
 private:
-    Duration timeoutOf(const HttpRequest &request, const RouteChoice &route) const;
     static CallRequest makeCall(HttpRequest request, const RouteChoice &route);
     static HttpResponse makeAnswer(CallResponse response, const std::string &traceParent,
                                    const std::string &callerCallId);
