--- a/Utilities/PolicyBench/Fleet.cpp
+++ b/Utilities/PolicyBench/Fleet.cpp
@@ -60,6 +60,7 @@
             host.upstream = std::make_unique<FakeUpstream>(this->timeline, this->outcome, makeGate,
                                                            this->shape.slots, announce);
             host.node = std::make_unique<FakeNode>(this->timeline, policy, seed * 2003 + index, services);
+            host.connections = std::make_unique<CallerConnections>(this->timeline, this->shape.connections);
             for (const Fault &fault : this->scenario.faults) {
                 if (fault.service != service || fault.server != server)
                     continue;
@@ -152,11 +153,31 @@
     call->callClass = wish.callClass;
     call->work = wish.work;
     call->deadline = wish.sentAt + patience - this->shape.callerWay;
-    call->reply = [this, wish](const Answer &answer) {
-        this->timeline.after(this->shape.callerWay, [this, wish, answer] { this->conclude(wish, answer); });
+    Host &entry = this->hosts[this->entryFor(wish)];
+    call->reply = [this, &entry, wish](const Answer &answer) {
+        this->timeline.after(this->shape.callerWay, [this, &entry, wish, answer] {
+            if (this->scenario.limitedConnections)
+                entry.connections->giveBack();
+            this->conclude(wish, answer);
+        });
     };
-    FakeNode &node = *this->hosts[this->entryFor(wish)].node;
-    this->timeline.after(this->shape.callerWay, [&node, call] { node.receive(call); });
+    this->send(entry, wish, call);
+}
+
+void FakeFleet::send(Host &entry, const Wish &wish, const std::shared_ptr<Call> &call)
+{
+    const auto leave = [this, &entry, call] {
+        this->timeline.after(this->shape.callerWay, [&entry, call] { entry.node->receive(call); });
+    };
+    if (!this->scenario.limitedConnections)
+        return leave();
+    // A caller that got no connection knows that nothing of its call ran.
+    entry.connections->obtain(call->deadline, leave, [this, wish] {
+        Answer answer;
+        answer.reply = Reply::NotRun;
+        answer.retryAfter = 1ms;
+        this->conclude(wish, answer);
+    });
 }
 
 void FakeFleet::conclude(Wish wish, const Answer &answer)
--- a/Utilities/PolicyBench/Fleet.h
+++ b/Utilities/PolicyBench/Fleet.h
@@ -3,6 +3,7 @@
 // are never lost unless a fault says so.
 #pragma once
 
+#include <PolicyBench/CallerConnections.h>
 #include <PolicyBench/FakeNode.h>
 #include <PolicyBench/FakeUpstream.h>
 #include <PolicyBench/Outcome.h>
@@ -34,6 +35,7 @@
         std::string id;
         std::unique_ptr<FakeUpstream> upstream;
         std::unique_ptr<FakeNode> node;
+        std::unique_ptr<CallerConnections> connections;
     };
 
     // What a caller wants; it may attempt it more than once.
@@ -54,6 +56,7 @@
     double arrivalsPerSecond(std::uint32_t service) const;
     Wish draw(std::uint32_t service);
     void attempt(Wish wish);
+    void send(Host &entry, const Wish &wish, const std::shared_ptr<Call> &call);
     void conclude(Wish wish, const Answer &answer);
     void count(const Wish &wish, const Answer &answer, Duration took);
     std::size_t entryFor(const Wish &wish) const;
--- a/Utilities/PolicyBench/Main.cpp
+++ b/Utilities/PolicyBench/Main.cpp
@@ -28,6 +28,7 @@
     bool summary = false;
     bool cost = false;
     std::uint32_t duration = 0; // Seconds; zero keeps the scenario's own.
+    bool connections = false;
     std::vector<std::string> fleets;
     std::vector<std::string> scenarios;
     std::vector<std::string> policies;
@@ -88,6 +89,7 @@
     for (Scenario scenario : scenariosFor(fleet)) {
         if (!wanted(request.scenarios, scenario.name))
             continue;
+        scenario.limitedConnections = request.connections;
         if (request.duration > 0)
             scenario.duration = std::chrono::seconds(request.duration);
         for (const Policy &policy : chosenPolicies(request)) {
@@ -108,6 +110,8 @@
     add("seeds", options::value(&request.seeds), "runs for each row, with seeds 1, 2, ... (default 3)");
     add("duration", options::value(&request.duration), "seconds that callers arrive (default 6)");
     add("ablate", options::bool_switch(&request.ablate), "also measure ours without one mechanism each");
+    add("connections", options::bool_switch(&request.connections),
+        "callers need one of a host's connections (100 or 130) for each call; a new one costs 1 ms");
     add("summary", options::bool_switch(&request.summary), "one row for all classes together");
     add("cost", options::bool_switch(&request.cost), "measure only what one decision costs");
     add("fleet", options::value(&request.fleets),
--- a/Utilities/PolicyBench/Policy.cpp
+++ b/Utilities/PolicyBench/Policy.cpp
@@ -120,11 +120,6 @@
     return ourGateWith(seed, GateSettings{}.maximumQueue);
 }
 
-GateHooks shortQueue(std::uint64_t seed)
-{
-    return ourGateWith(seed, 64);
-}
-
 PlacerHooks ourPlacer(std::uint64_t seed, PlacerSettings settings)
 {
     const auto numbers = std::make_shared<std::mt19937_64>(seed);
@@ -257,14 +252,21 @@
     return hooks;
 }
 
-Policy oursWith(std::string name, GateHooks (*makeGate)(std::uint64_t))
+Policy oursWith(std::string name, std::function<GateHooks(std::uint64_t)> makeGate)
 {
     Policy policy = ours();
     policy.name = std::move(name);
-    policy.makeGate = makeGate;
+    policy.makeGate = std::move(makeGate);
     return policy;
 }
 
+// Ours with another length of queue.
+Policy oursWithQueue(std::uint32_t length)
+{
+    return oursWith("queue-" + std::to_string(length),
+                    [length](std::uint64_t seed) { return ourGateWith(seed, length); });
+}
+
 } // namespace
 
 Policy roundRobin()
@@ -313,7 +315,8 @@
     policies.push_back(oursWith("no-classes", withoutClasses));
     policies.push_back(oursWith("no-adaptive-limit", withoutAdaptiveLimit));
     policies.push_back(oursWith("fixed-return", withFixedReturn));
-    policies.push_back(oursWith("queue-64", shortQueue));
+    for (const std::uint32_t length : {64U, 96U, 128U})
+        policies.push_back(oursWithQueue(length));
 
     Policy hedged = ours();
     hedged.name = "hedges";
--- a/Utilities/PolicyBench/Scenario.cpp
+++ b/Utilities/PolicyBench/Scenario.cpp
@@ -79,14 +79,14 @@
 std::vector<FleetShape> todaysFleets()
 {
     return {
-        FleetShape{"borgbillet", {5, 3}, 6, 3, 500us, 1ms},
-        FleetShape{"borra-limpio", {7, 5}, 12, 4, 500us, 3ms},
+        FleetShape{"borgbillet", {5, 3}, 6, 3, 500us, 1ms, 100},
+        FleetShape{"borra-limpio", {7, 5}, 12, 4, 500us, 3ms, 130},
     };
 }
 
 FleetShape largeService()
 {
-    return FleetShape{"large", {60}, 6, 5, 500us, 1ms};
+    return FleetShape{"large", {60}, 6, 5, 500us, 1ms, 100};
 }
 
 std::vector<Scenario> scenariosFor(const FleetShape &fleet)
--- a/Utilities/PolicyBench/Scenario.h
+++ b/Utilities/PolicyBench/Scenario.h
@@ -18,8 +18,9 @@
     std::vector<std::uint32_t> servers; // For each service.
     std::uint32_t slots;
     std::uint32_t zones;
-    Duration zoneWay;   // One way between two zones.
-    Duration callerWay; // One way between a caller and any node.
+    Duration zoneWay;          // One way between two zones.
+    Duration callerWay;        // One way between a caller and any node.
+    std::uint32_t connections; // That a host takes from callers.
 };
 
 struct ClassLoad
@@ -56,7 +57,8 @@
     double burstFactor = 1; // Demand during a burst, as a multiple.
     Duration burstEvery{};
     Duration burstFor{};
-    bool oneEntryZone = false; // All callers come in through the nodes of one zone.
+    bool limitedConnections = false; // Callers need one of the host's connections for each call.
+    bool oneEntryZone = false;       // All callers come in through the nodes of one zone.
     std::vector<Fault> faults;
     Duration duration = std::chrono::seconds(6);
     Duration membershipLag =
