Meta: Stop a proof run's processes when it is ended

Cause: prove.py died on SIGTERM and left its nodes, upstreams and relays running. Change: the signal raises, so the run's own clean-up stops what it started.

--- a/Meta/prove/prove.py
+++ b/Meta/prove/prove.py
@@ -6,6 +6,7 @@
 import os
 import random
 import shutil
+import signal
 import subprocess
 import sys
 import threading
@@ -212,7 +213,13 @@
         return not self.failed_runs and bool(self.judged) and all(self.judged.values())
 
 
+def end_in_order(*_):
+    """Raises, so that the run under way stops the processes that it started."""
+    sys.exit(128 + signal.SIGTERM)
+
+
 def main():
+    signal.signal(signal.SIGTERM, end_in_order)
     options = parse_arguments()
     summary = Summary()
     print(f"{'faults':32} {'seed':>5} {'calls':>7} {'done':>7} {'not-run':>7} {'unknown':>7} {'lost':>5} "
