Node: Spell each reason of a call once

Change: the reasons stand in CallReasons.h, the queries and the counter behind one of them are gone, one function disturbs every server.

--- a/Libraries/LibNet/FramedConnection.cpp
+++ b/Libraries/LibNet/FramedConnection.cpp
@@ -66,7 +66,6 @@
                 return;
             if (error)
                 return self->close(makeError(ErrorKind::Unavailable, "read from peer", "", error.message()));
-            self->received += size;
             const auto frame = [&self](FrameType type, std::span<const char> payload) {
                 if (self->open)
                     self->hooks.frame(type, payload);
--- a/Libraries/LibNet/FramedConnection.h
+++ b/Libraries/LibNet/FramedConnection.h
@@ -36,7 +36,6 @@
     void close(Error reason);
 
     bool isOpen() const { return this->open; }
-    std::uint64_t bytesReceived() const { return this->received; }
     std::uint64_t bytesSent() const { return this->sent; }
 
     // Bytes that were queued and not yet taken by the socket. A peer that stops reading lets it grow,
@@ -57,7 +56,6 @@
     std::vector<Bytes> waiting; // Not yet handed to the socket.
     std::vector<Bytes> writing; // Stays untouched until its write ends.
     std::size_t waitingBytes = 0;
-    std::uint64_t received = 0;
     std::uint64_t sent = 0;
     bool open = true;
     bool writeInProgress = false;
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -312,9 +312,4 @@
         session->close();
 }
 
-std::size_t HttpServer::connections() const
-{
-    return this->state->sessions.size();
-}
-
 } // namespace Sagecrank
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -61,8 +61,6 @@
     // Ends idle connections too. Runs on the server's thread.
     void closeAll();
 
-    std::size_t connections() const;
-
     struct State; // Only the .cpp file knows what is in it.
 
 private:
--- a/Libraries/LibSource/ClaimKeeper.h
+++ b/Libraries/LibSource/ClaimKeeper.h
@@ -94,7 +94,6 @@
 
     ClaimCounters counters() const;
     std::size_t settlingCount() const { return this->settler.waitingCount(); } // Ends not yet in the table.
-    bool tableLooksDown() const { return this->circuit.isOpen(); }
 
 private:
     enum class Phase : std::uint8_t { Claiming, Running, Recording, Releasing };
--- /dev/null
+++ b/Services/Node/CallReasons.h
@@ -0,0 +1,28 @@
+// Why a call was not run or its outcome is not known, beside the reasons that LibDecide and LibSource give.
+// They stand in answers between nodes and in callers' headers, and placing tells some of them apart, so each
+// is spelt once.
+#pragma once
+
+#include <string_view>
+
+namespace Sagecrank {
+
+// Of the node that a caller reached.
+inline constexpr std::string_view reasonNoUpstream = "no_upstream_present";
+inline constexpr std::string_view reasonCallerDeadline = "deadline_passed";
+
+// Of the connection to another node.
+inline constexpr std::string_view reasonPeerUnreachable = "peer_unreachable";
+inline constexpr std::string_view reasonPeerLost = "peer_connection_lost";
+inline constexpr std::string_view reasonPeerCongested = "peer_congested";
+
+// Of the gate.
+inline constexpr std::string_view reasonKeyInProgress = "key_in_progress";
+inline constexpr std::string_view reasonKeyUnknown = "key_outcome_unknown";
+inline constexpr std::string_view reasonShed = "upstream_shed";
+inline constexpr std::string_view reasonUnreachable = "upstream_unreachable";
+inline constexpr std::string_view reasonBroken = "upstream_broke_off";
+inline constexpr std::string_view reasonDeadline = "deadline_passed_while_running";
+inline constexpr std::string_view reasonCancelled = "cancelled";
+
+} // namespace Sagecrank
--- a/Services/Node/ForwardedCall.cpp
+++ b/Services/Node/ForwardedCall.cpp
@@ -1,6 +1,7 @@
 // Placing, sending, retrying and answering one call.
 #include "ForwardedCall.h"
 
+#include "CallReasons.h"
 #include "GateCall.h"
 
 #include <algorithm>
@@ -9,9 +10,6 @@
 
 namespace {
 
-constexpr std::string_view reasonNoUpstream = "no_upstream_present";
-constexpr std::string_view reasonDeadline = "deadline_passed";
-
 // A call that a gate refused as not run may be sent to another gate at most this often, whatever its route
 // says: such a retry is safe, but under full load every gate refuses.
 constexpr std::uint32_t maximumTriesAfterRefusal = 2;
@@ -39,14 +37,14 @@
     case Outcome::NotRun: {
         const bool nothingThere = response.reason == reasonPeerUnreachable
                                   || response.reason == reasonPeerLost
-                                  || response.reason == "upstream_unreachable";
+                                  || response.reason == reasonUnreachable;
         return nothingThere ? PlacedEnd::Failed : PlacedEnd::RefusedNotRun;
     }
     case Outcome::Unknown:
         break;
     }
     // A key that another attempt holds says nothing about the upstream.
-    return response.reason == "key_in_progress" ? PlacedEnd::RefusedNotRun : PlacedEnd::Unknown;
+    return response.reason == reasonKeyInProgress ? PlacedEnd::RefusedNotRun : PlacedEnd::Unknown;
 }
 
 } // namespace
@@ -266,7 +264,7 @@
             return;
         CallResponse response;
         response.outcome = Outcome::Unknown;
-        response.reason = reasonDeadline;
+        response.reason = reasonCallerDeadline;
         response.status = 504;
         response.retryAfterMilliseconds = 1000;
         self->finish(std::move(response));
--- a/Services/Node/ForwardedCall.h
+++ b/Services/Node/ForwardedCall.h
@@ -56,8 +56,6 @@
     // The caller has gone: nothing is answered any more, and what may be cut off is.
     void abandon();
 
-    std::uint32_t attemptsMade() const { return static_cast<std::uint32_t>(this->attempts.size()); }
-
 private:
     struct Attempt
     {
--- a/Services/Node/LocalGate.cpp
+++ b/Services/Node/LocalGate.cpp
@@ -1,6 +1,7 @@
 // The way of a call through the gate: claim, admit, run, answer.
 #include "LocalGate.h"
 
+#include "CallReasons.h"
 #include "GateCall.h"
 
 #include <boost/asio/post.hpp>
@@ -11,15 +12,6 @@
 
 namespace {
 
-// Refusals that LibDecide does not know of, beside its own reasons.
-constexpr std::string_view reasonKeyInProgress = "key_in_progress";
-constexpr std::string_view reasonKeyUnknown = "key_outcome_unknown";
-constexpr std::string_view reasonShed = "upstream_shed";
-constexpr std::string_view reasonUnreachable = "upstream_unreachable";
-constexpr std::string_view reasonBroken = "upstream_broke_off";
-constexpr std::string_view reasonDeadline = "deadline_passed_while_running";
-constexpr std::string_view reasonCancelled = "cancelled";
-
 constexpr std::uint32_t statusConflict = 409;
 constexpr std::uint32_t statusUnavailable = 503;
 constexpr std::uint32_t statusGatewayTimeout = 504;
--- a/Services/Node/PeerLink.cpp
+++ b/Services/Node/PeerLink.cpp
@@ -1,6 +1,8 @@
 // Connecting, pairing answers with calls, and finding silent connections.
 #include "PeerLink.h"
 
+#include "CallReasons.h"
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
--- a/Services/Node/PeerLink.h
+++ b/Services/Node/PeerLink.h
@@ -27,11 +27,6 @@
     std::size_t maximumWaitingBytes = std::size_t{8} << 20; // More than this unsent, and calls are refused.
 };
 
-// Reasons of a call that the link itself ended.
-inline constexpr std::string_view reasonPeerUnreachable = "peer_unreachable";
-inline constexpr std::string_view reasonPeerLost = "peer_connection_lost";
-inline constexpr std::string_view reasonPeerCongested = "peer_congested";
-
 // Belongs to one io_context that one thread runs.
 class PeerLink : public std::enable_shared_from_this<PeerLink>
 {
@@ -50,7 +45,6 @@
     // Tells the other side that nobody waits any more, and forgets the answer hook.
     void cancel(std::uint64_t callId);
 
-    std::size_t outstanding() const { return this->calls.size(); }
     bool unusedSince(Instant before) const { return this->calls.empty() && this->usedAt < before; }
 
 private:
--- a/Services/Node/RequestObserver.h
+++ b/Services/Node/RequestObserver.h
@@ -35,8 +35,6 @@
     void peerLost(const std::string &peer, const Error &reason);
     void peerFrameInvalid(const std::string &peer, const Error &reason);
 
-    EventLog &eventLog() { return this->log; }
-
 private:
     static constexpr std::size_t outcomeCount = std::size(outcomeNames.rows);
     static constexpr std::size_t classCount = std::size(callClassNames.rows);
--- a/Utilities/PolicyBench/Scenario.cpp
+++ b/Utilities/PolicyBench/Scenario.cpp
@@ -52,14 +52,20 @@
     return scenario;
 }
 
-// Every server bears half of what it announces.
-Scenario allShed(const FleetShape &fleet)
+void disturbEveryServer(Scenario &scenario, const FleetShape &fleet, FaultKind kind, Duration from,
+                        Duration until, double factor)
 {
-    Scenario scenario = plain("all-shed", 0.45);
     for (std::uint32_t service = 0; service < fleet.servers.size(); ++service) {
         for (std::uint32_t server = 0; server < fleet.servers[service]; ++server)
-            scenario.faults.push_back(Fault{FaultKind::Sheds, service, server, 1500ms, 4500ms, 0.5});
+            scenario.faults.push_back(Fault{kind, service, server, from, until, factor});
     }
+}
+
+// Every server bears half of what it announces.
+Scenario allShed(const FleetShape &fleet)
+{
+    Scenario scenario = plain("all-shed", 0.45);
+    disturbEveryServer(scenario, fleet, FaultKind::Sheds, 1500ms, 4500ms, 0.5);
     return scenario;
 }
 
@@ -67,10 +73,7 @@
 Scenario allSlow(const FleetShape &fleet)
 {
     Scenario scenario = plain("all-slow", 0.6);
-    for (std::uint32_t service = 0; service < fleet.servers.size(); ++service) {
-        for (std::uint32_t server = 0; server < fleet.servers[service]; ++server)
-            scenario.faults.push_back(Fault{FaultKind::Slow, service, server, 1500ms, 3500ms, 30});
-    }
+    disturbEveryServer(scenario, fleet, FaultKind::Slow, 1500ms, 3500ms, 30);
     return scenario;
 }
 
