--- a/Utilities/FleetBench/Commands.h
+++ b/Utilities/FleetBench/Commands.h
@@ -26,6 +26,11 @@
 // Cost of a full-size mesh for one node, with the state machines alone.
 int runTableBench(const BenchSettings &settings);
 
+// A whole mesh of state machines in fake time: how long a drain, the loss and return of a zone and the heal
+// of an hour's split take, and what the busiest node sends meanwhile. Memory grows with the square of
+// members.
+int runMeshBench(const BenchSettings &settings);
+
 // Publishes one version of generated content and prints when it was accepted.
 int runPublish(const BenchSettings &settings);
 
--- a/Utilities/FleetBench/Main.cpp
+++ b/Utilities/FleetBench/Main.cpp
@@ -15,12 +15,12 @@
     namespace options = boost::program_options;
     BenchSettings settings;
     options::options_description description(
-        "sagecrank-fleet-bench [table|publish|polling|push]: cost of a mesh for its nodes");
+        "sagecrank-fleet-bench [table|mesh|publish|polling|push]: cost of a mesh for its nodes");
     auto add = description.add_options();
     add("help", "show this text");
     add("command", options::value(&settings.command), "what to measure (default: table)");
-    add("members", options::value(&settings.members), "members of the mesh (table)");
-    add("zones", options::value(&settings.zones), "zones of the mesh (table)");
+    add("members", options::value(&settings.members), "members of the mesh (table, mesh)");
+    add("zones", options::value(&settings.zones), "zones of the mesh (table, mesh)");
     add("services", options::value(&settings.services), "services of each site");
     add("routes", options::value(&settings.routes), "routes of each service");
     add("platform", options::value(&settings.platform), "address of table and objects, ip:port");
@@ -42,7 +42,11 @@
         return 2;
     }
     const std::map<std::string, std::function<int(const BenchSettings &)>> commands = {
-        {"table", runTableBench}, {"publish", runPublish}, {"polling", runPolling}, {"push", runPush}};
+        {"table", runTableBench},
+        {"mesh", runMeshBench},
+        {"publish", runPublish},
+        {"polling", runPolling},
+        {"push", runPush}};
     const auto command = commands.find(settings.command);
     if (values.contains("help") || command == commands.end()) {
         std::cout << description;
--- a/Utilities/FleetBench/StandInMesh.cpp
+++ b/Utilities/FleetBench/StandInMesh.cpp
@@ -43,18 +43,30 @@
     return member;
 }
 
-Membership &StandInMesh::add(MembershipSettings settings, std::uint64_t seed)
+std::unique_ptr<Membership> StandInMesh::make(std::size_t index, MembershipSettings settings,
+                                              std::uint64_t incarnation, std::uint64_t seed)
 {
-    const std::size_t index = this->machines.size();
     MembershipHooks hooks;
     hooks.send = [this, index](const std::string &address, const std::string &bytes) {
-        this->packets.push_back({index, indexOf(address), bytes});
+        const std::size_t to = indexOf(address);
+        if (!this->cut || !this->cut(index, to))
+            this->packets.push_back({index, to, bytes});
     };
-    this->machines.push_back(std::make_unique<Membership>(
-        std::move(settings), makeMember(this->shape, index, 1), std::move(hooks), seed));
+    return std::make_unique<Membership>(std::move(settings), makeMember(this->shape, index, incarnation),
+                                        std::move(hooks), seed);
+}
+
+Membership &StandInMesh::add(MembershipSettings settings, std::uint64_t seed)
+{
+    this->machines.push_back(this->make(this->machines.size(), std::move(settings), 1, seed));
     return *this->machines.back();
 }
 
+void StandInMesh::restart(std::size_t index, MembershipSettings settings, std::uint64_t incarnation)
+{
+    this->machines[index] = this->make(index, std::move(settings), incarnation, incarnation + index);
+}
+
 void StandInMesh::fill(Membership &machine)
 {
     Datagram datagram;
@@ -84,8 +96,10 @@
     due.swap(this->packets);
     for (const Packet &packet : due)
         this->answer(packet);
-    for (const auto &machine : this->machines)
-        machine->tick(this->now);
+    for (const auto &machine : this->machines) {
+        if (machine)
+            machine->tick(this->now);
+    }
 }
 
 void StandInMesh::run(Duration time)
@@ -97,7 +111,8 @@
 void StandInMesh::answer(const Packet &packet)
 {
     if (packet.to < this->machines.size()) {
-        this->machines[packet.to]->receive(this->now, addressOfMember(packet.from), packet.bytes);
+        if (this->machines[packet.to])
+            this->machines[packet.to]->receive(this->now, addressOfMember(packet.from), packet.bytes);
         return;
     }
     const Result<Datagram> decoded = decodeDatagram(packet.bytes, "");
--- a/Utilities/FleetBench/StandInMesh.h
+++ b/Utilities/FleetBench/StandInMesh.h
@@ -5,6 +5,7 @@
 #include <LibMembership/Membership.h>
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -31,6 +32,7 @@
 
     // The members from 0 on are real machines; the others are stand-ins.
     Membership &add(MembershipSettings settings, std::uint64_t seed);
+    void restart(std::size_t index, MembershipSettings settings, std::uint64_t incarnation);
     void fill(Membership &machine); // Tells it of all members, as a mesh that it has long been part of.
 
     void advance(Duration step);
@@ -38,7 +40,8 @@
     void deliver(std::size_t to, const Datagram &datagram); // From a stand-in.
 
     Instant now = Instant(std::chrono::hours(1));
-    std::vector<std::unique_ptr<Membership>> machines;
+    std::vector<std::unique_ptr<Membership>> machines;         // Null while a machine does not run.
+    std::function<bool(std::size_t from, std::size_t to)> cut; // True when nothing passes.
 
 private:
     struct Packet
@@ -48,6 +51,8 @@
         std::string bytes;
     };
 
+    std::unique_ptr<Membership> make(std::size_t index, MembershipSettings settings,
+                                     std::uint64_t incarnation, std::uint64_t seed);
     void answer(const Packet &packet);
 
     MeshShape shape;
