--- a/Libraries/LibMembership/Dissemination.cpp
+++ b/Libraries/LibMembership/Dissemination.cpp
@@ -13,6 +13,7 @@
                                               // change reaches all but about one in ten thousand.
 constexpr std::uint32_t leastTellLimit = 8;   // For a handful of members and one datagram in ten lost.
 constexpr std::uint32_t backlogTellLimit = 4; // With a backlog, the comparison of tables does the rest.
+constexpr std::uint32_t backlogWholeTellLimit = 1; // Whole records cost four times as much.
 constexpr std::size_t backlogSize = 64;
 constexpr std::size_t maximumListed = 255; // A list's length travels in one byte.
 
@@ -65,7 +66,8 @@
             datagram.members.push_back(record->member);
         else
             datagram.briefs.push_back(MemberTable::briefOf(*record));
-        if (++change->told >= limit)
+        const bool crowded = change->whole && this->changes.size() > backlogSize;
+        if (++change->told >= (crowded ? backlogWholeTellLimit : limit))
             this->changes.erase(idHash);
     }
     return used;
--- a/Utilities/FleetBench/MeshBench.cpp
+++ b/Utilities/FleetBench/MeshBench.cpp
@@ -17,12 +17,17 @@
 class MeshRun
 {
 public:
-    MeshRun(const MeshShape &shape)
+    // A mesh that has long been whole, or one whose nodes start at once and know three seeds.
+    MeshRun(const MeshShape &shape, bool fresh)
         : shape(shape)
         , mesh(shape)
     {
+        MembershipSettings settings;
+        settings.seeds = {addressOfMember(0), addressOfMember(1), addressOfMember(2)};
         for (std::size_t i = 0; i < shape.members; ++i)
-            this->mesh.add({}, i + 1);
+            this->mesh.add(fresh ? settings : MembershipSettings{}, i + 1);
+        if (fresh)
+            return;
         for (const auto &machine : this->mesh.machines)
             this->mesh.fill(*machine);
         this->pass(std::chrono::seconds(20));
@@ -119,6 +124,11 @@
         return [present](const Membership &machine) { return machine.members().presentCount() == present; };
     }
 
+    void start()
+    {
+        this->phase("the whole fleet starts", this->counts(this->shape.members), std::chrono::minutes(10));
+    }
+
     void quiet()
     {
         const std::vector<std::uint64_t> before = this->bytes();
@@ -199,7 +209,8 @@
     const MeshShape shape{settings.members, settings.zones, 7, settings.services};
     std::printf("mesh of %zu members in %zu zones, %lld ms a hop\n", shape.members, shape.zones,
                 static_cast<long long>(std::chrono::duration_cast<Milliseconds>(step).count()));
-    MeshRun run(shape);
+    MeshRun(shape, true).start();
+    MeshRun run(shape, false);
     run.quiet();
     run.drain();
     run.head();
