--- a/Libraries/LibCommandLine/CommandLine.cpp
+++ b/Libraries/LibCommandLine/CommandLine.cpp
@@ -9,6 +9,17 @@
 
 namespace options = boost::program_options;
 
+namespace {
+
+std::ostream &printHelp(std::ostream &stream, const CommandLine &line)
+{
+    if (!line.usage.empty())
+        stream << line.usage << "\n";
+    return stream << line.options;
+}
+
+} // namespace
+
 std::optional<int> readCommandLine(CommandLine line, int argumentCount, char **arguments,
                                    options::variables_map &values)
 {
@@ -17,12 +28,13 @@
         options::command_line_parser parser(argumentCount, arguments);
         options::store(parser.options(line.options).positional(line.positional).run(), values);
         if (values.count("help") > 0) {
-            std::cout << line.usage << "\n" << line.options;
+            printHelp(std::cout, line);
             return exitSuccess;
         }
         options::notify(values);
     } catch (const options::error &error) {
-        std::cerr << error.what() << "\n\n" << line.usage << "\n" << line.options;
+        std::cerr << error.what() << "\n\n";
+        printHelp(std::cerr, line);
         return exitUsage;
     }
     return std::nullopt;
--- a/Libraries/LibCommandLine/CommandLine.h
+++ b/Libraries/LibCommandLine/CommandLine.h
@@ -16,7 +16,7 @@
 
 struct CommandLine
 {
-    std::string usage; // Printed before the options.
+    std::string usage; // Printed before the options; may be empty.
     boost::program_options::options_description options;
     boost::program_options::positional_options_description positional;
 };
--- a/Services/PlatformEmulator/Main.cpp
+++ b/Services/PlatformEmulator/Main.cpp
@@ -2,6 +2,7 @@
 // a developer's machine. Keeps everything in memory and forgets it when it ends.
 #include <PlatformEmulator/PlatformService.h>
 
+#include <LibCommandLine/CommandLine.h>
 #include <LibObserve/EventLog.h>
 
 #include <boost/asio/signal_set.hpp>
@@ -18,7 +19,6 @@
 namespace {
 
 constexpr int exitFailure = 1;
-constexpr int exitUsage = 2;
 constexpr std::uint64_t maximumObjectBytes = 16'777'216; // A section of configuration is far smaller.
 
 void runAfter(asio::io_context &context, Milliseconds delay, std::function<void()> step)
@@ -71,23 +71,13 @@
     options::options_description description(
         "sagecrank-platform-emulator: a table and an object store in memory");
     auto add = description.add_options();
-    add("help", "print this text");
     add("listen", options::value(&listen)->default_value("127.0.0.1:9000"), "address to serve, ip:port");
     add("write-rate", options::value(&settings.writeRate)->default_value(settings.writeRate),
         "items written a second, table and objects together");
     add("read-rate", options::value(&settings.readRate)->default_value(settings.readRate),
         "items read a second, table and objects together");
     options::variables_map values;
-    try {
-        options::store(options::parse_command_line(count, arguments, description), values);
-        options::notify(values);
-    } catch (const options::error &error) {
-        std::cerr << error.what() << "\n" << description;
-        return exitUsage;
-    }
-    if (values.count("help") != 0) {
-        std::cout << description;
-        return 0;
-    }
+    if (const auto exitCode = readCommandLine(CommandLine{"", description, {}}, count, arguments, values))
+        return *exitCode;
     return run(listen, settings);
 }
--- a/Services/UpstreamEmulator/Main.cpp
+++ b/Services/UpstreamEmulator/Main.cpp
@@ -3,6 +3,7 @@
 #include <UpstreamEmulator/Announcer.h>
 #include <UpstreamEmulator/WorkService.h>
 
+#include <LibCommandLine/CommandLine.h>
 #include <LibObserve/EventLog.h>
 
 #include <boost/asio/signal_set.hpp>
@@ -19,7 +20,6 @@
 namespace {
 
 constexpr int exitFailure = 1;
-constexpr int exitUsage = 2;
 
 struct Settings
 {
@@ -152,7 +152,6 @@
     options::options_description description(
         "sagecrank-upstream-emulator: a service with slots beside a node");
     auto add = description.add_options();
-    add("help", "print this text");
     add("listen", options::value(&settings.listen)->default_value("127.0.0.1:9101"),
         "address to serve, ip:port");
     add("name", options::value(&settings.name), "name in histories and answers; the address unless given");
@@ -184,20 +183,11 @@
     std::vector<std::string> paths;
     long coldMilliseconds = 0;
     long warmingMilliseconds = 0;
-    const options::options_description description =
-        describe(settings, paths, coldMilliseconds, warmingMilliseconds);
     options::variables_map values;
-    try {
-        options::store(options::parse_command_line(count, arguments, description), values);
-        options::notify(values);
-    } catch (const options::error &error) {
-        std::cerr << error.what() << "\n" << description;
-        return exitUsage;
-    }
-    if (values.count("help") != 0) {
-        std::cout << description;
-        return 0;
-    }
+    if (const auto exitCode = readCommandLine(
+            CommandLine{"", describe(settings, paths, coldMilliseconds, warmingMilliseconds), {}}, count,
+            arguments, values))
+        return *exitCode;
     for (const std::string &text : paths) {
         const Result<PathTime> path = parsePathTime(text);
         if (!path) {
--- a/Utilities/Caller/Main.cpp
+++ b/Utilities/Caller/Main.cpp
@@ -3,6 +3,8 @@
 // Exit codes: 0 ended, 2 wrong usage.
 #include "Visitor.h"
 
+#include <LibCommandLine/CommandLine.h>
+
 #include <boost/program_options.hpp>
 
 #include <iostream>
@@ -12,8 +14,6 @@
 
 namespace {
 
-constexpr int exitUsage = 2;
-
 struct Settings
 {
     VisitorSettings visitor;
@@ -29,7 +29,6 @@
     options::options_description description("sagecrank-caller: visitors that book and look up");
     VisitorSettings &visitor = settings.visitor;
     auto add = description.add_options();
-    add("help", "print this text");
     add("node", options::value(&visitor.nodes)->required(),
         "a node's address for callers; given once for each");
     add("name", options::value(&visitor.name)->default_value("caller"), "process name in the history");
@@ -73,19 +72,10 @@
 int main(int count, char **arguments)
 {
     Settings settings;
-    const options::options_description description = describe(settings);
     options::variables_map values;
-    try {
-        options::store(options::parse_command_line(count, arguments, description), values);
-        if (values.count("help") != 0) {
-            std::cout << description;
-            return 0;
-        }
-        options::notify(values);
-    } catch (const options::error &error) {
-        std::cerr << error.what() << "\n" << description;
-        return exitUsage;
-    }
+    if (const auto exitCode =
+            readCommandLine(CommandLine{"", describe(settings), {}}, count, arguments, values))
+        return *exitCode;
     settings.visitor.longestPause = Milliseconds(settings.longestPauseMilliseconds);
     settings.visitor.deadline = Milliseconds(settings.deadlineMilliseconds);
     run(settings);
--- a/Utilities/Check/Main.cpp
+++ b/Utilities/Check/Main.cpp
@@ -3,6 +3,7 @@
 // 3 a history cannot be read.
 #include "Report.h"
 
+#include <LibCommandLine/CommandLine.h>
 #include <LibCore/Time.h>
 
 #include <boost/program_options.hpp>
@@ -17,7 +18,6 @@
 namespace {
 
 constexpr int exitBroken = 1;
-constexpr int exitUsage = 2;
 constexpr int exitUnreadable = 3;
 
 struct Settings
@@ -34,7 +34,6 @@
 {
     options::options_description description("sagecrank-check FILES...: judges the histories of one run");
     auto add = description.add_options();
-    add("help", "print this text");
     add("points", options::value(&settings.points)->default_value(settings.points),
         "names of the promises to judge, with commas, or \"all\"");
     add("drain-ms", options::value(&settings.drainMilliseconds)->default_value(settings.drainMilliseconds),
@@ -99,23 +98,12 @@
 int main(int count, char **arguments)
 {
     Settings settings;
-    const options::options_description description = describe(settings);
-    options::positional_options_description positional;
-    positional.add("files", -1);
+    options::positional_options_description files;
+    files.add("files", -1);
     options::variables_map values;
-    try {
-        options::store(
-            options::command_line_parser(count, arguments).options(description).positional(positional).run(),
-            values);
-        options::notify(values);
-    } catch (const options::error &error) {
-        std::cerr << error.what() << "\n" << description;
-        return exitUsage;
-    }
-    if (values.count("help") != 0) {
-        std::cout << description;
-        return 0;
-    }
+    const options::options_description description = describe(settings);
+    if (const auto exitCode = readCommandLine(CommandLine{"", description, files}, count, arguments, values))
+        return *exitCode;
     const auto points = pointsFromText(settings.points);
     if (settings.files.empty() || !points) {
         std::cerr << description;
--- a/Utilities/FleetBench/Main.cpp
+++ b/Utilities/FleetBench/Main.cpp
@@ -2,6 +2,8 @@
 // with. The real processes are started and read by Meta/measure-fleet.py.
 #include "Commands.h"
 
+#include <LibCommandLine/CommandLine.h>
+
 #include <boost/program_options.hpp>
 
 #include <functional>
@@ -17,7 +19,6 @@
     options::options_description description(
         "sagecrank-fleet-bench [table|mesh|publish|polling|push]: cost of a mesh for its nodes");
     auto add = description.add_options();
-    add("help", "show this text");
     add("command", options::value(&settings.command), "what to measure (default: table)");
     add("members", options::value(&settings.members), "members of the mesh (table, mesh)");
     add("zones", options::value(&settings.zones), "zones of the mesh (table, mesh)");
@@ -32,15 +33,9 @@
     options::positional_options_description positional;
     positional.add("command", 1);
     options::variables_map values;
-    try {
-        options::store(
-            options::command_line_parser(count, arguments).options(description).positional(positional).run(),
-            values);
-        options::notify(values);
-    } catch (const options::error &error) {
-        std::cerr << error.what() << "\n";
-        return 2;
-    }
+    if (const auto exitCode =
+            readCommandLine(CommandLine{"", description, positional}, count, arguments, values))
+        return *exitCode;
     const std::map<std::string, std::function<int(const BenchSettings &)>> commands = {
         {"table", runTableBench},
         {"mesh", runMeshBench},
@@ -48,9 +43,9 @@
         {"polling", runPolling},
         {"push", runPush}};
     const auto command = commands.find(settings.command);
-    if (values.contains("help") || command == commands.end()) {
-        std::cout << description;
-        return values.contains("help") ? 0 : 2;
+    if (command == commands.end()) {
+        std::cerr << "no such measurement: " << settings.command << "\n" << description;
+        return exitUsage;
     }
     return command->second(settings);
 }
--- a/Utilities/Load/Main.cpp
+++ b/Utilities/Load/Main.cpp
@@ -3,6 +3,8 @@
 #include <Load/Generator.h>
 #include <Load/Report.h>
 
+#include <LibCommandLine/CommandLine.h>
+
 #include <boost/program_options.hpp>
 
 #include <unistd.h>
@@ -18,9 +20,8 @@
 namespace {
 
 constexpr int exitWrongAnswers = 3; // At least one answer belonged to another request or was not whole.
-constexpr int exitUsage = 2;
 
-struct CommandLine
+struct LoadArguments
 {
     LoadSettings load;
     std::vector<std::string> mix;
@@ -32,13 +33,12 @@
     bool noCheck = false;
 };
 
-options::options_description describe(CommandLine &line)
+options::options_description describe(LoadArguments &line)
 {
     LoadSettings &load = line.load;
     options::options_description description(
         "sagecrank-load: open-loop load on running nodes, with what their callers got");
     auto add = description.add_options();
-    add("help", "print this text");
     add("target", options::value(&load.targets), "caller's address of a node, ip:port; may be given often");
     add("direct", options::value(&load.direct), "an upstream's address; half of the calls go straight there");
     add("rate", options::value(&load.rate)->default_value(load.rate), "calls a second in all");
@@ -71,7 +71,7 @@
     return description;
 }
 
-Result<std::vector<MixEntry>> readMix(const CommandLine &line)
+Result<std::vector<MixEntry>> readMix(const LoadArguments &line)
 {
     std::string text;
     std::string source = "--mix";
@@ -91,7 +91,7 @@
     return parseMix(text, source);
 }
 
-Result<LoadSettings> settle(CommandLine line)
+Result<LoadSettings> settle(LoadArguments line)
 {
     const auto invalid = [](const char *what) {
         return makeError(ErrorKind::InvalidInput, "read options", "", what);
@@ -136,7 +136,7 @@
     return tally;
 }
 
-int run(CommandLine line)
+int run(LoadArguments line)
 {
     const bool json = line.json;
     const Result<LoadSettings> settings = settle(std::move(line));
@@ -156,16 +156,13 @@
 
 int main(int count, char **arguments)
 {
-    CommandLine line;
-    const options::options_description description = describe(line);
+    LoadArguments line;
     options::variables_map values;
+    const char *exits = "Exit: 0, 2 for bad options, 3 if an answer was wrong.\n";
+    if (const auto exitCode =
+            readCommandLine(CommandLine{exits, describe(line), {}}, count, arguments, values))
+        return *exitCode;
     try {
-        options::store(options::parse_command_line(count, arguments, description), values);
-        options::notify(values);
-        if (values.count("help") != 0) {
-            std::cout << description << "Exit: 0, 2 for bad options, 3 if an answer was wrong.\n";
-            return 0;
-        }
         return run(std::move(line));
     } catch (const std::exception &error) {
         std::cerr << error.what() << "\n";
--- a/Utilities/ObserveBench/Main.cpp
+++ b/Utilities/ObserveBench/Main.cpp
@@ -1,5 +1,6 @@
 // sagecrank-observe-bench: what one record of a metric, a span or a held-back log event costs, by one thread
 // alone and by several at one time.
+#include <LibCommandLine/CommandLine.h>
 #include <LibObserve/EventLog.h>
 #include <LibObserve/Metrics.h>
 #include <LibObserve/Spans.h>
@@ -76,20 +77,11 @@
     std::uint64_t calls = 0;
     options::options_description description(
         "sagecrank-observe-bench: the cost of metrics, spans and events");
-    description.add_options()("help", "print this text")(
-        "calls", options::value(&calls)->default_value(10'000'000), "records for each line");
+    description.add_options()("calls", options::value(&calls)->default_value(10'000'000),
+                              "records for each line");
     options::variables_map values;
-    try {
-        options::store(options::parse_command_line(count, arguments, description), values);
-        options::notify(values);
-    } catch (const options::error &error) {
-        std::cerr << error.what() << "\n" << description;
-        return 2;
-    }
-    if (values.count("help") != 0) {
-        std::cout << description;
-        return 0;
-    }
+    if (const auto exitCode = readCommandLine(CommandLine{"", description, {}}, count, arguments, values))
+        return *exitCode;
     run(1, calls);
     run(2, calls);
     return 0;
--- a/Utilities/PolicyBench/Main.cpp
+++ b/Utilities/PolicyBench/Main.cpp
@@ -5,6 +5,8 @@
 #include <PolicyBench/Report.h>
 #include <PolicyBench/Scenario.h>
 
+#include <LibCommandLine/CommandLine.h>
+
 #include <boost/program_options.hpp>
 
 #include <algorithm>
@@ -31,8 +33,6 @@
     std::vector<std::string> policies;
 };
 
-constexpr int exitUsage = 2;
-
 bool wanted(const std::vector<std::string> &names, const std::string &name)
 {
     return names.empty() || std::find(names.begin(), names.end(), name) != names.end();
@@ -105,7 +105,6 @@
     Request request;
     options::options_description description("Measures placing and admission on a fake fleet.\nOptions");
     auto add = description.add_options();
-    add("help,h", "print this text");
     add("seeds", options::value(&request.seeds), "runs for each row, with seeds 1, 2, ... (default 3)");
     add("duration", options::value(&request.duration), "seconds that callers arrive (default 6)");
     add("ablate", options::bool_switch(&request.ablate), "also measure ours without one mechanism each");
@@ -115,18 +114,10 @@
         "only this fleet (borgbillet, borra-limpio, large); may be given more than once");
     add("scenario", options::value(&request.scenarios), "only this scenario; may be given more than once");
     add("policy", options::value(&request.policies), "only this policy; may be given more than once");
-    try {
-        options::variables_map values;
-        options::store(options::parse_command_line(argumentCount, arguments, description), values);
-        options::notify(values);
-        if (values.count("help") > 0) {
-            std::cout << description;
-            return 0;
-        }
-    } catch (const options::error &error) {
-        std::cerr << "sagecrank-policy-bench: " << error.what() << "\n";
-        return exitUsage;
-    }
+    options::variables_map values;
+    if (const auto exitCode =
+            readCommandLine(CommandLine{"", description, {}}, argumentCount, arguments, values))
+        return *exitCode;
     if (const std::optional<std::string> unknown = unknownName(request)) {
         std::cerr << "sagecrank-policy-bench: nothing is named '" << *unknown << "'\n";
         return exitUsage;
--- a/Utilities/Relay/Main.cpp
+++ b/Utilities/Relay/Main.cpp
@@ -5,6 +5,8 @@
 #include "TcpRelay.h"
 #include "UdpRelay.h"
 
+#include <LibCommandLine/CommandLine.h>
+
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 
@@ -21,7 +23,6 @@
 namespace {
 
 constexpr int exitFailure = 1;
-constexpr int exitUsage = 2;
 
 struct Settings
 {
@@ -84,7 +85,6 @@
     Settings settings;
     options::options_description description("sagecrank-relay: passes bytes on and disturbs them on command");
     auto add = description.add_options();
-    add("help", "print this text");
     add("listen", options::value(&settings.listen)->required(), "address to take connections at, ip:port");
     add("to", options::value(&settings.to)->required(), "address to pass them on to, ip:port");
     add("control", options::value(&settings.control),
@@ -94,17 +94,10 @@
     add("seed", options::value(&settings.seed)->default_value(settings.seed),
         "for the datagrams that are dropped");
     options::variables_map values;
+    if (const auto exitCode = readCommandLine(CommandLine{"", description, {}}, count, arguments, values))
+        return *exitCode;
     try {
-        options::store(options::parse_command_line(count, arguments, description), values);
-        if (values.count("help") != 0) {
-            std::cout << description;
-            return 0;
-        }
-        options::notify(values);
         return run(settings);
-    } catch (const options::error &error) {
-        std::cerr << error.what() << "\n" << description;
-        return exitUsage;
     } catch (const boost::system::system_error &error) {
         std::cerr << error.what() << "\n";
         return exitFailure;
