Node: Close idle callers' connections before the end, and end at once

Second: the process outlived its grace time; prints showed that taking its parts down did not return (which of them was not traced). Ruled out: a call that never ends, since the line at the end says none was in flight.

Change: stopAccepting closes connections without a request under way; the process ends without taking its parts down. Lines go to standard output and are left out and counted rather than waited for.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -93,6 +93,7 @@
     void drop(std::uint64_t exchange);
     void onAbandoned(std::uint64_t exchange, std::function<void()> hook);
     void close();
+    void closeWhenIdle();
 
 private:
     HttpLimits limits() const;
@@ -117,6 +118,7 @@
     bool callerKeepsAlive = false;
     bool headOnly = false; // A HEAD request is answered with the headers of the GET and no body.
     bool watching = false;
+    bool readsFirstByte = false; // Nothing of a next request has been read.
 };
 
 class SessionExchange : public HttpExchange
@@ -163,8 +165,10 @@
     this->parser->header_limit(limits.headerBytes);
     this->parser->body_limit(limits.bodyBytes);
     this->stream.expires_after(limits.idleTimeout);
+    this->readsFirstByte = true;
     http::async_read_header(this->stream, this->buffer, *this->parser,
                             [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
+                                self->readsFirstByte = false;
                                 if (error)
                                     return self->readFailed(error);
                                 self->readBody();
@@ -317,6 +321,13 @@
                  });
 }
 
+// A request that has come in part is read to its end and answered.
+void Session::closeWhenIdle()
+{
+    if (this->readsFirstByte && this->buffer.size() == 0)
+        this->close();
+}
+
 void Session::close()
 {
     beast::error_code ignored;
@@ -372,11 +383,17 @@
     this->state->closing = true;
 }
 
+// Failure: a caller sends a request on a kept connection while this process ends. Symptom: it is passed on
+// and its connection closed without an answer. Connections without a request under way are closed here, and
+// the others after their answer, so that nothing new can come.
 void HttpServer::stopAccepting()
 {
     this->askToClose();
     beast::error_code ignored;
     this->state->acceptor.close(ignored);
+    const std::unordered_set<Session *> open = this->state->sessions;
+    for (Session *session : open)
+        session->closeWhenIdle();
 }
 
 void HttpServer::closeAll()
--- a/Libraries/LibObserve/EventLog.h
+++ b/Libraries/LibObserve/EventLog.h
@@ -42,8 +42,11 @@
 // Takes a finished line without its time and newline.
 using LogSink = std::function<void(LogLevel level, const std::string &line)>;
 
-// To standard error through log4cplus, which adds the time (UTC) and the level.
+// Both through log4cplus, which adds the time (UTC) and the level.
 LogSink standardErrorLogSink();
+// Never waits for a reader: lines that standard output does not take at once are left out, and the next one
+// that it takes is preceded by their number. Sets standard output to not blocking.
+LogSink standardOutputLogSink();
 
 struct EventLogSettings
 {
@@ -52,6 +55,8 @@
     // as many log lines, and the log would take the time that the requests need. What is left out is counted
     // in an EventsSuppressed line.
     std::uint32_t linesPerSecond = 20;
+    // The same for events of single calls, from whose lines a failed call is explained afterwards.
+    std::uint32_t callLinesPerSecond = 1000;
 };
 
 // Safe to use from every thread. An event below the minimum level costs one comparison.
--- a/Services/Node/Main.cpp
+++ b/Services/Node/Main.cpp
@@ -5,6 +5,8 @@
 
 #include <platform/Adapter.h>
 
+#include <cstdio>
+#include <cstdlib>
 #include <iostream>
 
 namespace {
@@ -34,7 +36,12 @@
         return exitCannotStart;
     }
     node.run();
-    return Sagecrank::exitSuccess;
+    // Failure: an end that waits on the log library's threads and on every open connection. Symptom: the
+    // process is killed at the end of its grace time, and its host starts the next one that much later.
+    // Nothing is left to be saved here: what lasts lives in the platform, and every line was written when it
+    // arose.
+    std::fflush(nullptr);
+    std::_Exit(Sagecrank::exitSuccess);
 }
 
 } // namespace
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -108,7 +108,9 @@
 Node::Node(NodeSettings settings, const NodeAdapterFactory &makeAdapter)
     : settings(std::move(settings))
     , history(this->settings.id, this->settings.history)
-    , log(this->settings.id, logSettings(this->settings))
+    // A history takes standard output for itself.
+    , log(this->settings.id, logSettings(this->settings),
+          this->settings.history ? standardErrorLogSink() : standardOutputLogSink())
     , nodeLog(this->log, this->settings.id)
     , spans(spanCapacity)
     , observer(this->log, this->metrics, this->spans)
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -6,7 +6,9 @@
 #include <Support/TableTest.h>
 
 #include <boost/asio/connect.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <memory>
@@ -40,6 +42,17 @@
 
     std::string address() const { return this->server.address(); }
 
+    void stopAccepting()
+    {
+        boost::asio::post(this->context, [this] { this->server.stopAccepting(); });
+    }
+
+    void answerHeld()
+    {
+        boost::asio::post(this->context,
+                          [this] { this->kept->respond(makeResponse(200, "text/plain", "late")); });
+    }
+
     std::atomic<int> abandoned = 0;
     std::atomic<int> held = 0;
 
@@ -176,6 +189,80 @@
     cr_assert(eventually([&] { return server.abandoned == 1; }));
 }
 
+// A process ends. A request that is under way is answered and told to go elsewhere; a kept connection without
+// one is closed at once. Left open, its next request would be taken by a process that ends under it, and its
+// caller would see a closed connection without an answer.
+Test(httpServer, stoppingClosesIdleConnectionsAndAnswersTheOthers)
+{
+    EchoServer server;
+    boost::asio::io_context context;
+    tcp::socket idle = connectTo(context, server.address());
+    boost::asio::write(idle, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    std::string answer;
+    boost::asio::read(idle, boost::asio::dynamic_buffer(answer), boost::asio::transfer_at_least(40));
+    tcp::socket busy = connectTo(context, server.address());
+    boost::asio::write(busy, boost::asio::buffer(std::string("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n")));
+    cr_assert(eventually([&] { return server.held == 1; }));
+
+    server.stopAccepting();
+    boost::system::error_code error;
+    std::string rest;
+    boost::asio::read(idle, boost::asio::dynamic_buffer(rest), error);
+    cr_assert(error == boost::asio::error::eof);
+    server.answerHeld();
+    answer.clear();
+    boost::asio::read(busy, boost::asio::dynamic_buffer(answer), error);
+    cr_assert(answer.find("Connection: close") != std::string::npos && answer.ends_with("late"));
+}
+
+// A caller asks whether it may send its body. Without a word it would wait, and its request would time out.
+Test(httpServer, tellsACallerThatAsksToSendItsBody)
+{
+    EchoServer server;
+    boost::asio::io_context context;
+    tcp::socket socket = connectTo(context, server.address());
+    boost::asio::write(socket,
+                       boost::asio::buffer(std::string("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+                                                       "Connection: close\r\nExpect: 100-continue\r\n\r\n")));
+    std::string answer;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(answer), "\r\n\r\n");
+    cr_assert(answer.starts_with("HTTP/1.1 100"));
+    boost::asio::write(socket, boost::asio::buffer(std::string("hi")));
+    answer.clear();
+    boost::system::error_code ignored;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ignored);
+    cr_assert(answer.starts_with("HTTP/1.1 200") && answer.ends_with("POST hi"));
+}
+
+// An upstream answers an earlier request a second time, late, on a kept connection. Taken for the answer to
+// the next request, it would show one caller what another asked for. The id that answers repeat tells them
+// apart.
+Test(httpClient, passesOverTheAnswerToAnEarlierRequest)
+{
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    std::thread upstream([&acceptor] {
+        tcp::socket socket = acceptor.accept();
+        std::string request;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+        const std::string answers = "HTTP/1.1 200 OK\r\nCall: old\r\nContent-Length: 3\r\n\r\nold"
+                                    "HTTP/1.1 200 OK\r\nCall: new\r\nContent-Length: 3\r\n\r\nnew";
+        boost::asio::write(socket, boost::asio::buffer(answers));
+    });
+    HttpClient client(context, HttpClientSettings{});
+    std::string body;
+    const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    client.send(address, {"GET", "/", {{"Call", "new"}}, ""},
+                HttpSendOptions{std::chrono::seconds(5), "Call"},
+                [&](const HttpFailure *failure, const HttpResponse &response) {
+                    cr_assert(failure == nullptr);
+                    body = response.body;
+                });
+    context.run_for(std::chrono::seconds(6));
+    upstream.join();
+    cr_assert(body == "new", "%s", body.c_str());
+}
+
 // Nobody listens: the client says that no byte left, so the call may go elsewhere. A server that takes the
 // request and never answers: it may have been sent.
 Test(httpClient, saysWhetherARequestMayHaveLeft)
