LibDecide: Admit by target, priority and run time; stay in the zone first

With one class for both, checks waited behind lookups and were late at 200 ms, and each slot check that needs two of them failed after it had held a slot. Ruled out: the placer (calls of a zone spread evenly).

Change: TargetGate ranks by in time, priority and turn, keeps long calls to the slots that the quick ones leave, refuses at once what would be late while there may be a better place, and late calls once everything in time fills the slots; each kind keeps a least share. The placer leaves its zone only when nobody there takes the call, and leaves a far gate alone that refused the kind. Both are settings; the product's gate by classes stays the default.

--- a/Libraries/LibDecide/Gate.h
+++ b/Libraries/LibDecide/Gate.h
@@ -2,10 +2,7 @@
 // upstream holds its gate, so slots, queue and drain are exact here. Runs without sockets or clocks.
 #pragma once
 
-#include <LibConfig/Model.h>
-#include <LibCore/EnumNames.h>
-#include <LibCore/Time.h>
-
+#include <LibDecide/Admission.h>
 #include <LibDecide/ConcurrencyLimit.h>
 #include <LibDecide/RunTimes.h>
 #include <LibDecide/SlotShares.h>
@@ -19,60 +16,6 @@
 
 namespace Sagecrank {
 
-using Ticket = std::uint64_t;
-
-enum class RefusalReason : std::uint8_t {
-    None,
-    Draining, // The upstream takes nothing new.
-    NotReady, // No upstream is announced, or it is gone.
-    QueueFull,
-    DeadlineTooNear, // It could not start and finish in time.
-    Displaced,       // A call of a class that goes first took its place in the queue.
-    DeadlinePassed,  // It waited, and its time ran out before it started.
-};
-
-inline constexpr EnumNames<RefusalReason, 7> refusalReasonNames{{
-    {RefusalReason::None, "none"},
-    {RefusalReason::Draining, "draining"},
-    {RefusalReason::NotReady, "not_ready"},
-    {RefusalReason::QueueFull, "queue_full"},
-    {RefusalReason::DeadlineTooNear, "deadline_too_near"},
-    {RefusalReason::Displaced, "displaced"},
-    {RefusalReason::DeadlinePassed, "deadline_passed"},
-}};
-
-enum class CallEnd : std::uint8_t {
-    Succeeded,
-    Failed,    // The upstream answered with a failure of its own or broke the connection.
-    Shed,      // The upstream said that it is overloaded.
-    Cancelled, // The caller gave up.
-};
-
-struct CallFacts
-{
-    CallClass callClass = CallClass::Interactive;
-    Instant deadline;
-};
-
-enum class GateVerdict : std::uint8_t { Start, Queue, Refuse };
-
-struct GateDecision
-{
-    GateVerdict verdict = GateVerdict::Refuse;
-    Ticket ticket = 0; // Zero when refused.
-    RefusalReason reason = RefusalReason::None;
-    Duration retryAfter{}; // When a refused caller should come back; positive whenever it is refused.
-};
-
-// What became of a call that waited.
-struct GateAction
-{
-    Ticket ticket = 0;
-    bool start = false; // Otherwise it is refused, and it did not run.
-    RefusalReason reason = RefusalReason::None;
-    Duration retryAfter{};
-};
-
 struct GateSettings
 {
     std::uint32_t slots = 1;
@@ -80,20 +23,6 @@
     std::uint64_t jitterSeed = 1; // Differs from gate to gate, so that their refused callers do not agree.
 };
 
-enum class UpstreamCondition : std::uint8_t {
-    NotReady, // Not announced, or gone.
-    Warming,  // Takes calls and is slow; that shows in its run times.
-    Ready,
-    Draining, // Finishes what it runs and takes nothing new.
-};
-
-inline constexpr EnumNames<UpstreamCondition, 4> upstreamConditionNames{{
-    {UpstreamCondition::NotReady, "not_ready"},
-    {UpstreamCondition::Warming, "warming"},
-    {UpstreamCondition::Ready, "ready"},
-    {UpstreamCondition::Draining, "draining"},
-}};
-
 // Not thread-safe. A new gate is NotReady until setState says otherwise. Every ticket that offer() gave out
 // ends exactly once: by finish() after it started, by cancel() while it waits, or by a refusing GateAction.
 class Gate
--- a/Libraries/LibDecide/Placer.cpp
+++ b/Libraries/LibDecide/Placer.cpp
@@ -63,9 +63,10 @@
 }
 
 std::optional<std::size_t> Placer::place(Instant now, std::span<const UpstreamFacts> candidates,
-                                         CallClass callClass, std::span<const std::size_t> tried)
+                                         CallClass callClass, std::span<const std::size_t> tried,
+                                         std::uint64_t kind)
 {
-    const Request request{now, candidates, callClass, tried};
+    const Request request{now, candidates, callClass, tried, kind};
     const auto trusted = this->choose(request, true);
     if (trusted || this->ejectedCount == 0)
         return trusted;
@@ -82,7 +83,8 @@
     upstream.toldExcess += 1;
 }
 
-void Placer::ended(std::string_view id, Instant now, CallClass callClass, Duration took, PlacedEnd end)
+void Placer::ended(std::string_view id, Instant now, CallClass callClass, Duration took, PlacedEnd end,
+                   std::uint64_t kind)
 {
     Upstream &upstream = this->obtain(id, now);
     if (upstream.outstanding > 0)
@@ -106,6 +108,8 @@
         break;
     case PlacedEnd::RefusedNotRun:
         upstream.refusedAt = now;
+        upstream.kindRefusals[upstream.nextRefusal] = {kind, now};
+        upstream.nextRefusal = (upstream.nextRefusal + 1) % upstream.kindRefusals.size();
         break;
     case PlacedEnd::Cancelled:
         break;
@@ -236,12 +240,34 @@
 // it.
 std::optional<std::size_t> Placer::choose(const Request &request, bool trustedOnly)
 {
+    if (this->settings.zoneFirst)
+        return this->chooseZoneFirst(request, trustedOnly);
     Best best;
     this->compare(request, true, trustedOnly, best);
     this->compare(request, false, trustedOnly, best);
     return best.index;
 }
 
+std::optional<std::size_t> Placer::chooseZoneFirst(const Request &request, bool trustedOnly)
+{
+    Best own;
+    this->compare(request, true, trustedOnly, own);
+    if (own.index)
+        return own.index;
+    Best other;
+    this->compare(request, false, trustedOnly, other);
+    return other.index;
+}
+
+bool Placer::refusedKind(const Upstream &upstream, const Request &request) const
+{
+    return std::any_of(upstream.kindRefusals.begin(), upstream.kindRefusals.end(),
+                       [&](const KindRefusal &refusal) {
+                           return refusal.kind == request.kind && refusal.at != Instant::min()
+                                  && request.now - refusal.at < this->settings.refusedKindLife;
+                       });
+}
+
 // Goes through the eligible ones of a zone from a random one on. Ranks are counted among the eligible, since
 // a random position in the list would favour the first one behind a run of others.
 void Placer::compare(const Request &request, bool sameZone, bool trustedOnly, Best &best)
@@ -268,6 +294,10 @@
         const Upstream *upstream = this->find(facts.id);
         if (!usable(upstream, request, trustedOnly))
             continue;
+        const bool inVain = this->settings.zoneFirst && !sameZone && upstream != nullptr
+                            && this->refusedKind(*upstream, request);
+        if (inVain)
+            continue;
         compared += 1;
         const double score = this->score(facts, upstream, request);
         if (score < best.score)
--- a/Libraries/LibDecide/Placer.h
+++ b/Libraries/LibDecide/Placer.h
@@ -4,7 +4,7 @@
 // nothing.
 #pragma once
 
-#include <LibDecide/Gate.h>
+#include <LibDecide/Admission.h>
 
 #include <array>
 #include <cstddef>
@@ -49,8 +49,15 @@
 struct PlacerSettings
 {
     std::size_t choices = 2; // How many of this zone, and of the others, are compared for each call.
-    Duration otherZoneCost = std::chrono::milliseconds(1);  // Round trip to another zone beyond one's own.
-    double ejectedShare = 0.5;                              // At most this share is ejected at once.
+    Duration otherZoneCost = std::chrono::milliseconds(1); // Round trip to another zone beyond one's own.
+    double ejectedShare = 0.5;                             // At most this share is ejected at once.
+    // Load: hosts of several zones whose bytes to each other are dear and slow. Harm of spreading by load
+    // alone: two thirds of all calls cross zones. With this, a call leaves its zone only when no upstream
+    // there takes it, or none is well.
+    bool zoneFirst = false;
+    // An upstream of another zone that refused a call of a kind is not asked for that kind again for this
+    // long: under full load each try would cost its bytes and bring nothing.
+    Duration refusedKindLife = std::chrono::milliseconds(150);
     Duration toldLoadLife = std::chrono::milliseconds(100); // Told load loses most of its weight after this.
 };
 
@@ -66,9 +73,11 @@
     // indices that this call was already sent to. Draining and absent upstreams get nothing, whatever else is
     // so.
     std::optional<std::size_t> place(Instant now, std::span<const UpstreamFacts> candidates,
-                                     CallClass callClass, std::span<const std::size_t> tried);
+                                     CallClass callClass, std::span<const std::size_t> tried,
+                                     std::uint64_t kind = 0);
     void started(std::string_view id, Instant now);
-    void ended(std::string_view id, Instant now, CallClass callClass, Duration took, PlacedEnd end);
+    void ended(std::string_view id, Instant now, CallClass callClass, Duration took, PlacedEnd end,
+               std::uint64_t kind = 0);
     // The load that the gate put on its last answer.
     void told(std::string_view id, Instant now, std::uint32_t freeSlots, std::uint32_t queued, bool draining);
     // Drops what is known of upstreams that have not been used since `before`.
@@ -80,6 +89,12 @@
     std::uint32_t outstanding(std::string_view id) const;
 
 private:
+    struct KindRefusal
+    {
+        std::uint64_t kind = 0;
+        Instant at = Instant::min();
+    };
+
     enum class Standing : std::uint8_t { Trusted, Ejected, Probing };
 
     struct Upstream
@@ -89,8 +104,10 @@
         double toldExcess = 0;         // Queued minus free slots when told, less this node's part since.
         Instant toldAt = Instant::min();
         bool toldDraining = false;
-        Instant refusedAt = Instant::min(); // When its gate last refused a call.
-        double failures = 0;                // Recent failures and recent ends, decaying by count.
+        Instant refusedAt = Instant::min();      // When its gate last refused a call.
+        std::array<KindRefusal, 8> kindRefusals; // The latest ones, in a ring.
+        std::size_t nextRefusal = 0;
+        double failures = 0; // Recent failures and recent ends, decaying by count.
         double ends = 0;
         std::uint32_t consecutiveFailures = 0;
         std::uint32_t probesPassed = 0;
@@ -114,6 +131,7 @@
         std::span<const UpstreamFacts> candidates;
         CallClass callClass;
         std::span<const std::size_t> tried;
+        std::uint64_t kind = 0;
 
         bool allows(std::size_t index, bool sameZone) const;
     };
@@ -127,6 +145,8 @@
     const Upstream *find(std::string_view id) const;
     Upstream &obtain(std::string_view id, Instant now);
     std::optional<std::size_t> choose(const Request &request, bool trustedOnly);
+    std::optional<std::size_t> chooseZoneFirst(const Request &request, bool trustedOnly);
+    bool refusedKind(const Upstream &upstream, const Request &request) const;
     void compare(const Request &request, bool sameZone, bool trustedOnly, Best &best);
     static bool usable(const Upstream *upstream, const Request &request, bool trustedOnly);
     double score(const UpstreamFacts &facts, const Upstream *upstream, const Request &request) const;
--- a/Libraries/LibWire/PeerMessages.h
+++ b/Libraries/LibWire/PeerMessages.h
@@ -59,9 +59,11 @@
         0; // Until the caller's deadline, by the sender's clock; clocks are not compared.
     std::uint32_t priority = 1;                    // Rank among the calls of one upstream; 0 goes first.
     std::uint64_t remainingTargetMicroseconds = 0; // Until the answer is worth less; 0 when not stated.
-    std::string attempt;                           // Unique for each time that a call is sent to a gate.
-    std::string idempotencyKey;                    // Empty when the caller gave none.
-    std::string callerCallId;                      // The caller's own name for the call, passed through.
+    std::uint64_t kind = 0;     // Names the route: its calls run about as long as each other.
+    bool lateAccepted = true;   // An answer after the target is wanted too: there is no better place left.
+    std::string attempt;        // Unique for each time that a call is sent to a gate.
+    std::string idempotencyKey; // Empty when the caller gave none.
+    std::string callerCallId;   // The caller's own name for the call, passed through.
     std::string traceParent;
     std::string method;
     std::string target;
@@ -72,8 +74,9 @@
     void serialize(Archive &archive)
     {
         archive(this->callId, this->cluster, this->callClass, this->idempotent, this->remainingMicroseconds,
-                this->priority, this->remainingTargetMicroseconds, this->attempt, this->idempotencyKey,
-                this->callerCallId, this->traceParent, this->method, this->target, this->headers, this->body);
+                this->priority, this->remainingTargetMicroseconds, this->kind, this->lateAccepted,
+                this->attempt, this->idempotencyKey, this->callerCallId, this->traceParent, this->method,
+                this->target, this->headers, this->body);
     }
 };
 
--- a/Services/Node/CallerFrontend.cpp
+++ b/Services/Node/CallerFrontend.cpp
@@ -186,6 +186,7 @@
     call.callClass = route.callClass;
     call.idempotent = route.idempotent;
     call.priority = route.priority;
+    call.kind = std::hash<std::string>{}(route.name);
     call.idempotencyKey = findHeader(request.headers, this->names.idempotencyKey);
     call.callerCallId = findHeader(request.headers, this->names.callId);
     call.traceParent = findHeader(request.headers, this->names.trace);
--- a/Services/Node/ForwardedCall.cpp
+++ b/Services/Node/ForwardedCall.cpp
@@ -13,7 +13,7 @@
 // A call that a gate refused before its upstream saw it may go on to another gate at most this often. It
 // costs no upstream anything, but under full load every gate refuses, and each try costs its caller a round
 // trip.
-constexpr std::uint32_t maximumTriesAfterRefusal = 2;
+constexpr std::uint32_t maximumTriesAfterRefusal = 3;
 
 // A call that an upstream itself proved not to have run may go to another one this often, whatever its route
 // says of calls that may have run.
@@ -89,10 +89,31 @@
     if (!this->attempts.empty())
         this->context.observer.callSentAgain(this->request.callerCallId, target.candidate.id);
     this->attempts.push_back(std::move(attempt));
+    if (this->attempts.size() == 1)
+        this->firstTarget = target;
     this->send(this->attempts.size() - 1, target);
     return true;
 }
 
+// No gate would answer in time. The first one, which is the nearest, is asked once more whether it has room
+// for a late answer.
+bool ForwardedCall::sendForLateAnswer()
+{
+    if (this->plan.target == Milliseconds(0) || this->firstTarget.lateAccepted)
+        return false;
+    this->firstTarget.lateAccepted = true;
+    Attempt attempt;
+    attempt.upstreamId = this->firstTarget.candidate.id;
+    attempt.startedAt = SteadyClock::now();
+    this->attempts.push_back(std::move(attempt));
+    {
+        const std::lock_guard guard(this->service->mutex);
+        this->service->placer.started(this->firstTarget.candidate.id, SteadyClock::now());
+    }
+    this->send(this->attempts.size() - 1, this->firstTarget);
+    return true;
+}
+
 bool ForwardedCall::chooseTarget(Target &target)
 {
     const RcuPointer<UpstreamView>::Reader view(this->context.view);
@@ -111,9 +132,13 @@
     const std::lock_guard guard(this->service->mutex);
     if (this->attempts.empty())
         this->service->retries.firstTry(now);
-    const auto index = this->service->placer.place(now, service->facts, this->plan.callClass, tried);
+    Placer &placer = this->service->placer;
+    const auto index = placer.place(now, service->facts, this->plan.callClass, tried, this->request.kind);
     if (!index)
         return false;
+    tried.push_back(*index);
+    target.lateAccepted =
+        !placer.place(now, service->facts, this->plan.callClass, tried, this->request.kind).has_value();
     this->service->placer.started(service->facts[*index].id, now);
     target.candidate = service->candidates[*index];
     target.sameHost = service->facts[*index].sameHost;
@@ -124,6 +149,7 @@
 {
     CallRequest attempt = this->request;
     attempt.attempt = this->context.ids.next();
+    attempt.lateAccepted = target.lateAccepted;
     const Duration remaining = this->plan.deadline - SteadyClock::now() - gateMargin;
     attempt.remainingMicroseconds = static_cast<std::uint64_t>(
         std::max<std::int64_t>(0, std::chrono::duration_cast<Microseconds>(remaining).count()));
@@ -190,7 +216,8 @@
 {
     const std::lock_guard guard(this->service->mutex);
     const Duration took = now - attempt.startedAt;
-    this->service->placer.ended(attempt.upstreamId, now, this->plan.callClass, took, endOf(response));
+    this->service->placer.ended(attempt.upstreamId, now, this->plan.callClass, took, endOf(response),
+                                this->request.kind);
     const bool gateSpoke = response.reason != reasonPeerUnreachable && response.reason != reasonPeerLost
                            && response.reason != reasonPeerCongested;
     if (gateSpoke)
@@ -215,7 +242,7 @@
     if (now + gateMargin >= this->plan.deadline)
         return false;
     if (notRun && !response.reachedUpstream)
-        return ++this->refusals <= maximumTriesAfterRefusal && this->placeAndSend();
+        return this->tryAfterRefusal();
     const std::uint32_t allowed =
         notRun ? std::max(this->plan.maximumRetries, maximumResendsAfterProof) : this->plan.maximumRetries;
     if (this->upstreamsReached > allowed)
@@ -231,6 +258,13 @@
     return false;
 }
 
+bool ForwardedCall::tryAfterRefusal()
+{
+    if (++this->refusals <= maximumTriesAfterRefusal && this->placeAndSend())
+        return true;
+    return this->sendForLateAnswer();
+}
+
 void ForwardedCall::finish(CallResponse response)
 {
     if (!this->answer)
--- a/Services/Node/ForwardedCall.h
+++ b/Services/Node/ForwardedCall.h
@@ -76,9 +76,12 @@
     {
         Candidate candidate;
         bool sameHost = false;
+        bool lateAccepted = true; // There is no other place to try.
     };
 
     bool placeAndSend();
+    bool tryAfterRefusal();
+    bool sendForLateAnswer();
     bool chooseTarget(Target &target);
     void send(std::size_t index, const Target &target);
     void attemptEnded(std::size_t index, CallResponse response);
@@ -99,6 +102,7 @@
     std::shared_ptr<ServiceState> service;
     std::vector<Attempt> attempts;
     std::vector<std::string> triedIds;
+    Target firstTarget;
     bool mayHaveRun = false;            // Some attempt ended otherwise than "not run".
     std::uint32_t refusals = 0;         // By gates, before an upstream saw the call.
     std::uint32_t upstreamsReached = 0; // Attempts that were sent to an upstream, or may have been.
--- a/Services/Node/GateCall.h
+++ b/Services/Node/GateCall.h
@@ -39,6 +39,19 @@
     // A keyed call runs at most once even when it calls itself idempotent, so it is not cut off either.
     bool mayBeCutOff() const { return this->request.idempotent && !this->keyed(); }
 
+    CallFacts facts() const
+    {
+        CallFacts facts;
+        facts.callClass = this->request.callClass;
+        facts.deadline = this->deadline;
+        facts.kind = this->request.kind;
+        facts.priority = this->request.priority;
+        facts.lateAccepted = this->request.lateAccepted;
+        if (this->request.remainingTargetMicroseconds > 0)
+            facts.target = this->arrived + Microseconds(this->request.remainingTargetMicroseconds);
+        return facts;
+    }
+
     GateHome home;
     CallRequest request;
     LocalGate::AnswerHook answer;
--- a/Services/Node/LocalGate.cpp
+++ b/Services/Node/LocalGate.cpp
@@ -57,14 +57,14 @@
 
 } // namespace
 
-LocalGate::LocalGate(std::string nodeId, CallHeaders names, ClaimHooks claims, HistoryRecorder &history,
-                     RequestObserver &observer)
+LocalGate::LocalGate(std::string nodeId, AdmissionHooks admission, CallHeaders names, ClaimHooks claims,
+                     HistoryRecorder &history, RequestObserver &observer)
     : nodeId(std::move(nodeId))
     , names(std::move(names))
     , claims(std::move(claims))
     , history(history)
     , observer(observer)
-    , gate(GateSettings{1, 64, std::hash<std::string>{}(this->nodeId)})
+    , gate(std::move(admission))
 {
 }
 
@@ -91,7 +91,7 @@
     {
         const std::lock_guard guard(this->mutex);
         const Instant now = SteadyClock::now();
-        const CallFacts facts{call->request.callClass, call->deadline};
+        const CallFacts facts = call->facts();
         // At the same instant offer() refuses exactly what wouldAdmit() denies, and says why.
         if (!this->gate.wouldAdmit(now, facts))
             refusal = this->gate.offer(now, facts, actions);
@@ -172,7 +172,7 @@
     GateDecision decision;
     {
         const std::lock_guard guard(this->mutex);
-        decision = this->gate.offer(SteadyClock::now(), {call->request.callClass, call->deadline}, actions);
+        decision = this->gate.offer(SteadyClock::now(), call->facts(), actions);
         call->ticket = decision.ticket;
         call->upstreamAddress = this->current.address;
         call->upstreamInstance = this->current.instance;
--- a/Services/Node/LocalGate.h
+++ b/Services/Node/LocalGate.h
@@ -6,7 +6,7 @@
 #include "ClaimHooks.h"
 #include "RequestObserver.h"
 
-#include <LibDecide/Gate.h>
+#include <LibDecide/Admission.h>
 #include <LibHistory/HistoryRecorder.h>
 #include <LibNet/HttpClient.h>
 #include <LibWire/PeerMessages.h>
@@ -53,8 +53,8 @@
 
     // The observer outlives the gate.
 
-    LocalGate(std::string nodeId, CallHeaders names, ClaimHooks claims, HistoryRecorder &history,
-              RequestObserver &observer);
+    LocalGate(std::string nodeId, AdmissionHooks admission, CallHeaders names, ClaimHooks claims,
+              HistoryRecorder &history, RequestObserver &observer);
 
     // Runs on the home's thread, and so does the answer, which comes exactly once.
     std::shared_ptr<GateCall> submit(GateHome home, CallRequest request, AnswerHook answer);
@@ -103,7 +103,7 @@
     RequestObserver &observer;
 
     mutable std::mutex mutex; // Guards what follows; never held over input or output.
-    Gate gate;
+    const AdmissionHooks gate;
     UpstreamAnnouncement current;
     std::unordered_map<Ticket, std::shared_ptr<GateCall>> waiting; // Exactly the queued tickets.
 
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -1,6 +1,9 @@
 // Joins the parts of a node.
 #include "Node.h"
 
+#include <LibDecide/Gate.h>
+#include <LibDecide/TargetGate.h>
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -17,6 +20,9 @@
 // Longer than any backoff or ejection, short against the 1,100 hosts that are replaced in a day.
 constexpr Duration forgetInterval = std::chrono::minutes(10);
 
+// Calls that may wait until the service's own settings are known, some milliseconds after its upstream is.
+constexpr std::uint32_t startQueue = 64;
+
 // At about 200 bytes each, half a megabyte of the node's 32.
 constexpr std::size_t spanCapacity = 2048;
 constexpr std::size_t spansShown = 500;
@@ -84,6 +90,14 @@
     return {manifest.version, toHex(sectionListDigest(manifest.sections)), reason.empty(), std::move(reason)};
 }
 
+AdmissionHooks makeAdmission(const NodeSettings &settings)
+{
+    const std::uint64_t seed = std::hash<std::string>{}(settings.id);
+    if (settings.requests.admission == AdmissionRule::Targets)
+        return admissionHooksOf(std::make_shared<TargetGate>(TargetGateSettings{1, startQueue, seed}));
+    return admissionHooksOf(std::make_shared<Gate>(GateSettings{1, startQueue, seed}));
+}
+
 // Each call draws its part of a split route by itself, so the parts get their shares without nodes agreeing.
 std::string chooseCluster(const RouteEntry &entry)
 {
@@ -118,12 +132,15 @@
     , configuration(this->settings.site, this->holderHooks())
     , viewBuilder(this->settings.id, this->settings.zone,
                   [requests = this->settings.requests] {
-                      return std::make_shared<ServiceState>(PlacerSettings{}, requests.retryShare,
+                      PlacerSettings placing;
+                      placing.zoneFirst = requests.zoneFirst;
+                      return std::make_shared<ServiceState>(placing, requests.retryShare,
                                                             requests.retryReserve, makeRandom());
                   })
     , adapter(makeAdapter(this->control, this->settings))
     , claims(this->control, this->adapter.table)
-    , gate(this->settings.id, this->adapter.headers, this->claims.hooks(), this->history, this->observer)
+    , gate(this->settings.id, makeAdmission(this->settings), this->adapter.headers, this->claims.hooks(),
+           this->history, this->observer)
     , presence({[this](const std::string &cluster) { this->nodeLog.upstreamSilent(cluster); },
                 [this](const UpstreamAnnouncement &announcement) { this->gate.announce(announcement); },
                 [this](const std::string &cluster, UpstreamState state, std::uint32_t slots) {
--- a/Services/Node/NodeSettings.cpp
+++ b/Services/Node/NodeSettings.cpp
@@ -287,6 +287,10 @@
             table.readInteger("maximum_connections", requests.maximumConnections, 1, 100000);
             table.readInteger("maximum_header_bytes", requests.maximumHeaderBytes, 1024, oneMebibyte);
             table.readInteger("maximum_body_bytes", requests.maximumBodyBytes, 1024, 2 * oneMebibyte);
+            std::string admission(admissionRuleNames.name(requests.admission));
+            table.readName("admission", admission, admissionRuleNames);
+            requests.admission = admissionRuleNames.value(admission).value_or(requests.admission);
+            table.readFlag("zone_first", requests.zoneFirst);
             table.readShare("retry_share", requests.retryShare);
             table.readAmount("retry_reserve", requests.retryReserve, 100000);
         });
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -22,6 +22,16 @@
     {PlatformKind::Rows, "rows"},
 }};
 
+enum class AdmissionRule : std::uint8_t {
+    Classes, // By class of call, with a share of the slots for each.
+    Targets, // By target latency and priority of the routes.
+};
+
+inline constexpr EnumNames<AdmissionRule, 2> admissionRuleNames{{
+    {AdmissionRule::Classes, "classes"},
+    {AdmissionRule::Targets, "targets"},
+}};
+
 struct NodeSettings
 {
     std::string id;
@@ -72,6 +82,8 @@
         std::uint32_t maximumConnections = 4096; // From callers, for each thread.
         std::uint32_t maximumHeaderBytes = 16 * 1024;
         std::uint32_t maximumBodyBytes = 1024 * 1024;
+        AdmissionRule admission = AdmissionRule::Classes;
+        bool zoneFirst = false;   // A call leaves its zone only when nobody there takes it.
         double retryShare = 0.1;  // Retries for each recent first try.
         double retryReserve = 10; // Retries of a service that is hardly called, for each ten seconds.
     } requests;
--- /dev/null
+++ b/Tests/LibDecide/TargetLoad.h
@@ -0,0 +1,195 @@
+// Plays a load of calls with targets against one gate, without sockets or clocks, and counts what callers
+// got.
+#pragma once
+
+#include <LibDecide/Admission.h>
+
+#include <cmath>
+#include <cstdint>
+#include <map>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace Sagecrank {
+
+struct LoadKind
+{
+    std::string name;
+    double perSecond = 0;
+    double runMilliseconds = 0; // Mean; run times are lognormal.
+    double spread = 0.5;
+    std::uint32_t priority = 0;
+    Milliseconds target{0};
+    Milliseconds deadline{0};
+};
+
+struct LoadOutcome
+{
+    int offered = 0;
+    int inTime = 0;
+    int late = 0;
+    int refused = 0;
+    int refusedAfterTarget = 0; // Of the refused: held in vain for longer than an answer is worth most.
+
+    double inTimeShare() const { return this->offered == 0 ? 1 : double(this->inTime) / this->offered; }
+    double servedShare() const
+    {
+        return this->offered == 0 ? 1 : double(this->inTime + this->late) / this->offered;
+    }
+};
+
+class TargetLoad
+{
+public:
+    TargetLoad(AdmissionHooks gate, std::uint32_t slots, std::uint64_t seed)
+        : gate(std::move(gate))
+        , slots(slots)
+        , random(seed)
+    {
+        std::vector<GateAction> actions;
+        this->gate.setState(this->now, UpstreamCondition::Ready, slots, actions);
+    }
+
+    // Offers all kinds for this long, then lets what is inside end.
+    std::map<std::string, LoadOutcome> play(const std::vector<LoadKind> &kinds, Duration length)
+    {
+        const Instant end = this->now + length;
+        for (std::size_t kind = 0; kind < kinds.size(); ++kind)
+            this->arriveLater(kinds[kind], kind);
+        while (!this->events.empty()) {
+            const Event event = this->events.top();
+            this->events.pop();
+            this->now = event.at;
+            if (event.ends)
+                this->end(event.ticket, kinds);
+            else if (this->now < end)
+                this->arrive(kinds[event.kind], event.kind, kinds);
+            this->advance(kinds);
+        }
+        return this->outcomes;
+    }
+
+    std::uint32_t mostRunning = 0;
+    int open = 0; // Tickets given out and not ended.
+
+private:
+    struct Event
+    {
+        Instant at;
+        bool ends = false;
+        std::size_t kind = 0;
+        Ticket ticket = 0;
+
+        bool operator<(const Event &other) const { return this->at > other.at; }
+    };
+
+    struct Call
+    {
+        std::size_t kind = 0;
+        Instant arrived;
+        Instant target;
+    };
+
+    double uniform() { return std::uniform_real_distribution<double>(1e-9, 1.0)(this->random); }
+
+    static Duration seconds(double count)
+    {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(count));
+    }
+
+    Duration runTime(const LoadKind &kind)
+    {
+        const double sigma = std::sqrt(std::log(1 + kind.spread * kind.spread));
+        const double mu = std::log(kind.runMilliseconds / 1000) - sigma * sigma / 2;
+        return seconds(std::lognormal_distribution<double>(mu, sigma)(this->random));
+    }
+
+    void arriveLater(const LoadKind &kind, std::size_t index)
+    {
+        this->events.push(
+            {this->now + seconds(-std::log(this->uniform()) / kind.perSecond), false, index, 0});
+    }
+
+    void arrive(const LoadKind &kind, std::size_t index, const std::vector<LoadKind> &kinds)
+    {
+        this->arriveLater(kind, index);
+        LoadOutcome &outcome = this->outcomes[kind.name];
+        ++outcome.offered;
+        CallFacts facts;
+        facts.kind = index + 1;
+        facts.priority = kind.priority;
+        facts.target = this->now + kind.target;
+        facts.deadline = this->now + kind.deadline;
+        std::vector<GateAction> actions;
+        const GateDecision decision = this->gate.offer(this->now, facts, actions);
+        if (decision.verdict == GateVerdict::Refuse) {
+            ++outcome.refused;
+        } else {
+            ++this->open;
+            this->calls[decision.ticket] = {index, this->now, *facts.target};
+            if (decision.verdict == GateVerdict::Start)
+                this->start(decision.ticket, kind);
+        }
+        this->perform(actions, kinds);
+    }
+
+    void start(Ticket ticket, const LoadKind &kind)
+    {
+        ++this->running;
+        this->mostRunning = std::max(this->mostRunning, this->running);
+        this->events.push({this->now + this->runTime(kind), true, 0, ticket});
+    }
+
+    void end(Ticket ticket, const std::vector<LoadKind> &kinds)
+    {
+        const Call call = this->calls.at(ticket);
+        this->calls.erase(ticket);
+        --this->open;
+        --this->running;
+        LoadOutcome &outcome = this->outcomes[kinds[call.kind].name];
+        ++(this->now <= call.target ? outcome.inTime : outcome.late);
+        std::vector<GateAction> actions;
+        this->gate.finish(this->now, ticket, CallEnd::Succeeded, actions);
+        this->perform(actions, kinds);
+    }
+
+    void advance(const std::vector<LoadKind> &kinds)
+    {
+        const auto next = this->gate.nextDeadline();
+        if (!next || *next > this->now)
+            return;
+        std::vector<GateAction> actions;
+        this->gate.advance(this->now, actions);
+        this->perform(actions, kinds);
+    }
+
+    void perform(const std::vector<GateAction> &actions, const std::vector<LoadKind> &kinds)
+    {
+        for (const GateAction &action : actions) {
+            const Call call = this->calls.at(action.ticket);
+            const LoadKind &kind = kinds[call.kind];
+            if (action.start) {
+                this->start(action.ticket, kind);
+                continue;
+            }
+            LoadOutcome &outcome = this->outcomes[kind.name];
+            ++outcome.refused;
+            outcome.refusedAfterTarget += this->now > call.target ? 1 : 0;
+            this->calls.erase(action.ticket);
+            --this->open;
+        }
+    }
+
+    AdmissionHooks gate;
+    std::uint32_t slots;
+    std::mt19937_64 random;
+    Instant now = Instant() + std::chrono::hours(1);
+    std::uint32_t running = 0;
+    std::priority_queue<Event> events;
+    std::map<Ticket, Call> calls;
+    std::map<std::string, LoadOutcome> outcomes;
+};
+
+} // namespace Sagecrank
--- a/Tests/LibDecide/TestPlacer.cpp
+++ b/Tests/LibDecide/TestPlacer.cpp
@@ -216,3 +216,41 @@
     // An even part is 20 of 200; two random choices bound what the idle one draws to about twice that.
     cr_assert_leq(received[0], 60);
 }
+
+namespace {
+
+struct ZoneFirstFixture
+{
+    ZoneFirstFixture() { settings.zoneFirst = true; }
+
+    PlacerSettings settings;
+    Instant now = Instant() + std::chrono::hours(1);
+    std::uint64_t number = 0;
+    std::vector<UpstreamFacts> facts{{"near", true, false, UpstreamCondition::Ready, 6},
+                                     {"far", false, false, UpstreamCondition::Ready, 6}};
+};
+
+} // namespace
+
+// A zone's only upstream is a little busier than another zone's. By load alone half of the calls would cross
+// zones, and their bytes are dear; with the zone first they stay until its gate refuses one, and a far gate
+// that refused a kind is left alone for a while.
+Test(placer, zoneFirstLeavesTheZoneOnlyWhenNobodyThereTakesTheCall)
+{
+    ZoneFirstFixture fixture;
+    Placer placer(fixture.settings, [&fixture] { return fixture.number += 7919; });
+    for (int call = 0; call < 20; ++call) {
+        const auto index = placer.place(fixture.now, fixture.facts, CallClass::Interactive, {}, 7);
+        cr_assert(index == std::optional<std::size_t>(0));
+        placer.started("near", fixture.now);
+    }
+    const std::size_t tried[] = {0};
+    cr_assert(placer.place(fixture.now, fixture.facts, CallClass::Interactive, tried, 7)
+              == std::optional<std::size_t>(1));
+    placer.started("far", fixture.now);
+    placer.ended("far", fixture.now, CallClass::Interactive, Milliseconds(1), PlacedEnd::RefusedNotRun, 7);
+    cr_assert(!placer.place(fixture.now, fixture.facts, CallClass::Interactive, tried, 7));
+    cr_assert(placer.place(fixture.now, fixture.facts, CallClass::Interactive, tried, 8).has_value());
+    const Instant later = fixture.now + std::chrono::milliseconds(200);
+    cr_assert(placer.place(later, fixture.facts, CallClass::Interactive, tried, 7).has_value());
+}
--- a/Tests/Node/GateFixture.h
+++ b/Tests/Node/GateFixture.h
@@ -1,6 +1,7 @@
 // A local gate before a fake upstream on loopback, with claims that the test answers by hand.
 #pragma once
 
+#include <LibDecide/Gate.h>
 #include <LibNet/HttpServer.h>
 #include <Node/GateCall.h>
 #include <Node/LocalGate.h>
@@ -23,7 +24,8 @@
                        this->began.push_back(request);
                        this->exchanges.push_back(std::move(exchange));
                    })
-        , gate("gate", CallHeaders{}, this->claimHooks(), this->history, this->observer)
+        , gate("gate", admissionHooksOf(std::make_shared<Gate>(GateSettings{1, 64, 7})), CallHeaders{},
+               this->claimHooks(), this->history, this->observer)
     {
         cr_assert(this->upstream.listen("127.0.0.1:0").has_value());
         this->announce(1, UpstreamCondition::Ready);
--- a/Tests/Node/TestForwardedCall.cpp
+++ b/Tests/Node/TestForwardedCall.cpp
@@ -2,6 +2,7 @@
 // not, and what the caller is told.
 #include "FakePeer.h"
 
+#include <LibDecide/Gate.h>
 #include <Node/ForwardedCall.h>
 
 #include <Support/TableTest.h>
@@ -73,7 +74,9 @@
     Metrics metrics;
     SpanRing spans{64};
     RequestObserver observer{this->log, this->metrics, this->spans};
-    LocalGate gate{"node", CallHeaders{}, {}, this->history, this->observer};
+    LocalGate gate{"node",        admissionHooksOf(std::make_shared<Gate>(GateSettings{})),
+                   CallHeaders{}, {},
+                   this->history, this->observer};
     Worker worker{this->settings, this->gate, this->observer, {}, {}};
     std::array<FakePeer, 2> peers{FakePeer(this->worker.ioContext()), FakePeer(this->worker.ioContext())};
     std::shared_ptr<ServiceState> service = std::make_shared<ServiceState>(
--- a/Utilities/PolicyBench/Policy.cpp
+++ b/Utilities/PolicyBench/Policy.cpp
@@ -93,26 +93,7 @@
 
 GateHooks ourGateWith(std::uint64_t seed, std::uint32_t maximumQueue)
 {
-    const auto gate = std::make_shared<Gate>(GateSettings{0, maximumQueue, seed});
-    GateHooks hooks;
-    hooks.offer = [gate](Instant now, const CallFacts &facts, std::vector<GateAction> &actions) {
-        return gate->offer(now, facts, actions);
-    };
-    hooks.finish = [gate](Instant now, Ticket ticket, CallEnd end, std::vector<GateAction> &actions) {
-        gate->finish(now, ticket, end, actions);
-    };
-    hooks.cancel = [gate](Instant now, Ticket ticket, std::vector<GateAction> &actions) {
-        gate->cancel(now, ticket, actions);
-    };
-    hooks.advance = [gate](Instant now, std::vector<GateAction> &actions) { gate->advance(now, actions); };
-    hooks.setState = [gate](Instant now, UpstreamCondition condition, std::uint32_t slots,
-                            std::vector<GateAction> &actions) {
-        gate->setState(now, condition, slots, actions);
-    };
-    hooks.nextDeadline = [gate] { return gate->nextDeadline(); };
-    hooks.freeSlots = [gate] { return gate->freeSlots(); };
-    hooks.queued = [gate] { return gate->queued(); };
-    return hooks;
+    return admissionHooksOf(std::make_shared<Gate>(GateSettings{0, maximumQueue, seed}));
 }
 
 GateHooks ourGate(std::uint64_t seed)
--- a/Utilities/PolicyBench/Policy.h
+++ b/Utilities/PolicyBench/Policy.h
@@ -14,17 +14,7 @@
 
 namespace Sagecrank {
 
-struct GateHooks
-{
-    std::function<GateDecision(Instant, const CallFacts &, std::vector<GateAction> &)> offer;
-    std::function<void(Instant, Ticket, CallEnd, std::vector<GateAction> &)> finish;
-    std::function<void(Instant, Ticket, std::vector<GateAction> &)> cancel;
-    std::function<void(Instant, std::vector<GateAction> &)> advance;
-    std::function<void(Instant, UpstreamCondition, std::uint32_t, std::vector<GateAction> &)> setState;
-    std::function<std::optional<Instant>()> nextDeadline;
-    std::function<std::uint32_t()> freeSlots;
-    std::function<std::uint32_t()> queued;
-};
+using GateHooks = AdmissionHooks;
 
 struct PlacerHooks
 {
