LibDecide: Keep a faulty upstream's slots, and bound retries in every window

The gate holds every slot, so a shed says nothing about fullness there: TargetGate keeps the announced slots. Cause 2: offered calls were counted as load, though a call that several gates refuse is offered to each; long calls got one slot while two stood idle. Load is counted by what started, and late calls are refused from 0.6 of it on.

--- a/Libraries/LibDecide/Retry.cpp
+++ b/Libraries/LibDecide/Retry.cpp
@@ -11,6 +11,9 @@
 // First tries count towards the budget for about this long.
 constexpr double budgetWindow = 10.0;
 
+// A twentieth of the window.
+constexpr Duration sliceLength = std::chrono::milliseconds(500);
+
 // Latency buckets grow by a tenth from 10 microseconds; 160 of them reach 40 seconds.
 constexpr double firstBucket = 1e-5;
 constexpr double bucketGrowth = 1.1;
@@ -43,18 +46,43 @@
 {
     this->refill(now);
     this->recentTries += 1;
+    this->sliceAt(now).firstTries += 1;
     this->tokens = std::min(this->tokens + this->share, this->reserve + this->share * this->recentTries);
 }
 
 bool RetryBudget::tryRetry(Instant now)
 {
     this->refill(now);
-    if (this->tokens < 1)
+    if (this->tokens < 1 || !this->windowAllows(now))
         return false;
     this->tokens -= 1;
+    this->sliceAt(now).retries += 1;
     return true;
 }
 
+RetryBudget::Slice &RetryBudget::sliceAt(Instant now)
+{
+    const std::int64_t number = now.time_since_epoch() / sliceLength;
+    Slice &slice = this->slices[static_cast<std::size_t>(number) % sliceCount];
+    if (slice.number != number)
+        slice = Slice{number, 0, 0};
+    return slice;
+}
+
+bool RetryBudget::windowAllows(Instant now)
+{
+    const std::int64_t newest = now.time_since_epoch() / sliceLength;
+    double firstTries = 0;
+    double retries = 0;
+    for (const Slice &slice : this->slices) {
+        if (slice.number <= newest - static_cast<std::int64_t>(sliceCount))
+            continue;
+        firstTries += slice.firstTries;
+        retries += slice.retries;
+    }
+    return retries + 1 <= this->reserve + this->share * firstTries;
+}
+
 // Unused budget fades with the first tries that earned it; the reserve comes back once a window.
 void RetryBudget::refill(Instant now)
 {
--- a/Libraries/LibDecide/Retry.h
+++ b/Libraries/LibDecide/Retry.h
@@ -36,14 +36,33 @@
     // Takes one retry out of the budget; false when there is none.
     bool tryRetry(Instant now);
 
+    // For an allowance that several nodes share: this node's part of it, which changes with their number.
+    void setReserve(double reserve) { this->reserve = reserve; }
+
 private:
+    // A part of the window, with what happened in it.
+    struct Slice
+    {
+        std::int64_t number = -1; // Of the slice since the clock's epoch.
+        std::uint32_t firstTries = 0;
+        std::uint32_t retries = 0;
+    };
+
+    static constexpr std::size_t sliceCount =
+        21; // One more than a window has: the first counts only in part.
+
     void refill(Instant now);
+    Slice &sliceAt(Instant now);
+    bool windowAllows(Instant now);
 
     double share;
     double reserve;
     double tokens; // Invariant: 0 <= tokens <= reserve + share of the first tries of a window.
     double recentTries = 0;
     std::optional<Instant> refilledAt;
+    // Failure: tokens that were saved up in one window are spent in the next, on top of what that one earns.
+    // Symptom: for a while retries are twice their share. The slices bound those of every window as well.
+    std::array<Slice, sliceCount> slices;
 };
 
 // Load: one upstream in many is slow, or one answer is lost. Harm: its callers wait while others stand idle.
--- a/Libraries/LibDecide/TargetGate.cpp
+++ b/Libraries/LibDecide/TargetGate.cpp
@@ -44,6 +44,10 @@
 // Above this the estimate would be without bound.
 constexpr double mostShareAhead = 0.9;
 
+// Once calls in time take this share of the slots, a late one that waits is overtaken for as long as that
+// lasts.
+constexpr double hopelessShare = 0.6;
+
 constexpr double leastRemaining = 0.2; // Of the usual run, for one that has outlived it.
 
 // A late call waits behind all that are in time, so its wait is the least certain: it needs room for twice as
@@ -70,7 +74,7 @@
 
 TargetGate::TargetGate(TargetGateSettings settings)
     : settings(settings)
-    , limit(settings.slots)
+    , slots(settings.slots)
     , jitterState(settings.jitterSeed)
 {
 }
@@ -102,16 +106,12 @@
     *found = this->runningCalls.back();
     this->runningCalls.pop_back();
     const Duration took = now - ended.startedAt;
-    if (end == CallEnd::Succeeded) {
+    if (end == CallEnd::Succeeded)
         this->observe(ended.kind, took);
-        this->limit.succeeded(ended.filled);
-    }
     // A call that was cut off would have run at least as long; that counts when it is more than the usual.
     const Kind *kind = this->find(ended.kind);
     if (end == CallEnd::Cancelled && kind != nullptr && toSeconds(took) > kind->mean)
         this->observe(ended.kind, took);
-    if (end == CallEnd::Shed)
-        this->limit.shed(now, kind == nullptr ? firstGuess : fromSeconds(kind->mean));
     this->startWaiting(now, actions);
 }
 
@@ -129,7 +129,7 @@
 void TargetGate::setState(Instant now, UpstreamCondition condition, std::uint32_t slots,
                           std::vector<GateAction> &actions)
 {
-    this->limit.setSlots(slots);
+    this->slots = slots;
     this->state = condition;
     if (this->takesCalls())
         return this->startWaiting(now, actions);
@@ -152,9 +152,9 @@
 
 std::uint32_t TargetGate::freeSlots() const
 {
-    if (!this->takesCalls() || this->running() >= this->limit.value())
+    if (!this->takesCalls() || this->running() >= this->slots)
         return 0;
-    return this->limit.value() - this->running();
+    return this->slots - this->running();
 }
 
 std::optional<Instant> TargetGate::nextDeadline() const
@@ -179,7 +179,7 @@
         return Duration::zero();
     const bool isLong = this->isLong(now, facts);
     const double run = toSeconds(this->usualRun(now, facts));
-    const std::size_t slots = isLong ? this->slotsForLong(now, facts) : std::max(1U, this->limit.value());
+    const std::size_t slots = isLong ? this->slotsForLong(now, facts) : std::max(1U, this->slots);
     std::vector<double> free;
     for (const Running &call : this->runningCalls) {
         const Kind *kind = this->find(call.kind);
@@ -351,7 +351,7 @@
             quickLoad += this->recentLoad(now, kind);
     }
     const double spare = spareDeviations * std::sqrt(quickLoad);
-    const double left = std::ceil(this->limit.value() - quickLoad - spare);
+    const double left = std::ceil(this->slots - quickLoad - spare);
     return left < 1 ? 1 : static_cast<std::uint32_t>(left);
 }
 
@@ -368,10 +368,11 @@
     return holding < static_cast<std::ptrdiff_t>(this->slotsForLong(now, facts));
 }
 
-// Slots that the kind's calls ask for lately, on average.
+// Slots that the kind's calls took lately, on average. What was offered says less: a call that several gates
+// refuse is offered to each of them.
 double TargetGate::recentLoad(Instant now, const Kind &kind) const
 {
-    return kind.mean * kind.offered * std::exp(-toSeconds(now - kind.fadedAt) / window) / window;
+    return kind.mean * kind.started * std::exp(-toSeconds(now - kind.fadedAt) / window) / window;
 }
 
 bool TargetGate::mayStartNow(Instant now, const CallFacts &facts) const
@@ -400,7 +401,7 @@
         if (ahead && !(isLong && kind.mean * longRuns <= run))
             load += this->recentLoad(now, kind);
     }
-    const double slots = isLong ? this->slotsForLong(now, facts) : std::max(1U, this->limit.value());
+    const double slots = isLong ? this->slotsForLong(now, facts) : std::max(1U, this->slots);
     return std::min(mostShareAhead, load / slots);
 }
 
@@ -409,7 +410,7 @@
 {
     CallFacts late = facts;
     late.target = now - 1h;
-    return this->shareAhead(now, late, this->rankOf(now, late, this->nextTicket)) >= mostShareAhead;
+    return this->shareAhead(now, late, this->rankOf(now, late, this->nextTicket)) >= hopelessShare;
 }
 
 // Load: more calls than the slots bear. Harm: a call that waits for nothing costs its caller the patience
@@ -420,7 +421,7 @@
 {
     if (this->state == UpstreamCondition::Draining)
         return RefusalReason::Draining;
-    if (!this->takesCalls() || this->limit.slots() == 0)
+    if (!this->takesCalls() || this->slots == 0)
         return RefusalReason::NotReady;
     const Duration wait = this->expectedWait(now, facts);
     if (wait <= Duration::zero()) {
@@ -461,7 +462,7 @@
 {
     if (reason == RefusalReason::Draining || reason == RefusalReason::NotReady)
         return this->jittered(absentRetryAfter);
-    const Duration turn = this->usualRun(now, facts) / std::max(1U, this->limit.value());
+    const Duration turn = this->usualRun(now, facts) / std::max(1U, this->slots);
     const Instant drained = now + this->expectedWait(now, facts);
     this->nextReturn = std::max(this->nextReturn, drained) + turn;
     this->nextReturn = std::min(this->nextReturn, now + longestRetryAfter);
@@ -480,11 +481,7 @@
 {
     Kind &kind = this->obtain(now, facts);
     kind.started += 1;
-    this->runningCalls.push_back(Running{ticket, facts.kind, now, false});
-    if (this->running() < this->limit.value())
-        return;
-    for (Running &call : this->runningCalls)
-        call.filled = true;
+    this->runningCalls.push_back(Running{ticket, facts.kind, now});
 }
 
 void TargetGate::startWaiting(Instant now, std::vector<GateAction> &actions)
--- a/Libraries/LibDecide/TargetGate.h
+++ b/Libraries/LibDecide/TargetGate.h
@@ -9,7 +9,6 @@
 #pragma once
 
 #include <LibDecide/Admission.h>
-#include <LibDecide/ConcurrencyLimit.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -78,7 +77,6 @@
         Ticket ticket = 0;
         std::uint64_t kind = 0;
         Instant startedAt;
-        bool filled = false; // All slots were taken at some time while it ran.
     };
 
     // By which of two calls goes first; see ranksBefore().
@@ -120,9 +118,13 @@
 
     TargetGateSettings settings;
     UpstreamCondition state = UpstreamCondition::NotReady;
-    ConcurrencyLimit limit;
+    // As announced. Failure: a faulty upstream sheds half of its calls with slots free. Symptom of fewer
+    // slots after each shed: it runs at a tenth of what it bears (227 calls a second became 47 at one that
+    // shed 55%). The gate holds every slot itself, so a shed says that the upstream is faulty and not that it
+    // is full.
+    std::uint32_t slots;
     Ticket nextTicket = 1;
-    std::vector<Running> runningCalls; // None starts above the limit; a lowered one cuts none off.
+    std::vector<Running> runningCalls; // None starts above the slots; fewer slots cut none off.
     std::vector<Waiting> waitingCalls; // In order of arrival.
     std::unordered_map<std::uint64_t, Kind> kinds;
     Instant nextReturn = Instant::min(); // When the next refused caller is told to come back.
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -90,6 +90,18 @@
     return {manifest.version, toHex(sectionListDigest(manifest.sections)), reason.empty(), std::move(reason)};
 }
 
+// Failure: nodes that restart together each believe to be alone and take the whole allowance of retries.
+// Symptom: together they exceed it. A node counts on at least so many others, and everybody leaves two fifths
+// unused, for what differs between their views.
+double retryPart(double shared, const std::vector<Member> &members)
+{
+    constexpr std::size_t fewestNodes = 8;
+    constexpr double usedPart = 0.6;
+    const auto present = static_cast<std::size_t>(std::count_if(
+        members.begin(), members.end(), [](const Member &member) { return isPresent(member.state); }));
+    return usedPart * shared / static_cast<double>(std::max(fewestNodes, present));
+}
+
 AdmissionHooks makeAdmission(const NodeSettings &settings)
 {
     const std::uint64_t seed = std::hash<std::string>{}(settings.id);
@@ -274,6 +286,8 @@
 void Node::membersChanged(const std::vector<Member> &members)
 {
     this->view.replace(this->viewBuilder.build(members));
+    if (this->settings.requests.sharedRetryReserve > 0)
+        this->viewBuilder.shareRetries(retryPart(this->settings.requests.sharedRetryReserve, members));
 }
 
 CallerFrontendHooks Node::callerHooks()
--- a/Services/Node/NodeSettings.cpp
+++ b/Services/Node/NodeSettings.cpp
@@ -292,6 +292,7 @@
             requests.admission = admissionRuleNames.value(admission).value_or(requests.admission);
             table.readFlag("zone_first", requests.zoneFirst);
             table.readShare("retry_share", requests.retryShare);
+            table.readAmount("shared_retry_reserve", requests.sharedRetryReserve, 100000);
             table.readAmount("retry_reserve", requests.retryReserve, 100000);
         });
     }
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -83,8 +83,11 @@
         std::uint32_t maximumHeaderBytes = 16 * 1024;
         std::uint32_t maximumBodyBytes = 1024 * 1024;
         AdmissionRule admission = AdmissionRule::Classes;
-        bool zoneFirst = false;   // A call leaves its zone only when nobody there takes it.
-        double retryShare = 0.1;  // Retries for each recent first try.
+        bool zoneFirst = false;  // A call leaves its zone only when nobody there takes it.
+        double retryShare = 0.1; // Retries for each recent first try.
+        // An allowance of retries that all nodes share, of which each takes an even part; zero: none is
+        // shared.
+        double sharedRetryReserve = 0;
         double retryReserve = 10; // Retries of a service that is hardly called, for each ten seconds.
     } requests;
 
--- a/Services/Node/UpstreamView.cpp
+++ b/Services/Node/UpstreamView.cpp
@@ -37,6 +37,14 @@
 {
 }
 
+void UpstreamViewBuilder::shareRetries(double reserve)
+{
+    for (const auto &[cluster, state] : this->states) {
+        const std::lock_guard guard(state->mutex);
+        state->retries.setReserve(reserve);
+    }
+}
+
 void UpstreamViewBuilder::forgetUnused(Instant before)
 {
     for (const auto &[cluster, state] : this->states) {
--- a/Tests/LibDecide/TestRetry.cpp
+++ b/Tests/LibDecide/TestRetry.cpp
@@ -3,6 +3,9 @@
 
 #include <Support/TableTest.h>
 
+#include <algorithm>
+#include <vector>
+
 using namespace Sagecrank;
 using namespace std::chrono_literals;
 
@@ -47,6 +50,27 @@
     cr_assert_geq(retries, 10'000 / 10 - 1);
 }
 
+// A quiet time saves up tokens; then every call fails for some seconds. Spending what was saved on top of
+// what each window earns would double the retries of one window, and an allowance that many nodes share would
+// break.
+Test(retry, noWindowHasMoreThanItsShare)
+{
+    RetryBudget budget(0.1, 5);
+    Instant now{};
+    std::vector<Instant> retries;
+    for (int call = 0; call < 40'000; ++call) {
+        now += 1ms;
+        budget.firstTry(now);
+        const bool failing = call % 15'000 > 9'000;
+        if (failing && budget.tryRetry(now))
+            retries.push_back(now);
+    }
+    for (std::size_t first = 0; first < retries.size(); ++first) {
+        const auto end = std::upper_bound(retries.begin(), retries.end(), retries[first] + 10s);
+        cr_assert_leq(end - retries.begin() - static_cast<std::ptrdiff_t>(first), 10'500 / 10 + 5);
+    }
+}
+
 Test(retry, hedgesOnlyTheSlowest)
 {
     HedgeDelay hedge;
