RowsEmulator: Stand in for the users' store and servers, and show their path

The tests and the demo need no kit: a store of rows in memory with conditions, ranges, watches, rates, lost and late writes, outages and a dropped history; the upstream emulator speaks as a server of the platform when it is given the name of its start. Both take their messages from platform/, which encodes and decodes both sides. Meta/demo-platform.sh shows a change of the configuration, a drain, a killed node and the way from an id to its decisions; the functions that start and wait stand once, in Meta/processes.sh.

Tests: conditions hold, a failed write says what is known, a watch survives a lost history, an older version never replaces a newer one.

--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -6,42 +6,10 @@
 ./Meta/install-packages.sh
 ./Meta/build.sh release > /dev/null
 
-bin="$PWD/Build/release/bin"
-work="$(mktemp -d)"
 port="${DEMO_PORT:-27000}" # The first of a hundred.
+. ./Meta/processes.sh
 platform="127.0.0.1:$port"
-pids=()
 
-stop_all() {
-    kill "${pids[@]}" 2> /dev/null || true
-    wait "${pids[@]}" 2> /dev/null || true
-    rm -rf "$work"
-}
-trap stop_all EXIT
-
-say() { printf '\n== %s\n' "$1"; }
-
-start() {
-    local name="$1"
-    shift
-    "$@" > "$work/$name.out" 2> "$work/$name.log" &
-    pids+=("$!")
-}
-
-# wait_for WHAT COMMAND...: until the command succeeds, fifteen seconds at most.
-wait_for() {
-    local what="$1"
-    shift
-    for _ in $(seq 150); do
-        "$@" > /dev/null 2>&1 && return 0
-        sleep 0.1
-    done
-    echo "gave up waiting for $what; logs:" >&2
-    tail -n 5 "$work"/*.log >&2
-    exit 1
-}
-
-address() { echo "127.0.0.1:$((port + $1))"; }
 callers() { address $((10 * $1 + 1)); }
 admin() { address $((10 * $1 + 5)); }
 
@@ -102,7 +70,6 @@
 
 holds_version() { curl -sf "http://$(admin "$1")/status" | grep -q "\"version\":$2,"; }
 answers() { curl -sf -o /dev/null "http://$(callers 1)/slots"; }
-show() { tr -d '\r' | sed 's/^/   /'; echo; }
 
 say "platform emulator at $platform; version 1 sends /slots to the service booking"
 start platform "$bin/sagecrank-platform-emulator" --listen "$platform"
@@ -154,4 +121,7 @@
     curl -s "http://$(admin "$node")/status" | cut -c1-200 | sed 's/^/   /'
     echo
 done
+stop_all
+trap - EXIT
+./Meta/demo-platform.sh
 say "done; all processes are stopped now"
--- /dev/null
+++ b/Services/RowsEmulator/RowStore.cpp
@@ -0,0 +1,86 @@
+// Transactions, ranges and history.
+#include <RowsEmulator/RowStore.h>
+
+namespace Sagecrank {
+
+using Platform::NamedRow;
+using Platform::RowWrite;
+
+NamedRow RowStore::named(const Name &name) const
+{
+    NamedRow row{name.table, name.part, {}};
+    row.row.key = name.key;
+    const auto found = this->table.find(name);
+    if (found == this->table.end())
+        row.row.removed = true;
+    else
+        row.row = found->second;
+    return row;
+}
+
+bool RowStore::holds(const RowWrite &write, const NamedRow &standing)
+{
+    if (!write.expectedRevision)
+        return true;
+    return *write.expectedRevision == (standing.row.removed ? 0 : standing.row.revision);
+}
+
+std::optional<std::vector<NamedRow>> RowStore::apply(const std::vector<RowWrite> &writes)
+{
+    std::vector<NamedRow> refused;
+    for (const RowWrite &write : writes) {
+        const NamedRow standing = this->named({write.table, write.part, write.key});
+        if (!holds(write, standing))
+            refused.push_back(standing);
+    }
+    if (!refused.empty())
+        return refused;
+    ++this->revision;
+    for (const RowWrite &write : writes) {
+        const Name name{write.table, write.part, write.key};
+        if (write.remove)
+            this->table.erase(name);
+        else
+            this->table[name] = {write.key, write.value, this->revision, false};
+        this->history.push_back({this->revision, name, write.remove});
+    }
+    return std::nullopt;
+}
+
+void RowStore::dropHistory()
+{
+    this->history.clear();
+    this->historyFrom = this->revision;
+}
+
+std::vector<NamedRow> RowStore::rows(const Platform::RowsRange &range) const
+{
+    std::vector<NamedRow> found;
+    for (auto entry = this->table.lower_bound({range.table, range.part, range.from});
+         entry != this->table.end() && found.size() < range.limit; ++entry) {
+        const Name &name = entry->first;
+        if (name.table != range.table || name.part != range.part
+            || (!range.to.empty() && name.key >= range.to))
+            break;
+        found.push_back({name.table, name.part, entry->second});
+    }
+    return found;
+}
+
+std::optional<std::vector<NamedRow>> RowStore::changesAfter(const std::string &table,
+                                                            std::uint64_t after) const
+{
+    if (after < this->historyFrom)
+        return std::nullopt;
+    std::vector<NamedRow> changes;
+    for (const Change &change : this->history) {
+        if (change.revision <= after || change.name.table != table)
+            continue;
+        NamedRow row = this->named(change.name);
+        row.row.revision = change.revision;
+        changes.push_back(std::move(row));
+    }
+    return changes;
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/RowsEmulator/RowStore.h
@@ -0,0 +1,59 @@
+// Rows in memory with one counter of revisions and a history of changes, as the users' platform keeps them.
+// Without sockets or clocks.
+#pragma once
+
+#include <platform/RowsProtocol.h>
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Sagecrank {
+
+class RowStore
+{
+public:
+    // Commands.
+
+    // All of the writes or none. Nothing: they took effect; else the rows whose condition did not hold.
+    std::optional<std::vector<Platform::NamedRow>> apply(const std::vector<Platform::RowWrite> &writes);
+    void dropHistory();
+
+    // Queries.
+    std::vector<Platform::NamedRow> rows(const Platform::RowsRange &range) const;
+    // Nothing when the history since then is gone.
+    std::optional<std::vector<Platform::NamedRow>> changesAfter(const std::string &table,
+                                                                std::uint64_t revision) const;
+    std::uint64_t newest() const { return this->revision; }
+
+private:
+    struct Name
+    {
+        std::string table;
+        std::string part;
+        std::string key;
+
+        auto operator<=>(const Name &) const = default;
+    };
+
+    struct Change
+    {
+        std::uint64_t revision = 0;
+        Name name;
+        bool removed = false;
+    };
+
+    Platform::NamedRow named(const Name &name) const;
+    static bool holds(const Platform::RowWrite &write, const Platform::NamedRow &standing);
+
+    std::map<Name, Platform::StoredRow> table;
+    std::deque<Change> history; // In order of revisions.
+    std::uint64_t revision = 0;
+    std::uint64_t historyFrom = 0; // Changes up to this revision are forgotten.
+};
+
+} // namespace Sagecrank
--- a/Services/UpstreamEmulator/Announcer.cpp
+++ b/Services/UpstreamEmulator/Announcer.cpp
@@ -42,12 +42,8 @@
 {
 }
 
-void Announcer::announce(UpstreamState state, Answer answer)
+HttpRequest Announcer::ownRequest(UpstreamState state) const
 {
-    if (this->settings.node.empty()) {
-        answer(std::nullopt);
-        return;
-    }
     json::object body;
     body["cluster"] = this->settings.cluster;
     body["address"] = this->settings.address;
@@ -58,6 +54,17 @@
     request.target = "/v1/upstream";
     request.headers.push_back({"Content-Type", "application/json"});
     request.body = json::serialize(body);
+    return request;
+}
+
+void Announcer::announce(UpstreamState state, Answer answer)
+{
+    if (this->settings.node.empty()) {
+        answer(std::nullopt);
+        return;
+    }
+    HttpRequest request =
+        this->settings.makeRequest ? this->settings.makeRequest(state) : this->ownRequest(state);
     this->client.send(this->settings.node, std::move(request), this->settings.interval,
                       [answer = std::move(answer)](const HttpFailure *failure, const HttpResponse &response) {
                           const bool good = failure == nullptr && response.status == 200;
--- a/Services/UpstreamEmulator/Announcer.h
+++ b/Services/UpstreamEmulator/Announcer.h
@@ -24,6 +24,8 @@
     std::string address; // Where the node reaches this upstream.
     std::uint32_t slots = 6;
     Milliseconds interval{1000};
+    // For a platform with a check-in of its own; not set: this project's announcement.
+    std::function<HttpRequest(UpstreamState)> makeRequest;
 };
 
 // When a draining upstream may end. Others learn of the drain through gossip, so calls still come in for a
@@ -57,6 +59,7 @@
     void announce(UpstreamState state, Answer answer);
 
 private:
+    HttpRequest ownRequest(UpstreamState state) const;
     void tick();
 
     boost::asio::steady_timer timer;
--- a/Services/UpstreamEmulator/Main.cpp
+++ b/Services/UpstreamEmulator/Main.cpp
@@ -6,6 +6,8 @@
 #include <LibCommandLine/CommandLine.h>
 #include <LibObserve/EventLog.h>
 
+#include <platform/StandInServer.h>
+
 #include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 
@@ -30,6 +32,8 @@
     AnnounceSettings announce;
     WorkSettings work;
     Milliseconds warming{0};
+    // Names this start where upstreams have such names; then it speaks the users' platform's protocol.
+    std::string instance;
 };
 
 // Owns the threads and joins the parts.
@@ -89,10 +93,12 @@
     {
         HttpServerSettings server;
         server.sharePort = this->settings.threads > 1;
-        this->servers.push_back(std::make_unique<HttpServer>(
-            context, server, [this, &context](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
-                this->service.handle(context, std::move(request), std::move(exchange));
-            }));
+        HttpHandler handler = [this, &context](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+            this->service.handle(context, std::move(request), std::move(exchange));
+        };
+        if (!this->settings.instance.empty())
+            handler = Platform::asPlatformServer(this->settings.instance, std::move(handler));
+        this->servers.push_back(std::make_unique<HttpServer>(context, server, std::move(handler)));
         return this->servers.back()->listen(this->settings.listen);
     }
 
@@ -146,6 +152,23 @@
     Instant started;
 };
 
+// Check-ins of this start, numbered.
+std::function<HttpRequest(UpstreamState)> checkIns(const Settings &settings)
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    UpstreamAnnouncement announcement;
+    announcement.cluster = settings.announce.cluster;
+    announcement.address = settings.announce.address;
+    announcement.slots = settings.announce.slots;
+    announcement.instance = settings.instance;
+    announcement.startedAt =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now).count());
+    return [announcement](UpstreamState state) mutable {
+        ++announcement.sequence;
+        return Platform::encodeCheckIn(announcement, state);
+    };
+}
+
 options::options_description describe(Settings &settings, std::vector<std::string> &paths,
                                       long &coldMilliseconds, long &warmingMilliseconds)
 {
@@ -159,6 +182,8 @@
         "the service's name");
     add("node-admin", options::value(&settings.announce.node),
         "admin address of the node beside it; none: no announcement");
+    add("instance", options::value(&settings.instance),
+        "name of this start; with it, node-admin is where the node takes check-ins of the users' platform");
     add("slots", options::value(&settings.work.slots)->default_value(6), "calls that run at one time");
     add("queue", options::value(&settings.work.maximumWaiting)->default_value(64),
         "calls that wait inside; one more is shed");
@@ -204,6 +229,8 @@
     settings.warming = Milliseconds(warmingMilliseconds);
     settings.announce.address = settings.listen;
     settings.announce.slots = static_cast<std::uint32_t>(settings.work.slots);
+    if (!settings.instance.empty())
+        settings.announce.makeRequest = checkIns(settings);
     Program program(std::move(settings));
     return program.run();
 }
--- a/Tests/Platform/TestInstanceCalls.cpp
+++ b/Tests/Platform/TestInstanceCalls.cpp
@@ -2,6 +2,7 @@
 #include <Node/UpstreamPresence.h>
 #include <Support/TableTest.h>
 #include <platform/InstanceCalls.h>
+#include <platform/StandInServer.h>
 
 using namespace Sagecrank;
 
@@ -124,3 +125,16 @@
     fixture.isReady = true;
     cr_assert(fixture.calls.answer({"GET", "/api/readyz", {}, {}}, fixture.node).status == 200);
 }
+
+// What the stand-in of a server writes is what the node reads.
+Test(instanceCalls, readsWhatTheStandInWrites)
+{
+    InstanceFixture fixture;
+    UpstreamAnnouncement announcement{"booking", "10.0.0.9:80", 6, UpstreamCondition::Ready, "i-9", 5000, 3};
+    const HttpRequest checkIn = Platform::encodeCheckIn(announcement, UpstreamState::Warming);
+    cr_assert(fixture.calls.answer(checkIn, fixture.node).status == 200);
+    cr_assert(fixture.instance == "i-9" && fixture.presence.state() == UpstreamState::Warming);
+    const HttpRequest goodbye = Platform::encodeCheckIn(announcement, UpstreamState::Gone);
+    cr_assert(fixture.calls.answer(goodbye, fixture.node).status == 200);
+    cr_assert(fixture.presence.state() == UpstreamState::Gone);
+}
--- /dev/null
+++ b/Tests/Platform/TestRowsStore.cpp
@@ -0,0 +1,162 @@
+// The client of the store and the source of versions on it, against the stand-in of the store on loopback.
+#include <RowsEmulator/RowsService.h>
+#include <Support/TableTest.h>
+#include <platform/ConfigurationFeed.h>
+#include <platform/RowsTable.h>
+
+#include <boost/asio/post.hpp>
+
+#include <optional>
+
+using namespace Sagecrank;
+
+namespace {
+
+std::string document(int version)
+{
+    return R"({"version":)" + std::to_string(version)
+           + R"(,"limits":{"maxHeaderBytes":1,"maxBodyBytes":1,"headerTimeout":"1s","idleTimeout":"1s"},)"
+             R"("listeners":[],"clusters":[{"name":"booking"}]})";
+}
+
+class StoreFixture
+{
+public:
+    StoreFixture()
+        : service(this->context, {}, [](std::string_view) {})
+        , server(this->context, HttpServerSettings{},
+                 [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
+                     this->service.handle(request, exchange);
+                 })
+    {
+        cr_assert(this->server.listen("127.0.0.1:0").has_value());
+        this->client = std::make_shared<Platform::RowsClient>(this->context, this->server.address());
+    }
+
+    template <typename Value>
+    Value await(const std::function<void(std::function<void(Value)>)> &ask)
+    {
+        std::optional<Value> answer;
+        ask([&answer](Value value) { answer.emplace(std::move(value)); });
+        this->context.restart();
+        const Instant limit = SteadyClock::now() + std::chrono::seconds(20);
+        while (!answer && SteadyClock::now() < limit)
+            this->context.run_one_for(Milliseconds(50));
+        cr_assert(answer.has_value());
+        return std::move(*answer);
+    }
+
+    Result<void> write(const Platform::RowWrite &row)
+    {
+        return this->await<Result<void>>([&](auto done) { this->client->write(row, done); });
+    }
+
+    Result<Head> newest(const VersionSource &source, std::uint64_t known)
+    {
+        return this->await<Result<Head>>([&](auto done) { source.newest(known, done); });
+    }
+
+    void faults(const std::string &json)
+    {
+        const auto status = this->await<std::uint32_t>([&](auto done) {
+            this->plain.send(
+                this->server.address(), {"POST", "/emulator/faults", {}, json}, std::chrono::seconds(5),
+                [done](const HttpFailure *, const HttpResponse &response) { done(response.status); });
+        });
+        cr_assert(status == 200);
+    }
+
+    boost::asio::io_context context{1};
+    RowsService service;
+    HttpServer server;
+    HttpClient plain{this->context, HttpClientSettings{}};
+    std::shared_ptr<Platform::RowsClient> client;
+};
+
+struct FaultRow
+{
+    const char *faults;
+    ErrorKind kind;
+};
+
+const FaultRow faultRows[] = {
+    {R"({"down":true,"down_answers":true})", ErrorKind::Unavailable},
+    {R"({"lose_answers":1})", ErrorKind::Timeout},
+    {R"({"late_writes":1,"late_ms":10})", ErrorKind::Timeout},
+};
+
+} // namespace
+
+// Two nodes write the same row. A condition on its revision lets one of them through; the other hears of it
+// and has changed nothing.
+Test(rowsStore, conditionsHold)
+{
+    StoreFixture fixture;
+    Platform::RowWrite row{"t", "p", "k", "first", false, 0};
+    cr_assert(fixture.write(row).has_value());
+    row.value = "second";
+    const Result<void> again = fixture.write(row);
+    cr_assert(!again.has_value() && again.error().kind == ErrorKind::Conflict);
+    const auto rows = fixture.await<Result<Platform::RowsAnswer>>([&](auto done) {
+        fixture.client->get({"t", "p", {}, {}, 10}, done);
+    });
+    cr_assert(rows.has_value() && rows.value().rows.size() == 1 && rows.value().rows[0].value == "first");
+}
+
+// What a failed write says of its effect. "Nothing was done" must be true, and a lost answer must not say so.
+TABLE_TEST(rowsStore, aFailedWriteSaysWhatIsKnown, faultRows)
+{
+    StoreFixture fixture;
+    fixture.faults(row.faults);
+    const Result<void> written = fixture.write({"t", "p", "k", "v", false, std::nullopt});
+    cr_assert(!written.has_value() && written.error().kind == row.kind, "%s", row.faults);
+}
+
+// Introducers' rows go through the project's own table.
+Test(rowsStore, carriesRowsOfTheProjectsTable)
+{
+    StoreFixture fixture;
+    const TablePort table = Platform::makeRowsTable(fixture.client, "sagecrank");
+    const Row row{{"introducers#z", "node-1"},
+                  {{"gossip", std::string("10.0.0.1:1")}, {"time", std::uint64_t{7}}}};
+    cr_assert(fixture.await<Result<void>>([&](auto done) { table.putIf({row, {}}, done); }).has_value());
+    const auto found = fixture.await<Result<std::vector<Row>>>([&](auto done) {
+        table.query({"introducers#z", false, 10}, done);
+    });
+    cr_assert(found.has_value() && found.value().size() == 1 && found.value()[0] == row);
+    const auto one = fixture.await<Result<std::optional<Row>>>([&](auto done) { table.get(row.key, done); });
+    cr_assert(one.has_value() && one.value() == row);
+}
+
+// An operator changes the configuration; a node that watches hears of it. Then the store forgets its history,
+// and the change after that must not be missed: the row itself is read again.
+Test(rowsStore, aWatchFollowsChangesAndALostHistory)
+{
+    StoreFixture fixture;
+    const VersionSource source = Platform::makeConfigurationFeed(fixture.client, "site");
+    cr_assert(fixture.newest(source, 0).value().version == 0);
+    fixture.service.putConfiguration(document(3));
+    cr_assert(fixture.newest(source, 0).value().version == 3);
+
+    auto pending = fixture.await<Result<Head>>([&](auto done) {
+        source.newest(3, done);
+        boost::asio::post(fixture.context, [&] { fixture.service.putConfiguration(document(5)); });
+    });
+    cr_assert(pending.value().version == 5);
+
+    fixture.service.putConfiguration(document(8));
+    fixture.service.dropHistory();
+    cr_assert(fixture.newest(source, 5).value().version == 8);
+}
+
+// A read of the store is behind and shows an older version than the node has seen. Taken for the newest,
+// routes would move back.
+Test(rowsStore, anOlderVersionNeverReplacesANewerOne)
+{
+    StoreFixture fixture;
+    const VersionSource source = Platform::makeConfigurationFeed(fixture.client, "site");
+    fixture.service.putConfiguration(document(8));
+    cr_assert(fixture.newest(source, 0).value().version == 8);
+    fixture.service.putConfiguration(document(7));
+    cr_assert(fixture.newest(source, 0).value().version == 8);
+}
