--- a/Services/Node/LocalGate.cpp
+++ b/Services/Node/LocalGate.cpp
@@ -393,7 +393,7 @@
     this->history.record([&] {
         return GateRefused{call->request.callerCallId, call->request.attempt, std::string(reason)};
     });
-    this->observer.gateRefused(call->request.callerCallId, reason, SteadyClock::now() - call->arrived);
+    this->tellRefusal(*call, reason, retryAfter);
     CallResponse response;
     response.outcome = Outcome::NotRun;
     response.reason = reason;
@@ -405,6 +405,24 @@
     this->answer(call, std::move(response));
 }
 
+void LocalGate::tellRefusal(const GateCall &call, std::string_view reason, Duration retryAfter) const
+{
+    const Instant now = SteadyClock::now();
+    GateRefusal refusal;
+    refusal.callId = call.request.callerCallId;
+    refusal.reason = reason;
+    refusal.waited = now - call.arrived;
+    refusal.left = call.deadline - now;
+    refusal.retryAfter = retryAfter;
+    {
+        const std::lock_guard guard(this->mutex);
+        refusal.running = this->gate.running();
+        refusal.queued = this->gate.queued();
+        refusal.condition = upstreamConditionNames.name(this->gate.condition());
+    }
+    this->observer.gateRefused(refusal);
+}
+
 void LocalGate::answer(const std::shared_ptr<GateCall> &call, CallResponse response)
 {
     if (call->stage == GateCallStage::Ended)
--- a/Services/Node/LocalGate.h
+++ b/Services/Node/LocalGate.h
@@ -77,6 +77,7 @@
     void upstreamFailed(const std::shared_ptr<GateCall> &call, const HttpFailure &failure);
     void freeSlot(const std::shared_ptr<GateCall> &call, CallEnd end);
     void refuse(const std::shared_ptr<GateCall> &call, std::string_view reason, Duration retryAfter);
+    void tellRefusal(const GateCall &call, std::string_view reason, Duration retryAfter) const;
     void answer(const std::shared_ptr<GateCall> &call, CallResponse response);
     HttpRequest upstreamRequest(const GateCall &call, Duration remaining) const;
     bool provesNotRun(const HttpResponse &response) const;
--- a/Services/Node/RequestObserver.cpp
+++ b/Services/Node/RequestObserver.cpp
@@ -105,13 +105,19 @@
 }
 
 // Refusals are rarer than calls, and their reasons are few: looking the counter up by name is cheap enough.
-void RequestObserver::gateRefused(std::string_view callId, std::string_view reason, Duration waited)
-{
-    this->log.write(EventId::GateRefused,
-                    {{"call", callId}, {"reason", reason}, {"waited_ms", milliseconds(waited)}});
+void RequestObserver::gateRefused(const GateRefusal &refusal)
+{
+    this->log.write(EventId::GateRefused, {{"call", refusal.callId},
+                                           {"reason", refusal.reason},
+                                           {"waited_ms", milliseconds(refusal.waited)},
+                                           {"left_ms", milliseconds(refusal.left)},
+                                           {"running", refusal.running},
+                                           {"queued", refusal.queued},
+                                           {"upstream", refusal.condition},
+                                           {"retry_after_ms", milliseconds(refusal.retryAfter)}});
     this->metrics
         .counter("sagecrank_gate_refused_total", "Calls that the gate refused as not run.",
-                 {{"reason", std::string(reason)}})
+                 {{"reason", std::string(refusal.reason)}})
         .add();
 }
 
--- a/Services/Node/RequestObserver.h
+++ b/Services/Node/RequestObserver.h
@@ -29,6 +29,19 @@
     Duration left{}; // Until its deadline.
 };
 
+// Why the gate refused a call, with what it knew.
+struct GateRefusal
+{
+    std::string_view callId;
+    std::string_view reason;
+    Duration waited{};
+    Duration left{}; // Until its deadline.
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    std::string_view condition; // Of the upstream, as it announced itself last.
+    Duration retryAfter{};
+};
+
 // What is known of a call when the gate answers it.
 struct GateSummary
 {
@@ -61,7 +74,7 @@
     void requestRefused(std::string_view callId, std::uint32_t status, std::string_view reason);
     // A call went out again; hedges count as well.
     void callSentAgain(std::string_view callId, std::string_view upstream);
-    void gateRefused(std::string_view callId, std::string_view reason, Duration waited);
+    void gateRefused(const GateRefusal &refusal);
     void gateEnded(const GateSummary &summary);
     void gateWaited(Duration waited);
     void upstreamTook(Duration took);
