--- a/Services/Node/LocalGate.cpp
+++ b/Services/Node/LocalGate.cpp
@@ -13,14 +13,9 @@
 namespace {
 
 constexpr std::uint32_t statusConflict = 409;
-constexpr std::uint32_t statusMisdirected = 421;
-constexpr std::uint32_t statusBadGateway = 502;
 constexpr std::uint32_t statusUnavailable = 503;
 constexpr std::uint32_t statusGatewayTimeout = 504;
 
-// When a caller is told to come back although nothing is known about when the upstream will be well.
-constexpr Duration unreachableRetryAfter = std::chrono::seconds(1);
-
 // Bounds how often a waiting call looks at the queue.
 constexpr Duration shortestQueueCheck = Milliseconds(1);
 
@@ -30,31 +25,6 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 1, 3600000));
 }
 
-bool isHopHeader(std::string_view name)
-{
-    static constexpr std::string_view hopHeaders[] = {
-        "Connection", "Keep-Alive",       "Transfer-Encoding", "TE",
-        "Upgrade",    "Proxy-Connection", "Content-Length",    "Trailer"};
-    return std::any_of(std::begin(hopHeaders), std::end(hopHeaders),
-                       [name](std::string_view header) { return sameHeaderName(header, name); });
-}
-
-Duration retryAfterOf(const HttpResponse &response)
-{
-    const std::string text(findHeader(response.headers, "Retry-After"));
-    const int seconds = std::atoi(text.c_str());
-    return std::chrono::seconds(std::clamp(seconds, 1, 3600));
-}
-
-// Statuses that callers take for a promise that nothing ran.
-bool saysNotRun(std::uint32_t status)
-{
-    constexpr std::uint32_t statusRequestTimeout = 408;
-    constexpr std::uint32_t statusTooManyRequests = 429;
-    return status == statusRequestTimeout || status == statusMisdirected || status == statusTooManyRequests
-           || status == statusUnavailable;
-}
-
 } // namespace
 
 LocalGate::LocalGate(std::string nodeId, AdmissionHooks admission, CallHeaders names, ClaimHooks claims,
@@ -266,117 +236,6 @@
                                });
 }
 
-HttpRequest LocalGate::upstreamRequest(const GateCall &call, Duration remaining) const
-{
-    HttpRequest request;
-    request.method = call.request.method;
-    request.target = call.request.target;
-    for (const Header &header : call.request.headers) {
-        if (!isHopHeader(header.name))
-            request.headers.push_back(header);
-    }
-    const auto milliseconds = std::chrono::duration_cast<Milliseconds>(remaining).count();
-    const auto add = [&request](const std::string &name, const std::string &value) {
-        if (!name.empty() && !value.empty())
-            request.headers.push_back({name, value});
-    };
-    add(this->names.deadline, std::to_string(std::max<std::int64_t>(milliseconds, 1)));
-    add(this->names.attempt, call.request.attempt);
-    add(this->names.callId, call.request.callerCallId);
-    add(this->names.idempotencyKey, call.request.idempotencyKey);
-    add(this->names.expectedInstance, call.upstreamInstance);
-    add(this->names.trace, formatTraceParent(call.stepSpan->context()));
-    request.body = call.request.body;
-    return request;
-}
-
-// Whether the upstream says that it did not run the call. No other answer says so, whatever its status.
-bool LocalGate::provesNotRun(const HttpResponse &response) const
-{
-    if (!this->names.expectedInstance.empty() && response.status == statusMisdirected)
-        return true;
-    const std::string_view said = findHeader(response.headers, this->names.notRun);
-    if (this->names.notRunValue.empty())
-        return !said.empty();
-    return response.status == statusUnavailable && said == this->names.notRunValue;
-}
-
-// Failure: a faulty upstream sends bytes that look like an answer. Symptom: a caller takes them for its own.
-// The proof that every sound answer carries is missing, or the body is coded although nobody asked for it.
-bool LocalGate::isOwnAnswer(const HttpResponse &response) const
-{
-    if (this->names.proof.empty())
-        return true;
-    if (!findHeader(response.headers, "Content-Encoding").empty())
-        return false;
-    return response.status >= 300 || !findHeader(response.headers, this->names.proof).empty();
-}
-
-void LocalGate::upstreamRefused(const std::shared_ptr<GateCall> &call, const HttpResponse &response)
-{
-    this->observer.upstreamShed(call->request.callerCallId, call->request.cluster, response.status);
-    this->freeSlot(call, CallEnd::Shed);
-    if (response.status != statusMisdirected)
-        return this->refuse(call, reasonShed, retryAfterOf(response));
-    // Another upstream stands at this address: nothing more goes there until one announces itself.
-    UpstreamAnnouncement gone = this->announced();
-    if (gone.instance == call->upstreamInstance) {
-        gone.condition = UpstreamCondition::NotReady;
-        this->announce(gone);
-    }
-    this->refuse(call, reasonMisdirected, retryAfterOf(response));
-}
-
-void LocalGate::upstreamAnswered(const std::shared_ptr<GateCall> &call, HttpResponse response)
-{
-    if (this->provesNotRun(response))
-        return this->upstreamRefused(call, response);
-    if (!this->isOwnAnswer(response)) {
-        this->freeSlot(call, CallEnd::Failed);
-        if (call->claimed)
-            this->claims.leaveUnknown(call->claimName, call->request.attempt);
-        return this->answerUnknown(call, reasonSpoilt, statusBadGateway, unreachableRetryAfter);
-    }
-    // Failure: an upstream says "unavailable" without saying that it did not run the call. Symptom: passed
-    // on, the status would promise the caller that it may come again, and a booking would run twice.
-    if (!this->names.proof.empty() && saysNotRun(response.status)) {
-        this->freeSlot(call, CallEnd::Failed);
-        return this->answerUnknown(call, reasonNoProof, statusBadGateway, unreachableRetryAfter);
-    }
-    this->observer.upstreamTook(SteadyClock::now() - call->started);
-    this->freeSlot(call, response.status >= 500 ? CallEnd::Failed : CallEnd::Succeeded);
-    if (call->claimed) {
-        RecordedOutcome recorded;
-        recorded.status = response.status;
-        recorded.contentType = findHeader(response.headers, "Content-Type");
-        recorded.body = response.body;
-        this->claims.finish(call->claimName, call->request.attempt, std::move(recorded));
-    }
-    CallResponse answer;
-    answer.outcome = Outcome::Done;
-    answer.status = response.status;
-    for (Header &header : response.headers) {
-        if (!isHopHeader(header.name))
-            answer.headers.push_back(std::move(header));
-    }
-    answer.body = std::move(response.body);
-    this->answer(call, std::move(answer));
-}
-
-void LocalGate::upstreamFailed(const std::shared_ptr<GateCall> &call, const HttpFailure &failure)
-{
-    this->freeSlot(call, call->cancelled ? CallEnd::Cancelled : CallEnd::Failed);
-    if (!failure.mayHaveBeenSent) {
-        call->sent = false;
-        return this->refuse(call, reasonUnreachable, unreachableRetryAfter);
-    }
-    if (call->claimed)
-        this->claims.leaveUnknown(call->claimName, call->request.attempt);
-    const bool late = SteadyClock::now() >= call->deadline;
-    this->answerUnknown(call, late ? reasonDeadline : reasonBroken,
-                        late ? statusGatewayTimeout : statusBadGateway, unreachableRetryAfter);
-}
-
 void LocalGate::freeSlot(const std::shared_ptr<GateCall> &call, CallEnd end)
 {
     closeStep(*call);
--- a/Services/Node/LocalGate.h
+++ b/Services/Node/LocalGate.h
@@ -33,6 +33,9 @@
 
 class GateCall;
 
+// When a caller is told to come back although nothing is known about when the upstream will be well.
+inline constexpr Duration unreachableRetryAfter = std::chrono::seconds(1);
+
 class LocalGate
 {
 public:
--- a/Services/Node/UpstreamAnnouncement.h
+++ b/Services/Node/UpstreamAnnouncement.h
@@ -16,7 +16,7 @@
     UpstreamCondition condition = UpstreamCondition::NotReady;
     // Names one start of the upstream. Each call says which one it is meant for, so that another that was
     // given the address meanwhile refuses it. Empty where upstreams have no such names.
-    std::string instance;
+    std::string instance{};
     std::uint64_t startedAt = 0; // Of the instance, in Unix milliseconds by its own clock; zero: not told.
     std::uint64_t sequence = 0;  // Rises with each announcement of one start; zero: not told.
 };
