LibNet: Let a refusal reach a caller that still sends

A request that is refused before its body is read was closed with bytes unread, and the reset that follows overtakes the answer: the test's caller, and a real one, sees a broken pipe instead of 400 or 413.

Change: after a refusal only the sending side ends; what comes is thrown away until the caller closes, two seconds at most.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -55,6 +55,11 @@
     return 0;
 }
 
+// Two seconds carry over a megabyte on the slowest link (5 Mbit/s); a caller that sends for longer is cut
+// off.
+constexpr Milliseconds longestLinger{2000};
+constexpr std::size_t thrownAwayAtOnce = 16'384;
+
 constexpr std::string_view continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 // What is wrong with a header that Beast takes, or nothing. Failure: two readers of one request see its end
@@ -104,6 +109,8 @@
     void watchForClose();
     void checkForClose();
     void refuse(std::uint32_t status, std::string_view message);
+    void closeAfterReading();
+    void throwAwayNext();
     void writeResponse(HttpResponse response, bool keepAlive);
 
     HttpStream stream;
@@ -118,6 +125,7 @@
     bool callerKeepsAlive = false;
     bool headOnly = false; // A HEAD request is answered with the headers of the GET and no body.
     bool watching = false;
+    bool unreadLeft = false;     // It was refused before it was read to its end.
     bool readsFirstByte = false; // Nothing of a next request has been read.
 };
 
@@ -295,9 +303,33 @@
 {
     HttpResponse response = makeResponse(status, "text/plain", std::string(message) + "\n");
     response.headers.push_back({"Sagecrank-Outcome", std::string(outcomeNames.name(Outcome::NotRun))});
+    this->unreadLeft = true;
     this->writeResponse(std::move(response), false);
 }
 
+// Failure: a request is refused while its body is still coming, and the connection is closed with bytes
+// unread. Symptom: the reset that follows overtakes the answer, and the caller never learns what was wrong.
+// So only this side's sending ends; what comes is thrown away until the caller closes, for a bounded time.
+void Session::closeAfterReading()
+{
+    beast::error_code ignored;
+    this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    this->stream.expires_after(longestLinger);
+    this->throwAwayNext();
+}
+
+void Session::throwAwayNext()
+{
+    this->buffer.clear();
+    this->stream.async_read_some(
+        this->buffer.prepare(thrownAwayAtOnce),
+        [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
+            if (error)
+                return self->close();
+            self->throwAwayNext();
+        });
+}
+
 void Session::writeResponse(HttpResponse response, bool keepAlive)
 {
     http::response<http::string_body> &message = this->response.emplace();
@@ -315,6 +347,8 @@
     writeMessage(this->stream, this->responseHeader, message,
                  [self = this->shared_from_this(), keepAlive](const beast::error_code &error, std::size_t) {
                      self->response.reset();
+                     if (!error && self->unreadLeft)
+                         return self->closeAfterReading();
                      if (error || !keepAlive)
                          return self->close();
                      self->readRequest();
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -189,6 +189,27 @@
     cr_assert(eventually([&] { return server.abandoned == 1; }));
 }
 
+// A caller sends a body far above the limit. It is refused before the body is read; a connection closed over
+// unread bytes is reset, and the reset would overtake the answer that says what was wrong.
+Test(httpServer, aRefusalReachesACallerThatStillSends)
+{
+    EchoServer server;
+    for (int round = 0; round < 20; ++round) {
+        boost::asio::io_context context;
+        tcp::socket socket = connectTo(context, server.address());
+        const std::string body(500'000, 'x');
+        const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 500000\r\n\r\n";
+        boost::system::error_code error;
+        boost::asio::write(socket, boost::asio::buffer(head), error);
+        boost::asio::write(socket, boost::asio::buffer(body), error);
+        cr_assert(!error, "%s", error.message().c_str());
+        socket.shutdown(tcp::socket::shutdown_send);
+        std::string answer;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+        cr_assert(answer.starts_with("HTTP/1.1 413"), "round %d: %s", round, error.message().c_str());
+    }
+}
+
 // A process ends. A request that is under way is answered and told to go elsewhere; a kept connection without
 // one is closed at once. Left open, its next request would be taken by a process that ends under it, and its
 // caller would see a closed connection without an answer.
