Node: Spell the hop-by-hop headers once

The caller's side and the gate's side each had a list of the headers that concern one connection only, the same but for Expect, which the caller's side takes out before the gate sees a request. Both call HopHeaders.h now.

--- a/Services/Node/CallerFrontend.cpp
+++ b/Services/Node/CallerFrontend.cpp
@@ -1,6 +1,8 @@
 // Translates between HTTP and calls.
 #include "CallerFrontend.h"
 
+#include "HopHeaders.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -17,16 +19,6 @@
 // A node that has just started reads its first version within some hundred milliseconds.
 constexpr std::uint32_t noConfigurationRetryAfter = 300;
 
-// Headers that concern one connection only, or that the node writes anew for each hop.
-bool isHopHeader(std::string_view name)
-{
-    static constexpr std::string_view hop[] = {
-        "Connection", "Content-Length", "Transfer-Encoding", "Keep-Alive", "TE", "Trailer",
-        "Upgrade",    "Expect",         "Proxy-Connection"};
-    return std::any_of(std::begin(hop), std::end(hop),
-                       [name](std::string_view header) { return sameHeaderName(header, name); });
-}
-
 bool isOneOf(std::string_view name, std::initializer_list<std::string_view> names)
 {
     return std::any_of(names.begin(), names.end(), [name](std::string_view other) {
--- a/Services/Node/LocalGateUpstream.cpp
+++ b/Services/Node/LocalGateUpstream.cpp
@@ -3,6 +3,7 @@
 
 #include "CallReasons.h"
 #include "GateCall.h"
+#include "HopHeaders.h"
 
 #include <algorithm>
 
@@ -15,15 +16,6 @@
 constexpr std::uint32_t statusUnavailable = 503;
 constexpr std::uint32_t statusGatewayTimeout = 504;
 
-bool isHopHeader(std::string_view name)
-{
-    static constexpr std::string_view hopHeaders[] = {
-        "Connection", "Keep-Alive",       "Transfer-Encoding", "TE",
-        "Upgrade",    "Proxy-Connection", "Content-Length",    "Trailer"};
-    return std::any_of(std::begin(hopHeaders), std::end(hopHeaders),
-                       [name](std::string_view header) { return sameHeaderName(header, name); });
-}
-
 Duration retryAfterOf(const HttpResponse &response)
 {
     const std::string text(findHeader(response.headers, "Retry-After"));
