Tests: Let the relay choose its ports and name them

Cause: the test asked the kernel for a free port, let it go, and started the relay on it. Between the two the kernel may hand the same port out again: to the second question of the same test, or to a connection of another process. Change: the relay takes port 0 for its addresses and its first line names what it got; the test reads that line, and shows it when the relay did not start.

--- a/Tests/EndToEnd/TestRelay.py
+++ b/Tests/EndToEnd/TestRelay.py
@@ -1,5 +1,6 @@
 """The relay disturbs exactly the connections that it is told to, so that a fault in a proof run is the one named."""
 
+import re
 import socket
 import subprocess
 import sys
@@ -11,10 +12,17 @@
 SILENCE = 0.3  # Seconds in which what must not arrive would have come on loopback.
 
 
-def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def start_relay(target_port, *options):
+    """Returns the process and the ports for traffic and commands. The relay takes ports of the kernel's choice and
+    names them: a port that a test probes and lets go can be handed out again before the relay has it."""
+    relay = subprocess.Popen(
+        [f"{BIN}/sagecrank-relay", "--listen", "127.0.0.1:0", "--to", f"127.0.0.1:{target_port}", "--control",
+         "127.0.0.1:0", *options], stderr=subprocess.PIPE)
+    line = relay.stderr.readline().decode()
+    found = re.fullmatch(r"relay listens on 127\.0\.0\.1:(\d+), takes commands on 127\.0\.0\.1:(\d+)\n", line)
+    if found is None:
+        raise AssertionError(f"the relay did not start, it says: {line!r}")
+    return relay, int(found[1]), int(found[2])
 
 
 class EchoServer:
@@ -46,14 +54,8 @@
 class RelayTest(unittest.TestCase):
     def setUp(self):
         self.server = EchoServer()
-        self.port = free_port()
-        self.control_port = free_port()
-        self.relay = subprocess.Popen(
-            [f"{BIN}/sagecrank-relay", "--listen", f"127.0.0.1:{self.port}", "--to",
-             f"127.0.0.1:{self.server.port}", "--control", f"127.0.0.1:{self.control_port}"],
-            stderr=subprocess.PIPE)
-        self.relay.stderr.readline()
-        self.control = socket.create_connection(("127.0.0.1", self.control_port), WAIT)
+        self.relay, self.port, control_port = start_relay(self.server.port)
+        self.control = socket.create_connection(("127.0.0.1", control_port), WAIT)
 
     def tearDown(self):
         self.control.close()
@@ -126,12 +128,7 @@
         target = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         target.bind(("127.0.0.1", 0))
         target.settimeout(WAIT)
-        port, control_port = free_port(socket.SOCK_DGRAM), free_port()
-        relay = subprocess.Popen(
-            [f"{BIN}/sagecrank-relay", "--udp", "--seed", str(seed), "--listen", f"127.0.0.1:{port}", "--to",
-             f"127.0.0.1:{target.getsockname()[1]}", "--control", f"127.0.0.1:{control_port}"],
-            stderr=subprocess.PIPE)
-        relay.stderr.readline()
+        relay, port, control_port = start_relay(target.getsockname()[1], "--udp", "--seed", str(seed))
         sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         with socket.create_connection(("127.0.0.1", control_port), WAIT) as control, target, sender:
             control.sendall(b"drop 0.5\n")
--- a/Utilities/Relay/ControlPort.h
+++ b/Utilities/Relay/ControlPort.h
@@ -18,6 +18,8 @@
     // Throws boost::system::system_error when it cannot listen.
     ControlPort(boost::asio::io_context &context, const boost::asio::ip::tcp::endpoint &listen, Hook hook);
 
+    boost::asio::ip::tcp::endpoint localEndpoint() const { return this->acceptor.local_endpoint(); }
+
 private:
     void accept();
 
--- a/Utilities/Relay/Main.cpp
+++ b/Utilities/Relay/Main.cpp
@@ -33,16 +33,19 @@
     std::uint64_t seed = 1;
 };
 
+// Port 0 lets the kernel choose: the line at the start then says which it is.
 template <typename Endpoint>
 Endpoint endpointFromText(const std::string &text)
 {
     const std::size_t colon = text.rfind(':');
+    const char *const end = text.data() + text.size();
     std::uint16_t port = 0;
-    if (colon != std::string::npos)
-        std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
+    const bool isPort =
+        colon != std::string::npos
+        && std::from_chars(text.data() + colon + 1, end, port) == std::from_chars_result{end, {}};
     boost::system::error_code error;
     const auto address = asio::ip::make_address(text.substr(0, colon), error);
-    if (error || port == 0)
+    if (error || !isPort)
         throw options::error("not an address of the form ip:port: " + text);
     return {address, port};
 }
@@ -73,7 +76,14 @@
         control.emplace(context, endpointFromText<tcp::endpoint>(settings.control), command);
     asio::signal_set signals(context, SIGINT, SIGTERM);
     signals.async_wait([&context](const boost::system::error_code &, int) { context.stop(); });
-    std::cerr << "relay listens on " << settings.listen << "\n";
+    std::cerr << "relay listens on ";
+    if (tcpRelay)
+        std::cerr << tcpRelay->localEndpoint();
+    else
+        std::cerr << udpRelay->localEndpoint();
+    if (control)
+        std::cerr << ", takes commands on " << control->localEndpoint();
+    std::cerr << "\n";
     context.run();
     return 0;
 }
@@ -85,7 +95,8 @@
     Settings settings;
     options::options_description description("sagecrank-relay: passes bytes on and disturbs them on command");
     auto add = description.add_options();
-    add("listen", options::value(&settings.listen)->required(), "address to take connections at, ip:port");
+    add("listen", options::value(&settings.listen)->required(),
+        "address to take connections at, ip:port, with port 0 for any free one");
     add("to", options::value(&settings.to)->required(), "address to pass them on to, ip:port");
     add("control", options::value(&settings.control),
         "address to take commands at, one on a line: pass, silence [up|down], hole, cut, refuse, "
--- a/Utilities/Relay/TcpRelay.h
+++ b/Utilities/Relay/TcpRelay.h
@@ -20,6 +20,8 @@
     TcpRelay(boost::asio::io_context &context, const boost::asio::ip::tcp::endpoint &listen,
              boost::asio::ip::tcp::endpoint target, LinkFaults &faults);
 
+    boost::asio::ip::tcp::endpoint localEndpoint() const { return this->acceptor.local_endpoint(); }
+
     void silenceConnections(bool up, bool down);
     void cutConnections();
 
--- a/Utilities/Relay/UdpRelay.h
+++ b/Utilities/Relay/UdpRelay.h
@@ -21,6 +21,8 @@
     UdpRelay(boost::asio::io_context &context, const boost::asio::ip::udp::endpoint &listen,
              boost::asio::ip::udp::endpoint target, LinkFaults &faults);
 
+    boost::asio::ip::udp::endpoint localEndpoint() const { return this->socket.local_endpoint(); }
+
 private:
     static constexpr std::size_t maximumDatagram = 65536;
 
