Node: Keep an upstream's leaving in the store before it is confirmed

Ruled out: ordering by start and number (UpstreamPresence) cannot help, as a new process has nothing to order by. A new process reads the row before it believes a first "ready"; while the store is away it believes the second word of the same start. Cost: one write a leaving upstream, one read a start.

--- a/Libraries/LibObserve/Events.h
+++ b/Libraries/LibObserve/Events.h
@@ -65,6 +65,9 @@
     UpstreamSilent = 6005,
     UpstreamShedding = 6006,
     AnnouncementRefused = 6007,
+    DepartureKept = 6008,
+    DepartureRecalled = 6009,
+    DepartureUnkept = 6010,
 
     PublishAccepted = 7001,
     PublishRefused = 7002,
@@ -158,6 +161,12 @@
      "The upstream refused a call as not run although the gate saw a free slot."},
     {EventId::AnnouncementRefused, "announcement.refused", LogLevel::Warning,
      "An announcement could not be read or named no known state; nothing changes."},
+    {EventId::DepartureKept, "departure.kept", LogLevel::Info,
+     "The platform keeps that the upstream beside this node leaves; its word is confirmed."},
+    {EventId::DepartureRecalled, "departure.recalled", LogLevel::Info,
+     "What an earlier process of this node kept about a leaving upstream was read."},
+    {EventId::DepartureUnkept, "departure.unkept", LogLevel::Warning,
+     "What is kept about a leaving upstream could not be read or written; it is tried again."},
 
     {EventId::PublishAccepted, "publish.accepted", LogLevel::Info,
      "A version was accepted: the head row names it."},
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -157,14 +157,8 @@
     , claims(this->control, this->adapter.table)
     , gate(this->settings.id, makeAdmission(this->settings), this->adapter.headers, this->claims.hooks(),
            this->history, this->observer)
-    , presence({[this](const std::string &cluster) { this->nodeLog.upstreamSilent(cluster); },
-                [this](const UpstreamAnnouncement &announcement) { this->gate.announce(announcement); },
-                [this](const std::string &cluster, UpstreamState state, std::uint32_t slots) {
-                    this->nodeLog.upstreamChanged(cluster, state, slots);
-                    this->plane.announceUpstream(cluster, state, slots);
-                    this->limitQueue();
-                }},
-               this->settings.platform.announcementLife)
+    , presence(this->presenceHooks(), this->settings.platform.announcementLife)
+    , departures(this->control, this->adapter.table, this->settings.id, this->departureHooks())
     , forwarding{this->settings.id, this->gate, this->view, this->ids, this->history, this->observer}
     , callers(this->forwarding, this->settings.requests.maximumTimeout, this->adapter.headers,
               this->settings.platform.upstreamService, this->callerHooks())
@@ -206,6 +200,8 @@
     TRY_VOID(this->plane.start());
     for (const auto &worker : this->workers)
         worker->start();
+    this->presence.awaitRecall();
+    this->departures.recall();
     this->watchSignals();
     this->tick();
     this->log.write(EventId::ProcessStarted,
@@ -351,18 +347,54 @@
     return this->plane.ready() && this->drain.stage() == DrainStage::Serving;
 }
 
+// What the upstream said is believed at once; that it was heard is said when its leaving is kept.
+void Node::confirm(const HttpRequest &request, HttpResponse response,
+                   const std::shared_ptr<HttpExchange> &exchange)
+{
+    if (request.method == "GET")
+        return exchange->respond(std::move(response));
+    this->departures.whenKept(
+        [exchange, response = std::move(response)]() mutable { exchange->respond(std::move(response)); });
+}
+
 HttpHandler Node::adminHandler()
 {
     return [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
-        exchange->respond(this->admin.answer(request));
+        this->confirm(request, this->admin.answer(request), exchange);
     };
 }
 
 HttpHandler Node::adapterHandler()
 {
     return [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
-        exchange->respond(this->adapter.answer(request, this->commands));
+        this->confirm(request, this->adapter.answer(request, this->commands), exchange);
+    };
+}
+
+UpstreamPresenceHooks Node::presenceHooks()
+{
+    UpstreamPresenceHooks hooks;
+    hooks.silent = [this](const std::string &cluster) { this->nodeLog.upstreamSilent(cluster); };
+    hooks.gate = [this](const UpstreamAnnouncement &announcement) { this->gate.announce(announcement); };
+    hooks.membership = [this](const std::string &cluster, UpstreamState state, std::uint32_t slots) {
+        this->nodeLog.upstreamChanged(cluster, state, slots);
+        this->plane.announceUpstream(cluster, state, slots);
+        this->limitQueue();
     };
+    hooks.leaving = [this](const Departure &departure) { this->departures.note(departure); };
+    return hooks;
+}
+
+DepartureRecordHooks Node::departureHooks()
+{
+    DepartureRecordHooks hooks;
+    hooks.recalled = [this](const std::optional<Departure> &departure) {
+        this->nodeLog.departureRecalled(departure);
+        this->presence.recalled(SteadyClock::now(), departure);
+    };
+    hooks.kept = [this](const Departure &departure) { this->nodeLog.departureKept(departure); };
+    hooks.failed = [this](const Error &error) { this->nodeLog.departureFailed(error); };
+    return hooks;
 }
 
 AdminHooks Node::adminHooks()
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -5,6 +5,7 @@
 #include "CallerFrontend.h"
 #include "ClaimService.h"
 #include "ControlPlane.h"
+#include "DepartureRecord.h"
 #include "NodeAdapter.h"
 #include "NodeDrain.h"
 #include "NodeLog.h"
@@ -42,8 +43,12 @@
     CallerFrontendHooks callerHooks();
     AdminHooks adminHooks();
     NodeDrainHooks drainHooks();
+    void confirm(const HttpRequest &request, HttpResponse response,
+                 const std::shared_ptr<HttpExchange> &exchange);
     HttpHandler adminHandler();
     HttpHandler adapterHandler();
+    UpstreamPresenceHooks presenceHooks();
+    DepartureRecordHooks departureHooks();
     std::optional<RouteChoice> route(std::string_view host, std::string_view method,
                                      std::string_view path) const;
     HttpLimits callerLimits() const;
@@ -74,6 +79,7 @@
     ClaimService claims;
     LocalGate gate;
     UpstreamPresence presence;
+    DepartureRecord departures;
     ForwardingContext forwarding;
     CallerFrontend callers;
     const AdminHooks commands;
--- a/Services/Node/NodeLog.cpp
+++ b/Services/Node/NodeLog.cpp
@@ -85,6 +85,25 @@
                     {{"step", error.step}, {"peer", error.peer}, {"message", error.message}});
 }
 
+void NodeLog::departureRecalled(const std::optional<Departure> &departure)
+{
+    this->log.write(EventId::DepartureRecalled,
+                    {{"instance", departure ? departure->instance : std::string("none")},
+                     {"started_at", departure ? departure->startedAt : 0}});
+}
+
+void NodeLog::departureKept(const Departure &departure)
+{
+    this->log.write(EventId::DepartureKept,
+                    {{"instance", departure.instance}, {"started_at", departure.startedAt}});
+}
+
+void NodeLog::departureFailed(const Error &error)
+{
+    this->log.write(EventId::DepartureUnkept,
+                    {{"step", error.step}, {"peer", error.peer}, {"message", error.message}});
+}
+
 void NodeLog::upstreamSilent(const std::string &cluster)
 {
     this->log.write(EventId::UpstreamSilent, {{"cluster", cluster}});
--- a/Services/Node/NodeLog.h
+++ b/Services/Node/NodeLog.h
@@ -1,11 +1,14 @@
 // Which log event each change of a node is.
 #pragma once
 
+#include "UpstreamPresence.h"
+
 #include <LibCore/Error.h>
 #include <LibMembership/Member.h>
 #include <LibObserve/EventLog.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -22,6 +25,9 @@
     void controlFailed(const Error &error);
     void memberChanged(const Member &member);
     void announcementRefused(const Error &error);
+    void departureRecalled(const std::optional<Departure> &departure);
+    void departureKept(const Departure &departure);
+    void departureFailed(const Error &error);
     void upstreamSilent(const std::string &cluster);
     void upstreamChanged(const std::string &cluster, UpstreamState state, std::uint32_t slots);
 
--- a/Services/Node/UpstreamPresence.cpp
+++ b/Services/Node/UpstreamPresence.cpp
@@ -1,6 +1,8 @@
 // Keeps the gate and the membership told of what the upstream says.
 #include "UpstreamPresence.h"
 
+#include <utility>
+
 namespace Sagecrank {
 
 UpstreamCondition conditionOf(UpstreamState state)
@@ -19,6 +21,25 @@
     return UpstreamCondition::NotReady;
 }
 
+namespace {
+
+bool takesCalls(UpstreamState state)
+{
+    return state == UpstreamState::Ready || state == UpstreamState::Warming;
+}
+
+bool isSameStart(const UpstreamAnnouncement &one, const UpstreamAnnouncement &other)
+{
+    return one.instance == other.instance && one.startedAt == other.startedAt;
+}
+
+Departure departureOf(const UpstreamAnnouncement &announcement)
+{
+    return {announcement.instance, announcement.startedAt};
+}
+
+} // namespace
+
 UpstreamPresence::UpstreamPresence(UpstreamPresenceHooks hooks, Duration life)
     : hooks(std::move(hooks))
     , life(life)
@@ -47,19 +68,63 @@
     const std::lock_guard guard(this->mutex);
     if (this->isStale(announcement))
         return AnnouncementVerdict::Stale;
+    if (takesCalls(state) && this->departed == departureOf(announcement))
+        return AnnouncementVerdict::Stale;
+    if (!this->isHeldBack(announcement, state))
+        this->take(now, announcement, state);
+    return AnnouncementVerdict::Taken;
+}
+
+void UpstreamPresence::take(Instant now, const UpstreamAnnouncement &announcement, UpstreamState state)
+{
+    if (!takesCalls(state) && !announcement.instance.empty() && this->hooks.leaving)
+        this->hooks.leaving(departureOf(announcement));
     this->saidGoodbye = state == UpstreamState::Gone;
     this->renewedAt = now;
-    if (this->draining && (state == UpstreamState::Ready || state == UpstreamState::Warming))
-        state = UpstreamState::Draining;
-    this->tell(announcement, state);
-    return AnnouncementVerdict::Taken;
+    this->tell(announcement, this->draining && takesCalls(state) ? UpstreamState::Draining : state);
+}
+
+bool UpstreamPresence::isHeldBack(const UpstreamAnnouncement &announcement, UpstreamState state)
+{
+    if (!this->awaitsRecall || !takesCalls(state) || this->lastState != UpstreamState::None
+        || announcement.instance.empty())
+        return false;
+    if (this->held && isSameStart(this->held->announcement, announcement)
+        && announcement.sequence > this->held->announcement.sequence)
+        return false;
+    if (!this->held || announcement.startedAt >= this->held->announcement.startedAt)
+        this->held = HeldWord{announcement, state};
+    return true;
+}
+
+void UpstreamPresence::awaitRecall()
+{
+    const std::lock_guard guard(this->mutex);
+    this->awaitsRecall = true;
+}
+
+void UpstreamPresence::recalled(Instant now, const std::optional<Departure> &departure)
+{
+    const std::lock_guard guard(this->mutex);
+    this->awaitsRecall = false;
+    this->departed = departure;
+    const std::optional<HeldWord> word = std::exchange(this->held, std::nullopt);
+    if (takesCalls(this->lastState) && this->departed == departureOf(this->last))
+        this->tell(this->last, UpstreamState::Draining);
+    else if (word && this->lastState == UpstreamState::None
+             && this->departed != departureOf(word->announcement))
+        this->take(now, word->announcement, word->state);
 }
 
 AnnouncementVerdict UpstreamPresence::left(Instant now, const std::string &instance)
 {
     const std::lock_guard guard(this->mutex);
-    if (this->lastState == UpstreamState::None || instance != this->last.instance)
+    if (this->lastState == UpstreamState::None && this->held && this->held->announcement.instance == instance)
+        this->last = this->held->announcement;
+    else if (this->lastState == UpstreamState::None || instance != this->last.instance)
         return AnnouncementVerdict::Stale;
+    if (this->hooks.leaving)
+        this->hooks.leaving(departureOf(this->last));
     this->renewedAt = now;
     this->saidGoodbye = true;
     this->tell(this->last, UpstreamState::Gone);
@@ -80,7 +145,7 @@
 {
     const std::lock_guard guard(this->mutex);
     this->draining = true;
-    if (this->lastState == UpstreamState::Ready || this->lastState == UpstreamState::Warming)
+    if (takesCalls(this->lastState))
         this->tell(this->last, UpstreamState::Draining);
 }
 
--- a/Services/Node/UpstreamPresence.h
+++ b/Services/Node/UpstreamPresence.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <mutex>
+#include <optional>
 
 namespace Sagecrank {
 
@@ -23,12 +24,23 @@
     Stale, // Of an earlier start, or sent before one that is known already.
 };
 
+// The start of an upstream that said that it leaves.
+struct Departure
+{
+    std::string instance;
+    std::uint64_t startedAt = 0; // As in UpstreamAnnouncement.
+
+    bool operator==(const Departure &) const = default;
+};
+
 struct UpstreamPresenceHooks
 {
     std::function<void(const std::string &cluster)> silent; // It stopped announcing itself.
     std::function<void(const UpstreamAnnouncement &)> gate; // At every announcement.
     std::function<void(const std::string &cluster, UpstreamState state, std::uint32_t slots)>
         membership; // At changes.
+    // At every word of a start that drains or has gone, before it is confirmed. May be empty.
+    std::function<void(const Departure &)> leaving = {};
 };
 
 // Safe to use from every thread; the hooks run on the caller's.
@@ -41,12 +53,27 @@
     // The start of the upstream that the instance names leaves; nothing is known of it but its name.
     AnnouncementVerdict left(Instant now, const std::string &instance);
     void advance(Instant now); // Notices silence.
-    void drain();              // The node leaves: whatever the upstream says, it drains.
+
+    // From now on a first "ready" is held back until `recalled` says what an earlier process knew, or until
+    // the same start says so once more: two of its words that were both held up are less likely than a table
+    // that does not answer, and an upstream that is kept out for longer serves nobody.
+    void awaitRecall();
+    // The start whose leaving an earlier process of this node confirmed.
+    void recalled(Instant now, const std::optional<Departure> &departure);
+    void drain(); // The node leaves: whatever the upstream says, it drains.
 
     UpstreamState state() const;
 
 private:
+    struct HeldWord
+    {
+        UpstreamAnnouncement announcement;
+        UpstreamState state = UpstreamState::None;
+    };
+
+    void take(Instant now, const UpstreamAnnouncement &announcement, UpstreamState state);
     void tell(const UpstreamAnnouncement &announcement, UpstreamState state);
+    bool isHeldBack(const UpstreamAnnouncement &announcement, UpstreamState state);
     bool isStale(const UpstreamAnnouncement &announcement) const;
 
     const UpstreamPresenceHooks hooks;
@@ -57,6 +84,9 @@
     Instant renewedAt;
     bool saidGoodbye = false; // The last start announced that it has gone.
     bool draining = false;    // Never taken back in this process's life.
+    bool awaitsRecall = false;
+    std::optional<HeldWord> held; // Set only while `awaitsRecall`.
+    std::optional<Departure> departed;
 };
 
 } // namespace Sagecrank
--- /dev/null
+++ b/Tests/Node/TestDepartureRecord.cpp
@@ -0,0 +1,206 @@
+// The row about a leaving upstream, and what a node that was started anew makes of it.
+#include <Node/DepartureRecord.h>
+
+#include <Support/TableTest.h>
+
+#include <LibNet/HttpServer.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+
+using namespace Sagecrank;
+
+namespace {
+
+// A table of one process after the other. While it is away, reads fail; while it holds writes, they wait.
+class FakeTable
+{
+public:
+    TablePort port()
+    {
+        TablePort port;
+        port.get = [this](const RowKey &key, const RowCallback &callback) {
+            ++this->reads;
+            if (this->away)
+                return callback(makeError(ErrorKind::Unavailable, "read row", "table", "away"));
+            const auto found = this->rows.find(key);
+            callback(found == this->rows.end() ? std::optional<Row>() : std::optional<Row>(found->second));
+        };
+        port.putIf = [this](const ConditionalPut &put, const WriteCallback &callback) {
+            ++this->writes;
+            this->pending = [this, row = put.row, callback] {
+                this->rows[row.key] = row;
+                callback(success());
+            };
+            if (!this->holdsWrites)
+                this->finishWrite();
+        };
+        return port;
+    }
+
+    void finishWrite()
+    {
+        if (const auto finish = std::exchange(this->pending, nullptr))
+            finish();
+    }
+
+    std::map<RowKey, Row> rows;
+    bool away = false;
+    bool holdsWrites = false;
+    int reads = 0;
+    int writes = 0;
+    std::function<void()> pending;
+};
+
+// What a node's process knows of the upstream, from its start on.
+class Process
+{
+public:
+    explicit Process(FakeTable &table)
+        : record(this->context, table.port(), "node-1", this->recordHooks())
+    {
+        this->presence.awaitRecall();
+        this->record.recall();
+    }
+
+    void hear(UpstreamState state, std::uint64_t sequence, std::uint64_t startedAt = 100,
+              const char *instance = "i-1")
+    {
+        this->presence.announced(
+            this->now,
+            {"booking", "127.0.0.1:9101", 6, UpstreamCondition::NotReady, instance, startedAt, sequence},
+            state);
+    }
+
+    DepartureRecordHooks recordHooks()
+    {
+        return {[this](const std::optional<Departure> &departure) {
+                    this->presence.recalled(this->now, departure);
+                },
+                [](const Departure &) {}, [this](const Error &) { ++this->failures; }};
+    }
+
+    boost::asio::io_context context{1};
+    Instant now = Instant() + std::chrono::hours(1);
+    int failures = 0;
+    UpstreamPresence presence{{[](const std::string &) {}, [](const UpstreamAnnouncement &) {},
+                               [](const std::string &, UpstreamState, std::uint32_t) {},
+                               [this](const Departure &departure) { this->record.note(departure); }}};
+    DepartureRecord record;
+};
+
+struct LateRow
+{
+    const char *what;
+    UpstreamState said;
+    std::uint64_t startedAt; // Of the announcement after the restart; the start that left began at 100.
+    const char *instance;
+    UpstreamState believed;
+};
+
+const LateRow lateRows[] = {
+    {"a late word of the start that left", UpstreamState::Ready, 100, "i-1", UpstreamState::None},
+    {"a late word of it while it was cold", UpstreamState::Warming, 100, "i-1", UpstreamState::None},
+    {"it says again that it drains", UpstreamState::Draining, 100, "i-1", UpstreamState::Draining},
+    {"the same name, started anew", UpstreamState::Ready, 200, "i-1", UpstreamState::Ready},
+    {"another start", UpstreamState::Ready, 150, "i-2", UpstreamState::Ready},
+};
+
+} // namespace
+
+// A caller's request reaches an upstream that was promised to get none. The upstream says that it drains, the
+// node confirms and is killed; its next process hears an announcement of before the drain, held up on its
+// way, and takes the upstream for ready, as it knows of nothing before. The row says which start has left.
+TABLE_TEST(departureRecord, aConfirmedLeavingOutlivesTheProcess, lateRows)
+{
+    FakeTable table;
+    {
+        Process killed(table);
+        killed.hear(UpstreamState::Ready, 1);
+        killed.hear(UpstreamState::Draining, 3);
+    }
+    Process next(table);
+    next.hear(row.said, 2, row.startedAt, row.instance);
+    cr_assert(next.presence.state() == row.believed, "%s", row.what);
+}
+
+// The goodbye comes first here and the upstream goes on serving for a while; its earlier announcements count
+// for as little as after a drain.
+Test(departureRecord, aGoodbyeIsKeptToo)
+{
+    FakeTable table;
+    {
+        Process killed(table);
+        killed.hear(UpstreamState::Ready, 1);
+        killed.presence.left(killed.now, "i-1");
+    }
+    Process next(table);
+    next.hear(UpstreamState::Ready, 2);
+    cr_assert(next.presence.state() == UpstreamState::None);
+}
+
+// The upstream is told that its leaving was heard only when the row stands: a node that is killed in between
+// has promised nothing.
+Test(departureRecord, confirmsWhenTheRowStands)
+{
+    FakeTable table;
+    table.holdsWrites = true;
+    Process node(table);
+    node.hear(UpstreamState::Ready, 1);
+    int confirmed = 0;
+    node.record.whenKept([&confirmed] { ++confirmed; });
+    cr_assert(confirmed == 1);
+    node.hear(UpstreamState::Draining, 2);
+    node.record.whenKept([&confirmed] { ++confirmed; });
+    cr_assert(confirmed == 1 && node.presence.state() == UpstreamState::Draining);
+    table.finishWrite();
+    cr_assert(confirmed == 2);
+    node.hear(UpstreamState::Draining, 3);
+    cr_assert(table.writes == 1);
+}
+
+// The table gives no answer. The upstream asks for its confirmation again and again and in the end leaves
+// without one, so it is told in time all the same.
+Test(departureRecord, confirmsInTimeWithoutTheTable)
+{
+    FakeTable table;
+    table.holdsWrites = true;
+    Process node(table);
+    node.hear(UpstreamState::Draining, 2);
+    bool confirmed = false;
+    node.record.whenKept([&confirmed] { confirmed = true; });
+    node.context.run_for(departureWait + Milliseconds(200));
+    cr_assert(confirmed);
+}
+
+// The table is away while a node starts. One word of its upstream may be a late one; the second of the same
+// start is believed, so that a healthy upstream comes back in the time of one announcement. The row is read
+// as soon as the table is back, and goes before that belief.
+Test(departureRecord, believesTheSecondWordWhileTheTableIsAway)
+{
+    FakeTable table;
+    {
+        Process killed(table);
+        killed.hear(UpstreamState::Draining, 3);
+    }
+    table.away = true;
+    Process next(table);
+    next.hear(UpstreamState::Ready, 1);
+    cr_assert(next.presence.state() == UpstreamState::None && next.failures == 1);
+    next.hear(UpstreamState::Ready, 2);
+    cr_assert(next.presence.state() == UpstreamState::Ready);
+    table.away = false;
+    next.context.run_for(departureReadPause + Milliseconds(200));
+    cr_assert(table.reads == 3 && next.presence.state() == UpstreamState::Draining);
+}
+
+// A row that someone else has written over names no start; it holds nobody back.
+Test(departureRecord, aSpoiltRowNamesNobody)
+{
+    FakeTable table;
+    table.rows[{"departures", "node-1"}] = {{"departures", "node-1"}, {{"instance", std::uint64_t(7)}}};
+    Process next(table);
+    next.hear(UpstreamState::Ready, 1);
+    cr_assert(next.presence.state() == UpstreamState::Ready);
+}
