LibConfig: Let a delta carry routes instead of whole sections

Ruled out: slots (mean wait 15 ms at the gates, 60% in use) and processor (0.008 of 0.1 core). Change: a section that the base has travels as runs of its routes and those that are new; the digest of the whole list still proves the result. Runs of another process are bounded. Test: aChangeOfOneRouteIsSmall failed with 124 KB, now under 600 bytes; routesEqualFullAssembly; refusesRunsOutside. carriesOnlyWhatChanged asks for the same by the new names.

--- a/Libraries/LibConfig/Delta.cpp
+++ b/Libraries/LibConfig/Delta.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <unordered_map>
 
 namespace Sagecrank {
 
@@ -36,6 +37,21 @@
     archive(cereal::binary_data(value.data(), value.size()));
 }
 
+template <typename Archive>
+void routeRun(Archive &archive, RouteRun &value)
+{
+    archive(value.first, value.count);
+    list(archive, value.added, [&](Route &each) { route(archive, each); });
+}
+
+template <typename Archive>
+void sectionPatch(Archive &archive, SectionPatch &value)
+{
+    text(archive, value.cluster);
+    archive(value.maximumQueue);
+    list(archive, value.runs, [&](RouteRun &run) { routeRun(archive, run); });
+}
+
 template <typename Archive>
 void siteDelta(Archive &archive, SiteDelta &value)
 {
@@ -44,7 +60,8 @@
     digest(archive, value.base);
     digest(archive, value.result);
     limits(archive, value.limits);
-    list(archive, value.changed, [&](ObjectBytes &bytes) { blob(archive, bytes); });
+    list(archive, value.added, [&](ObjectBytes &bytes) { blob(archive, bytes); });
+    list(archive, value.patched, [&](SectionPatch &patch) { sectionPatch(archive, patch); });
     list(archive, value.removed, [&](std::string &cluster) { text(archive, cluster); });
 }
 
@@ -61,6 +78,50 @@
     return success();
 }
 
+// Names of routes are unique within a site, so a route that kept its name and all else is found by it.
+SectionPatch makePatch(const Section &from, const Section &to)
+{
+    std::unordered_map<std::string_view, std::uint32_t> places;
+    for (std::uint32_t place = 0; place < from.routes.size(); ++place)
+        places.emplace(from.routes[place].name, place);
+    SectionPatch patch{to.cluster, to.maximumQueue, {}};
+    for (const Route &route : to.routes) {
+        const auto found = places.find(route.name);
+        if (found == places.end() || from.routes[found->second] != route) {
+            if (patch.runs.empty())
+                patch.runs.emplace_back();
+            patch.runs.back().added.push_back(route);
+            continue;
+        }
+        const bool goesOn = !patch.runs.empty() && patch.runs.back().added.empty()
+                            && patch.runs.back().first + patch.runs.back().count == found->second;
+        if (goesOn)
+            ++patch.runs.back().count;
+        else
+            patch.runs.push_back({found->second, 1, {}});
+    }
+    return patch;
+}
+
+// The runs come from another process: each has to lie within the base, and all together may be no longer than
+// a section can be.
+Result<Section> applyPatch(const Section &from, const SectionPatch &patch)
+{
+    Section section{patch.cluster, patch.maximumQueue, {}};
+    for (const RouteRun &run : patch.runs) {
+        if (run.first > from.routes.size() || run.count > from.routes.size() - run.first)
+            return makeError(ErrorKind::InvalidInput, applyStep, patch.cluster,
+                             "a run of routes lies outside of the base");
+        if (section.routes.size() + run.count + run.added.size() > maximumShortLength)
+            return makeError(ErrorKind::TooLarge, applyStep, patch.cluster,
+                             "more routes than a section holds");
+        const auto first = from.routes.begin() + run.first;
+        section.routes.insert(section.routes.end(), first, first + run.count);
+        section.routes.insert(section.routes.end(), run.added.begin(), run.added.end());
+    }
+    return section;
+}
+
 } // namespace
 
 SiteDelta makeDelta(const SiteConfiguration &from, const SiteConfiguration &to)
@@ -74,8 +135,11 @@
     for (std::size_t i = 0; i < to.sections.size(); ++i) {
         const SectionReference &wanted = to.manifest.sections[i];
         const SectionReference *had = findReference(from.manifest, wanted.cluster);
-        if (had == nullptr || had->digest != wanted.digest)
-            delta.changed.push_back(encodeSection(to.sections[i]));
+        if (had == nullptr)
+            delta.added.push_back(encodeSection(to.sections[i]));
+        else if (had->digest != wanted.digest)
+            delta.patched.push_back(
+                makePatch(from.sections[had - from.manifest.sections.data()], to.sections[i]));
     }
     for (const SectionReference &had : from.manifest.sections) {
         if (findReference(to.manifest, had.cluster) == nullptr)
@@ -92,7 +156,14 @@
         sections.emplace(section.cluster, section);
     for (const std::string &cluster : delta.removed)
         sections.erase(cluster);
-    for (const ObjectBytes &bytes : delta.changed) {
+    for (const SectionPatch &patch : delta.patched) {
+        const auto base = sections.find(patch.cluster);
+        if (base == sections.end())
+            return makeError(ErrorKind::InvalidInput, applyStep, patch.cluster,
+                             "the base has no such section");
+        base->second = TRY(applyPatch(base->second, patch));
+    }
+    for (const ObjectBytes &bytes : delta.added) {
         Section section = TRY(decodeSection(bytes, digestOf(bytes)));
         const std::string cluster = section.cluster;
         sections.insert_or_assign(cluster, std::move(section));
--- a/Libraries/LibConfig/Delta.h
+++ b/Libraries/LibConfig/Delta.h
@@ -1,6 +1,11 @@
-// What changed between two versions of one site: the sections to take in and the services to drop. A node
-// that holds the base builds the next version from it, and the digest of the whole section list proves that
-// the result is the published one and no mixture.
+// What changed between two versions of one site: the routes to take in, the sections that are new and the
+// services to drop. A node that holds the base builds the next version from it, and the digest of the whole
+// section list proves that the result is the published one and no mixture.
+//
+// Load: 20 changes of one route each within 7 s, 100 nodes, two services with 3,000 routes together. Harm of
+// sending a changed section whole: 125 KB for each change and node, which on links of 5 Mbit/s made half of
+// the calls between two nodes wait 40 ms or more, 10% of them 163 ms (the nodes' own log lines). A change of
+// one route is some hundred bytes.
 #pragma once
 
 #include <LibConfig/Assemble.h>
@@ -10,14 +15,35 @@
 
 namespace Sagecrank {
 
+// Routes of the changed section in their order: `count` ones of the base from `first` on, then `added`.
+struct RouteRun
+{
+    std::uint32_t first = 0;
+    std::uint32_t count = 0;
+    std::vector<Route> added;
+
+    bool operator==(const RouteRun &) const = default;
+};
+
+// A section that the base has too.
+struct SectionPatch
+{
+    std::string cluster;
+    std::uint32_t maximumQueue = 0; // As in Section.
+    std::vector<RouteRun> runs;
+
+    bool operator==(const SectionPatch &) const = default;
+};
+
 struct SiteDelta
 {
     std::string site;
-    std::uint64_t version = 0;        // Of the result.
-    Digest base;                      // Section list that the delta starts from.
-    Digest result;                    // Section list that it must end at.
-    CallerLimits limits;              // Of the result.
-    std::vector<ObjectBytes> changed; // Encoded sections, new or replaced.
+    std::uint64_t version = 0;      // Of the result.
+    Digest base;                    // Section list that the delta starts from.
+    Digest result;                  // Section list that it must end at.
+    CallerLimits limits;            // Of the result.
+    std::vector<ObjectBytes> added; // Encoded sections that the base has not.
+    std::vector<SectionPatch> patched;
     std::vector<std::string> removed; // Clusters that are no longer there.
 
     bool operator==(const SiteDelta &) const = default;
