LibSpread: Let hosts with wide links read the platform for their zone

Cause: of each zone three nodes chosen by hash read every version, 600 KB of the store's encoding. On the grown site 35 of 37 hosts a zone have links of 5 Mbit/s: a second of the link for each of 20 versions, so everything to and from these nine hosts waited behind them, for the 20 s that it took (270 ms a call, median). Change: a node tells its link (link_mbps, in the member's fixed facts); nodes with less than half of the widest link of their zone rank after all others and read nothing while two wide ones live. Where all are alike nothing changes. Test: wideLinksReadThePlatform; with the ranking by hash its rows with two links fail. sizesArePredictedExactly caught the four bytes that the prediction of a datagram's size lacked.

--- a/Libraries/LibMembership/Datagram.cpp
+++ b/Libraries/LibMembership/Datagram.cpp
@@ -103,6 +103,7 @@
     transferText(archive, member.gossipAddress);
     transferAddress(archive, member.peerAddress, member.gossipAddress);
     transferAddress(archive, member.controlAddress, member.gossipAddress);
+    archive(member.linkMegabits);
     transferText(archive, member.cluster);
 }
 
@@ -157,7 +158,8 @@
 
 std::size_t encodedSize(const Member &member)
 {
-    constexpr std::size_t fixedBytes = 8 + 4 + 2;
+    // Incarnation, slots and link; the two states.
+    constexpr std::size_t fixedBytes = 8 + 4 + 4 + 2;
     constexpr std::size_t texts = 8;
     return fixedBytes + texts + member.id.size() + member.region.size() + member.zone.size()
            + member.site.size() + member.gossipAddress.size()
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -41,6 +41,7 @@
     for (const std::string *part : {&member.region, &member.zone, &member.site, &member.gossipAddress,
                                     &member.peerAddress, &member.controlAddress, &member.cluster})
         appendText(text, *part);
+    appendText(text, std::to_string(member.linkMegabits));
     return static_cast<std::uint32_t>(XXH3_64bits(text.data(), text.size()));
 }
 
--- a/Services/Node/ControlPlane.cpp
+++ b/Services/Node/ControlPlane.cpp
@@ -47,6 +47,7 @@
     self.gossipAddress = settings.gossipAddress;
     self.peerAddress = settings.peerAddress;
     self.controlAddress = settings.controlAddress;
+    self.linkMegabits = settings.linkMegabits;
     return self;
 }
 
@@ -149,7 +150,7 @@
         };
         made.holders = [this](std::uint64_t version) { return this->holders(version); };
         made.zoneVersions = [this] { return this->zoneVersions(); };
-        made.rank = [this] { return this->rank("head"); };
+        made.rank = [this] { return this->readerRank(); };
         made.sourceLost = [this](const Error &error) {
             if (this->hooks.sourceLost)
                 this->hooks.sourceLost(error);
@@ -169,7 +170,7 @@
     IntroducerHooks introducerHooks()
     {
         IntroducerHooks made;
-        made.rank = [this] { return this->rank("introducer"); };
+        made.rank = [this] { return this->introducerRank(); };
         made.knowsOthers = [this] { return this->gossip.membership().members().presentCount() > 1; };
         made.found = [this](const std::vector<std::string> &addresses) {
             this->gossip.membership().addSeeds(addresses);
@@ -177,17 +178,38 @@
         return made;
     }
 
-    std::uint32_t rank(std::string_view role) const
+    // For each other node of the zone that is alive.
+    template <typename Take>
+    void forEachZonePeer(Take take) const
     {
         const MemberTable &table = this->gossip.membership().members();
-        std::vector<std::string_view> others;
         for (const std::uint64_t idHash : table.zonePeers()) {
             const MemberRecord *record = table.find(idHash);
             if (record->member.state == MemberState::Alive)
-                others.push_back(record->member.id);
+                take(record->member);
         }
-        const std::string named = std::string(role) + "#" + this->settings.zone;
-        return rendezvousRank(named, this->settings.id, others);
+    }
+
+    std::string zoneRole(std::string_view role) const
+    {
+        return std::string(role) + "#" + this->settings.zone;
+    }
+
+    std::uint32_t introducerRank() const
+    {
+        std::vector<std::string_view> others;
+        this->forEachZonePeer([&](const Member &member) { others.push_back(member.id); });
+        return rendezvousRank(this->zoneRole("introducer"), this->settings.id, others);
+    }
+
+    std::uint32_t readerRank() const
+    {
+        std::vector<PlatformReader> others;
+        this->forEachZonePeer([&](const Member &member) {
+            others.push_back({member.id, member.linkMegabits});
+        });
+        return platformReaderRank(this->zoneRole("head"), {this->settings.id, this->settings.linkMegabits},
+                                  others, this->settings.follower.poll.fastPollersPerZone);
     }
 
     std::vector<Holder> holders(std::uint64_t version) const
@@ -281,7 +303,7 @@
         status.headVersion = std::max(membership.head().version, this->follower.wanted().version);
         status.ready = this->ready;
         status.healthScore = membership.healthScore();
-        status.headPollRank = this->rank("head");
+        status.headPollRank = this->readerRank();
         status.gossip = membership.counters();
         status.gossipSendFailures = this->gossip.sendFailures();
         status.headReads = source.headReads;
--- a/Services/Node/ControlPlane.h
+++ b/Services/Node/ControlPlane.h
@@ -31,8 +31,9 @@
     std::string region;
     std::string zone;
     std::string site;
-    std::string gossipAddress; // Listens on it and tells others of it; so for the next two.
-    std::string peerAddress;   // Only told.
+    std::uint32_t linkMegabits = 0; // A second; 0: not told.
+    std::string gossipAddress;      // Listens on it and tells others of it; so for the next two.
+    std::string peerAddress;        // Only told.
     std::string controlAddress;
     std::vector<std::string> seeds; // Gossip addresses.
     MembershipSettings membership;  // Its seeds are ignored.
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <csignal>
 #include <random>
 
@@ -72,6 +73,7 @@
     control.region = settings.region;
     control.zone = settings.zone;
     control.site = settings.site;
+    control.linkMegabits = static_cast<std::uint32_t>(std::ceil(settings.linkMegabits));
     control.gossipAddress = settings.listen.gossip;
     control.peerAddress = settings.advertise.peers;
     control.controlAddress = settings.listen.control;
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -38,6 +38,7 @@
     std::string region;
     std::string zone;
     std::string site;
+    double linkMegabits = 0;   // A second, of the host's own link; 0: not told.
     std::uint32_t threads = 2; // That carry requests; control has one of its own.
 
     struct Listen
--- a/Tests/LibConfig/TestDelta.cpp
+++ b/Tests/LibConfig/TestDelta.cpp
@@ -75,7 +75,7 @@
 const BadRunRow badRuns[] = {
     {"begins behind the last", manyRoutesCount + 1, 0, 1, ErrorKind::InvalidInput},
     {"ends behind the last", manyRoutesCount - 1, 2, 1, ErrorKind::InvalidInput},
-    {"wraps around", 1, UINT32_MAX, 1, ErrorKind::InvalidInput},
+    {"wraps around", 1, std::numeric_limits<std::uint32_t>::max(), 1, ErrorKind::InvalidInput},
     {"the same ones again and again", 0, manyRoutesCount, 60000, ErrorKind::TooLarge},
     {"the same ones twice", 0, manyRoutesCount, 2, ErrorKind::InvalidInput},
 };
--- a/Tests/LibMembership/TestDatagram.cpp
+++ b/Tests/LibMembership/TestDatagram.cpp
@@ -21,6 +21,7 @@
     member.gossipAddress = "127.0.0.1:8201";
     member.peerAddress = "127.0.0.1:8101";
     member.controlAddress = "10.1.2.3:8301";
+    member.linkMegabits = 100;
     member.cluster = "booking";
     member.upstream = UpstreamState::Ready;
     member.slots = 6;
--- a/Tests/LibSpread/TestSpread.cpp
+++ b/Tests/LibSpread/TestSpread.cpp
@@ -205,6 +205,51 @@
     cr_assert(moved < 50, "a leaving node moves only those that rank after it, by one");
 }
 
+struct ReaderRow
+{
+    const char *what;
+    std::vector<std::uint32_t> links; // Of the nodes of one zone, in Mbit/s.
+    std::size_t wideReaders;          // Among the first three ranks.
+    std::size_t narrowReaders;
+};
+
+const ReaderRow readerRows[] = {
+    {"all alike", {100, 100, 100, 100, 100}, 3, 0},
+    {"nobody tells", {0, 0, 0, 0, 0}, 3, 0},
+    {"nearly alike", {100, 60, 90, 55}, 3, 0},
+    {"two wide ones", {5, 5, 100, 5, 100, 5}, 2, 0},
+    {"one wide one and no second", {5, 5, 100, 5, 5}, 1, 2},
+    {"four wide ones", {5, 100, 100, 100, 100}, 3, 0},
+    {"one does not tell", {0, 100, 100, 100}, 3, 0},
+};
+
+// A caller's request to a host with a link of 5 Mbit/s waits 270 ms behind the versions that this host reads
+// for its zone. They are read by hosts whose link is wide, as long as two of them live; otherwise by anybody,
+// since a zone that reads nothing stays behind. All nodes come to the same ranking.
+TABLE_TEST(spread, wideLinksReadThePlatform, readerRows)
+{
+    const std::uint32_t widest = *std::ranges::max_element(row.links);
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i < row.links.size(); ++i)
+        ids.push_back("n" + std::to_string(i));
+    std::set<std::uint32_t> ranks;
+    std::size_t wide = 0;
+    std::size_t narrow = 0;
+    for (std::size_t self = 0; self < ids.size(); ++self) {
+        std::vector<PlatformReader> others;
+        for (std::size_t other = 0; other < ids.size(); ++other) {
+            if (other != self)
+                others.push_back({ids[other], row.links[other]});
+        }
+        const std::uint32_t rank = platformReaderRank("head#z1", {ids[self], row.links[self]}, others, 3);
+        ranks.insert(rank);
+        if (rank < 3)
+            ++(2 * row.links[self] >= widest ? wide : narrow);
+    }
+    cr_assert(ranks.size() == ids.size(), "%s", row.what);
+    cr_assert(wide == row.wideReaders && narrow == row.narrowReaders, "%s", row.what);
+}
+
 // 6,500 nodes in 25 zones read the head. Counted over ten minutes of their drawn delays, the table must see
 // a small part of its two thousand reads a second.
 Test(spread, headReadsOfTheWholeFleetAreBounded)
