LibDecide: Try a call once before remembered refusals count

Each refusal of another zone's gate was remembered for 150 ms, and with no upstream of their own nothing else was left to try. Change: the memory counts only after a first try.

--- a/Libraries/LibDecide/Placer.cpp
+++ b/Libraries/LibDecide/Placer.cpp
@@ -259,8 +259,13 @@
     return other.index;
 }
 
-bool Placer::refusedKind(const Upstream &upstream, const Request &request) const
+// Failure: the last upstream of a zone leaves. Symptom: with the refusals of other zones remembered, the
+// zone's callers are refused without one try for most of the time, while those zones answer two calls in
+// three of that kind. So the first try of a call is always made.
+bool Placer::isInVain(const Upstream &upstream, const Request &request) const
 {
+    if (!this->settings.zoneFirst || request.tried.empty())
+        return false;
     return std::any_of(upstream.kindRefusals.begin(), upstream.kindRefusals.end(),
                        [&](const KindRefusal &refusal) {
                            return refusal.kind == request.kind && refusal.at != Instant::min()
@@ -294,9 +299,7 @@
         const Upstream *upstream = this->find(facts.id);
         if (!usable(upstream, request, trustedOnly))
             continue;
-        const bool inVain = this->settings.zoneFirst && !sameZone && upstream != nullptr
-                            && this->refusedKind(*upstream, request);
-        if (inVain)
+        if (!sameZone && upstream != nullptr && this->isInVain(*upstream, request))
             continue;
         compared += 1;
         const double score = this->score(facts, upstream, request);
--- a/Libraries/LibDecide/Placer.h
+++ b/Libraries/LibDecide/Placer.h
@@ -146,7 +146,7 @@
     Upstream &obtain(std::string_view id, Instant now);
     std::optional<std::size_t> choose(const Request &request, bool trustedOnly);
     std::optional<std::size_t> chooseZoneFirst(const Request &request, bool trustedOnly);
-    bool refusedKind(const Upstream &upstream, const Request &request) const;
+    bool isInVain(const Upstream &upstream, const Request &request) const;
     void compare(const Request &request, bool sameZone, bool trustedOnly, Best &best);
     static bool usable(const Upstream *upstream, const Request &request, bool trustedOnly);
     double score(const UpstreamFacts &facts, const Upstream *upstream, const Request &request) const;
--- a/Tests/LibDecide/TestPlacer.cpp
+++ b/Tests/LibDecide/TestPlacer.cpp
@@ -254,3 +254,23 @@
     const Instant later = fixture.now + std::chrono::milliseconds(200);
     cr_assert(placer.place(later, fixture.facts, CallClass::Interactive, tried, 7).has_value());
 }
+
+// The only upstream of a zone leaves, and the other zones refuse one call in three. The zone's callers got
+// "no upstream" at once for 150 ms after each such refusal, 70% of their calls; each must be tried once.
+Test(placer, aZoneWithoutUpstreamsIsServedByOthers)
+{
+    ZoneFirstFixture fixture;
+    fixture.facts[0].condition = UpstreamCondition::Draining;
+    Placer placer(fixture.settings, [&fixture] { return fixture.number += 7919; });
+    int asked = 0;
+    for (int call = 0; call < 300; ++call) {
+        fixture.now += Milliseconds(5);
+        if (!placer.place(fixture.now, fixture.facts, CallClass::Interactive, {}, 7))
+            continue;
+        ++asked;
+        placer.started("far", fixture.now);
+        const PlacedEnd end = call % 3 == 0 ? PlacedEnd::RefusedNotRun : PlacedEnd::Succeeded;
+        placer.ended("far", fixture.now, CallClass::Interactive, Milliseconds(1), end, 7);
+    }
+    cr_assert(asked == 300, "%d of 300 calls were tried", asked);
+}
