Node: Go on serving other nodes while callers leave

A node took its upstream out at SIGTERM, for the whole linger of 3 s that callers need to look for another node; with its restart two of the three upstreams of a service were out at a time. Change: a stage before: callers are asked to go elsewhere, other nodes send as ever and hear of the leave one second before the linger ends (0.3 s suffice among 100 nodes). Test: theUpstreamServesWhileCallersLeave, leavesOnlyWhenIdle with the stage; both fail with the announcement at once.

--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -459,9 +459,9 @@
 NodeDrainHooks Node::drainHooks()
 {
     NodeDrainHooks hooks;
-    hooks.announceDraining = [this] {
+    hooks.announceDraining = [this] { this->presence.drain(); };
+    hooks.deflectCallers = [this] {
         this->log.write(EventId::ProcessDraining, {{"in_flight", this->gate.inFlight()}});
-        this->presence.drain();
         for (const auto &worker : this->workers)
             worker->askCallersToClose();
     };
--- a/Services/Node/NodeDrain.cpp
+++ b/Services/Node/NodeDrain.cpp
@@ -14,8 +14,9 @@
     if (this->current != DrainStage::Serving)
         return;
     this->begunAt = now;
-    this->current = DrainStage::Announcing;
-    this->hooks.announceDraining();
+    this->current = DrainStage::Deflecting;
+    this->hooks.deflectCallers();
+    this->advance(now);
 }
 
 // Failure: a node that leaves while others still send to it. Symptom: connections that break under calls,
@@ -23,6 +24,11 @@
 // nothing. The maximum keeps one call that never ends from holding a host for ever.
 void NodeDrain::advance(Instant now)
 {
+    if (this->current == DrainStage::Deflecting
+        && now - this->begunAt >= this->settings.linger - announceTime) {
+        this->current = DrainStage::Announcing;
+        this->hooks.announceDraining();
+    }
     if (this->current == DrainStage::Announcing && now - this->begunAt >= this->settings.linger) {
         this->current = DrainStage::Finishing;
         this->hooks.stopCallers();
--- a/Services/Node/NodeDrain.h
+++ b/Services/Node/NodeDrain.h
@@ -1,5 +1,10 @@
-// The order in which a node leaves: tell everyone, wait until they have heard, stop taking callers, let what
-// runs finish, say goodbye. Runs without sockets or clocks.
+// The order in which a node leaves: turn callers away softly, tell the other nodes, wait until they have
+// heard, stop taking callers, let what runs finish, say goodbye. Runs without sockets or clocks.
+//
+// Load: hosts are restarted one after the other, one each 2.5 s, and three upstreams serve a service. Harm of
+// telling the other nodes at once: each upstream stands idle while its callers look for another node, so that
+// two of the three are out at a time. Callers need the whole linger, since they ask for readiness once a
+// second; nodes hear in a third of a second.
 #pragma once
 
 #include <LibCore/EnumNames.h>
@@ -12,26 +17,32 @@
 
 enum class DrainStage : std::uint8_t {
     Serving,
-    Announcing, // Others are being told; what still arrives is served or refused as not run.
+    Deflecting, // Callers are asked to go elsewhere; calls of other nodes are served as ever.
+    Announcing, // Other nodes are being told; what still arrives is served or refused as not run.
     Finishing,  // No new callers; what is under way ends.
     Left,
 };
 
-inline constexpr EnumNames<DrainStage, 4> drainStageNames{{
+inline constexpr EnumNames<DrainStage, 5> drainStageNames{{
     {DrainStage::Serving, "serving"},
+    {DrainStage::Deflecting, "deflecting"},
     {DrainStage::Announcing, "announcing"},
     {DrainStage::Finishing, "finishing"},
     {DrainStage::Left, "left"},
 }};
 
+// Kept of the linger for the news to reach every node: three times what it took among 100 nodes.
+inline constexpr Duration announceTime = std::chrono::seconds(1);
+
 struct NodeDrainSettings
 {
-    Duration linger;  // For the news to reach every node.
+    Duration linger;  // For callers to go elsewhere.
     Duration maximum; // From the first word to the end, whatever still runs.
 };
 
 struct NodeDrainHooks
 {
+    std::function<void()> deflectCallers;
     std::function<void()> announceDraining;
     std::function<void()> stopCallers;
     std::function<bool()> idle; // Nothing is waiting, running or unanswered.
--- a/Tests/Node/TestNodeDrain.cpp
+++ b/Tests/Node/TestNodeDrain.cpp
@@ -15,7 +15,8 @@
 {
 public:
     NodeDrain drain{{std::chrono::seconds(3), std::chrono::seconds(60)},
-                    {[this] { this->steps.emplace_back("announce"); },
+                    {[this] { this->steps.emplace_back("deflect"); },
+                     [this] { this->steps.emplace_back("announce"); },
                      [this] { this->steps.emplace_back("stop callers"); }, [this] { return this->idle; },
                      [this] { this->steps.emplace_back("leave"); }}};
     std::vector<std::string> steps;
@@ -39,9 +40,9 @@
 
 } // namespace
 
-// A host is taken away while a reservation runs on it. The node tells the others first and waits until they
-// have heard; only then it refuses new callers, and it says goodbye when the reservation has ended, so
-// nothing is cut.
+// A host is taken away while a reservation runs on it. The node asks its callers to go elsewhere, tells the
+// other nodes and waits until they have heard; only then it refuses new callers, and it says goodbye when the
+// reservation has ended, so nothing is cut.
 Test(nodeDrain, leavesOnlyWhenIdle)
 {
     DrainFixture fixture;
@@ -50,14 +51,43 @@
     cr_assert(fixture.steps.empty());
     fixture.drain.begin(fixture.start);
     fixture.drain.begin(fixture.start);
+    fixture.drain.advance(fixture.start + Milliseconds(1999));
+    cr_assert(fixture.steps == std::vector<std::string>{"deflect"});
+    fixture.drain.advance(fixture.start + Milliseconds(2000));
     fixture.drain.advance(fixture.start + Milliseconds(2999));
-    cr_assert(fixture.steps == std::vector<std::string>{"announce"});
+    cr_assert(fixture.steps == std::vector<std::string>({"deflect", "announce"}));
     fixture.drain.advance(fixture.start + Milliseconds(3000));
     fixture.drain.advance(fixture.start + Milliseconds(9000));
-    cr_assert(fixture.steps == std::vector<std::string>({"announce", "stop callers"}));
+    cr_assert(fixture.steps == std::vector<std::string>({"deflect", "announce", "stop callers"}));
     fixture.idle = true;
     fixture.drain.advance(fixture.start + Milliseconds(9001));
-    cr_assert(fixture.steps == std::vector<std::string>({"announce", "stop callers", "leave"}));
+    cr_assert(fixture.steps == std::vector<std::string>({"deflect", "announce", "stop callers", "leave"}));
+}
+
+// Hosts are restarted one after the other, and each takes its upstream out while its callers look for another
+// node. The other nodes go on sending for as long as they need no more to hear of the leave.
+Test(nodeDrain, theUpstreamServesWhileCallersLeave)
+{
+    DrainFixture fixture;
+    fixture.drain.begin(fixture.start);
+    fixture.drain.advance(fixture.start + Milliseconds(1999));
+    cr_assert(fixture.drain.stage() == DrainStage::Deflecting);
+    fixture.drain.advance(fixture.start + Milliseconds(2000));
+    cr_assert(fixture.drain.stage() == DrainStage::Announcing);
+}
+
+// With less linger than the news needs, the news comes first.
+Test(nodeDrain, aShortLingerAnnouncesAtOnce)
+{
+    std::vector<std::string> steps;
+    NodeDrain drain({Milliseconds(500), std::chrono::seconds(60)},
+                    {[&] { steps.emplace_back("deflect"); }, [&] { steps.emplace_back("announce"); },
+                     [&] { steps.emplace_back("stop callers"); }, [] { return false; }, [] {}});
+    const Instant start = Instant() + std::chrono::hours(1);
+    drain.begin(start);
+    cr_assert(steps == std::vector<std::string>({"deflect", "announce"}));
+    drain.advance(start + Milliseconds(500));
+    cr_assert(steps.back() == "stop callers");
 }
 
 // An idle node waits for the news all the same: a call may be on its way from a node that has not heard.
