Node: Let a restarted node know which upstream serves

Cause: a node that is restarted or killed hears of its upstream, which goes on running, with the next check-in, up to 1.5 s later; until then the upstream gets nothing. And a confirmation of a leaving that the store had not taken within 0.6 s was given all the same, so the next process could believe a late "ready". Change: UpstreamRecord (was DepartureRecord) keeps a second row with the start that serves; a new process goes by it until that start speaks, and a call names the start it is meant for. What is not kept is not confirmed (503). Test: theNextProcessKnowsWhoServes, aLaterStartGoesBeforeTheRow, confirmsNothingThatIsNotKept (it replaces confirmsInTimeWithoutTheTable, which asked for the confirmation that binds nobody; the upstream must still hear in time). Cost: one write a start of an upstream.

--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -160,7 +160,7 @@
     , gate(this->settings.id, makeAdmission(this->settings), this->adapter.headers, this->claims.hooks(),
            this->history, this->observer)
     , presence(this->presenceHooks(), this->settings.platform.announcementLife)
-    , departures(this->control, this->adapter.table, this->settings.id, this->departureHooks())
+    , record(this->control, this->adapter.table, this->settings.id, this->recordHooks())
     , forwarding{this->settings.id, this->gate, this->view, this->ids, this->history, this->observer}
     , callers(this->forwarding, this->settings.requests.maximumTimeout, this->adapter.headers,
               this->settings.platform.upstreamService, this->callerHooks())
@@ -203,7 +203,7 @@
     for (const auto &worker : this->workers)
         worker->start();
     this->presence.awaitRecall();
-    this->departures.recall();
+    this->record.recall();
     this->watchSignals();
     this->tick();
     this->log.write(EventId::ProcessStarted,
@@ -349,14 +349,16 @@
     return this->plane.ready() && this->drain.stage() == DrainStage::Serving;
 }
 
-// What the upstream said is believed at once; that it was heard is said when its leaving is kept.
+// What the upstream said is believed at once. That it leaves is confirmed only when it is kept, since the
+// confirmation binds the next process of this node too.
 void Node::confirm(const HttpRequest &request, HttpResponse response,
                    const std::shared_ptr<HttpExchange> &exchange)
 {
-    if (request.method == "GET")
+    if (request.method == "GET" || !this->presence.leaves())
         return exchange->respond(std::move(response));
-    this->departures.whenKept(
-        [exchange, response = std::move(response)]() mutable { exchange->respond(std::move(response)); });
+    this->record.whenKept([exchange, response = std::move(response)](bool kept) mutable {
+        exchange->respond(kept ? std::move(response) : makeResponse(503, "text/plain", "not kept yet\n"));
+    });
 }
 
 HttpHandler Node::adminHandler()
@@ -383,19 +385,23 @@
         this->plane.announceUpstream(cluster, state, slots);
         this->limitQueue();
     };
-    hooks.leaving = [this](const Departure &departure) { this->departures.note(departure); };
+    hooks.leaving = [this](const Departure &departure) { this->record.noteLeaving(departure); };
+    hooks.serving = [this](const UpstreamAnnouncement &upstream) { this->record.noteServing(upstream); };
     return hooks;
 }
 
-DepartureRecordHooks Node::departureHooks()
+UpstreamRecordHooks Node::recordHooks()
 {
-    DepartureRecordHooks hooks;
-    hooks.recalled = [this](const std::optional<Departure> &departure) {
-        this->nodeLog.departureRecalled(departure);
-        this->presence.recalled(SteadyClock::now(), departure);
+    UpstreamRecordHooks hooks;
+    hooks.recalled = [this](RecalledUpstream upstream) {
+        // A host that was replaced has its name from the one before it, but another upstream.
+        if (upstream.serving && upstream.serving->address != this->settings.platform.upstream)
+            upstream.serving.reset();
+        this->nodeLog.upstreamRecalled(upstream);
+        this->presence.recalled(SteadyClock::now(), upstream);
     };
     hooks.kept = [this](const Departure &departure) { this->nodeLog.departureKept(departure); };
-    hooks.failed = [this](const Error &error) { this->nodeLog.departureFailed(error); };
+    hooks.failed = [this](const Error &error) { this->nodeLog.recordFailed(error); };
     return hooks;
 }
 
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -5,7 +5,6 @@
 #include "CallerFrontend.h"
 #include "ClaimService.h"
 #include "ControlPlane.h"
-#include "DepartureRecord.h"
 #include "NodeAdapter.h"
 #include "NodeDrain.h"
 #include "NodeLog.h"
@@ -13,6 +12,7 @@
 #include "NodeStatus.h"
 #include "RequestObserver.h"
 #include "UpstreamPresence.h"
+#include "UpstreamRecord.h"
 #include "Worker.h"
 
 #include <LibConfig/ConfigurationHolder.h>
@@ -48,7 +48,7 @@
     HttpHandler adminHandler();
     HttpHandler adapterHandler();
     UpstreamPresenceHooks presenceHooks();
-    DepartureRecordHooks departureHooks();
+    UpstreamRecordHooks recordHooks();
     std::optional<RouteChoice> route(std::string_view host, std::string_view method,
                                      std::string_view path) const;
     HttpLimits callerLimits() const;
@@ -79,7 +79,7 @@
     ClaimService claims;
     LocalGate gate;
     UpstreamPresence presence;
-    DepartureRecord departures;
+    UpstreamRecord record;
     ForwardingContext forwarding;
     CallerFrontend callers;
     const AdminHooks commands;
--- a/Services/Node/NodeLog.cpp
+++ b/Services/Node/NodeLog.cpp
@@ -85,11 +85,11 @@
                     {{"step", error.step}, {"peer", error.peer}, {"message", error.message}});
 }
 
-void NodeLog::departureRecalled(const std::optional<Departure> &departure)
+void NodeLog::upstreamRecalled(const RecalledUpstream &upstream)
 {
-    this->log.write(EventId::DepartureRecalled,
-                    {{"instance", departure ? departure->instance : std::string("none")},
-                     {"started_at", departure ? departure->startedAt : 0}});
+    const auto nameOf = [](const auto &start) { return start ? start->instance : std::string("none"); };
+    this->log.write(EventId::UpstreamRecalled,
+                    {{"serving", nameOf(upstream.serving)}, {"leaving", nameOf(upstream.departure)}});
 }
 
 void NodeLog::departureKept(const Departure &departure)
@@ -98,9 +98,9 @@
                     {{"instance", departure.instance}, {"started_at", departure.startedAt}});
 }
 
-void NodeLog::departureFailed(const Error &error)
+void NodeLog::recordFailed(const Error &error)
 {
-    this->log.write(EventId::DepartureUnkept,
+    this->log.write(EventId::UpstreamUnrecorded,
                     {{"step", error.step}, {"peer", error.peer}, {"message", error.message}});
 }
 
--- a/Services/Node/NodeLog.h
+++ b/Services/Node/NodeLog.h
@@ -8,7 +8,6 @@
 #include <LibObserve/EventLog.h>
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -25,9 +24,9 @@
     void controlFailed(const Error &error);
     void memberChanged(const Member &member);
     void announcementRefused(const Error &error);
-    void departureRecalled(const std::optional<Departure> &departure);
+    void upstreamRecalled(const RecalledUpstream &upstream);
     void departureKept(const Departure &departure);
-    void departureFailed(const Error &error);
+    void recordFailed(const Error &error);
     void upstreamSilent(const std::string &cluster);
     void upstreamChanged(const std::string &cluster, UpstreamState state, std::uint32_t slots);
 
--- a/Services/Node/UpstreamPresence.cpp
+++ b/Services/Node/UpstreamPresence.cpp
@@ -28,18 +28,13 @@
     return state == UpstreamState::Ready || state == UpstreamState::Warming;
 }
 
-bool isSameStart(const UpstreamAnnouncement &one, const UpstreamAnnouncement &other)
-{
-    return one.instance == other.instance && one.startedAt == other.startedAt;
-}
+} // namespace
 
 Departure departureOf(const UpstreamAnnouncement &announcement)
 {
     return {announcement.instance, announcement.startedAt};
 }
 
-} // namespace
-
 UpstreamPresence::UpstreamPresence(UpstreamPresenceHooks hooks, Duration life)
     : hooks(std::move(hooks))
     , life(life)
@@ -77,7 +72,10 @@
 
 void UpstreamPresence::take(Instant now, const UpstreamAnnouncement &announcement, UpstreamState state)
 {
-    if (!takesCalls(state) && !announcement.instance.empty() && this->hooks.leaving)
+    const bool isNamed = !announcement.instance.empty();
+    if (isNamed && takesCalls(state) && this->hooks.serving)
+        this->hooks.serving(announcement);
+    if (isNamed && !takesCalls(state) && this->hooks.leaving)
         this->hooks.leaving(departureOf(announcement));
     this->saidGoodbye = state == UpstreamState::Gone;
     this->renewedAt = now;
@@ -89,7 +87,7 @@
     if (!this->awaitsRecall || !takesCalls(state) || this->lastState != UpstreamState::None
         || announcement.instance.empty())
         return false;
-    if (this->held && isSameStart(this->held->announcement, announcement)
+    if (this->held && departureOf(this->held->announcement) == departureOf(announcement)
         && announcement.sequence > this->held->announcement.sequence)
         return false;
     if (!this->held || announcement.startedAt >= this->held->announcement.startedAt)
@@ -103,12 +101,14 @@
     this->awaitsRecall = true;
 }
 
-void UpstreamPresence::recalled(Instant now, const std::optional<Departure> &departure)
+void UpstreamPresence::recalled(Instant now, const RecalledUpstream &upstream)
 {
     const std::lock_guard guard(this->mutex);
     this->awaitsRecall = false;
-    this->departed = departure;
-    const std::optional<HeldWord> word = std::exchange(this->held, std::nullopt);
+    this->departed = upstream.departure;
+    std::optional<HeldWord> word = std::exchange(this->held, std::nullopt);
+    if (upstream.serving && (!word || word->announcement.startedAt < upstream.serving->startedAt))
+        word = HeldWord{*upstream.serving, UpstreamState::Ready};
     if (takesCalls(this->lastState) && this->departed == departureOf(this->last))
         this->tell(this->last, UpstreamState::Draining);
     else if (word && this->lastState == UpstreamState::None
@@ -155,6 +155,12 @@
     return this->lastState;
 }
 
+bool UpstreamPresence::leaves() const
+{
+    const UpstreamState now = this->state();
+    return now == UpstreamState::Draining || now == UpstreamState::Gone;
+}
+
 void UpstreamPresence::tell(const UpstreamAnnouncement &announcement, UpstreamState state)
 {
     const bool changed = state != this->lastState || announcement.cluster != this->last.cluster
--- a/Services/Node/UpstreamPresence.h
+++ b/Services/Node/UpstreamPresence.h
@@ -33,6 +33,15 @@
     bool operator==(const Departure &) const = default;
 };
 
+Departure departureOf(const UpstreamAnnouncement &announcement);
+
+// What an earlier process of this node knew.
+struct RecalledUpstream
+{
+    std::optional<UpstreamAnnouncement> serving; // The last start that took calls.
+    std::optional<Departure> departure;          // The last start whose leaving was confirmed.
+};
+
 struct UpstreamPresenceHooks
 {
     std::function<void(const std::string &cluster)> silent; // It stopped announcing itself.
@@ -41,6 +50,8 @@
         membership; // At changes.
     // At every word of a start that drains or has gone, before it is confirmed. May be empty.
     std::function<void(const Departure &)> leaving = {};
+    // At every word of a start that takes calls. May be empty.
+    std::function<void(const UpstreamAnnouncement &)> serving = {};
 };
 
 // Safe to use from every thread; the hooks run on the caller's.
@@ -58,11 +69,11 @@
     // the same start says so once more: two of its words that were both held up are less likely than a table
     // that does not answer, and an upstream that is kept out for longer serves nobody.
     void awaitRecall();
-    // The start whose leaving an earlier process of this node confirmed.
-    void recalled(Instant now, const std::optional<Departure> &departure);
+    void recalled(Instant now, const RecalledUpstream &upstream);
     void drain(); // The node leaves: whatever the upstream says, it drains.
 
     UpstreamState state() const;
+    bool leaves() const; // It drains or has gone, by its own word or because the node leaves.
 
 private:
     struct HeldWord
--- /dev/null
+++ b/Services/Node/UpstreamRecord.h
@@ -0,0 +1,82 @@
+// What this node believes of the upstream beside it, kept where it outlives the process: which start serves,
+// and which start's leaving was confirmed. Two rows a node, written once a start.
+//
+// Failure: an upstream says that it drains, the node confirms and is killed. The next process knows nothing;
+// an announcement of before the drain, held up on its way, says "ready". Symptom: calls reach an upstream
+// that was promised to get none and ends in a moment. So nothing is confirmed before a row names the start
+// that leaves, and a new process reads that row before it believes a first "ready".
+//
+// Load: hosts are restarted one after the other, and upstreams announce themselves each second or two. Harm
+// of waiting for that word: each restart takes its upstream out for up to two seconds more. A new process
+// goes by the row of the start that serves until that start speaks; a call names the start that it is meant
+// for, so another one there refuses it.
+#pragma once
+
+#include "UpstreamPresence.h"
+
+#include <LibSource/Ports.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Sagecrank {
+
+// An upstream takes a confirmation that comes within a second. What is left goes to its way there and back.
+inline constexpr Duration departureWait = Milliseconds(600);
+
+// Between two reads of a table that does not answer: one in the time of an announcement.
+inline constexpr Duration recallPause = std::chrono::seconds(1);
+
+struct UpstreamRecordHooks
+{
+    // Once, when the table has answered.
+    std::function<void(const RecalledUpstream &)> recalled;
+    std::function<void(const Departure &)> kept;
+    std::function<void(const Error &)> failed; // A read or a write.
+};
+
+// For one io_context that one thread runs.
+class UpstreamRecord
+{
+public:
+    UpstreamRecord(boost::asio::io_context &context, TablePort table, std::string node,
+                   UpstreamRecordHooks hooks);
+
+    void recall(); // Reads the rows, until the table answers.
+
+    // The start that serves now. Nobody waits for its row, and a write that fails is not made again: the row
+    // only saves time.
+    void noteServing(const UpstreamAnnouncement &announcement);
+
+    // Writes the row of the start that leaves. Saying the same again costs nothing unless the write before it
+    // has failed.
+    void noteLeaving(const Departure &departure);
+
+    // Answers whether all that was noted about leaving is kept: at once when no write is on its way, after
+    // `departureWait` at the latest. What is not kept must not be confirmed; the upstream asks again.
+    void whenKept(std::function<void(bool kept)> answer);
+
+private:
+    void write();
+    void written(const Departure &departure, const Result<void> &result);
+    void release();
+    bool isKept() const { return this->noted == this->keptNow; }
+
+    const TablePort table;
+    const std::string node;
+    const UpstreamRecordHooks hooks;
+    boost::asio::steady_timer readTimer;
+    boost::asio::steady_timer waitTimer;
+    std::optional<UpstreamAnnouncement> serving; // As last written.
+    std::optional<Departure> noted;
+    std::optional<Departure> keptNow; // What the row is known to say, as far as this process wrote it.
+    bool writing = false;
+    std::vector<std::function<void(bool)>> waiting; // Not empty only while `writing`.
+};
+
+} // namespace Sagecrank
--- a/Tests/Node/TestDepartureRecord.cpp
+++ b/Tests/Node/TestUpstreamRecord.cpp
@@ -1,5 +1,5 @@
 // The row about a leaving upstream, and what a node that was started anew makes of it.
-#include <Node/DepartureRecord.h>
+#include <Node/UpstreamRecord.h>
 
 #include <Support/TableTest.h>
 
@@ -20,15 +20,25 @@
     TablePort port()
     {
         TablePort port;
-        port.get = [this](const RowKey &key, const RowCallback &callback) {
+        port.query = [this](const QueryRequest &request, const RowsCallback &callback) {
             ++this->reads;
             if (this->away)
-                return callback(makeError(ErrorKind::Unavailable, "read row", "table", "away"));
-            const auto found = this->rows.find(key);
-            callback(found == this->rows.end() ? std::optional<Row>() : std::optional<Row>(found->second));
+                return callback(makeError(ErrorKind::Unavailable, "read rows", "table", "away"));
+            std::vector<Row> found;
+            for (const auto &[key, row] : this->rows) {
+                if (key.partition == request.partition)
+                    found.push_back(row);
+            }
+            callback(std::move(found));
         };
         port.putIf = [this](const ConditionalPut &put, const WriteCallback &callback) {
+            if (put.row.key.sort == "serving") {
+                this->rows[put.row.key] = put.row;
+                return callback(success());
+            }
             ++this->writes;
+            if (this->away)
+                return callback(makeError(ErrorKind::Unavailable, "write row", "table", "away"));
             this->pending = [this, row = put.row, callback] {
                 this->rows[row.key] = row;
                 callback(success());
@@ -73,23 +83,25 @@
             state);
     }
 
-    DepartureRecordHooks recordHooks()
+    UpstreamRecordHooks recordHooks()
     {
-        return {[this](const std::optional<Departure> &departure) {
-                    this->presence.recalled(this->now, departure);
-                },
+        return {[this](const RecalledUpstream &upstream) { this->presence.recalled(this->now, upstream); },
                 [](const Departure &) {}, [this](const Error &) { ++this->failures; }};
     }
 
     boost::asio::io_context context{1};
     Instant now = Instant() + std::chrono::hours(1);
     int failures = 0;
-    UpstreamPresence presence{{[](const std::string &) {}, [](const UpstreamAnnouncement &) {},
-                               [](const std::string &, UpstreamState, std::uint32_t) {},
-                               [this](const Departure &departure) { this->record.note(departure); }}};
-    DepartureRecord record;
+    UpstreamPresence presence{
+        {[](const std::string &) {}, [](const UpstreamAnnouncement &) {},
+         [](const std::string &, UpstreamState, std::uint32_t) {},
+         [this](const Departure &departure) { this->record.noteLeaving(departure); },
+         [this](const UpstreamAnnouncement &upstream) { this->record.noteServing(upstream); }}};
+    UpstreamRecord record;
 };
 
+const bool awayRows[] = {true, false};
+
 struct LateRow
 {
     const char *what;
@@ -107,12 +119,29 @@
     {"another start", UpstreamState::Ready, 150, "i-2", UpstreamState::Ready},
 };
 
+struct ServingRow
+{
+    const char *what;
+    std::vector<std::pair<UpstreamState, std::uint64_t>> heard; // With when the start began.
+    UpstreamState believed;
+};
+
+const ServingRow servingRows[] = {
+    {"none was heard", {}, UpstreamState::None},
+    {"one serves", {{UpstreamState::Ready, 100}}, UpstreamState::Ready},
+    {"one was cold", {{UpstreamState::Warming, 100}}, UpstreamState::Ready},
+    {"it left", {{UpstreamState::Ready, 100}, {UpstreamState::Draining, 100}}, UpstreamState::None},
+    {"it left and another serves",
+     {{UpstreamState::Ready, 100}, {UpstreamState::Gone, 100}, {UpstreamState::Ready, 200}},
+     UpstreamState::Ready},
+};
+
 } // namespace
 
 // A caller's request reaches an upstream that was promised to get none. The upstream says that it drains, the
 // node confirms and is killed; its next process hears an announcement of before the drain, held up on its
 // way, and takes the upstream for ready, as it knows of nothing before. The row says which start has left.
-TABLE_TEST(departureRecord, aConfirmedLeavingOutlivesTheProcess, lateRows)
+TABLE_TEST(upstreamRecord, aConfirmedLeavingOutlivesTheProcess, lateRows)
 {
     FakeTable table;
     {
@@ -120,6 +149,7 @@
         killed.hear(UpstreamState::Ready, 1);
         killed.hear(UpstreamState::Draining, 3);
     }
+    table.rows.erase({"upstream/node-1", "serving"});
     Process next(table);
     next.hear(row.said, 2, row.startedAt, row.instance);
     cr_assert(next.presence.state() == row.believed, "%s", row.what);
@@ -127,7 +157,7 @@
 
 // The goodbye comes first here and the upstream goes on serving for a while; its earlier announcements count
 // for as little as after a drain.
-Test(departureRecord, aGoodbyeIsKeptToo)
+Test(upstreamRecord, aGoodbyeIsKeptToo)
 {
     FakeTable table;
     {
@@ -142,17 +172,17 @@
 
 // The upstream is told that its leaving was heard only when the row stands: a node that is killed in between
 // has promised nothing.
-Test(departureRecord, confirmsWhenTheRowStands)
+Test(upstreamRecord, confirmsWhenTheRowStands)
 {
     FakeTable table;
     table.holdsWrites = true;
     Process node(table);
     node.hear(UpstreamState::Ready, 1);
     int confirmed = 0;
-    node.record.whenKept([&confirmed] { ++confirmed; });
+    node.record.whenKept([&confirmed](bool kept) { confirmed += kept ? 1 : 0; });
     cr_assert(confirmed == 1);
     node.hear(UpstreamState::Draining, 2);
-    node.record.whenKept([&confirmed] { ++confirmed; });
+    node.record.whenKept([&confirmed](bool kept) { confirmed += kept ? 1 : 0; });
     cr_assert(confirmed == 1 && node.presence.state() == UpstreamState::Draining);
     table.finishWrite();
     cr_assert(confirmed == 2);
@@ -160,24 +190,40 @@
     cr_assert(table.writes == 1);
 }
 
-// The table gives no answer. The upstream asks for its confirmation again and again and in the end leaves
-// without one, so it is told in time all the same.
-Test(departureRecord, confirmsInTimeWithoutTheTable)
+// The table gives no answer, or says that it is away. A confirmation that nothing keeps would not bind the
+// next process, so the upstream is told in time that there is none, and asks again; it drains all the same.
+TABLE_TEST(upstreamRecord, confirmsNothingThatIsNotKept, awayRows)
 {
     FakeTable table;
     table.holdsWrites = true;
     Process node(table);
+    table.away = row;
     node.hear(UpstreamState::Draining, 2);
-    bool confirmed = false;
-    node.record.whenKept([&confirmed] { confirmed = true; });
+    std::optional<bool> answer;
+    node.record.whenKept([&answer](bool kept) { answer = kept; });
     node.context.run_for(departureWait + Milliseconds(200));
+    cr_assert(answer == std::optional(false));
+    cr_assert(node.presence.state() == UpstreamState::Draining);
+}
+
+// The upstream asks again when the table is back.
+Test(upstreamRecord, confirmsLaterWhenTheTableIsBack)
+{
+    FakeTable table;
+    Process node(table);
+    table.away = true;
+    node.hear(UpstreamState::Draining, 2);
+    table.away = false;
+    node.hear(UpstreamState::Draining, 3);
+    bool confirmed = false;
+    node.record.whenKept([&confirmed](bool kept) { confirmed = kept; });
     cr_assert(confirmed);
 }
 
 // The table is away while a node starts. One word of its upstream may be a late one; the second of the same
 // start is believed, so that a healthy upstream comes back in the time of one announcement. The row is read
 // as soon as the table is back, and goes before that belief.
-Test(departureRecord, believesTheSecondWordWhileTheTableIsAway)
+Test(upstreamRecord, believesTheSecondWordWhileTheTableIsAway)
 {
     FakeTable table;
     {
@@ -191,15 +237,48 @@
     next.hear(UpstreamState::Ready, 2);
     cr_assert(next.presence.state() == UpstreamState::Ready);
     table.away = false;
-    next.context.run_for(departureReadPause + Milliseconds(200));
+    next.context.run_for(recallPause + Milliseconds(200));
     cr_assert(table.reads == 3 && next.presence.state() == UpstreamState::Draining);
 }
 
+// A host is restarted; its upstream, which goes on running, speaks once in a second or two. Until then each
+// call to it was refused, and with three upstreams that is a third of the service. The next process goes by
+// the row.
+TABLE_TEST(upstreamRecord, theNextProcessKnowsWhoServes, servingRows)
+{
+    FakeTable table;
+    {
+        Process killed(table);
+        for (const auto &[state, startedAt] : row.heard)
+            killed.hear(state, startedAt, startedAt);
+    }
+    const Process next(table);
+    cr_assert(next.presence.state() == row.believed, "%s", row.what);
+}
+
+// It was replaced while the node was down, and says so: that word goes before the row.
+Test(upstreamRecord, aLaterStartGoesBeforeTheRow)
+{
+    FakeTable table;
+    {
+        Process killed(table);
+        killed.hear(UpstreamState::Ready, 1);
+    }
+    Process next(table);
+    next.hear(UpstreamState::Draining, 1, 200, "i-2");
+    cr_assert(next.presence.state() == UpstreamState::Draining);
+    next.hear(UpstreamState::Ready, 9);
+    cr_assert(next.presence.state() == UpstreamState::Draining);
+}
+
 // A row that someone else has written over names no start; it holds nobody back.
-Test(departureRecord, aSpoiltRowNamesNobody)
+Test(upstreamRecord, aSpoiltRowNamesNobody)
 {
     FakeTable table;
-    table.rows[{"departures", "node-1"}] = {{"departures", "node-1"}, {{"instance", std::uint64_t(7)}}};
+    for (const char *name : {"leaving", "serving"}) {
+        const RowKey key{"upstream/node-1", name};
+        table.rows[key] = {key, {{"instance", std::uint64_t(7)}}};
+    }
     Process next(table);
     next.hear(UpstreamState::Ready, 1);
     cr_assert(next.presence.state() == UpstreamState::Ready);
