--- /dev/null
+++ b/Tests/LibConfig/TestHostileInput.cpp
@@ -0,0 +1,35 @@
+// Deltas damaged at random, as from a peer with broken memory: refused, or exactly the version that they
+// name.
+#include <LibConfig/Delta.h>
+
+#include <LibConfig/Samples.h>
+#include <Support/Mutations.h>
+#include <Support/TableTest.h>
+
+using namespace Sagecrank;
+
+namespace {
+
+const std::uint64_t seeds[] = {1, 2, 3, 4, 5, 6, 7, 8};
+
+} // namespace
+
+TABLE_TEST(hostileInput, deltas, seeds)
+{
+    const SiteConfiguration held = sampleSite(1, {sampleSection("booking"), sampleSection("entry")});
+    Section changed = sampleSection("booking", 9);
+    changed.routes.push_back(sampleRoute("more", "/more"));
+    const SiteConfiguration next = sampleSite(2, {changed, sampleSection("lookup")});
+    const ObjectBytes good = encodeDelta(makeDelta(held, next));
+    const std::string text(reinterpret_cast<const char *>(good.data()), good.size());
+    Mutations mutations(row);
+    for (std::size_t round = 0; round < Mutations::rounds(3000); ++round) {
+        const std::string bad = mutations.of(text);
+        const auto delta = decodeDelta(std::as_bytes(std::span<const char>(bad)));
+        if (!delta)
+            continue;
+        const auto applied = applyDelta(held, delta.value());
+        if (applied)
+            cr_assert(sectionListDigest(applied.value().manifest.sections) == delta.value().result);
+    }
+}
--- /dev/null
+++ b/Tests/LibNet/TestHostileInput.cpp
@@ -0,0 +1,142 @@
+// The two ends of HTTP under damaged bytes. A server's other callers are served all the same, a client's
+// calls all end, and what comes back belongs to the call.
+#include <LibNet/FramedConnection.h>
+#include <LibNet/HttpClient.h>
+#include <LibNet/HttpServer.h>
+
+#include <Support/Mutations.h>
+#include <Support/TableTest.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <thread>
+
+using namespace Sagecrank;
+using boost::asio::ip::tcp;
+
+namespace {
+
+const std::uint64_t seeds[] = {1, 2, 3, 4};
+
+const std::string goodRequest = "POST /a/b?c=d HTTP/1.1\r\nHost: a.example\r\nContent-Length: 11\r\n"
+                                "X-Call: 7\r\n\r\nhello there";
+
+const std::string goodChunked = "POST /a HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                "5\r\nhello\r\n6;x=y\r\n there\r\n0\r\n\r\n";
+
+const std::string goodAnswer = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n"
+                               "Keep-Alive: timeout=5\r\n\r\nhello";
+
+tcp::socket connectTo(boost::asio::io_context &context, const std::string &address)
+{
+    tcp::socket socket(context);
+    socket.connect(parseTcpEndpoint(address).value());
+    return socket;
+}
+
+std::string exchangeRaw(const std::string &address, const std::string &text)
+{
+    boost::asio::io_context context;
+    tcp::socket socket = connectTo(context, address);
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(text), ignored);
+    socket.shutdown(tcp::socket::shutdown_send, ignored);
+    std::string answer;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ignored);
+    return answer;
+}
+
+// Sends damaged answers to whatever comes, one connection after the other, and closes each.
+class SpoilingServer
+{
+public:
+    explicit SpoilingServer(std::uint64_t seed)
+        : mutations(seed)
+        , acceptor(this->context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+        , thread([this] { this->serve(); })
+    {
+    }
+
+    ~SpoilingServer()
+    {
+        this->ending = true;
+        boost::system::error_code ignored;
+        boost::asio::io_context own;
+        tcp::socket(own).connect(this->acceptor.local_endpoint(), ignored);
+        this->thread.join();
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+    }
+
+private:
+    void serve()
+    {
+        while (!this->ending) {
+            boost::system::error_code ignored;
+            tcp::socket socket = this->acceptor.accept(ignored);
+            std::string request;
+            boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", ignored);
+            boost::asio::write(socket, boost::asio::buffer(this->mutations.of(goodAnswer)), ignored);
+        }
+    }
+
+    Mutations mutations;
+    boost::asio::io_context context;
+    tcp::acceptor acceptor;
+    std::atomic<bool> ending = false;
+    std::thread thread;
+};
+
+} // namespace
+
+TABLE_TEST(hostileInput, requests, seeds)
+{
+    boost::asio::io_context context(1);
+    HttpServerSettings settings;
+    settings.limits.headerBytes = 1024;
+    settings.limits.bodyBytes = 2048;
+    HttpServer server(context, settings, [](const HttpRequest &request, const auto &exchange) {
+        cr_assert(request.body.size() <= 2048);
+        exchange->respond(makeResponse(200, "text/plain", "fine"));
+    });
+    cr_assert(server.listen("127.0.0.1:0").has_value());
+    std::thread thread([&context] { context.run_for(std::chrono::seconds(100)); });
+    Mutations mutations(row);
+    for (std::size_t round = 0; round < Mutations::rounds(250); ++round) {
+        const std::string bad = mutations.of(round % 2 == 0 ? goodRequest : goodChunked);
+        const std::string answer = exchangeRaw(server.address(), bad);
+        cr_assert(answer.empty() || answer.starts_with("HTTP/1.1 "), "round %zu: %s", round, answer.c_str());
+        if (round % 10 == 0)
+            cr_assert(exchangeRaw(server.address(), goodRequest).starts_with("HTTP/1.1 200 "), "round %zu",
+                      round);
+    }
+    context.stop();
+    thread.join();
+}
+
+TABLE_TEST(hostileInput, answers, seeds)
+{
+    const SpoilingServer server(row);
+    boost::asio::io_context context(1);
+    HttpClient client(context, {});
+    const std::size_t calls = Mutations::rounds(250);
+    std::size_t ended = 0;
+    std::function<void()> sendNext = [&] {
+        if (ended == calls)
+            return context.stop();
+        client.send(server.address(), {"GET", "/", {{"Host", "a.example"}}, {}}, Milliseconds(300),
+                    [&](const HttpFailure *, const HttpResponse &) {
+                        ++ended;
+                        boost::asio::post(context, sendNext);
+                    });
+    };
+    sendNext();
+    context.run_for(std::chrono::seconds(100));
+    cr_assert(ended == calls, "%zu of %zu calls ended", ended, calls);
+}
--- /dev/null
+++ b/Tests/LibWire/TestHostileInput.cpp
@@ -0,0 +1,67 @@
+// Frames and messages between nodes, damaged at random: a peer may be of another version, or not a node at
+// all.
+#include <LibWire/Frame.h>
+#include <LibWire/PeerMessages.h>
+
+#include <Support/Mutations.h>
+#include <Support/TableTest.h>
+
+using namespace Sagecrank;
+
+namespace {
+
+const std::uint64_t seeds[] = {1, 2, 3, 4, 5, 6, 7, 8};
+
+std::string exampleStream()
+{
+    CallRequest request;
+    request.callId = 7;
+    request.cluster = "booking";
+    request.attempt = "a-1";
+    request.method = "POST";
+    request.target = "/reserve";
+    request.headers = {{"Content-Type", "text/plain"}, {"Accept", "*/*"}};
+    request.body = std::string(300, 'x');
+    CallResponse response;
+    response.callId = 7;
+    response.status = 200;
+    response.headers = {{"Content-Type", "text/plain"}};
+    response.body = "taken";
+    std::string stream;
+    for (const Bytes &frame :
+         {encodeFrame(FrameType::CallRequest, request), encodeFrame(FrameType::CallResponse, response),
+          encodeFrame(FrameType::Ping, Heartbeat{3})})
+        stream.append(frame.begin(), frame.end());
+    return stream;
+}
+
+template <typename Message>
+void decodeBoth(std::span<const char> payload)
+{
+    const Result<Message> decoded = decode<Message>(payload, "decode", "peer");
+    if (!decoded)
+        return;
+    const Bytes again = encode(decoded.value());
+    cr_assert(std::ranges::equal(again, payload), "what is taken is what was sent");
+}
+
+} // namespace
+
+// A damaged stream ends in an error or in messages; what is held of it stays below the largest frame.
+TABLE_TEST(hostileInput, streams, seeds)
+{
+    Mutations mutations(row);
+    const std::string good = exampleStream();
+    for (std::size_t round = 0; round < Mutations::rounds(3000); ++round) {
+        const std::string bad = mutations.of(good);
+        FrameReader reader;
+        (void)reader.take(std::span<const char>(bad), [](FrameType type, std::span<const char> payload) {
+            if (type == FrameType::CallRequest)
+                decodeBoth<CallRequest>(payload);
+            else if (type == FrameType::CallResponse)
+                decodeBoth<CallResponse>(payload);
+            else
+                (void)decode<Heartbeat>(payload, "decode", "peer");
+        });
+    }
+}
