LibDecide: Let the pause after refusals of another zone grow

Change: the pause doubles with each refusal in a row to 1.2 s, and ends with a call of the kind that is taken. Test: aFullZoneIsAskedEverLess, 40 tries in 6 s before, now 8.

--- a/Libraries/LibDecide/Placer.cpp
+++ b/Libraries/LibDecide/Placer.cpp
@@ -98,6 +98,7 @@
         for (double *mean : {&upstream.took[indexOf(callClass)], &this->usualTook[indexOf(callClass)]})
             *mean = *mean == 0 ? seconds : *mean + tookWeight * (seconds - *mean);
         this->noteSuccess(upstream);
+        noteTaken(upstream, kind);
         break;
     }
     case PlacedEnd::Failed:
@@ -108,8 +109,7 @@
         break;
     case PlacedEnd::RefusedNotRun:
         upstream.refusedAt = now;
-        upstream.kindRefusals[upstream.nextRefusal] = {kind, now};
-        upstream.nextRefusal = (upstream.nextRefusal + 1) % upstream.kindRefusals.size();
+        this->noteRefusal(upstream, kind, now);
         break;
     case PlacedEnd::Cancelled:
         break;
@@ -266,11 +266,35 @@
 {
     if (!this->settings.zoneFirst || request.tried.empty())
         return false;
-    return std::any_of(upstream.kindRefusals.begin(), upstream.kindRefusals.end(),
-                       [&](const KindRefusal &refusal) {
-                           return refusal.kind == request.kind && refusal.at != Instant::min()
-                                  && request.now - refusal.at < this->settings.refusedKindLife;
-                       });
+    const auto known = std::ranges::find(upstream.kindRefusals, request.kind, &KindRefusal::kind);
+    if (known == upstream.kindRefusals.end() || known->inRow == 0)
+        return false;
+    constexpr std::uint32_t mostDoublingsOfLife = 16;
+    const auto factor = std::int64_t{1} << std::min(known->inRow - 1, mostDoublingsOfLife);
+    const Duration life =
+        std::min<Duration>(this->settings.longestRefusedKindLife, this->settings.refusedKindLife * factor);
+    return request.now - known->at < life;
+}
+
+// Refusals of calls that were placed together count once: they say the same.
+void Placer::noteRefusal(Upstream &upstream, std::uint64_t kind, Instant now)
+{
+    auto known = std::ranges::find(upstream.kindRefusals, kind, &KindRefusal::kind);
+    if (known == upstream.kindRefusals.end()) {
+        known = upstream.kindRefusals.begin() + static_cast<std::ptrdiff_t>(upstream.nextRefusal);
+        upstream.nextRefusal = (upstream.nextRefusal + 1) % upstream.kindRefusals.size();
+        *known = {kind, 0, Instant::min()};
+    }
+    if (known->inRow == 0 || now - known->at >= this->settings.refusedKindLife)
+        known->inRow += 1;
+    known->at = now;
+}
+
+void Placer::noteTaken(Upstream &upstream, std::uint64_t kind)
+{
+    const auto known = std::ranges::find(upstream.kindRefusals, kind, &KindRefusal::kind);
+    if (known != upstream.kindRefusals.end())
+        known->inRow = 0;
 }
 
 // Goes through the eligible ones of a zone from a random one on. Ranks are counted among the eligible, since
--- a/Libraries/LibDecide/Placer.h
+++ b/Libraries/LibDecide/Placer.h
@@ -56,8 +56,10 @@
     // there takes it, or none is well.
     bool zoneFirst = false;
     // An upstream of another zone that refused a call of a kind is not asked for that kind again for this
-    // long: under full load each try would cost its bytes and bring nothing.
+    // long, twice as long after each further refusal in a row: under full load each try would cost its bytes
+    // and bring nothing.
     Duration refusedKindLife = std::chrono::milliseconds(150);
+    Duration longestRefusedKindLife = std::chrono::milliseconds(1200);
     Duration toldLoadLife = std::chrono::milliseconds(100); // Told load loses most of its weight after this.
 };
 
@@ -92,6 +94,7 @@
     struct KindRefusal
     {
         std::uint64_t kind = 0;
+        std::uint32_t inRow = 0; // Zero: the entry is free, or the kind was taken since.
         Instant at = Instant::min();
     };
 
@@ -146,6 +149,8 @@
     Upstream &obtain(std::string_view id, Instant now);
     std::optional<std::size_t> choose(const Request &request, bool trustedOnly);
     std::optional<std::size_t> chooseZoneFirst(const Request &request, bool trustedOnly);
+    void noteRefusal(Upstream &upstream, std::uint64_t kind, Instant now);
+    static void noteTaken(Upstream &upstream, std::uint64_t kind);
     bool isInVain(const Upstream &upstream, const Request &request) const;
     void compare(const Request &request, bool sameZone, bool trustedOnly, Best &best);
     static bool usable(const Upstream *upstream, const Request &request, bool trustedOnly);
--- a/Tests/LibDecide/TestPlacer.cpp
+++ b/Tests/LibDecide/TestPlacer.cpp
@@ -255,6 +255,35 @@
     cr_assert(placer.place(later, fixture.facts, CallClass::Interactive, tried, 7).has_value());
 }
 
+// Every zone is full for seconds. Each call that its own zone refused was tried in another zone again 150 ms
+// after the last one, seven times a second for each upstream and kind, and half of the requests between zones
+// brought nothing. The pause grows to 1.2 s while nothing is taken, and ends with the first call that is.
+Test(placer, aFullZoneIsAskedEverLess)
+{
+    ZoneFirstFixture fixture;
+    Placer placer(fixture.settings, [&fixture] { return fixture.number += 7919; });
+    const std::size_t tried[] = {0};
+    int asked = 0;
+    for (int call = 0; call < 600; ++call) {
+        fixture.now += Milliseconds(10);
+        if (!placer.place(fixture.now, fixture.facts, CallClass::Interactive, tried, 7))
+            continue;
+        ++asked;
+        placer.started("far", fixture.now);
+        placer.ended("far", fixture.now, CallClass::Interactive, Milliseconds(1), PlacedEnd::RefusedNotRun,
+                     7);
+    }
+    cr_assert(asked >= 6 && asked <= 9, "asked %d times in 6 s; 40 with a pause that does not grow", asked);
+
+    fixture.now += std::chrono::seconds(2);
+    play(placer, "far", fixture.now, Milliseconds(1), PlacedEnd::Succeeded);
+    placer.started("far", fixture.now);
+    placer.ended("far", fixture.now, CallClass::Interactive, Milliseconds(1), PlacedEnd::Succeeded, 7);
+    placer.ended("far", fixture.now, CallClass::Interactive, Milliseconds(1), PlacedEnd::RefusedNotRun, 7);
+    const Instant later = fixture.now + Milliseconds(160);
+    cr_assert(placer.place(later, fixture.facts, CallClass::Interactive, tried, 7).has_value());
+}
+
 // The only upstream of a zone leaves, and the other zones refuse one call in three. The zone's callers got
 // "no upstream" at once for 150 ms after each such refusal, 70% of their calls; each must be tried once.
 Test(placer, aZoneWithoutUpstreamsIsServedByOthers)
