LibCore: Compare names without case in one place

Left by earlier work: ASCII lower-casing stood three times, a lookup of a route made a string of the host for each request, and a route with prefix "/pay/" also served "/pay", which no operator wrote. Change: LibCore/AsciiText.h; the table of hosts is searched without a copy; a prefix that ends in a slash serves only paths that have it.

--- a/Libraries/LibConfig/Snapshot.cpp
+++ b/Libraries/LibConfig/Snapshot.cpp
@@ -8,14 +8,17 @@
 
 namespace {
 
-// Names of hosts compare without case, and a port says nothing about the host.
-std::string hostName(std::string_view host)
+// A port says nothing about the host.
+std::string_view hostName(std::string_view host)
 {
-    std::string name(host.substr(0, host.rfind(':')));
-    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) {
-        return static_cast<char>(letter >= 'A' && letter <= 'Z' ? letter - 'A' + 'a' : letter);
-    });
-    return name;
+    return host.substr(0, host.rfind(':'));
+}
+
+// Whether the route serves the path that equals its prefix but for slashes at the end: "/pay/" serves "/pay/"
+// and not "/pay".
+bool servesWhole(const Route &route, std::string_view path)
+{
+    return normalisedPrefix(route.prefix).empty() || path.size() >= route.prefix.size();
 }
 
 } // namespace
@@ -39,9 +42,10 @@
     if (table == this->byHost.end())
         return nullptr;
     // One lookup per path segment, from the longest prefix down; the number of routes does not matter.
-    std::string_view prefix = normalisedPrefix(path.substr(0, path.find('?')));
+    const std::string_view asked = path.substr(0, path.find('?'));
+    std::string_view prefix = normalisedPrefix(asked);
     while (true) {
-        if (const RouteEntry *entry = atPrefix(table->second, prefix, method))
+        if (const RouteEntry *entry = atPrefix(table->second, prefix, method, asked))
             return entry;
         if (prefix.empty())
             return nullptr;
@@ -60,13 +64,15 @@
 }
 
 const RouteEntry *Snapshot::atPrefix(const PrefixTable &table, std::string_view prefix,
-                                     std::string_view method)
+                                     std::string_view method, std::string_view path)
 {
     const auto found = table.find(prefix);
     if (found == table.end())
         return nullptr;
     const RouteEntry *everyMethod = nullptr;
     for (const RouteEntry &entry : found->second) {
+        if (!servesWhole(*entry.route, path))
+            continue;
         const auto &methods = entry.route->methods;
         if (methods.empty())
             everyMethod = &entry;
--- a/Libraries/LibConfig/Snapshot.h
+++ b/Libraries/LibConfig/Snapshot.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <LibConfig/Model.h>
+#include <LibCore/AsciiText.h>
 
 #include <cstdint>
 #include <memory>
@@ -26,8 +27,9 @@
     explicit Snapshot(std::shared_ptr<const SiteConfiguration> configuration);
 
     // The route with the longest prefix that serves the method, or null. A prefix matches whole path
-    // segments: "/book" serves "/book" and "/book/7", not "/booking". A query string is ignored. At one
-    // prefix, a route that names the method goes before one that serves every method.
+    // segments: "/book" serves "/book" and "/book/7", not "/booking"; "/book/" serves "/book/7", not "/book".
+    // A query string is ignored. At one prefix, a route that names the method goes before one that serves
+    // every method.
     const RouteEntry *match(std::string_view method, std::string_view path) const
     {
         return this->match({}, method, path);
@@ -49,11 +51,12 @@
     using PrefixTable = std::unordered_map<std::string_view, std::vector<RouteEntry>>;
 
     static const RouteEntry *atPrefix(const PrefixTable &table, std::string_view prefix,
-                                      std::string_view method);
+                                      std::string_view method, std::string_view path);
 
     std::shared_ptr<const SiteConfiguration>
         held; // Never null, never changed; the views below point into it.
-    std::unordered_map<std::string_view, PrefixTable> byHost; // The empty host's routes serve all others.
+    // The empty host's routes serve all others.
+    std::unordered_map<std::string_view, PrefixTable, CaselessHash, CaselessEqual> byHost;
     std::size_t routes = 0;
 };
 
--- a/Libraries/LibNet/HttpMessages.cpp
+++ b/Libraries/LibNet/HttpMessages.cpp
@@ -1,23 +1,12 @@
 // Looking up headers and building answers.
+#include <LibCore/AsciiText.h>
 #include <LibNet/HttpMessages.h>
 
-#include <algorithm>
-
 namespace Sagecrank {
 
-namespace {
-
-char lowerCase(char letter)
-{
-    return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
-}
-
-} // namespace
-
 bool sameHeaderName(std::string_view left, std::string_view right)
 {
-    return std::equal(left.begin(), left.end(), right.begin(), right.end(),
-                      [](char first, char second) { return lowerCase(first) == lowerCase(second); });
+    return sameWithoutCase(left, right);
 }
 
 std::string_view findHeader(const std::vector<Header> &headers, std::string_view name)
