Node: Remember a goodbye that comes before anything else

A request reached an upstream 2,521 ms after the node beside it had confirmed its leaving; the store had come back from an outage 158 ms before that confirmation, and the node was one of those that were restarted meanwhile. Cause: a node that was started anew hears a goodbye as its first word. It knew of no such start, confirmed and forgot it; a second later it read the row of the start that serves and sent calls there. Change: such a goodbye is kept by name alone for 15 s, in the process and in the row, and confirmed only when kept. Test: aGoodbyeBeforeAnythingElseGoesBeforeTheRow fails without it.

--- a/Services/Node/UpstreamPresence.cpp
+++ b/Services/Node/UpstreamPresence.cpp
@@ -63,13 +63,23 @@
     const std::lock_guard guard(this->mutex);
     if (this->isStale(announcement))
         return AnnouncementVerdict::Stale;
-    if (takesCalls(state) && this->departed == departureOf(announcement))
+    if (takesCalls(state) && this->hasDeparted(now, announcement))
         return AnnouncementVerdict::Stale;
     if (!this->isHeldBack(announcement, state))
         this->take(now, announcement, state);
     return AnnouncementVerdict::Taken;
 }
 
+bool UpstreamPresence::hasDeparted(Instant now, const UpstreamAnnouncement &announcement) const
+{
+    if (this->goodbye == announcement.instance && now < this->nameEnds)
+        return true;
+    if (!this->departed || this->departed->instance != announcement.instance)
+        return false;
+    return this->departed->startedAt == 0 ? now < this->nameEnds
+                                          : this->departed->startedAt == announcement.startedAt;
+}
+
 void UpstreamPresence::take(Instant now, const UpstreamAnnouncement &announcement, UpstreamState state)
 {
     const bool isNamed = !announcement.instance.empty();
@@ -106,13 +116,14 @@
     const std::lock_guard guard(this->mutex);
     this->awaitsRecall = false;
     this->departed = upstream.departure;
+    if (this->departed && this->departed->startedAt == 0)
+        this->nameEnds = now + nameLife;
     std::optional<HeldWord> word = std::exchange(this->held, std::nullopt);
     if (upstream.serving && (!word || word->announcement.startedAt < upstream.serving->startedAt))
         word = HeldWord{*upstream.serving, UpstreamState::Ready};
-    if (takesCalls(this->lastState) && this->departed == departureOf(this->last))
+    if (takesCalls(this->lastState) && this->hasDeparted(now, this->last))
         this->tell(this->last, UpstreamState::Draining);
-    else if (word && this->lastState == UpstreamState::None
-             && this->departed != departureOf(word->announcement))
+    else if (word && this->lastState == UpstreamState::None && !this->hasDeparted(now, word->announcement))
         this->take(now, word->announcement, word->state);
 }
 
@@ -121,7 +132,9 @@
     const std::lock_guard guard(this->mutex);
     if (this->lastState == UpstreamState::None && this->held && this->held->announcement.instance == instance)
         this->last = this->held->announcement;
-    else if (this->lastState == UpstreamState::None || instance != this->last.instance)
+    else if (this->lastState == UpstreamState::None)
+        return this->leftUnknown(now, instance);
+    else if (instance != this->last.instance)
         return AnnouncementVerdict::Stale;
     if (this->hooks.leaving)
         this->hooks.leaving(departureOf(this->last));
@@ -131,6 +144,18 @@
     return AnnouncementVerdict::Taken;
 }
 
+// Failure: a node is started anew, and the first word that it hears of its upstream is a goodbye. Symptom:
+// the row of the start that serves, or a late announcement, brings back an upstream that was told that it
+// gets no more.
+AnnouncementVerdict UpstreamPresence::leftUnknown(Instant now, const std::string &instance)
+{
+    this->goodbye = instance;
+    this->nameEnds = now + nameLife;
+    if (this->hooks.leaving)
+        this->hooks.leaving({instance, 0});
+    return AnnouncementVerdict::Taken;
+}
+
 void UpstreamPresence::advance(Instant now)
 {
     const std::lock_guard guard(this->mutex);
@@ -157,8 +182,10 @@
 
 bool UpstreamPresence::leaves() const
 {
-    const UpstreamState now = this->state();
-    return now == UpstreamState::Draining || now == UpstreamState::Gone;
+    const std::lock_guard guard(this->mutex);
+    const bool unknownLeft = this->lastState == UpstreamState::None && this->goodbye;
+    return unknownLeft || this->lastState == UpstreamState::Draining
+           || this->lastState == UpstreamState::Gone;
 }
 
 void UpstreamPresence::tell(const UpstreamAnnouncement &announcement, UpstreamState state)
--- a/Services/Node/UpstreamPresence.h
+++ b/Services/Node/UpstreamPresence.h
@@ -16,6 +16,11 @@
 // An upstream renews its announcement each second; three missed ones in a row are no accident.
 inline constexpr Duration announcementLife = std::chrono::seconds(3);
 
+// A goodbye that a node hears before anything else tells no start. For so long nothing of that name is
+// believed: longer than a start goes on after its goodbye and than an announcement is held up. The same name,
+// started anew, waits as long at most.
+inline constexpr Duration nameLife = std::chrono::seconds(15);
+
 // What an upstream's own word means to those who send it calls.
 UpstreamCondition conditionOf(UpstreamState state);
 
@@ -28,7 +33,7 @@
 struct Departure
 {
     std::string instance;
-    std::uint64_t startedAt = 0; // As in UpstreamAnnouncement.
+    std::uint64_t startedAt = 0; // As in UpstreamAnnouncement; zero: any start of this name, for `nameLife`.
 
     bool operator==(const Departure &) const = default;
 };
@@ -73,7 +78,7 @@
     void drain(); // The node leaves: whatever the upstream says, it drains.
 
     UpstreamState state() const;
-    bool leaves() const; // It drains or has gone, by its own word or because the node leaves.
+    bool leaves() const; // It drains or has gone, by its own word or because the node leaves, known or not.
 
 private:
     struct HeldWord
@@ -82,8 +87,10 @@
         UpstreamState state = UpstreamState::None;
     };
 
+    AnnouncementVerdict leftUnknown(Instant now, const std::string &instance);
     void take(Instant now, const UpstreamAnnouncement &announcement, UpstreamState state);
     void tell(const UpstreamAnnouncement &announcement, UpstreamState state);
+    bool hasDeparted(Instant now, const UpstreamAnnouncement &announcement) const;
     bool isHeldBack(const UpstreamAnnouncement &announcement, UpstreamState state);
     bool isStale(const UpstreamAnnouncement &announcement) const;
 
@@ -96,8 +103,10 @@
     bool saidGoodbye = false; // The last start announced that it has gone.
     bool draining = false;    // Never taken back in this process's life.
     bool awaitsRecall = false;
-    std::optional<HeldWord> held; // Set only while `awaitsRecall`.
-    std::optional<Departure> departed;
+    std::optional<HeldWord> held;       // Set only while `awaitsRecall`.
+    std::optional<Departure> departed;  // As recalled.
+    std::optional<std::string> goodbye; // Said before anything else to this process.
+    Instant nameEnds;                   // When what names no start counts no longer.
 };
 
 } // namespace Sagecrank
--- a/Tests/Node/TestUpstreamRecord.cpp
+++ b/Tests/Node/TestUpstreamRecord.cpp
@@ -101,6 +101,7 @@
 };
 
 const bool awayRows[] = {true, false};
+const bool tableBackRows[] = {true, false};
 
 struct LateRow
 {
@@ -256,6 +257,39 @@
     cr_assert(next.presence.state() == row.believed, "%s", row.what);
 }
 
+// Callers' requests reach an upstream 2.5 s after its goodbye was confirmed. The node is restarted while the
+// table is away; the first word that it hears of its upstream is the goodbye, of a start that it does not
+// know; then the table is back, and its row says that this start serves.
+TABLE_TEST(upstreamRecord, aGoodbyeBeforeAnythingElseGoesBeforeTheRow, tableBackRows)
+{
+    FakeTable table;
+    {
+        Process killed(table);
+        killed.hear(UpstreamState::Ready, 1);
+    }
+    table.away = row;
+    Process next(table);
+    if (row)
+        next.presence.left(next.now, "i-1");
+    else
+        next.presence.left(next.now, "i-2");
+    cr_assert(next.presence.leaves() == row);
+    table.away = false;
+    next.context.run_for(recallPause + Milliseconds(200));
+    next.hear(UpstreamState::Ready, 2);
+    cr_assert(next.presence.state() == (row ? UpstreamState::None : UpstreamState::Ready));
+    if (!row)
+        return;
+    // The next process of the node knows it too, and a start of that name is believed in the end.
+    next.presence.left(next.now, "i-1");
+    Process third(table);
+    third.hear(UpstreamState::Ready, 3);
+    cr_assert(third.presence.state() == UpstreamState::None);
+    third.now += nameLife;
+    third.hear(UpstreamState::Ready, 1, 200);
+    cr_assert(third.presence.state() == UpstreamState::Ready);
+}
+
 // It was replaced while the node was down, and says so: that word goes before the row.
 Test(upstreamRecord, aLaterStartGoesBeforeTheRow)
 {
