Node: Give callers an upstream's failure rather than an unknown

Change: the last answer of an upstream is kept and given when nothing better comes. Test: aRefusalAfterAFailureLeavesTheUpstreamsAnswer failed with 504.

--- a/Services/Node/ForwardedCall.cpp
+++ b/Services/Node/ForwardedCall.cpp
@@ -200,7 +200,10 @@
     if (!good) {
         if (this->anyOpen())
             return; // A second copy is under way and may still bring an answer.
-        if (this->tryAgain(response, now))
+        const bool again = this->tryAgain(response, now);
+        if (response.outcome == Outcome::Done)
+            this->upstreamFailure = response;
+        if (again)
             return;
     }
     // Failure: one attempt is lost, the next one is refused. Symptom: the refusal's "not run" would stand for
@@ -269,6 +272,10 @@
 {
     if (!this->answer)
         return;
+    // Failure: an upstream answers with a failure, the call goes out again and finds no place or no time.
+    // Symptom: its caller is told "unknown" although there is an answer.
+    if (response.outcome != Outcome::Done && this->upstreamFailure)
+        response = std::move(*this->upstreamFailure);
     const AnswerHook hook = std::move(this->answer);
     this->answer = nullptr;
     this->deadlineTimer.cancel();
--- a/Services/Node/ForwardedCall.h
+++ b/Services/Node/ForwardedCall.h
@@ -103,9 +103,10 @@
     std::vector<Attempt> attempts;
     std::vector<std::string> triedIds;
     Target firstTarget;
-    bool mayHaveRun = false;            // Some attempt ended otherwise than "not run".
-    std::uint32_t refusals = 0;         // By gates, before an upstream saw the call.
-    std::uint32_t upstreamsReached = 0; // Attempts that were sent to an upstream, or may have been.
+    std::optional<CallResponse> upstreamFailure; // The last answer of an upstream that was a failure.
+    bool mayHaveRun = false;                     // Some attempt ended otherwise than "not run".
+    std::uint32_t refusals = 0;                  // By gates, before an upstream saw the call.
+    std::uint32_t upstreamsReached = 0;          // Attempts that were sent to an upstream, or may have been.
     boost::asio::steady_timer deadlineTimer;
     boost::asio::steady_timer hedgeTimer;
 };
--- a/Tests/Node/FakePeer.h
+++ b/Tests/Node/FakePeer.h
@@ -25,12 +25,12 @@
 
     std::string address() const { return addressText(this->acceptor.local_endpoint()); }
 
-    void answer(std::size_t index, const std::string &body)
+    void answer(std::size_t index, const std::string &body, std::uint32_t status = 200)
     {
         CallResponse response;
         response.callId = this->calls[index].callId;
         response.outcome = Outcome::Done;
-        response.status = 200;
+        response.status = status;
         response.body = body;
         this->connections.back()->send(encodeFrame(FrameType::CallResponse, response));
     }
--- a/Tests/Node/TestForwardedCall.cpp
+++ b/Tests/Node/TestForwardedCall.cpp
@@ -206,6 +206,22 @@
     cr_assert(fixture.answer->retryAfterMilliseconds > 0);
 }
 
+// A lookup's upstream answers 500, it goes out again, and every other gate refuses it. The caller gets the
+// answer that there is, and not an "unknown" of the node's own.
+Test(forwardedCall, aRefusalAfterAFailureLeavesTheUpstreamsAnswer)
+{
+    ForwardFixture fixture;
+    fixture.call(ForwardFixture::plan(true));
+    cr_assert(fixture.runUntil([&] { return fixture.callsSent() == 1; }));
+    const std::size_t first = fixture.first();
+    fixture.peers[first].answer(0, "no tour today", 500);
+    cr_assert(fixture.runUntil([&] { return fixture.callsSent() == 2; }));
+    fixture.peers[1 - first].refuse(0, false);
+    cr_assert(fixture.runUntil([&] { return fixture.answer.has_value(); }));
+    cr_assert(fixture.answer->outcome == Outcome::Done);
+    cr_assert(fixture.answer->status == 500 && fixture.answer->body == "no tour today");
+}
+
 // A call is still running at its caller's deadline. The caller gets its final answer then, and the other node
 // is told that nobody waits.
 Test(forwardedCall, deadlineAnswersAndCancels)
