LibNet: Hear an answer that came before its request could be sent whole

Cause: a server that refuses a long body by its header answers and closes; the rest of the body cannot be sent, and the client gave up with the answer in its buffer, so a refusal became "unknown" for its caller. Change: when sending breaks, the answer is still read; the connection is not kept. How long a connection to the upstream may rest is a setting (upstream_idle_ms, 4 s as before). Test: TestHttpClient: anEarlyRefusalIsHeard failed; theRestOfABodyFollowsAnEarlyAnswer, connections that were closed or rested too long.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -140,8 +140,12 @@
         this->header = headerBytes(this->message);
         writeMessage(*this->stream, this->header, this->message,
                      [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
-                         if (error)
+                         if (error == beast::error::timeout || error == boost::asio::error::operation_aborted)
                              return self->fail("send request", error);
+                         // Failure: a server refuses a long body by its header, answers and closes. Symptom:
+                         // the rest of the body cannot be sent, and a call that never ran ends as unknown.
+                         // The answer is there already.
+                         self->writeError = error;
                          self->read();
                      });
     }
@@ -154,6 +158,8 @@
             this->parser->skip(true);
         http::async_read(*this->stream, this->buffer, *this->parser,
                          [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
+                             if (error && self->writeError)
+                                 return self->fail("send request", self->writeError);
                              if (error)
                                  return self->fail("read answer", error);
                              self->finish();
@@ -177,7 +183,7 @@
             response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
         response.body = std::move(message.body());
         this->stream->expires_never();
-        if (message.keep_alive() && !endsConnection && this->buffer.size() == 0)
+        if (message.keep_alive() && !endsConnection && this->buffer.size() == 0 && !this->writeError)
             this->pool->keep(this->address, std::move(this->stream), this->lifeOf(message));
         const HttpClient::AnswerHook hook = std::move(this->done);
         this->done = nullptr;
@@ -244,6 +250,7 @@
     beast::flat_buffer buffer;
     std::optional<http::response_parser<http::string_body>> parser;
     bool sent = false; // Set before the first byte may leave.
+    beast::error_code writeError;
 };
 
 void HttpClient::Handle::cancel()
--- a/Services/Node/NodeSettings.cpp
+++ b/Services/Node/NodeSettings.cpp
@@ -283,6 +283,7 @@
     {
         this->section("requests", [&](SettingsTable &table) {
             table.readMilliseconds("maximum_timeout_ms", requests.maximumTimeout, 1, 3600000);
+            table.readMilliseconds("upstream_idle_ms", requests.upstreamIdle, 0, 3600000);
             table.readMilliseconds("peer_silence_ms", requests.peerSilence, 100, 60000);
             table.readMilliseconds("connect_timeout_ms", requests.connectTimeout, 10, 60000);
             table.readInteger("maximum_connections", requests.maximumConnections, 1, 100000);
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -78,6 +78,9 @@
     struct Requests
     {
         Milliseconds maximumTimeout{30000}; // A caller's longer deadline is cut to this.
+        // A connection to the upstream that rested longer is not used again. Below the ten seconds after
+        // which upstreams that do not state their idle time were seen to close.
+        Milliseconds upstreamIdle{4000};
         Milliseconds peerSilence{1000};   // A connection between nodes that is silent this long is given up.
         Milliseconds connectTimeout{500}; // To another node.
         std::uint32_t maximumConnections = 4096; // From callers, for each thread.
--- a/Services/Node/Worker.cpp
+++ b/Services/Node/Worker.cpp
@@ -9,13 +9,10 @@
 
 namespace {
 
-// Below the ten seconds after which upstreams that do not state their idle time were seen to close.
-constexpr Milliseconds upstreamIdleTimeout{4000};
-
-HttpClientSettings upstreamClientSettings()
+HttpClientSettings upstreamClientSettings(const NodeSettings &settings)
 {
     HttpClientSettings client;
-    client.idleTimeout = upstreamIdleTimeout;
+    client.idleTimeout = settings.requests.upstreamIdle;
     return client;
 }
 
@@ -35,7 +32,7 @@
     : settings(settings)
     , observer(observer)
     , work(boost::asio::make_work_guard(this->context))
-    , client(this->context, upstreamClientSettings())
+    , client(this->context, upstreamClientSettings(settings))
     , callerServer(
           this->context, callerServerSettings(settings, std::move(limits)),
           [this, callers = std::move(callers)](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
