Meta: Start and stop the measuring script's processes by the shared functions

measure-requests.sh had its own start, wait and stop functions, the same as Meta/processes.sh but for the pid files, which these now write.

--- a/Meta/measure-requests.sh
+++ b/Meta/measure-requests.sh
@@ -7,37 +7,10 @@
 # SECONDS_EACH (5), REPEATS (5) and PORT (26000) may be set. Needs a release build.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-bin="$PWD/Build/release/bin"
 seconds="${SECONDS_EACH:-5}"
 repeats="${REPEATS:-5}"
 port="${PORT:-26000}"
-work="$(mktemp -d)"
-pids=()
-
-stop_all() {
-    kill -KILL "${pids[@]}" 2> /dev/null || true
-    wait "${pids[@]}" 2> /dev/null || true
-    rm -rf "$work"
-}
-trap stop_all EXIT
-
-start() {
-    local name="$1"
-    shift
-    "$@" > "$work/$name.out" 2> "$work/$name.log" &
-    pids+=("$!")
-    echo "$!" > "$work/$name.pid"
-}
-
-wait_for() {
-    for _ in $(seq 200); do
-        "$@" > /dev/null 2>&1 && return 0
-        sleep 0.1
-    done
-    echo "gave up waiting for: $*" >&2
-    tail -n 3 "$work"/*.log >&2
-    exit 1
-}
+. Meta/processes.sh
 
 platform="127.0.0.1:$port"
 callers() { echo "127.0.0.1:$((port + 100 + $1))"; }
@@ -46,7 +19,7 @@
 
 start_platform() { # BASE OVERLAYS
     start platform "$bin/sagecrank-platform-emulator" --listen "$platform"
-    wait_for curl -s "http://$platform/emulator/counters"
+    wait_for "the platform" curl -s "http://$platform/emulator/counters"
     "$bin/sagecrankctl" publish --platform "$platform" --base "$1" --overlays "$2" --expect current --operator measure
 }
 
@@ -114,8 +87,8 @@
         start_node "$number" z-1 "$2"
         start_upstream "$number" echo 64
     done
-    wait_for alive_members $(($1 + 1))
-    wait_for curl -sf "http://$(callers 1)/echo"
+    wait_for "all members" alive_members $(($1 + 1))
+    wait_for "the first answer" curl -sf "http://$(callers 1)/echo"
     sleep 3
 }
 
@@ -202,9 +175,9 @@
         start_upstream "$number" "$service" "$slots" "${work_times[@]}"
         targets+=(--target "$(callers "$number")")
     done
-    wait_for alive_members "$total"
+    wait_for "all members" alive_members "$total"
     for number in $(seq "$total"); do
-        wait_for curl -sf "http://$(admin "$number")/ready"
+        wait_for "node $number" curl -sf "http://$(admin "$number")/ready"
     done
     sleep 3
     for factor in 1 2.5; do
--- a/Meta/processes.sh
+++ b/Meta/processes.sh
@@ -19,6 +19,7 @@
     shift
     "$@" > "$work/$name.out" 2> "$work/$name.log" &
     pids+=("$!")
+    echo "$!" > "$work/$name.pid"
 }
 
 # wait_for WHAT COMMAND...: until the command succeeds, fifteen seconds at most.
