Meta: Measure what the log lines cost

Open until now: the processor cost of the lines that each call writes. LOG_LEVEL sets the level of the measured nodes.

--- a/Meta/measure-requests.sh
+++ b/Meta/measure-requests.sh
@@ -4,12 +4,13 @@
 #   ./Meta/measure-requests.sh core          calls a second that one core of a node carries
 #   ./Meta/measure-requests.sh borgbillet    the first user's size and mix, at 60% and at 150% of its slots
 #   ./Meta/measure-requests.sh borra-limpio  the second user's
-# SECONDS_EACH (5), REPEATS (5) and PORT (26000) may be set. Needs a release build.
+# SECONDS_EACH (5), REPEATS (5), PORT (26000) and LOG_LEVEL (info) may be set. Needs a release build.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seconds="${SECONDS_EACH:-5}"
 repeats="${REPEATS:-5}"
 port="${PORT:-26000}"
+log_level="${LOG_LEVEL:-info}"
 . Meta/processes.sh
 
 platform="127.0.0.1:$port"
@@ -42,6 +43,8 @@
 objects = "$platform"
 [gossip]
 seeds = ["127.0.0.1:$((port + 401))"]
+[log]
+level = "$log_level"
 SETTINGS
     start "node-$1" "$bin/sagecrank-node" --settings "$work/node-$1.toml"
 }
