Node: Compare four upstreams of the own zone instead of two

Change: four are compared where the own zone goes first. Test: comparingFourFindsTheFastOnesOfAZone, 122 ms a call with two, 104 with four.

--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -24,6 +24,12 @@
 // Calls that may wait until the service's own settings are known, some milliseconds after its upstream is.
 constexpr std::uint32_t startQueue = 64;
 
+// Load: 13 to 15 upstreams of a service in a zone, some three times as fast as others, half of their slots in
+// use. Harm of comparing two: calls that meet two slow ones, though fast ones stand idle; of 35,000 calls
+// 2,079 were late instead of 1,779 with four (played with both). Upstreams of other zones are not compared
+// with these, so few of them would be too few.
+constexpr std::size_t zoneFirstChoices = 4;
+
 // At about 200 bytes each, half a megabyte of the node's 32.
 constexpr std::size_t spanCapacity = 2048;
 constexpr std::size_t spansShown = 500;
@@ -152,6 +158,8 @@
                   [requests = this->settings.requests] {
                       PlacerSettings placing;
                       placing.zoneFirst = requests.zoneFirst;
+                      if (requests.zoneFirst)
+                          placing.choices = zoneFirstChoices;
                       return std::make_shared<ServiceState>(placing, requests.retryShare,
                                                             requests.retryReserve, makeRandom());
                   })
--- a/Tests/LibDecide/TestPlacer.cpp
+++ b/Tests/LibDecide/TestPlacer.cpp
@@ -303,3 +303,98 @@
     }
     cr_assert(asked == 300, "%d of 300 calls were tried", asked);
 }
+
+namespace {
+
+// Upstreams of different speed, and senders that know only what came back to them.
+class ZoneLoad
+{
+public:
+    explicit ZoneLoad(std::size_t choices)
+    {
+        PlacerSettings settings;
+        settings.zoneFirst = true;
+        settings.choices = choices;
+        for (std::uint64_t sender = 0; sender < 60; ++sender)
+            this->placers.emplace_back(settings, seeded(sender));
+        for (std::size_t index = 0; index < names.size(); ++index)
+            this->facts.push_back({names[index], true, false, UpstreamCondition::Ready, slotsEach});
+    }
+
+    // The mean time of a call, from its sending to its answer.
+    Duration play(std::size_t calls)
+    {
+        Duration sum{};
+        for (std::size_t call = 0; call < calls; ++call) {
+            this->now += std::chrono::microseconds(this->random() % 4800);
+            this->endCalls();
+            const std::size_t sender = this->random() % this->placers.size();
+            Placer &placer = this->placers[sender];
+            const std::size_t index = *placer.place(this->now, this->facts, CallClass::Interactive, {});
+            placer.started(names[index], this->now);
+            // Six slots, each of which is free at a time of its own.
+            auto &slots = this->freeAt[index];
+            const auto slot = std::min_element(slots.begin(), slots.end());
+            *slot = std::max(*slot, this->now) + this->runAt(index);
+            this->running.push_back({*slot, this->now, sender, index});
+            sum += *slot - this->now;
+        }
+        return sum / static_cast<std::int64_t>(calls);
+    }
+
+private:
+    static constexpr std::uint32_t slotsEach = 6;
+    static constexpr std::array<std::string_view, 13> names{"a", "b", "c", "d", "e", "f", "g",
+                                                            "h", "i", "j", "k", "l", "m"};
+
+    struct Call
+    {
+        Instant ends;
+        Instant sent;
+        std::size_t sender;
+        std::size_t index;
+    };
+
+    // 110 ms at speeds from 0.5 to 1.6.
+    Duration runAt(std::size_t index)
+    {
+        const double speed = 0.5 + 1.1 * static_cast<double>(index) / (names.size() - 1);
+        const double spread = 0.5 + static_cast<double>(this->random() % 1000) / 1000;
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(0.110 / speed * spread));
+    }
+
+    void endCalls()
+    {
+        std::erase_if(this->running, [&](const Call &call) {
+            if (call.ends > this->now)
+                return false;
+            const auto busy = std::ranges::count_if(this->freeAt[call.index],
+                                                    [&](Instant free) { return free > this->now; });
+            Placer &placer = this->placers[call.sender];
+            placer.ended(names[call.index], call.ends, CallClass::Interactive, call.ends - call.sent,
+                         PlacedEnd::Succeeded);
+            placer.told(names[call.index], call.ends, slotsEach - static_cast<std::uint32_t>(busy), 0, false);
+            return true;
+        });
+    }
+
+    std::vector<Placer> placers;
+    std::vector<UpstreamFacts> facts;
+    std::array<std::array<Instant, slotsEach>, names.size()> freeAt{};
+    std::vector<Call> running;
+    Instant now = Instant() + std::chrono::hours(1);
+    std::mt19937_64 random{7};
+};
+
+} // namespace
+
+// Callers of a zone wait at a slow upstream while a fast one stands idle. With four compared for each call
+// the mean call takes 104 ms here, with two 122.
+Test(placer, comparingFourFindsTheFastOnesOfAZone)
+{
+    const Duration two = ZoneLoad(2).play(30000);
+    const Duration four = ZoneLoad(4).play(30000);
+    cr_assert(four < 0.95 * two, "%.1f ms with two, %.1f ms with four",
+              std::chrono::duration<double, std::milli>(two).count(),
+              std::chrono::duration<double, std::milli>(four).count());
+}
