--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -91,7 +91,7 @@
         boost::asio::write(socket, boost::asio::buffer(earlyAnswer));
         socket.shutdown(tcp::socket::shutdown_send);
         // Reads a part, so that the answer is not lost with a reset before it is on its way, and goes.
-        std::vector<char> part(64 * 1024);
+        std::vector<char> part(64UL * 1024);
         boost::asio::read(socket, boost::asio::buffer(part));
         std::this_thread::sleep_for(std::chrono::milliseconds(100));
     });
