--- a/Libraries/LibConfig/Delta.h
+++ b/Libraries/LibConfig/Delta.h
@@ -2,10 +2,9 @@
 // services to drop. A node that holds the base builds the next version from it, and the digest of the whole
 // section list proves that the result is the published one and no mixture.
 //
-// Load: 20 changes of one route each within 7 s, 100 nodes, two services with 3,000 routes together. Harm of
-// sending a changed section whole: 125 KB for each change and node, which on links of 5 Mbit/s made half of
-// the calls between two nodes wait 40 ms or more, 10% of them 163 ms (the nodes' own log lines). A change of
-// one route is some hundred bytes.
+// Load: 20 changes of one route each within 7 s, 100 nodes. Harm of sending a changed section whole: 125 KB
+// for each change and node, which on links of 5 Mbit/s made a quarter of the calls between two nodes wait 43
+// ms or more, a tenth 163 ms (the nodes' own log lines). A change of one route is some hundred bytes.
 #pragma once
 
 #include <LibConfig/Assemble.h>
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -1,13 +1,11 @@
 // Joins the parts of a node.
 #include "Node.h"
 
-#include <LibDecide/Gate.h>
-#include <LibDecide/TargetGate.h>
+#include "NodeParts.h"
 
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <csignal>
 #include <random>
 
@@ -21,74 +19,15 @@
 // Longer than any backoff or ejection, short against the 1,100 hosts that are replaced in a day.
 constexpr Duration forgetInterval = std::chrono::minutes(10);
 
-// Calls that may wait until the service's own settings are known, some milliseconds after its upstream is.
-constexpr std::uint32_t startQueue = 64;
-
-// Load: 13 to 15 upstreams of a service in a zone, some three times as fast as others, half of their slots in
-// use. Harm of comparing two: calls that meet two slow ones, though fast ones stand idle; of 35,000 calls
-// 2,079 were late instead of 1,779 with four (played with both). Upstreams of other zones are not compared
-// with these, so few of them would be too few.
-constexpr std::size_t zoneFirstChoices = 4;
-
 // At about 200 bytes each, half a megabyte of the node's 32.
 constexpr std::size_t spanCapacity = 2048;
 constexpr std::size_t spansShown = 500;
 
-EventLogSettings logSettings(const NodeSettings &settings)
-{
-    EventLogSettings log;
-    log.minimumLevel = logLevelNames.value(settings.logLevel).value_or(LogLevel::Info);
-    return log;
-}
-
 std::function<std::uint64_t()> makeRandom()
 {
     return [generator = std::mt19937_64(std::random_device{}())]() mutable { return generator(); };
 }
 
-// A store of rows holds its answer back until there is news, so asking often costs nothing; and nodes have no
-// seeds there, so the rows are read at once.
-//
-// Load: 25 changes within 5 s at a fleet of 78 nodes. Harm: a watch by each node makes 2,000 calls of it.
-// Three watchers a zone see each change within the pause below, the others hear of it by gossip; three, so
-// that the zone still watches while one is restarted and another is cut off from the store.
-void followRowsStore(ControlSettings &control)
-{
-    constexpr std::uint32_t watchersPerZone = 3;
-    constexpr Duration pauseBetweenWatches = Milliseconds(200); // A tenth of the time a change may take.
-    control.follower.poll.fastPollersPerZone = watchersPerZone;
-    control.follower.poll.fastInterval = pauseBetweenWatches;
-    control.follower.poll.longestBackoff = Milliseconds(1000);
-    control.follower.poll.blindSpread = Milliseconds(20);
-    control.follower.poll.firstSpread = Milliseconds(20);
-    control.follower.pull.platformPullers = watchersPerZone;
-    control.follower.pull.laterPollerDelay = Duration::zero();
-    control.follower.pull.platformFirst = true;
-    // A node that no peer has helped for half of the time that a change may take reads the row itself, one
-    // after the other in each zone: 50 calls a second of a zone at most.
-    control.follower.pull.platformAfter = Milliseconds(1000);
-    control.follower.pull.platformAfterEachRank = Milliseconds(20);
-    control.introducers.firstRound = Milliseconds(10);
-    control.introducers.lonelyBackoff = Milliseconds(300);
-}
-
-ControlSettings controlSettings(const NodeSettings &settings)
-{
-    ControlSettings control;
-    control.id = settings.id;
-    control.region = settings.region;
-    control.zone = settings.zone;
-    control.site = settings.site;
-    control.linkMegabits = static_cast<std::uint32_t>(std::ceil(settings.linkMegabits));
-    control.gossipAddress = settings.listen.gossip;
-    control.peerAddress = settings.advertise.peers;
-    control.controlAddress = settings.listen.control;
-    control.seeds = settings.seeds;
-    if (settings.platform.kind == PlatformKind::Rows)
-        followRowsStore(control);
-    return control;
-}
-
 HttpServerSettings adminServerSettings()
 {
     HttpServerSettings server;
@@ -114,14 +53,6 @@
     return usedPart * shared / static_cast<double>(std::max(fewestNodes, present));
 }
 
-AdmissionHooks makeAdmission(const NodeSettings &settings)
-{
-    const std::uint64_t seed = std::hash<std::string>{}(settings.id);
-    if (settings.requests.admission == AdmissionRule::Targets)
-        return admissionHooksOf(std::make_shared<TargetGate>(TargetGateSettings{1, startQueue, seed}));
-    return admissionHooksOf(std::make_shared<Gate>(GateSettings{1, startQueue, seed}));
-}
-
 // Each call draws its part of a split route by itself, so the parts get their shares without nodes agreeing.
 std::string chooseCluster(const RouteEntry &entry)
 {
@@ -156,11 +87,7 @@
     , configuration(this->settings.site, this->holderHooks())
     , viewBuilder(this->settings.id, this->settings.zone,
                   [requests = this->settings.requests] {
-                      PlacerSettings placing;
-                      placing.zoneFirst = requests.zoneFirst;
-                      if (requests.zoneFirst)
-                          placing.choices = zoneFirstChoices;
-                      return std::make_shared<ServiceState>(placing, requests.retryShare,
+                      return std::make_shared<ServiceState>(placerSettings(requests), requests.retryShare,
                                                             requests.retryReserve, makeRandom());
                   })
     , adapter(makeAdapter(this->control, this->settings))
--- /dev/null
+++ b/Services/Node/NodeParts.cpp
@@ -0,0 +1,90 @@
+// Derives the settings of a node's parts.
+#include "NodeParts.h"
+
+#include <LibDecide/Gate.h>
+#include <LibDecide/TargetGate.h>
+
+#include <cmath>
+
+namespace Sagecrank {
+
+namespace {
+
+// Calls that may wait until the service's own settings are known, some milliseconds after its upstream is.
+constexpr std::uint32_t startQueue = 64;
+
+// Load: 13 to 15 upstreams of a service in a zone, some three times as fast as others, half of their slots in
+// use. Harm of comparing two: calls that meet two slow ones, though fast ones stand idle; of 35,000 calls
+// 2,079 were late instead of 1,779 with four (played with both).
+constexpr std::size_t zoneFirstChoices = 4;
+
+// A store of rows holds its answer back until there is news, so asking often costs nothing; and nodes have no
+// seeds there, so the rows are read at once.
+//
+// Load: 25 changes within 5 s at a fleet of 78 nodes. Harm: a watch by each node makes 2,000 calls of it.
+// Three watchers a zone see each change within the pause below, the others hear of it by gossip; three, so
+// that the zone still watches while one is restarted and another is cut off from the store.
+void followRowsStore(ControlSettings &control)
+{
+    constexpr std::uint32_t watchersPerZone = 3;
+    constexpr Duration pauseBetweenWatches = Milliseconds(200); // A tenth of the time a change may take.
+    control.follower.poll.fastPollersPerZone = watchersPerZone;
+    control.follower.poll.fastInterval = pauseBetweenWatches;
+    control.follower.poll.longestBackoff = Milliseconds(1000);
+    control.follower.poll.blindSpread = Milliseconds(20);
+    control.follower.poll.firstSpread = Milliseconds(20);
+    control.follower.pull.platformPullers = watchersPerZone;
+    control.follower.pull.laterPollerDelay = Duration::zero();
+    control.follower.pull.platformFirst = true;
+    // A node that no peer has helped for half of the time that a change may take reads the row itself, one
+    // after the other in each zone: 50 calls a second of a zone at most.
+    control.follower.pull.platformAfter = Milliseconds(1000);
+    control.follower.pull.platformAfterEachRank = Milliseconds(20);
+    control.introducers.firstRound = Milliseconds(10);
+    control.introducers.lonelyBackoff = Milliseconds(300);
+}
+
+} // namespace
+
+EventLogSettings logSettings(const NodeSettings &settings)
+{
+    EventLogSettings log;
+    log.minimumLevel = logLevelNames.value(settings.logLevel).value_or(LogLevel::Info);
+    return log;
+}
+
+ControlSettings controlSettings(const NodeSettings &settings)
+{
+    ControlSettings control;
+    control.id = settings.id;
+    control.region = settings.region;
+    control.zone = settings.zone;
+    control.site = settings.site;
+    control.linkMegabits = static_cast<std::uint32_t>(std::ceil(settings.linkMegabits));
+    control.gossipAddress = settings.listen.gossip;
+    control.peerAddress = settings.advertise.peers;
+    control.controlAddress = settings.listen.control;
+    control.seeds = settings.seeds;
+    if (settings.platform.kind == PlatformKind::Rows)
+        followRowsStore(control);
+    return control;
+}
+
+AdmissionHooks makeAdmission(const NodeSettings &settings)
+{
+    const std::uint64_t seed = std::hash<std::string>{}(settings.id);
+    if (settings.requests.admission == AdmissionRule::Targets)
+        return admissionHooksOf(std::make_shared<TargetGate>(TargetGateSettings{1, startQueue, seed}));
+    return admissionHooksOf(std::make_shared<Gate>(GateSettings{1, startQueue, seed}));
+}
+
+PlacerSettings placerSettings(const NodeSettings::Requests &requests)
+{
+    PlacerSettings placing;
+    placing.zoneFirst = requests.zoneFirst;
+    if (requests.zoneFirst)
+        placing.choices = zoneFirstChoices;
+    return placing;
+}
+
+} // namespace Sagecrank
--- /dev/null
+++ b/Services/Node/NodeParts.h
@@ -0,0 +1,21 @@
+// What a node's settings mean for its parts: how its control plane reads, how it places calls and which rule
+// admits them.
+#pragma once
+
+#include "ControlPlane.h"
+#include "NodeSettings.h"
+
+#include <LibDecide/Admission.h>
+#include <LibDecide/Placer.h>
+#include <LibObserve/EventLog.h>
+
+namespace Sagecrank {
+
+EventLogSettings logSettings(const NodeSettings &settings);
+ControlSettings controlSettings(const NodeSettings &settings);
+PlacerSettings placerSettings(const NodeSettings::Requests &requests);
+
+// The rule of the gate beside the upstream; its jitter differs from node to node.
+AdmissionHooks makeAdmission(const NodeSettings &settings);
+
+} // namespace Sagecrank
