Node: Let a goodbye and an announcement end an upstream by one way

From a read of the whole change: - UpstreamPresence::left repeated what take() does for a start that has gone; it calls it now. - ForwardedCall kept an upstream's failure only after the next try had been placed; a gate beside the node that refuses at once would have ended the call before, with "unknown". It is kept first. - Tests of LibNet had connectTo and exchangeRaw twice; both use RawHttp.h. Where all of a text must leave it still throws.

--- a/Services/Node/ForwardedCall.cpp
+++ b/Services/Node/ForwardedCall.cpp
@@ -200,10 +200,10 @@
     if (!good) {
         if (this->anyOpen())
             return; // A second copy is under way and may still bring an answer.
-        const bool again = this->tryAgain(response, now);
+        // Before the next try: a gate beside this node may refuse it at once.
         if (response.outcome == Outcome::Done)
             this->upstreamFailure = response;
-        if (again)
+        if (this->tryAgain(response, now))
             return;
     }
     // Failure: one attempt is lost, the next one is refused. Symptom: the refusal's "not run" would stand for
--- a/Services/Node/UpstreamPresence.cpp
+++ b/Services/Node/UpstreamPresence.cpp
@@ -136,11 +136,7 @@
         return this->leftUnknown(now, instance);
     else if (instance != this->last.instance)
         return AnnouncementVerdict::Stale;
-    if (this->hooks.leaving)
-        this->hooks.leaving(departureOf(this->last));
-    this->renewedAt = now;
-    this->saidGoodbye = true;
-    this->tell(this->last, UpstreamState::Gone);
+    this->take(now, UpstreamAnnouncement(this->last), UpstreamState::Gone);
     return AnnouncementVerdict::Taken;
 }
 
--- a/Tests/LibNet/TestHostileInput.cpp
+++ b/Tests/LibNet/TestHostileInput.cpp
@@ -4,6 +4,8 @@
 #include <LibNet/HttpClient.h>
 #include <LibNet/HttpServer.h>
 
+#include "RawHttp.h"
+
 #include <Support/Mutations.h>
 #include <Support/TableTest.h>
 
@@ -30,25 +32,6 @@
 const std::string goodAnswer = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n"
                                "Keep-Alive: timeout=5\r\n\r\nhello";
 
-tcp::socket connectTo(boost::asio::io_context &context, const std::string &address)
-{
-    tcp::socket socket(context);
-    socket.connect(parseTcpEndpoint(address).value());
-    return socket;
-}
-
-std::string exchangeRaw(const std::string &address, const std::string &text)
-{
-    boost::asio::io_context context;
-    tcp::socket socket = connectTo(context, address);
-    boost::system::error_code ignored;
-    boost::asio::write(socket, boost::asio::buffer(text), ignored);
-    socket.shutdown(tcp::socket::shutdown_send, ignored);
-    std::string answer;
-    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ignored);
-    return answer;
-}
-
 // Sends damaged answers to whatever comes, one connection after the other, and closes each.
 class SpoilingServer
 {
@@ -110,7 +93,8 @@
     Mutations mutations(row);
     for (std::size_t round = 0; round < Mutations::rounds(250); ++round) {
         const std::string bad = mutations.of(round % 2 == 0 ? goodRequest : goodChunked);
-        const std::string answer = exchangeRaw(server.address(), bad);
+        boost::system::error_code closedEarly;
+        const std::string answer = exchangeRaw(server.address(), bad, closedEarly);
         cr_assert(answer.empty() || answer.starts_with("HTTP/1.1 "), "round %zu: %s", round, answer.c_str());
         if (round % 10 == 0)
             cr_assert(exchangeRaw(server.address(), goodRequest).starts_with("HTTP/1.1 200 "), "round %zu",
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -3,6 +3,8 @@
 #include <LibNet/HttpClient.h>
 #include <LibNet/HttpServer.h>
 
+#include "RawHttp.h"
+
 #include <Support/TableTest.h>
 
 #include <boost/asio/connect.hpp>
@@ -80,25 +82,6 @@
     std::thread thread;
 };
 
-tcp::socket connectTo(boost::asio::io_context &context, const std::string &address)
-{
-    tcp::socket socket(context);
-    socket.connect(parseTcpEndpoint(address).value());
-    return socket;
-}
-
-std::string exchangeRaw(const std::string &address, const std::string &text)
-{
-    boost::asio::io_context context;
-    tcp::socket socket = connectTo(context, address);
-    boost::asio::write(socket, boost::asio::buffer(text));
-    socket.shutdown(tcp::socket::shutdown_send);
-    std::string answer;
-    boost::system::error_code ignored;
-    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ignored);
-    return answer;
-}
-
 template <typename Condition>
 bool eventually(Condition condition)
 {
