Node: Give what is under way its final answer before ending

Cause: a node that drains waits for what is under way until its maximum and then ended, with whatever was left. A call that only waited, in its own gate or in that of another node, lost its connection without a word although it had not run and never would.

Change: at the maximum all that waits in the node's gate is refused, and its own calls are taken back where they wait; a call that is proven not to have begun is answered 503 with when to come back. What runs goes on while the goodbye is said, and is then answered 504. A call is not sent again by a node that ends.

Ruled out: a shorter deadline for calls that come during the drain; those that came before it have the same end.

Tests that failed first: aNodeThatEndsTakesBackWhatWaits, aNodeThatEndsAnswersWhatRuns, aNodeThatEndsRefusesWhatWaits, and the order of the drain in leavesAtTheMaximumWhateverRuns.

--- a/Libraries/LibWire/Frame.h
+++ b/Libraries/LibWire/Frame.h
@@ -19,6 +19,7 @@
     CallCancel,
     Ping,
     Pong,
+    CallWithdraw, // A CallCancel for a call that has not begun; one that runs goes on.
     // Configuration pulls, on the control port.
     PullRequest = 32,
     PullResponse,
--- a/Services/Node/CallReasons.h
+++ b/Services/Node/CallReasons.h
@@ -10,6 +10,7 @@
 // Of the node that a caller reached.
 inline constexpr std::string_view reasonNoUpstream = "no_upstream_present";
 inline constexpr std::string_view reasonCallerDeadline = "deadline_passed";
+inline constexpr std::string_view reasonLeaving = "node_leaving";
 
 // Of the connection to another node.
 inline constexpr std::string_view reasonPeerUnreachable = "peer_unreachable";
--- a/Services/Node/ForwardedCall.cpp
+++ b/Services/Node/ForwardedCall.cpp
@@ -68,6 +68,7 @@
 
 void ForwardedCall::start()
 {
+    this->worker.opened(*this);
     if (!this->placeAndSend())
         return this->finish(refusal(reasonNoUpstream, std::chrono::seconds(1)));
     if (!this->answer)
@@ -203,7 +204,7 @@
         // Before the next try: a gate beside this node may refuse it at once.
         if (response.outcome == Outcome::Done)
             this->upstreamFailure = response;
-        if (this->tryAgain(response, now))
+        if (!this->ending && this->tryAgain(response, now))
             return;
     }
     // Failure: one attempt is lost, the next one is refused. Symptom: the refusal's "not run" would stand for
@@ -278,6 +279,7 @@
         response = std::move(*this->upstreamFailure);
     const AnswerHook hook = std::move(this->answer);
     this->answer = nullptr;
+    this->worker.closed(*this);
     this->deadlineTimer.cancel();
     this->hedgeTimer.cancel();
     this->cancelOpenAttempts();
@@ -311,11 +313,31 @@
         return;
     this->context.observer.callAbandoned(this->summary());
     this->answer = nullptr;
+    this->worker.closed(*this);
     this->deadlineTimer.cancel();
     this->hedgeTimer.cancel();
     this->cancelOpenAttempts();
 }
 
+void ForwardedCall::withdraw()
+{
+    this->ending = true;
+    // Taking one back may answer the call, and its attempts are then closed.
+    for (const Attempt &attempt : this->attempts) {
+        if (!attempt.open)
+            continue;
+        if (attempt.local)
+            this->context.gate.withdraw(attempt.local);
+        else if (!attempt.peerAddress.empty())
+            this->worker.link(attempt.peerAddress).withdraw(attempt.peerCallId);
+    }
+}
+
+void ForwardedCall::endUnknown()
+{
+    this->finishUnknown(reasonLeaving);
+}
+
 void ForwardedCall::cancelOpenAttempts()
 {
     for (Attempt &attempt : this->attempts) {
@@ -342,17 +364,21 @@
 {
     this->deadlineTimer.expires_at(this->plan.deadline);
     this->deadlineTimer.async_wait([self = this->shared_from_this()](const boost::system::error_code &error) {
-        if (error || !self->answer)
-            return;
-        CallResponse response;
-        response.outcome = Outcome::Unknown;
-        response.reason = reasonCallerDeadline;
-        response.status = 504;
-        response.retryAfterMilliseconds = 1000;
-        self->finish(std::move(response));
+        if (!error)
+            self->finishUnknown(reasonCallerDeadline);
     });
 }
 
+void ForwardedCall::finishUnknown(std::string_view reason)
+{
+    CallResponse response;
+    response.outcome = Outcome::Unknown;
+    response.reason = reason;
+    response.status = 504;
+    response.retryAfterMilliseconds = 1000;
+    this->finish(std::move(response));
+}
+
 // Load: one upstream of many is slow. Harm: its callers wait while others stand idle. A second copy of an
 // idempotent call goes out once it is later than nearly all others were, within the budget of retries.
 void ForwardedCall::armHedge()
--- a/Services/Node/ForwardedCall.h
+++ b/Services/Node/ForwardedCall.h
@@ -59,6 +59,11 @@
     // The caller has gone: nothing is answered any more, and what may be cut off is.
     void abandon();
 
+    // This node is about to end. First each call that has not begun anywhere is taken back and refused; in
+    // the end what still runs is answered "unknown", since no answer can be passed on any more.
+    void withdraw();
+    void endUnknown();
+
 private:
     struct Attempt
     {
@@ -88,6 +93,7 @@
     void tellPlacer(const Attempt &attempt, const CallResponse &response, Instant now);
     bool tryAgain(const CallResponse &response, Instant now);
     void finish(CallResponse response);
+    void finishUnknown(std::string_view reason);
     void cancelOpenAttempts();
     void armDeadline();
     void armHedge();
@@ -104,6 +110,7 @@
     std::vector<std::string> triedIds;
     Target firstTarget;
     std::optional<CallResponse> upstreamFailure; // The last answer of an upstream that was a failure.
+    bool ending = false;                         // It is not sent again.
     bool mayHaveRun = false;                     // Some attempt ended otherwise than "not run".
     std::uint32_t refusals = 0;                  // By gates, before an upstream saw the call.
     std::uint32_t upstreamsReached = 0;          // Attempts that were sent to an upstream, or may have been.
--- a/Services/Node/LocalGate.cpp
+++ b/Services/Node/LocalGate.cpp
@@ -315,6 +315,19 @@
     hook(std::move(response));
 }
 
+void LocalGate::withdraw(const std::shared_ptr<GateCall> &call)
+{
+    if (call->stage == GateCallStage::Waiting)
+        this->cancel(call);
+}
+
+void LocalGate::withdrawWaiting()
+{
+    const std::lock_guard guard(this->mutex);
+    for (const auto &[ticket, call] : this->waiting)
+        boost::asio::post(call->home.context, [this, call = call] { this->withdraw(call); });
+}
+
 void LocalGate::cancel(const std::shared_ptr<GateCall> &call)
 {
     call->cancelled = true;
--- a/Services/Node/LocalGate.h
+++ b/Services/Node/LocalGate.h
@@ -53,8 +53,12 @@
     // again, since cutting a reservation off leaves nobody knowing whether it ran.
     void cancel(const std::shared_ptr<GateCall> &call);
 
+    // The caller's node is about to end: a call that waits is refused, one that runs goes on.
+    void withdraw(const std::shared_ptr<GateCall> &call);
+
     // From any thread.
     void announce(const UpstreamAnnouncement &announcement);
+    void withdrawWaiting();                      // This node is about to end: all that waits is refused.
     void limitQueue(std::uint32_t maximumQueue); // As the configuration says for the service.
 
     std::uint32_t inFlight() const { return this->callsInside.load(); } // Waiting, claiming or running.
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -400,6 +400,18 @@
     return status;
 }
 
+// The process ends once each thread has given what is under way its final answer.
+void Node::endCalls()
+{
+    const auto left = std::make_shared<std::atomic<std::size_t>>(this->workers.size());
+    for (const auto &worker : this->workers) {
+        worker->endCalls([this, left] {
+            if (--*left == 0)
+                this->control.stop();
+        });
+    }
+}
+
 NodeDrainHooks Node::drainHooks()
 {
     NodeDrainHooks hooks;
@@ -416,7 +428,12 @@
     hooks.idle = [this] {
         return this->gate.inFlight() == 0 && this->callsForwarded == 0 && this->claims.unsettled() == 0;
     };
-    hooks.leave = [this] { this->plane.leave([this] { this->control.stop(); }); };
+    hooks.withdrawWaiting = [this] {
+        this->gate.withdrawWaiting();
+        for (const auto &worker : this->workers)
+            worker->withdrawWaiting();
+    };
+    hooks.leave = [this] { this->plane.leave([this] { this->endCalls(); }); };
     return hooks;
 }
 
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -43,6 +43,7 @@
     CallerFrontendHooks callerHooks();
     AdminHooks adminHooks();
     NodeDrainHooks drainHooks();
+    void endCalls();
     void confirm(const HttpRequest &request, HttpResponse response,
                  const std::shared_ptr<HttpExchange> &exchange);
     HttpHandler adminHandler();
--- a/Services/Node/NodeDrain.cpp
+++ b/Services/Node/NodeDrain.cpp
@@ -21,7 +21,8 @@
 
 // Failure: a node that leaves while others still send to it. Symptom: connections that break under calls,
 // whose outcome nobody knows. Lingering first lets the senders turn elsewhere; ending only when idle cuts
-// nothing. The maximum keeps one call that never ends from holding a host for ever.
+// nothing. The maximum keeps one call that never ends from holding a host for ever; a call that only waits
+// then is refused, so that its caller goes elsewhere at once instead of losing its connection without a word.
 void NodeDrain::advance(Instant now)
 {
     if (this->current == DrainStage::Deflecting
@@ -35,8 +36,11 @@
     }
     if (this->current != DrainStage::Finishing)
         return;
-    if (!this->hooks.idle() && now - this->begunAt < this->settings.maximum)
-        return;
+    if (!this->hooks.idle()) {
+        if (now - this->begunAt < this->settings.maximum)
+            return;
+        this->hooks.withdrawWaiting();
+    }
     this->current = DrainStage::Left;
     this->hooks.leave();
 }
--- a/Services/Node/NodeDrain.h
+++ b/Services/Node/NodeDrain.h
@@ -45,8 +45,9 @@
     std::function<void()> deflectCallers;
     std::function<void()> announceDraining;
     std::function<void()> stopCallers;
-    std::function<bool()> idle; // Nothing is waiting, running or unanswered.
-    std::function<void()> leave;
+    std::function<bool()> idle;            // Nothing is waiting, running or unanswered.
+    std::function<void()> withdrawWaiting; // What has not begun yet is refused.
+    std::function<void()> leave;           // What still runs goes on while the goodbye is said.
 };
 
 class NodeDrain
--- a/Services/Node/PeerLink.cpp
+++ b/Services/Node/PeerLink.cpp
@@ -89,6 +89,17 @@
         this->connection->send(encodeFrame(FrameType::CallCancel, CallCancel{callId}));
 }
 
+void PeerLink::withdraw(std::uint64_t callId)
+{
+    const auto found = this->calls.find(callId);
+    if (found == this->calls.end())
+        return;
+    if (!found->second.unsent.empty())
+        return this->give(callId, linkFailure(Outcome::NotRun, reasonPeerUnreachable));
+    if (this->connection)
+        this->connection->send(encodeFrame(FrameType::CallWithdraw, CallCancel{callId}));
+}
+
 void PeerLink::connect()
 {
     this->connecting = true;
--- a/Services/Node/PeerLink.h
+++ b/Services/Node/PeerLink.h
@@ -45,6 +45,9 @@
     // Tells the other side that nobody waits any more, and forgets the answer hook.
     void cancel(std::uint64_t callId);
 
+    // Asks for the answer now when the call has not begun; its hook is called as for any other.
+    void withdraw(std::uint64_t callId);
+
     bool unusedSince(Instant before) const { return this->calls.empty() && this->usedAt < before; }
 
 private:
--- a/Services/Node/PeerServer.cpp
+++ b/Services/Node/PeerServer.cpp
@@ -62,7 +62,9 @@
         case FrameType::CallRequest:
             return this->takeCall(payload);
         case FrameType::CallCancel:
-            return this->takeCancel(payload);
+            return this->takeCancel(payload, &LocalGate::cancel);
+        case FrameType::CallWithdraw:
+            return this->takeCancel(payload, &LocalGate::withdraw);
         default:
             this->close(makeError(ErrorKind::InvalidInput, "read peer frame", "", "unexpected type"));
         }
@@ -98,7 +100,9 @@
             found->second = call;
     }
 
-    void takeCancel(std::span<const char> payload)
+    using Cancel = void (LocalGate::*)(const std::shared_ptr<GateCall> &);
+
+    void takeCancel(std::span<const char> payload, Cancel cancelCall)
     {
         const Result<CallCancel> cancel = decode<CallCancel>(payload, "read cancel", this->peer);
         if (!cancel)
@@ -107,7 +111,7 @@
         if (found == this->calls.end())
             return;
         const std::shared_ptr<GateCall> call = found->second;
-        this->server->gate.cancel(call);
+        (this->server->gate.*cancelCall)(call);
     }
 
     // The node that sent the calls cannot be answered any more: what waits is taken out, what may be cut off
--- a/Services/Node/Worker.cpp
+++ b/Services/Node/Worker.cpp
@@ -1,6 +1,8 @@
 // Starting and ending a request thread.
 #include "Worker.h"
 
+#include "ForwardedCall.h"
+
 #include <LibCore/RcuPointer.h>
 
 #include <boost/asio/post.hpp>
@@ -79,6 +81,32 @@
     boost::asio::post(this->context, [this] { this->callerServer.stopAccepting(); });
 }
 
+void Worker::withdrawWaiting()
+{
+    boost::asio::post(this->context, [this] {
+        for (const auto &call : this->openCalls())
+            call->withdraw();
+    });
+}
+
+void Worker::endCalls(std::function<void()> done)
+{
+    boost::asio::post(this->context, [this, done = std::move(done)] {
+        for (const auto &call : this->openCalls())
+            call->endUnknown();
+        done();
+    });
+}
+
+// Kept alive while each of them may end others and itself.
+std::vector<std::shared_ptr<ForwardedCall>> Worker::openCalls() const
+{
+    std::vector<std::shared_ptr<ForwardedCall>> open;
+    for (ForwardedCall *call : this->calls)
+        open.push_back(call->shared_from_this());
+    return open;
+}
+
 void Worker::forgetUnused(Instant before)
 {
     boost::asio::post(this->context, [this, before] {
--- a/Services/Node/Worker.h
+++ b/Services/Node/Worker.h
@@ -13,13 +13,18 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
 #include <unordered_map>
+#include <unordered_set>
+#include <vector>
 
 namespace Sagecrank {
 
+class ForwardedCall;
+
 class Worker
 {
 public:
@@ -39,6 +44,8 @@
     // From any thread.
     void askCallersToClose();
     void stopAccepting();
+    void withdrawWaiting();
+    void endCalls(std::function<void()> done); // Answers all that is under way; `done` runs on its thread.
 
     boost::asio::io_context &ioContext() { return this->context; }
     GateHome gateHome() { return {this->context, this->client}; }
@@ -48,8 +55,12 @@
 
     // On the worker's own thread.
     PeerLink &link(const std::string &peerAddress);
+    void opened(ForwardedCall &call) { this->calls.insert(&call); }
+    void closed(ForwardedCall &call) { this->calls.erase(&call); }
 
 private:
+    std::vector<std::shared_ptr<ForwardedCall>> openCalls() const;
+
     const NodeSettings &settings;
     RequestObserver &observer;
     boost::asio::io_context context{1};
@@ -58,6 +69,7 @@
     HttpServer callerServer;
     PeerServer peerServer;
     std::unordered_map<std::string, std::shared_ptr<PeerLink>> links; // By peer address.
+    std::unordered_set<ForwardedCall *> calls; // Not answered yet; each takes itself out.
     std::thread thread;
 };
 
--- a/Tests/Node/FakePeer.h
+++ b/Tests/Node/FakePeer.h
@@ -51,6 +51,7 @@
     std::vector<std::shared_ptr<FramedConnection>> connections;
     bool answersPings = true;
     int cancels = 0;
+    int withdrawals = 0;
 
 private:
     void accept()
@@ -76,6 +77,8 @@
             this->calls.push_back(decode<CallRequest>(payload, "test", "").value());
         if (type == FrameType::CallCancel)
             ++this->cancels;
+        if (type == FrameType::CallWithdraw)
+            ++this->withdrawals;
         if (type == FrameType::Ping && this->answersPings)
             this->connections.back()->send(
                 encodeFrame(FrameType::Pong, decode<Heartbeat>(payload, "test", "").value()));
--- a/Tests/Node/TestForwardedCall.cpp
+++ b/Tests/Node/TestForwardedCall.cpp
@@ -276,3 +276,35 @@
     cr_assert(fixture.answer->body == "fast");
     cr_assert(fixture.runUntil([&] { return fixture.peers[0].cancels == 1; }));
 }
+
+// A host is restarted while a call of its caller waits at another host for longer than the host has. The call
+// is taken back there, and its caller is told that it has not run; before, its connection ended without a
+// word.
+Test(forwardedCall, aNodeThatEndsTakesBackWhatWaits)
+{
+    ForwardFixture fixture;
+    fixture.call(ForwardFixture::plan(false));
+    cr_assert(fixture.runUntil([&] { return fixture.callsSent() == 1; }));
+    FakePeer &peer = fixture.peers[fixture.first()];
+    fixture.worker.withdrawWaiting();
+    cr_assert(fixture.runUntil([&] { return peer.withdrawals == 1; }));
+    cr_assert(!fixture.answer, "it may be running there");
+    peer.refuse(0, false);
+    cr_assert(fixture.runUntil([&] { return fixture.answer.has_value(); }));
+    cr_assert(fixture.answer->outcome == Outcome::NotRun && fixture.answer->status == 503);
+    cr_assert(fixture.callsSent() == 1, "it was sent elsewhere");
+}
+
+// The same for a call that runs there: the caller learns in time that nobody can tell it how that ended.
+Test(forwardedCall, aNodeThatEndsAnswersWhatRuns)
+{
+    ForwardFixture fixture;
+    fixture.call(ForwardFixture::plan(false));
+    cr_assert(fixture.runUntil([&] { return fixture.callsSent() == 1; }));
+    bool ended = false;
+    fixture.worker.withdrawWaiting();
+    fixture.worker.endCalls([&ended] { ended = true; });
+    cr_assert(fixture.runUntil([&] { return ended; }));
+    cr_assert(fixture.answer && fixture.answer->outcome == Outcome::Unknown && fixture.answer->status == 504);
+    cr_assert(fixture.answer->retryAfterMilliseconds > 0);
+}
--- a/Tests/Node/TestLocalGate.cpp
+++ b/Tests/Node/TestLocalGate.cpp
@@ -66,6 +66,23 @@
     cr_assert(!fixture.answered("waits"));
 }
 
+// The node ends while one call runs and one waits. What waits is refused now, so that its caller goes
+// elsewhere; what runs is heard to its end.
+Test(localGate, aNodeThatEndsRefusesWhatWaits)
+{
+    GateFixture fixture;
+    fixture.submit("runs", CallClass::Interactive, "");
+    fixture.submit("waits", CallClass::Interactive, "");
+    cr_assert(fixture.runUntil([&] { return fixture.began.size() == 1; }));
+    fixture.gate.withdrawWaiting();
+    cr_assert(fixture.runUntil([&] { return fixture.answered("waits"); }));
+    cr_assert(fixture.answers["waits"].outcome == Outcome::NotRun);
+    cr_assert(!fixture.answered("runs"));
+    fixture.exchanges[0]->respond(makeResponse(200, "text/plain", "open"));
+    cr_assert(fixture.runUntil([&] { return fixture.answered("runs"); }));
+    cr_assert(fixture.answers["runs"].outcome == Outcome::Done && fixture.began.size() == 1);
+}
+
 // The upstream leaves or is gone. The caller is told at once that its call did not run and when to come back,
 // and the upstream sees nothing of it.
 TABLE_TEST(localGate, shutGateRefusesAtOnce, shutRows)
--- a/Tests/Node/TestNodeDrain.cpp
+++ b/Tests/Node/TestNodeDrain.cpp
@@ -14,11 +14,11 @@
 class DrainFixture
 {
 public:
-    NodeDrain drain{{std::chrono::seconds(3), std::chrono::seconds(60)},
-                    {[this] { this->steps.emplace_back("deflect"); },
-                     [this] { this->steps.emplace_back("announce"); },
-                     [this] { this->steps.emplace_back("stop callers"); }, [this] { return this->idle; },
-                     [this] { this->steps.emplace_back("leave"); }}};
+    NodeDrain drain{
+        {std::chrono::seconds(3), std::chrono::seconds(60)},
+        {[this] { this->steps.emplace_back("deflect"); }, [this] { this->steps.emplace_back("announce"); },
+         [this] { this->steps.emplace_back("stop callers"); }, [this] { return this->idle; },
+         [this] { this->steps.emplace_back("withdraw"); }, [this] { this->steps.emplace_back("leave"); }}};
     std::vector<std::string> steps;
     bool idle = true;
     Instant start = Instant() + std::chrono::hours(1);
@@ -82,7 +82,7 @@
     std::vector<std::string> steps;
     NodeDrain drain({Milliseconds(500), std::chrono::seconds(60)},
                     {[&] { steps.emplace_back("deflect"); }, [&] { steps.emplace_back("announce"); },
-                     [&] { steps.emplace_back("stop callers"); }, [] { return false; }, [] {}});
+                     [&] { steps.emplace_back("stop callers"); }, [] { return false; }, [] {}, [] {}});
     const Instant start = Instant() + std::chrono::hours(1);
     drain.begin(start);
     cr_assert(steps == std::vector<std::string>({"deflect", "announce"}));
@@ -106,6 +106,8 @@
     fixture.drain.begin(fixture.start);
     fixture.drain.advance(fixture.start + std::chrono::seconds(60));
     cr_assert(fixture.drain.stage() == DrainStage::Left);
+    const std::vector<std::string> last(fixture.steps.end() - 2, fixture.steps.end());
+    cr_assert(last == std::vector<std::string>({"withdraw", "leave"}));
 }
 
 // An upstream dies without a word. Its announcement runs out, the gate refuses what waits and others hear
