UpstreamEmulator: Break off, spoil, double and refuse early on command

Cause: the stand-in of a server knew slow, failing, shedding, hanging and closing servers; what the users' pages say of faulty ones (answers broken off, bytes that are no answer, no length, a second answer, also where the next is expected, a refusal before a long body is in, a goodbye in place of the drain) was played by hand in single tests of the HTTP client.

The HTTP server has two hooks for it, which no server of the product sets.

Test: callersGetTheirOwnAnswerOrNone plays each behind a gate in the platform's protocol. With the check of the repeated id switched off it fails on the late second answer: a caller is given another's.

--- a/Libraries/LibCore/EnumNames.h
+++ b/Libraries/LibCore/EnumNames.h
@@ -14,6 +14,8 @@
     // One row per enumerator; a value without a row is named "unknown".
     std::pair<Enum, std::string_view> rows[Count];
 
+    static constexpr std::size_t size() { return Count; }
+
     constexpr std::string_view name(Enum value) const
     {
         for (const auto &row : this->rows) {
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -109,6 +109,8 @@
     void readBody();
     void readRest();
     void readFailed(const beast::error_code &error);
+    void sendOwed();
+    bool answeredBeforeBody();
     void handleRequest();
     void watchForClose();
     void checkForClose();
@@ -116,6 +118,8 @@
     void closeAfterReading();
     void throwAwayNext();
     void writeResponse(HttpResponse response, bool keepAlive);
+    void writeRaw(bool keepAlive);
+    void written(const beast::error_code &error, bool keepAlive);
 
     HttpStream stream;
     std::shared_ptr<HttpServer::State> server;
@@ -123,6 +127,7 @@
     std::optional<http::request_parser<http::string_body>> parser;
     std::optional<http::response<http::string_body>> response; // Alive while it is written.
     std::string responseHeader;                                // The same.
+    RawAnswer raw; // Of a stand-in; its `beforeNext` waits for the next request.
     std::function<void()> abandoned;
     std::uint64_t currentExchange = 0; // Counts requests, so that a late or second answer is told apart.
     bool waitingForAnswer = false;
@@ -212,7 +217,9 @@
     if (!problem.empty())
         return this->refuse(400, problem);
     if (this->parser->is_done())
-        return this->handleRequest();
+        return this->sendOwed();
+    if (this->answeredBeforeBody())
+        return;
     this->stream.expires_after(this->limits().idleTimeout);
     // A caller that asks before it sends its body waits for this word.
     if (beast::iequals(header[http::field::expect], "100-continue")) {
@@ -234,10 +241,46 @@
                      [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
                          if (error)
                              return self->readFailed(error);
-                         self->handleRequest();
+                         self->sendOwed();
                      });
 }
 
+HttpRequest headerOf(const http::request<http::string_body> &message)
+{
+    HttpRequest request;
+    request.method = message.method_string();
+    request.target = message.target();
+    request.headers.reserve(8);
+    for (const auto &field : message)
+        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    return request;
+}
+
+bool Session::answeredBeforeBody()
+{
+    const auto &hook = this->server->settings.answerBeforeBody;
+    std::optional<HttpResponse> early = hook ? hook(headerOf(this->parser->get())) : std::nullopt;
+    if (!early)
+        return false;
+    this->unreadLeft = true;
+    this->writeResponse(std::move(*early), false);
+    return true;
+}
+
+void Session::sendOwed()
+{
+    if (this->raw.beforeNext.empty())
+        return this->handleRequest();
+    this->raw.bytes = std::move(this->raw.beforeNext);
+    this->raw.beforeNext.clear();
+    boost::asio::async_write(this->stream, boost::asio::buffer(this->raw.bytes),
+                             [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
+                                 if (error)
+                                     return self->close();
+                                 self->handleRequest();
+                             });
+}
+
 void Session::readFailed(const beast::error_code &error)
 {
     const std::uint32_t status = statusOfReadError(error);
@@ -250,14 +293,8 @@
 {
     this->stream.expires_never();
     http::request<http::string_body> message = this->parser->release();
-    HttpRequest request;
-    request.method = message.method_string();
-    request.target = message.target();
-    request.headers.reserve(8);
-    for (const auto &field : message)
-        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    HttpRequest request = headerOf(message);
     request.body = std::move(message.body());
-
     this->callerKeepsAlive = message.keep_alive();
     this->headOnly = message.method() == http::verb::head;
     this->waitingForAnswer = true;
@@ -367,17 +404,34 @@
         message.body().clear();
     this->stream.expires_after(this->limits().idleTimeout);
     this->responseHeader = headerBytes(message);
+    if (this->server->settings.rewriteAnswer)
+        return this->writeRaw(keepAlive);
     writeMessage(this->stream, this->responseHeader, message,
                  [self = this->shared_from_this(), keepAlive](const beast::error_code &error, std::size_t) {
-                     self->response.reset();
-                     if (!error && self->unreadLeft)
-                         return self->closeAfterReading();
-                     if (error || !keepAlive)
-                         return self->close();
-                     self->awaitRequest();
+                     self->written(error, keepAlive);
                  });
 }
 
+void Session::writeRaw(bool keepAlive)
+{
+    this->raw = this->server->settings.rewriteAnswer(this->responseHeader + this->response->body());
+    boost::asio::async_write(
+        this->stream, boost::asio::buffer(this->raw.bytes),
+        [self = this->shared_from_this(), keepAlive](const beast::error_code &error, std::size_t) {
+            self->written(error, keepAlive && !self->raw.closes);
+        });
+}
+
+void Session::written(const beast::error_code &error, bool keepAlive)
+{
+    this->response.reset();
+    if (!error && this->unreadLeft)
+        return this->closeAfterReading();
+    if (error || !keepAlive)
+        return this->close();
+    this->awaitRequest();
+}
+
 // A request that has come in part is read to its end and answered.
 void Session::closeWhenIdle()
 {
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace Sagecrank {
 
@@ -22,6 +23,14 @@
     Milliseconds idleTimeout{60000};   // Between requests; also for the body of one to come in.
 };
 
+// What leaves the server in place of an answer's own bytes.
+struct RawAnswer
+{
+    std::string bytes;
+    bool closes = false;    // The connection ends after them, whatever the answer says.
+    std::string beforeNext; // Leaves when the next request on the connection has come, before its answer.
+};
+
 struct HttpServerSettings
 {
     HttpLimits limits;
@@ -29,6 +38,11 @@
     bool sharePort = false; // Lets several threads listen on the same address.
     // Replaces `limits` for each request when it is set: limits that change while the server runs.
     std::function<HttpLimits()> currentLimits;
+    // For stand-ins of faulty servers; a server of the product has neither. The first is given a whole
+    // answer, header and body; the second may answer a request whose body is still coming, which ends its
+    // connection.
+    std::function<RawAnswer(std::string answer)> rewriteAnswer;
+    std::function<std::optional<HttpResponse>(const HttpRequest &header)> answerBeforeBody;
 };
 
 // One request that waits for its answer. Belongs to its connection's thread.
--- a/Services/UpstreamEmulator/Answer.cpp
+++ b/Services/UpstreamEmulator/Answer.cpp
@@ -14,6 +14,23 @@
 
 constexpr std::size_t maximumAnswer = 1'000'000;
 
+constexpr std::string_view faultHeader = "Sagecrank-Emulator-Fault";
+constexpr std::string_view noAnswer = "\x16\x03 these bytes are no answer\r\n\r\n";
+
+// Takes the line of that header out; what it said.
+std::string takeHeader(std::string &answer, std::string_view name)
+{
+    const std::string start = "\r\n" + std::string(name) + ": ";
+    const std::size_t at = answer.find(start);
+    if (at == std::string::npos || at > answer.find("\r\n\r\n"))
+        return {};
+    const std::size_t value = at + start.size();
+    const std::size_t end = answer.find("\r\n", value);
+    std::string said = answer.substr(value, end - value);
+    answer.erase(at, end - at);
+    return said;
+}
+
 std::size_t wantedBytes(std::string_view target)
 {
     const std::string_view text = queryValue(target, "answer_bytes");
@@ -60,4 +77,31 @@
     return makeResponse(status, "text/plain", std::string(why) + "\n");
 }
 
+void markFault(HttpResponse &response, CallFate fate)
+{
+    response.headers.push_back({std::string(faultHeader), std::string(callFateShares.name(fate))});
+}
+
+RawAnswer breakMarked(std::string answer)
+{
+    const std::optional<CallFate> fate = callFateShares.value(takeHeader(answer, faultHeader));
+    if (!fate)
+        return {std::move(answer), false, {}};
+    switch (*fate) {
+    case CallFate::Cut:
+        return {answer.substr(0, answer.find("\r\n\r\n") + 5), true, {}};
+    case CallFate::Spoilt:
+        return {std::string(noAnswer), true, {}};
+    case CallFate::Unframed:
+        takeHeader(answer, "Content-Length");
+        return {std::move(answer), true, {}};
+    case CallFate::Doubled:
+        return {answer + answer, false, {}};
+    case CallFate::DoubledLate:
+        return {answer, false, answer};
+    default:
+        return {std::move(answer), false, {}};
+    }
+}
+
 } // namespace Sagecrank
--- a/Services/UpstreamEmulator/Answer.h
+++ b/Services/UpstreamEmulator/Answer.h
@@ -2,7 +2,9 @@
 // got the whole answer to its own request and to no other.
 #pragma once
 
-#include <LibNet/HttpMessages.h>
+#include <UpstreamEmulator/UpstreamFaults.h>
+
+#include <LibNet/HttpServer.h>
 
 #include <string>
 #include <string_view>
@@ -18,4 +20,8 @@
 HttpResponse shedAnswer(std::string_view why);
 HttpResponse failedAnswer(std::uint32_t status, std::string_view why);
 
+// An answer that is to be broken says so to its own server, which makes the broken bytes of the whole ones.
+void markFault(HttpResponse &response, CallFate fate);
+RawAnswer breakMarked(std::string answer);
+
 } // namespace Sagecrank
--- a/Services/UpstreamEmulator/Main.cpp
+++ b/Services/UpstreamEmulator/Main.cpp
@@ -1,6 +1,7 @@
 // sagecrank-upstream-emulator: stands in for a host's service in tests and measurements. Takes work into
 // slots, announces itself to the node beside it, drains on SIGTERM and misbehaves on command.
 #include <UpstreamEmulator/Announcer.h>
+#include <UpstreamEmulator/Answer.h>
 #include <UpstreamEmulator/WorkService.h>
 
 #include <LibCommandLine/CommandLine.h>
@@ -32,6 +33,7 @@
     AnnounceSettings announce;
     WorkSettings work;
     Milliseconds warming{0};
+    bool goodbyeFirst = false; // Says goodbye where others say that they drain, and serves on for as long.
     // Names this start where upstreams have such names; then it speaks the users' platform's protocol.
     std::string instance;
 };
@@ -93,11 +95,18 @@
     {
         HttpServerSettings server;
         server.sharePort = this->settings.threads > 1;
+        server.rewriteAnswer = breakMarked;
+        server.answerBeforeBody = [this](const HttpRequest &header) {
+            return this->service.refuseEarly(header);
+        };
         HttpHandler handler = [this, &context](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
             this->service.handle(context, std::move(request), std::move(exchange));
         };
-        if (!this->settings.instance.empty())
+        if (!this->settings.instance.empty()) {
             handler = Platform::asPlatformServer(this->settings.instance, std::move(handler));
+            server.answerBeforeBody =
+                Platform::asPlatformEarlyAnswer(this->settings.instance, std::move(server.answerBeforeBody));
+        }
         this->servers.push_back(std::make_unique<HttpServer>(context, server, std::move(handler)));
         return this->servers.back()->listen(this->settings.listen);
     }
@@ -116,14 +125,17 @@
             this->drain.begin(SteadyClock::now());
             this->log.write(EventId::ProcessDraining, {});
             this->service.beginDrain();
-            this->announcer.announce(UpstreamState::Draining, [](std::optional<std::uint64_t>) {});
+            this->announcer.announce(this->settings.goodbyeFirst ? UpstreamState::Gone
+                                                                 : UpstreamState::Draining,
+                                     [](std::optional<std::uint64_t>) {});
             this->awaitSignal();
         });
     }
 
     std::optional<UpstreamState> announcedState()
     {
-        if (this->service.silent())
+        const bool saidGoodbye = this->settings.goodbyeFirst && this->drain.draining();
+        if (saidGoodbye || this->service.silent())
             return std::nullopt;
         const UpstreamState state = this->service.reportOutside().state;
         if (state == UpstreamState::Ready && SteadyClock::now() - this->started < this->settings.warming)
@@ -135,6 +147,8 @@
     {
         if (!this->drain.mayEnd(SteadyClock::now(), this->service.report().running, nodeInFlight))
             return;
+        if (this->settings.goodbyeFirst)
+            return this->mainContext.stop();
         this->announcer.announce(UpstreamState::Gone,
                                  [this](std::optional<std::uint64_t>) { this->mainContext.stop(); });
     }
@@ -194,6 +208,8 @@
         "slowness at the very start");
     add("warming-ms", options::value(&warmingMilliseconds)->default_value(0),
         "time for which it announces that it warms up");
+    add("goodbye-first", options::bool_switch(&settings.goodbyeFirst),
+        "on SIGTERM, says that it is gone, serves on for as long as a drain takes, and ends");
     add("threads", options::value(&settings.threads)->default_value(1), "threads that serve");
     add("seed", options::value(&settings.work.seed)->default_value(1), "seed of the service times");
     add("history", options::bool_switch(&settings.history), "write history events to standard output");
--- a/Services/UpstreamEmulator/ServiceTime.cpp
+++ b/Services/UpstreamEmulator/ServiceTime.cpp
@@ -52,7 +52,7 @@
     path.prefix = text.substr(0, equals);
     std::string_view mean = text.substr(equals + 1);
     if (const std::size_t colon = mean.find(':'); colon != std::string_view::npos) {
-        const auto distribution = distributionNames.value(mean.substr(colon + 1));
+        const auto distribution = workDistributionNames.value(mean.substr(colon + 1));
         if (!distribution)
             return malformed();
         path.distribution = *distribution;
@@ -94,11 +94,11 @@
         if (!target.starts_with(path.prefix))
             continue;
         switch (path.distribution) {
-        case Distribution::Fixed:
+        case WorkDistribution::Fixed:
             return path.meanMilliseconds;
-        case Distribution::Exponential:
+        case WorkDistribution::Exponential:
             return path.meanMilliseconds * std::exponential_distribution<double>(1)(this->random);
-        case Distribution::Lognormal: {
+        case WorkDistribution::Lognormal: {
             // The location is chosen so that the mean is the one asked for.
             const double location = -lognormalSigma * lognormalSigma / 2;
             return path.meanMilliseconds
--- a/Services/UpstreamEmulator/ServiceTime.h
+++ b/Services/UpstreamEmulator/ServiceTime.h
@@ -14,19 +14,19 @@
 
 namespace Sagecrank {
 
-enum class Distribution { Fixed, Exponential, Lognormal };
+enum class WorkDistribution { Fixed, Exponential, Lognormal };
 
-inline constexpr EnumNames<Distribution, 3> distributionNames{{
-    {Distribution::Fixed, "fixed"},
-    {Distribution::Exponential, "exponential"},
-    {Distribution::Lognormal, "lognormal"},
+inline constexpr EnumNames<WorkDistribution, 3> workDistributionNames{{
+    {WorkDistribution::Fixed, "fixed"},
+    {WorkDistribution::Exponential, "exponential"},
+    {WorkDistribution::Lognormal, "lognormal"},
 }};
 
 struct PathTime
 {
     std::string prefix; // The longest prefix that matches counts; the empty one matches every path.
     double meanMilliseconds = 0;
-    Distribution distribution = Distribution::Fixed;
+    WorkDistribution distribution = WorkDistribution::Fixed;
 };
 
 struct ColdStart
--- a/Services/UpstreamEmulator/UpstreamFaults.cpp
+++ b/Services/UpstreamEmulator/UpstreamFaults.cpp
@@ -33,14 +33,8 @@
     constexpr double longestLag = 600'000;
     if (key == "slow_factor")
         return readNumber(value, 0, slowest, into.slowFactor);
-    if (key == "fail_share")
-        return readNumber(value, 0, 1, into.failShare);
-    if (key == "shed_share")
-        return readNumber(value, 0, 1, into.shedShare);
-    if (key == "hang_share")
-        return readNumber(value, 0, 1, into.hangShare);
-    if (key == "drop_share")
-        return readNumber(value, 0, 1, into.dropShare);
+    if (const auto fate = callFateShares.value(key))
+        return readNumber(value, 0, 1, into.shares[static_cast<std::size_t>(*fate)]);
     if (key == "misleading_health")
         return readFlag(value, into.misleadingHealth);
     if (key == "silent")
@@ -78,18 +72,24 @@
 
 CallFate UpstreamFaults::drawFate()
 {
-    const UpstreamFaultSettings &now = this->current;
     double draw = std::uniform_real_distribution<double>(0, 1)(this->random);
-    if (draw < now.shedShare)
-        return CallFate::Shed;
-    draw -= now.shedShare;
-    if (draw < now.failShare)
-        return CallFate::Failed;
-    draw -= now.failShare;
-    if (draw < now.hangShare)
-        return CallFate::Hung;
-    draw -= now.hangShare;
-    return draw < now.dropShare ? CallFate::Dropped : CallFate::Served;
+    for (const auto &[fate, name] : callFateShares.rows) {
+        const double share = fate == CallFate::Early ? 0 : this->share(fate);
+        if (draw < share)
+            return fate;
+        draw -= share;
+    }
+    return CallFate::Served;
+}
+
+bool UpstreamFaults::drawEarly()
+{
+    return std::uniform_real_distribution<double>(0, 1)(this->random) < this->share(CallFate::Early);
+}
+
+double UpstreamFaults::share(CallFate fate) const
+{
+    return this->current.shares[static_cast<std::size_t>(fate)];
 }
 
 void UpstreamFaults::set(const UpstreamFaultSettings &settings)
--- a/Services/UpstreamEmulator/UpstreamFaults.h
+++ b/Services/UpstreamEmulator/UpstreamFaults.h
@@ -1,23 +1,51 @@
 // The upstream's bad behaviour, switched on by command: slow, failing fast, shedding, hanging, closing
-// without an answer, and health that misleads.
+// without an answer, answers that are broken off, spoilt or doubled, and health that misleads.
 #pragma once
 
+#include <LibCore/EnumNames.h>
 #include <LibCore/Error.h>
 #include <LibCore/Time.h>
 
+#include <array>
 #include <cstdint>
 #include <random>
 #include <string_view>
 
 namespace Sagecrank {
 
+// What becomes of one call.
+enum class CallFate : std::uint8_t {
+    Served,
+    Shed,        // Although slots are free.
+    Failed,      // Answered 500 at once, after it began.
+    Hung,        // It begins and never ends.
+    Dropped,     // It runs, and its connection is then closed.
+    Cut,         // It runs, and its connection is closed in the midst of the answer.
+    Spoilt,      // It runs, and bytes come that are no answer.
+    Unframed,    // It runs; its answer states no length and ends with the connection.
+    Doubled,     // It runs, and its answer comes twice.
+    DoubledLate, // The same, the second time where the answer to the next call is expected.
+    Early, // It is refused, not run, before its body is in; concerns calls with a body that comes later.
+};
+
+// As the commands name the share of each; Served is what is left.
+inline constexpr EnumNames<CallFate, 10> callFateShares{{
+    {CallFate::Shed, "shed_share"},
+    {CallFate::Failed, "fail_share"},
+    {CallFate::Hung, "hang_share"},
+    {CallFate::Dropped, "drop_share"},
+    {CallFate::Cut, "cut_share"},
+    {CallFate::Spoilt, "spoil_share"},
+    {CallFate::Unframed, "unframed_share"},
+    {CallFate::Doubled, "double_share"},
+    {CallFate::DoubledLate, "double_late_share"},
+    {CallFate::Early, "early_share"},
+}};
+
 struct UpstreamFaultSettings
 {
-    double slowFactor = 1;         // Work takes this many times as long.
-    double failShare = 0;          // Share of calls that are answered 500 at once, after they began.
-    double shedShare = 0;          // Share of calls that are shed although slots are free.
-    double hangShare = 0;          // Share of calls that begin and never end.
-    double dropShare = 0;          // Share of calls that run and whose connection is then closed.
+    double slowFactor = 1;                                  // Work takes this many times as long.
+    std::array<double, callFateShares.size() + 1> shares{}; // Of calls, by CallFate; 0 to 1 together.
     bool misleadingHealth = false; // Health and announcements say ready and idle whatever is true.
     Milliseconds healthLag{0};     // Health and announcements tell of the state this long ago.
     bool silent = false;           // No announcements.
@@ -27,17 +55,18 @@
 // Reads the JSON of POST /emulator/faults. A key that is left out has its default, so "{}" mends everything.
 Result<UpstreamFaultSettings> readUpstreamFaults(std::string_view json);
 
-enum class CallFate { Served, Failed, Shed, Hung, Dropped };
-
 class UpstreamFaults
 {
 public:
     const UpstreamFaultSettings &settings() const { return this->current; }
 
     CallFate drawFate();
+    bool drawEarly(); // For a call whose body is still coming.
     void set(const UpstreamFaultSettings &settings);
 
 private:
+    double share(CallFate fate) const;
+
     UpstreamFaultSettings current;
     std::mt19937_64 random{1};
 };
--- a/Services/UpstreamEmulator/WorkService.cpp
+++ b/Services/UpstreamEmulator/WorkService.cpp
@@ -32,6 +32,11 @@
     return std::string(findHeader(request.headers, name));
 }
 
+bool isCommand(std::string_view target)
+{
+    return target.starts_with("/emulator/") || target == "/health";
+}
+
 } // namespace
 
 // Everything but its place in the line belongs to the thread of its context.
@@ -156,7 +161,10 @@
         return this->endRunning(failedAnswer(500, "failing fast"));
     }
     ++this->service.served;
-    this->endRunning(servedAnswer(this->request, this->service.settings.name));
+    HttpResponse answer = servedAnswer(this->request, this->service.settings.name);
+    if (this->fate != CallFate::Served)
+        markFault(answer, this->fate);
+    this->endRunning(std::move(answer));
 }
 
 // A queued call that loses its caller or its time never ran; a running one stops where it is.
@@ -227,8 +235,7 @@
 void WorkService::handle(boost::asio::io_context &context, HttpRequest request,
                          std::shared_ptr<HttpExchange> exchange)
 {
-    const std::string_view target = request.target;
-    if (target.starts_with("/emulator/") || target == "/health") {
+    if (isCommand(request.target)) {
         this->control(request, *exchange);
         return;
     }
@@ -303,6 +310,17 @@
     return seen;
 }
 
+std::optional<HttpResponse> WorkService::refuseEarly(const HttpRequest &header)
+{
+    if (isCommand(header.target))
+        return std::nullopt;
+    const std::lock_guard guard(this->lock);
+    if (!this->faults.drawEarly())
+        return std::nullopt;
+    ++this->shed;
+    return shedAnswer("refused before the body was in");
+}
+
 bool WorkService::silent() const
 {
     const std::lock_guard guard(this->lock);
--- a/Services/UpstreamEmulator/WorkService.h
+++ b/Services/UpstreamEmulator/WorkService.h
@@ -19,6 +19,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -57,6 +58,8 @@
     // Called on the thread of `context`, which also ends the call.
     void handle(boost::asio::io_context &context, HttpRequest request,
                 std::shared_ptr<HttpExchange> exchange);
+    // Whether a call is refused whose body is still coming.
+    std::optional<HttpResponse> refuseEarly(const HttpRequest &header);
     void beginDrain() { this->state = UpstreamState::Draining; }
 
     // The truth, and what faults make of it for the outside.
--- a/Tests/Emulators/TestUpstream.cpp
+++ b/Tests/Emulators/TestUpstream.cpp
@@ -135,16 +135,16 @@
 
 TABLE_TEST(serviceTime, comesFromTheLongestPrefixOrTheQuery, timeRows)
 {
-    ServiceTime times({{"", 1, Distribution::Fixed},
-                       {"/book", 5, Distribution::Fixed},
-                       {"/book/now", 7, Distribution::Fixed}},
+    ServiceTime times({{"", 1, WorkDistribution::Fixed},
+                       {"/book", 5, WorkDistribution::Fixed},
+                       {"/book/now", 7, WorkDistribution::Fixed}},
                       {}, 1);
     cr_assert(times.draw(row.target, Milliseconds(0), 1) == Milliseconds(row.milliseconds));
 }
 
 Test(serviceTime, coldStartWearsOffEvenly)
 {
-    ServiceTime times({{"", 10, Distribution::Fixed}}, ColdStart{Milliseconds(1000), 5}, 1);
+    ServiceTime times({{"", 10, WorkDistribution::Fixed}}, ColdStart{Milliseconds(1000), 5}, 1);
     cr_assert(times.draw("/", Milliseconds(0), 1) == Milliseconds(50));
     cr_assert(times.draw("/", Milliseconds(500), 1) == Milliseconds(30));
     cr_assert(times.draw("/", Milliseconds(1000), 1) == Milliseconds(10));
--- /dev/null
+++ b/Tests/Platform/TestFaultyServer.cpp
@@ -0,0 +1,127 @@
+// A server whose answers are broken off, spoilt, doubled or early, in the platform's protocol, behind a gate.
+#include <LibDecide/TargetGate.h>
+#include <LibNet/HttpServer.h>
+#include <Node/GateCall.h>
+#include <Node/LocalGate.h>
+#include <Support/TableTest.h>
+#include <UpstreamEmulator/Answer.h>
+#include <UpstreamEmulator/WorkService.h>
+#include <platform/StandInServer.h>
+
+using namespace Sagecrank;
+
+namespace {
+
+struct FaultRow
+{
+    const char *fault; // Of every call but the last.
+    Outcome outcome;
+    std::uint32_t status;
+};
+
+const FaultRow faultRows[] = {
+    {"{}", Outcome::Done, 200},
+    {R"({"cut_share":1})", Outcome::Unknown, 502},
+    {R"({"spoil_share":1})", Outcome::Unknown, 502},
+    {R"({"unframed_share":1})", Outcome::Done, 200},
+    {R"({"double_share":1})", Outcome::Done, 200},
+    {R"({"double_late_share":1})", Outcome::Done, 200},
+    {R"({"early_share":1})", Outcome::NotRun, 503},
+    {R"({"shed_share":1})", Outcome::NotRun, 503},
+    {R"({"drop_share":1})", Outcome::Unknown, 502},
+};
+
+class FaultyServer
+{
+public:
+    FaultyServer()
+    {
+        HttpServerSettings settings;
+        settings.rewriteAnswer = breakMarked;
+        settings.answerBeforeBody = Platform::asPlatformEarlyAnswer(
+            "i-1", [this](const HttpRequest &header) { return this->service.refuseEarly(header); });
+        this->server.emplace(this->context, settings,
+                             Platform::asPlatformServer(
+                                 "i-1", [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+                                     this->service.handle(this->context, std::move(request),
+                                                          std::move(exchange));
+                                 }));
+        cr_assert(this->server->listen("127.0.0.1:0").has_value());
+        this->gate.announce({"booking", this->server->address(), 2, UpstreamCondition::Ready, "i-1", 7, 1});
+    }
+
+    void fault(const std::string &json)
+    {
+        std::optional<HttpResponse> answer;
+        this->client.send(
+            this->server->address(), {"POST", "/emulator/faults", {}, json}, std::chrono::seconds(9),
+            [&answer](const HttpFailure *, const HttpResponse &response) { answer = response; });
+        this->runUntil([&answer] { return answer.has_value(); });
+        cr_assert(answer->status == 200, "%s", answer->body.c_str());
+    }
+
+    // With a body that does not fit the connection's buffers, so that it is still coming when it is refused.
+    CallResponse call(const std::string &id)
+    {
+        CallRequest request;
+        request.cluster = "booking";
+        request.remainingMicroseconds = 9'000'000;
+        request.callerCallId = id;
+        request.method = "POST";
+        request.target = "/pay";
+        request.body.assign(900'000, 'b');
+        std::optional<CallResponse> answer;
+        this->gate.submit({this->context, this->client}, std::move(request),
+                          [&answer](CallResponse response) { answer = std::move(response); });
+        this->runUntil([&answer] { return answer.has_value(); });
+        return *answer;
+    }
+
+private:
+    void runUntil(const std::function<bool()> &condition)
+    {
+        const Instant limit = SteadyClock::now() + std::chrono::seconds(15);
+        while (!condition() && SteadyClock::now() < limit)
+            this->context.run_one_for(Milliseconds(50));
+        cr_assert(condition());
+    }
+
+    boost::asio::io_context context{1};
+    HttpClient client{this->context, HttpClientSettings{}};
+    HistoryRecorder history{"gate", false};
+    WorkService service{WorkSettings{}, this->history, [] { return SteadyClock::now(); },
+                        [](std::string_view) {}};
+    std::optional<HttpServer> server;
+    EventLog log{"gate", {}, [](LogLevel, const std::string &) {}};
+    Metrics metrics;
+    SpanRing spans{16};
+    RequestObserver observer{this->log, this->metrics, this->spans};
+    LocalGate gate{"gate",
+                   admissionHooksOf(std::make_shared<TargetGate>(TargetGateSettings{})),
+                   Platform::platformHeaders(),
+                   {},
+                   this->history,
+                   this->observer};
+};
+
+} // namespace
+
+// A server misbehaves for some calls and is then mended. Whatever its bytes were, a caller gets its own whole
+// answer, a refusal that is true, or "unknown"; and no leftover of an earlier call is taken for the answer to
+// a later one.
+TABLE_TEST(faultyServer, callersGetTheirOwnAnswerOrNone, faultRows)
+{
+    FaultyServer server;
+    server.fault(row.fault);
+    for (const char *id : {"first", "second", "third"}) {
+        const CallResponse response = server.call(id);
+        cr_assert(response.outcome == row.outcome && response.status == row.status, "%s: %u %s", row.fault,
+                  response.status, response.reason.c_str());
+        const std::string own = "call=" + std::string(id) + "\n";
+        cr_assert(response.outcome != Outcome::Done || response.body.find(own) != std::string::npos, "%s: %s",
+                  row.fault, response.body.c_str());
+    }
+    server.fault("{}");
+    const CallResponse last = server.call("last");
+    cr_assert(last.outcome == Outcome::Done && last.body.find("call=last\n") != std::string::npos);
+}
