RowsEmulator: Give single hosts doors with faults of their own

Cause: the stand-in of the rows store could be down, slow or forgetful only for everybody at once, where the users' store turns single hosts away. Its program and the platform emulator's were the same function twice.

--- a/Services/PlatformEmulator/Main.cpp
+++ b/Services/PlatformEmulator/Main.cpp
@@ -1,16 +1,14 @@
 // sagecrank-platform-emulator: stands in for the platform's table service and object store in tests and on
 // a developer's machine. Keeps everything in memory and forgets it when it ends.
 #include <PlatformEmulator/PlatformService.h>
+#include <PlatformEmulator/StoreProgram.h>
 
 #include <LibCommandLine/CommandLine.h>
-#include <LibObserve/EventLog.h>
 
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/program_options.hpp>
 
-#include <csignal>
-#include <iostream>
+#include <memory>
 
 using namespace Sagecrank;
 namespace asio = boost::asio;
@@ -18,7 +16,6 @@
 
 namespace {
 
-constexpr int exitFailure = 1;
 constexpr std::uint64_t maximumObjectBytes = 16'777'216; // A section of configuration is far smaller.
 
 void runAfter(asio::io_context &context, Milliseconds delay, std::function<void()> step)
@@ -30,36 +27,17 @@
     });
 }
 
-int run(const std::string &listen, PlatformSettings settings)
+std::vector<StorePort> portsOf(asio::io_context &context, const std::string &listen,
+                               const PlatformSettings &settings, FaultsSetHook faultsSet)
 {
-    EventLog log("platform-emulator", {});
-    asio::io_context context(1);
-    PlatformService service(
-        settings,
-        [&context](Milliseconds delay, std::function<void()> step) {
-            runAfter(context, delay, std::move(step));
-        },
-        [] { return SteadyClock::now(); },
-        [&log](std::string_view json) {
-            log.write(EventId::EmulatorFaultsSet, {{"faults", json}});
-        });
-    HttpServerSettings serverSettings;
-    serverSettings.limits.bodyBytes = maximumObjectBytes;
-    HttpServer server(context, serverSettings,
-                      [&service](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
-                          service.handle(request, exchange);
-                      });
-    const Result<void> listening = server.listen(listen);
-    if (!listening) {
-        log.write(EventId::ListenFailed, {{"error", listening.error().describe()}});
-        return listening.error().kind == ErrorKind::InvalidInput ? exitUsage : exitFailure;
-    }
-    asio::signal_set signals(context, SIGINT, SIGTERM);
-    signals.async_wait([&context](const boost::system::error_code &, int) { context.stop(); });
-    log.write(EventId::ProcessReady, {{"listen", listen}});
-    context.run();
-    log.write(EventId::ProcessStopped, {});
-    return 0;
+    const auto later = [&context](Milliseconds delay, std::function<void()> step) {
+        runAfter(context, delay, std::move(step));
+    };
+    const auto service = std::make_shared<PlatformService>(
+        settings, later, [] { return SteadyClock::now(); }, std::move(faultsSet));
+    return {{listen, [service](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
+                 service->handle(request, exchange);
+             }}};
 }
 
 } // namespace
@@ -79,5 +57,8 @@
     options::variables_map values;
     if (const auto exitCode = readCommandLine(CommandLine{"", description, {}}, count, arguments, values))
         return *exitCode;
-    return run(listen, settings);
+    return runStore("platform-emulator", maximumObjectBytes,
+                    [&](asio::io_context &context, FaultsSetHook faultsSet) {
+                        return portsOf(context, listen, settings, std::move(faultsSet));
+                    });
 }
--- a/Services/RowsEmulator/Main.cpp
+++ b/Services/RowsEmulator/Main.cpp
@@ -1,14 +1,13 @@
 // sagecrank-rows-emulator: stands in for the users' store of rows in tests and on a developer's machine.
 // Keeps everything in memory and forgets it when it ends.
+#include <PlatformEmulator/StoreProgram.h>
 #include <RowsEmulator/RowsService.h>
 
 #include <LibCommandLine/CommandLine.h>
-#include <LibObserve/EventLog.h>
 
-#include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 
-#include <csignal>
+#include <memory>
 
 using namespace Sagecrank;
 namespace asio = boost::asio;
@@ -16,44 +15,34 @@
 
 namespace {
 
-constexpr int exitFailure = 1;
 constexpr std::uint64_t maximumBodyBytes = 2'097'152; // A transaction of a megabyte, with its encoding.
 
-int run(const std::string &listen, const RowsServiceSettings &settings)
+// The first port is everybody's; each further one is the door of single hosts, with faults of its own.
+std::vector<StorePort> portsOf(asio::io_context &context, const std::vector<std::string> &listen,
+                               const RowsServiceSettings &settings, FaultsSetHook faultsSet)
 {
-    EventLog log("rows-emulator", {});
-    asio::io_context context(1);
-    RowsService service(context, settings, [&log](std::string_view json) {
-        log.write(EventId::EmulatorFaultsSet, {{"faults", json}});
-    });
-    HttpServerSettings serverSettings;
-    serverSettings.limits.bodyBytes = maximumBodyBytes;
-    HttpServer server(context, serverSettings,
-                      [&service](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
-                          service.handle(request, exchange);
-                      });
-    const Result<void> listening = server.listen(listen);
-    if (!listening) {
-        log.write(EventId::ListenFailed, {{"error", listening.error().describe()}});
-        return listening.error().kind == ErrorKind::InvalidInput ? exitUsage : exitFailure;
-    }
-    asio::signal_set signals(context, SIGINT, SIGTERM);
-    signals.async_wait([&context](const boost::system::error_code &, int) { context.stop(); });
-    log.write(EventId::ProcessReady, {{"listen", listen}});
-    context.run();
-    log.write(EventId::ProcessStopped, {});
-    return exitSuccess;
+    const auto service = std::make_shared<RowsService>(context, settings, std::move(faultsSet));
+    std::vector<StorePort> ports;
+    for (std::size_t door = 0; door < listen.size(); ++door)
+        ports.push_back({listen[door], [service, door](const HttpRequest &request,
+                                                       const std::shared_ptr<HttpExchange> &exchange) {
+                             service->handle(request, exchange, door);
+                         }});
+    return ports;
 }
 
 } // namespace
 
 int main(int count, char **arguments)
 {
-    std::string listen;
+    std::vector<std::string> listen;
     RowsServiceSettings settings;
     options::options_description description("sagecrank-rows-emulator: a store of rows in memory");
     auto add = description.add_options();
-    add("listen", options::value(&listen)->default_value("127.0.0.1:9000"), "address to serve, ip:port");
+    std::string address;
+    add("listen", options::value(&address)->default_value("127.0.0.1:9000"), "address to serve, ip:port");
+    add("door", options::value(&listen),
+        "another address, for single hosts; faults that are set there hold for those who come by it");
     add("write-rate", options::value(&settings.writeRate)->default_value(settings.writeRate),
         "writing calls a second");
     add("read-rate", options::value(&settings.readRate)->default_value(settings.readRate),
@@ -61,5 +50,9 @@
     options::variables_map values;
     if (const auto exitCode = readCommandLine(CommandLine{"", description, {}}, count, arguments, values))
         return *exitCode;
-    return run(listen, settings);
+    listen.insert(listen.begin(), address);
+    return runStore("rows-emulator", maximumBodyBytes,
+                    [&](asio::io_context &context, FaultsSetHook faultsSet) {
+                        return portsOf(context, listen, settings, std::move(faultsSet));
+                    });
 }
--- a/Services/RowsEmulator/RowsService.cpp
+++ b/Services/RowsEmulator/RowsService.cpp
@@ -15,11 +15,12 @@
 {
 }
 
-void RowsService::handle(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange)
+void RowsService::handle(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange,
+                         std::size_t door)
 {
     if (request.target.starts_with("/emulator/"))
-        return this->control(request, *exchange);
-    const FaultSettings &fault = this->faults.settings();
+        return this->control(request, *exchange, door);
+    const FaultSettings &fault = this->faultsAt(door).settings();
     if (fault.down) {
         if (fault.downAnswers)
             return exchange->respond(makeResponse(503, "text/plain", "unavailable\n"));
@@ -32,7 +33,13 @@
     if (!limit.take(1, SteadyClock::now()))
         return exchange->respond(Platform::encodeBusy());
     this->later(this->settings.answerTime + fault.delay,
-                [this, request = decoded.value(), exchange] { this->run(request, exchange); });
+                [this, request = decoded.value(), exchange, door] { this->run(request, exchange, door); });
+}
+
+// A door that nobody came by yet is as the first one.
+Faults &RowsService::faultsAt(std::size_t door)
+{
+    return this->faults.try_emplace(door, this->faults[0]).first->second;
 }
 
 void RowsService::putConfiguration(const std::string &document)
@@ -42,7 +49,7 @@
     this->tellWatches();
 }
 
-void RowsService::control(const HttpRequest &request, HttpExchange &exchange)
+void RowsService::control(const HttpRequest &request, HttpExchange &exchange, std::size_t door)
 {
     if (request.target == "/emulator/configuration") {
         this->putConfiguration(request.body);
@@ -57,30 +64,35 @@
     const Result<FaultSettings> wanted = readFaults(request.body);
     if (!wanted)
         return exchange.respond(makeResponse(400, "text/plain", wanted.error().describe() + "\n"));
-    this->faults.set(wanted.value());
+    if (door == 0)
+        this->faults.clear();
+    this->faultsAt(door).set(wanted.value());
     this->faultsSet(request.body);
     exchange.respond(makeResponse(200, "application/json", "{}"));
 }
 
-void RowsService::run(const RowsRequest &request, const std::shared_ptr<HttpExchange> &exchange)
+void RowsService::run(const RowsRequest &request, const std::shared_ptr<HttpExchange> &exchange,
+                      std::size_t door)
 {
     switch (request.call) {
     case RowsCall::Get:
         return exchange->respond(Platform::encodeRows(this->store.rows(request.range), this->store.newest()));
     case RowsCall::Write:
-        return this->write(request, exchange);
+        return this->write(request, exchange, door);
     case RowsCall::Feed:
         return this->watch(request, exchange);
     }
 }
 
 // A write whose answer is lost has taken effect; a late one takes effect after its connection is gone.
-void RowsService::write(const RowsRequest &request, const std::shared_ptr<HttpExchange> &exchange)
+void RowsService::write(const RowsRequest &request, const std::shared_ptr<HttpExchange> &exchange,
+                        std::size_t door)
 {
-    const WriteFate fate = this->faults.drawWriteFate();
+    Faults &own = this->faultsAt(door);
+    const WriteFate fate = own.drawWriteFate();
     if (fate == WriteFate::EffectLate) {
         exchange->drop();
-        return this->later(this->faults.settings().lateBy, [this, request] {
+        return this->later(own.settings().lateBy, [this, request] {
             this->store.apply(request.writes);
             this->tellWatches();
         });
--- a/Services/RowsEmulator/RowsService.h
+++ b/Services/RowsEmulator/RowsService.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -32,7 +33,9 @@
 
     RowsService(boost::asio::io_context &context, RowsServiceSettings settings, FaultsSet faultsSet);
 
-    void handle(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange);
+    // Faults that are set at door 0 hold at every door, those set at another at that one.
+    void handle(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange,
+                std::size_t door = 0);
     // What an operator does: the configuration's row is written whole.
     void putConfiguration(const std::string &document);
     void dropHistory() { this->store.dropHistory(); }
@@ -52,9 +55,12 @@
         boost::asio::steady_timer timer;
     };
 
-    void control(const HttpRequest &request, HttpExchange &exchange);
-    void run(const Platform::RowsRequest &request, const std::shared_ptr<HttpExchange> &exchange);
-    void write(const Platform::RowsRequest &request, const std::shared_ptr<HttpExchange> &exchange);
+    void control(const HttpRequest &request, HttpExchange &exchange, std::size_t door);
+    Faults &faultsAt(std::size_t door);
+    void run(const Platform::RowsRequest &request, const std::shared_ptr<HttpExchange> &exchange,
+             std::size_t door);
+    void write(const Platform::RowsRequest &request, const std::shared_ptr<HttpExchange> &exchange,
+               std::size_t door);
     void watch(const Platform::RowsRequest &request, const std::shared_ptr<HttpExchange> &exchange);
     void tellWatches();
     void later(Milliseconds delay, std::function<void()> step);
@@ -63,7 +69,7 @@
     const RowsServiceSettings settings;
     const FaultsSet faultsSet;
     RowStore store;
-    Faults faults;
+    std::map<std::size_t, Faults> faults; // By door.
     RateLimit writes;
     RateLimit reads;
     std::list<std::shared_ptr<Watch>> watches;
--- a/Tests/Platform/TestRowsStore.cpp
+++ b/Tests/Platform/TestRowsStore.cpp
@@ -56,11 +56,13 @@
         return this->await<Result<Head>>([&](auto done) { source.newest(known, done); });
     }
 
-    void faults(const std::string &json)
+    void faults(const std::string &json) { this->faults(json, this->server.address()); }
+
+    void faults(const std::string &json, const std::string &door)
     {
         const auto status = this->await<std::uint32_t>([&](auto done) {
             this->plain.send(
-                this->server.address(), {"POST", "/emulator/faults", {}, json}, std::chrono::seconds(5),
+                door, {"POST", "/emulator/faults", {}, json}, std::chrono::seconds(5),
                 [done](const HttpFailure *, const HttpResponse &response) { done(response.status); });
         });
         cr_assert(status == 200);
@@ -160,3 +162,26 @@
     fixture.service.putConfiguration(document(7));
     cr_assert(fixture.newest(source, {}).value().version == 8);
 }
+
+// The store turns away a single host while it serves the others. That host is told so; nobody else notices.
+Test(rowsStore, aSingleHostIsTurnedAway)
+{
+    StoreFixture fixture;
+    HttpServer door(fixture.context, HttpServerSettings{},
+                    [&fixture](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
+                        fixture.service.handle(request, exchange, 1);
+                    });
+    cr_assert(door.listen("127.0.0.1:0").has_value());
+    const auto turnedAway = std::make_shared<Platform::RowsClient>(fixture.context, door.address());
+    const auto writeBy = [&fixture](Platform::RowsClient &client) {
+        return fixture.await<Result<void>>([&](auto done) {
+            client.write({"t", "p", "k", "v", false, std::nullopt}, done);
+        });
+    };
+    cr_assert(writeBy(*turnedAway).has_value());
+    fixture.faults(R"({"down":true})", door.address());
+    cr_assert(!writeBy(*turnedAway).has_value());
+    cr_assert(writeBy(*fixture.client).has_value());
+    fixture.faults("{}");
+    cr_assert(writeBy(*turnedAway).has_value(), "what is set at the first door holds at each");
+}
