Node: Read the settings again on SIGHUP

Cause: the signal was logged and changed nothing, and a faulty file went unnoticed until the next start.

Change: the file is read and checked again. The log level and the times of a drain hold from then on; the line says whether anything else waits for the next start. A file that does not check is named with its fault (event 1009) and changes nothing. Addresses and names stay as they are: they cannot change under open connections.

--- a/Libraries/LibObserve/EventLog.cpp
+++ b/Libraries/LibObserve/EventLog.cpp
@@ -187,6 +187,7 @@
 EventLog::EventLog(std::string processName, EventLogSettings settings, LogSink sink, Now now)
     : processName(std::move(processName))
     , settings(settings)
+    , minimumLevel(settings.minimumLevel)
     , sink(std::move(sink))
     , now(std::move(now))
 {
@@ -195,7 +196,7 @@
 void EventLog::write(EventId id, std::initializer_list<LogField> fields)
 {
     const EventDescription &event = describeEvent(id);
-    if (event.level < this->settings.minimumLevel)
+    if (event.level < this->minimumLevel.load())
         return;
     std::uint32_t suppressed = 0;
     if (!this->allow(id, suppressed))
--- a/Libraries/LibObserve/EventLog.h
+++ b/Libraries/LibObserve/EventLog.h
@@ -71,7 +71,8 @@
     EventLog(const EventLog &) = delete;
     EventLog &operator=(const EventLog &) = delete;
 
-    bool wants(EventId id) const { return describeEvent(id).level >= this->settings.minimumLevel; }
+    bool wants(EventId id) const { return describeEvent(id).level >= this->minimumLevel.load(); }
+    void setMinimumLevel(LogLevel level) { this->minimumLevel = level; }
     void write(EventId id, std::initializer_list<LogField> fields);
 
 private:
@@ -89,6 +90,7 @@
 
     const std::string processName;
     const EventLogSettings settings;
+    std::atomic<LogLevel> minimumLevel; // Starts as the settings have it.
     const LogSink sink;
     const Now now;
     std::mutex lock;                                               // Guards the allowances.
--- a/Libraries/LibObserve/Events.h
+++ b/Libraries/LibObserve/Events.h
@@ -29,6 +29,7 @@
     ListenFailed = 1006,
     EventsSuppressed = 1007,
     SettingsReloaded = 1008,
+    SettingsRejected = 1009,
 
     ConfigurationSwapped = 2001,
     ConfigurationRejected = 2002,
@@ -100,7 +101,9 @@
     {EventId::EventsSuppressed, "events.suppressed", LogLevel::Warning,
      "Lines of one event were left out because they came too fast."},
     {EventId::SettingsReloaded, "settings.reloaded", LogLevel::Info,
-     "The process was told that its settings changed."},
+     "The process was told that its settings changed, and took over what can change."},
+    {EventId::SettingsRejected, "settings.rejected", LogLevel::Warning,
+     "The changed settings do not check; the process goes on as it was."},
 
     {EventId::ConfigurationSwapped, "configuration.swapped", LogLevel::Info,
      "A newer version is in force on this node."},
--- a/Services/Node/Main.cpp
+++ b/Services/Node/Main.cpp
@@ -19,15 +19,17 @@
 constexpr const char *usage = R"(Usage: sagecrank-node --settings FILE [--check]
 
 Takes callers' requests, places and forwards them, gates the upstream beside it, and keeps routes and members
-current. Ends by itself after SIGTERM once it has drained; a second SIGTERM ends it at once.
+current. Ends by itself after SIGTERM once it has drained; a second SIGTERM ends it at once. SIGHUP reads the
+settings again.
 
 Exit codes: 0 ended as asked, 2 wrong usage, 3 settings do not check, 4 cannot start (a port is taken).
 )";
 
-int runNode(const Sagecrank::NodeSettings &settings)
+int runNode(const Sagecrank::NodeSettings &settings, const std::string &file)
 {
     const bool rows = settings.platform.kind == Sagecrank::PlatformKind::Rows;
-    Sagecrank::Node node(settings, rows ? Sagecrank::Platform::makeRowsAdapter : Sagecrank::makeTableAdapter);
+    Sagecrank::Node node(settings, rows ? Sagecrank::Platform::makeRowsAdapter : Sagecrank::makeTableAdapter,
+                         [file] { return Sagecrank::readNodeSettings(file); });
     const auto started = node.start();
     if (!started) {
         std::cerr << started.error().describe() << "\n";
@@ -57,7 +59,8 @@
     if (const auto exitCode = Sagecrank::readCommandLine(line, argumentCount, arguments, values))
         return *exitCode;
 
-    const auto settings = Sagecrank::readNodeSettings(values["settings"].as<std::string>());
+    const auto file = values["settings"].as<std::string>();
+    const auto settings = Sagecrank::readNodeSettings(file);
     if (!settings) {
         std::cerr << settings.error().describe() << "\n";
         Sagecrank::EventLog("sagecrank-node", {})
@@ -68,5 +71,5 @@
         std::cout << "settings check\n";
         return Sagecrank::exitSuccess;
     }
-    return runNode(settings.value());
+    return runNode(settings.value(), file);
 }
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -76,7 +76,7 @@
 
 } // namespace
 
-Node::Node(NodeSettings settings, const NodeAdapterFactory &makeAdapter)
+Node::Node(NodeSettings settings, const NodeAdapterFactory &makeAdapter, ReadSettings readSettings)
     : settings(std::move(settings))
     , history(this->settings.id, this->settings.history)
     // A history takes standard output for itself.
@@ -108,7 +108,8 @@
     , probeServer(this->control, adminServerSettings(), this->adapterHandler())
     , plane(this->control, controlSettings(this->settings), this->adapter.table, this->adapter.versions,
             this->controlHooks())
-    , drain({this->settings.drain.linger, this->settings.drain.maximum}, this->drainHooks())
+    , drain(drainSettings(this->settings), this->drainHooks())
+    , settingsReload(this->settings, this->reloadHooks(std::move(readSettings)), this->log)
     , ticker(this->control)
     , signals(this->control, SIGTERM, SIGINT, SIGHUP)
 {
@@ -443,7 +444,7 @@
         if (error)
             return;
         if (signal == SIGHUP) {
-            this->reload();
+            this->settingsReload.reload();
             return this->watchSignals();
         }
         // The second signal does not wait for anything.
@@ -454,11 +455,13 @@
     });
 }
 
-// Every setting is read once, at the start: addresses and names cannot change under open connections. What a
-// running node follows comes from the configuration instead.
-void Node::reload()
+SettingsReloadHooks Node::reloadHooks(ReadSettings readSettings)
 {
-    this->log.write(EventId::SettingsReloaded, {{"applied", "nothing; settings are read at the start"}});
+    SettingsReloadHooks hooks;
+    hooks.read = std::move(readSettings);
+    hooks.setLogLevel = [this](LogLevel level) { this->log.setMinimumLevel(level); };
+    hooks.setDrain = [this](const NodeDrainSettings &changed) { this->drain.configure(changed); };
+    return hooks;
 }
 
 void Node::tick()
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -11,6 +11,7 @@
 #include "NodeSettings.h"
 #include "NodeStatus.h"
 #include "RequestObserver.h"
+#include "SettingsReload.h"
 #include "UpstreamPresence.h"
 #include "UpstreamRecord.h"
 #include "Worker.h"
@@ -26,7 +27,9 @@
 class Node
 {
 public:
-    Node(NodeSettings settings, const NodeAdapterFactory &makeAdapter);
+    using ReadSettings = std::function<Result<NodeSettings>()>; // When they have changed.
+
+    Node(NodeSettings settings, const NodeAdapterFactory &makeAdapter, ReadSettings readSettings);
     ~Node();
     Node(const Node &) = delete;
     Node &operator=(const Node &) = delete;
@@ -43,6 +46,7 @@
     CallerFrontendHooks callerHooks();
     AdminHooks adminHooks();
     NodeDrainHooks drainHooks();
+    SettingsReloadHooks reloadHooks(ReadSettings readSettings);
     void endCalls();
     void confirm(const HttpRequest &request, HttpResponse response,
                  const std::shared_ptr<HttpExchange> &exchange);
@@ -54,7 +58,6 @@
                                      std::string_view path) const;
     HttpLimits callerLimits() const;
     bool ready() const;
-    void reload();
     void membersChanged(const std::vector<Member> &members);
     void watchSignals();
     void tick();
@@ -90,6 +93,7 @@
     HttpServer probeServer;
     ControlPlane plane;
     NodeDrain drain;
+    SettingsReload settingsReload;
     std::vector<std::unique_ptr<Worker>> workers;
     Instant forgotAt; // When forgetUnused last ran.
     boost::asio::steady_timer ticker;
--- a/Services/Node/NodeDrain.cpp
+++ b/Services/Node/NodeDrain.cpp
@@ -9,6 +9,11 @@
 {
 }
 
+void NodeDrain::configure(const NodeDrainSettings &settings)
+{
+    this->settings = settings;
+}
+
 void NodeDrain::begin(Instant now)
 {
     if (this->current != DrainStage::Serving)
--- a/Services/Node/NodeDrain.h
+++ b/Services/Node/NodeDrain.h
@@ -55,13 +55,14 @@
 public:
     NodeDrain(NodeDrainSettings settings, NodeDrainHooks hooks);
 
+    void configure(const NodeDrainSettings &settings);
     void begin(Instant now); // Later calls do nothing.
     void advance(Instant now);
 
     DrainStage stage() const { return this->current; }
 
 private:
-    const NodeDrainSettings settings;
+    NodeDrainSettings settings;
     const NodeDrainHooks hooks;
     DrainStage current = DrainStage::Serving; // Only ever rises.
     Instant begunAt;
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -51,12 +51,16 @@
         // For a platform that has its own calls for these; empty: the admin port alone serves them.
         std::string announcements; // HTTP from the upstream beside the node.
         std::string probe;         // HTTP of the platform's readiness probe.
+
+        bool operator==(const Listen &) const = default;
     } listen;
 
     // Where other nodes reach this one when that is not where it listens, as behind address translation.
     struct Advertise
     {
         std::string peers; // The address it listens on unless given.
+
+        bool operator==(const Advertise &) const = default;
     } advertise;
 
     struct Platform
@@ -71,6 +75,8 @@
         std::string objects;
         std::string tableName = "sagecrank";
         std::string bucket = "sagecrank";
+
+        bool operator==(const Platform &) const = default;
     } platform;
 
     std::vector<std::string> seeds; // Gossip addresses of nodes to meet first.
@@ -93,16 +99,22 @@
         // shared.
         double sharedRetryReserve = 0;
         double retryReserve = 10; // Retries of a service that is hardly called, for each ten seconds.
+
+        bool operator==(const Requests &) const = default;
     } requests;
 
     struct Drain
     {
         Milliseconds linger{3000};   // How long peers are given to hear of it.
         Milliseconds maximum{60000}; // After this the node leaves whatever still runs.
+
+        bool operator==(const Drain &) const = default;
     } drain;
 
     bool history = false;
     std::string logLevel = "info";
+
+    bool operator==(const NodeSettings &) const = default;
 };
 
 // All problems of the file are reported at once, one line each.
