Node: Compare the id that upstreams repeat on every platform

The gate compared the id that an answer repeats only on the users' platform. Ruled out: the platform's own path, which plays the same fault in callersGetTheirOwnAnswerOrNone and holds.

Change: it always compares; an answer that repeats no id is taken as before. The switch is gone.

Test that failed first: anAnswerToAnotherCallIsPassedOver. New faults of the proofs: zone-lost, answers-broken.

--- a/Meta/prove/faults.py
+++ b/Meta/prove/faults.py
@@ -95,6 +95,16 @@
     this_round.pause(5.0, 8.0)
 
 
+@fault
+def zone_lost(this_round):
+    """All nodes of one zone die at once and return together."""
+    with this_round.node_seats(len(this_round.fleet.seats)) as seats:
+        zone = this_round.random.choice(sorted({seat.zone for seat in seats}))
+        lost = [seat for seat in seats if seat.zone == zone]
+        _kill_and_return(this_round, lost, 1.0, 5.0)
+    this_round.pause(5.0, 8.0)
+
+
 def _pause_node(this_round, low, high):
     with this_round.node_seats() as [seat]:
         this_round.began("pause", seat.name)
@@ -310,6 +320,13 @@
     _upstream_round(this_round, drop_share=0.3)
 
 
+@fault
+def answers_broken(this_round):
+    """Answers are broken off, spoilt, without a length, or come twice, also where the next one is expected."""
+    _upstream_round(this_round, cut_share=0.1, spoil_share=0.1, unframed_share=0.1, double_share=0.1,
+                    double_late_share=0.1)
+
+
 @fault
 def cold(this_round):
     """An upstream is replaced by one that starts cold."""
--- a/Services/Node/CallHeaders.h
+++ b/Services/Node/CallHeaders.h
@@ -22,7 +22,6 @@
     std::string notRun = "Sagecrank-Outcome"; // With the value below, the call did not run there.
     std::string notRunValue = "not-run";      // Empty: any value.
     std::string proof;                        // Without it a success is not the upstream's own answer.
-    bool upstreamEchoesCallId = false;        // An answer with another id belongs to another call.
 
     // Answers to callers.
     std::string outcome = "Sagecrank-Outcome";
--- a/Services/Node/LocalGate.cpp
+++ b/Services/Node/LocalGate.cpp
@@ -224,8 +224,7 @@
     this->openStep(*call, SpanName::Upstream);
     HttpSendOptions options;
     options.timeout = remaining;
-    if (this->names.upstreamEchoesCallId)
-        options.echoHeader = this->names.callId;
+    options.echoHeader = this->names.callId;
     call->sent = true;
     call->sending =
         call->home.client.send(call->upstreamAddress, this->upstreamRequest(*call, remaining), options,
--- a/Tests/Node/TestLocalGate.cpp
+++ b/Tests/Node/TestLocalGate.cpp
@@ -289,3 +289,17 @@
     cr_assert(fixture.answers["one"].outcome == Outcome::NotRun);
     cr_assert(fixture.began.empty());
 }
+
+// An upstream sends an answer twice, the second time where the next answer is expected. Taken for that one,
+// it would show a caller what another asked for. The id that it repeats tells them apart.
+Test(localGate, anAnswerToAnotherCallIsPassedOver)
+{
+    GateFixture fixture;
+    fixture.submit("two", CallClass::Interactive, "", Milliseconds(300));
+    cr_assert(fixture.runUntil([&] { return fixture.began.size() == 1; }));
+    HttpResponse response = makeResponse(200, "text/plain", "for one");
+    response.headers.push_back({"Sagecrank-Call-Id", "one"});
+    fixture.exchanges[0]->respond(std::move(response));
+    cr_assert(fixture.runUntil([&] { return fixture.answered("two"); }));
+    cr_assert(fixture.answers["two"].outcome == Outcome::Unknown, "%s", fixture.answers["two"].body.c_str());
+}
