--- a/Meta/prove/fleet.py
+++ b/Meta/prove/fleet.py
@@ -147,7 +147,15 @@
         return json.loads(get(self.platform_address, "/emulator/counters")[1])
 
     def upstream_faults(self, seat, **faults):
-        post_json(seat.upstream, "/emulator/faults", json.dumps(faults))
+        """Another fault may have launched the upstream a moment ago; then it does not listen yet."""
+        end = time.monotonic() + START_SECONDS
+        while True:
+            try:
+                return post_json(seat.upstream, "/emulator/faults", json.dumps(faults))
+            except ConnectionRefusedError:
+                if time.monotonic() > end:
+                    raise
+                time.sleep(0.02)
 
     def stop(self):
         stop_all([process for process in self.processes if process.running()])
