Node: Hold the two bounds of a body to one value

The base file's largest body (LibConfig) and what a frame carries (LibWire) are the same 16 MiB by meaning, in two libraries that do not know each other. A compile-time check where both meet keeps them from drifting apart; behaviour is unchanged.

--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -25,6 +25,9 @@
 constexpr std::size_t spanCapacity = 2048;
 constexpr std::size_t spansShown = 500;
 
+// What the base file may allow is what a frame between nodes carries.
+static_assert(mostBodyBytes == maximumCarriedBody);
+
 std::function<std::uint64_t()> makeRandom()
 {
     return [generator = std::mt19937_64(std::random_device{}())]() mutable { return generator(); };
