--- a/Libraries/LibConfig/Archive.h
+++ b/Libraries/LibConfig/Archive.h
@@ -12,6 +12,7 @@
 #include <ostream>
 #include <stdexcept>
 #include <streambuf>
+#include <type_traits>
 
 namespace Sagecrank {
 
@@ -169,7 +170,8 @@
     return buffer.take();
 }
 
-// Runs `read` over the whole of `bytes`; anything left over, missing or too large is InvalidInput.
+// Runs `read` over the whole of `bytes`; anything left over, missing or too large is InvalidInput. A reader
+// of what may end early takes the buffer as well.
 template <typename Read>
 Result<void> readBytes(std::span<const std::byte> bytes, const char *step, Read read)
 {
@@ -179,7 +181,10 @@
     std::istream stream(&buffer);
     try {
         cereal::PortableBinaryInputArchive archive(stream);
-        read(archive);
+        if constexpr (std::is_invocable_v<Read, decltype(archive) &, const SpanBuffer &>)
+            read(archive, buffer);
+        else
+            read(archive);
     } catch (const std::exception &exception) {
         return makeError(ErrorKind::InvalidInput, step, "", exception.what());
     }
--- a/Libraries/LibConfig/Delta.cpp
+++ b/Libraries/LibConfig/Delta.cpp
@@ -73,7 +73,7 @@
         return makeError(ErrorKind::Refused, applyStep, delta.site,
                          "version " + std::to_string(delta.version) + " is not newer than the held "
                              + std::to_string(held.manifest.version));
-    if (sectionListDigest(held.manifest.sections) != delta.base)
+    if (siteDigest(held.manifest) != delta.base)
         return makeError(ErrorKind::Conflict, applyStep, delta.site, "the held version is not the base");
     return success();
 }
@@ -130,8 +130,8 @@
     delta.site = to.manifest.site;
     delta.version = to.manifest.version;
     delta.limits = to.manifest.limits;
-    delta.base = sectionListDigest(from.manifest.sections);
-    delta.result = sectionListDigest(to.manifest.sections);
+    delta.base = siteDigest(from.manifest);
+    delta.result = siteDigest(to.manifest);
     for (std::size_t i = 0; i < to.sections.size(); ++i) {
         const SectionReference &wanted = to.manifest.sections[i];
         const SectionReference *had = findReference(from.manifest, wanted.cluster);
@@ -174,7 +174,7 @@
         ordered.push_back(std::move(entry.second));
     SiteConfiguration next = makeSiteConfiguration(delta.version, delta.site, std::move(ordered));
     next.manifest.limits = delta.limits;
-    if (sectionListDigest(next.manifest.sections) != delta.result)
+    if (siteDigest(next.manifest) != delta.result)
         return makeError(ErrorKind::InvalidInput, applyStep, delta.site,
                          "the result is not the published version");
     TRY_VOID(checkSite(next));
--- a/Libraries/LibConfig/Delta.h
+++ b/Libraries/LibConfig/Delta.h
@@ -38,8 +38,8 @@
 {
     std::string site;
     std::uint64_t version = 0;      // Of the result.
-    Digest base;                    // Section list that the delta starts from.
-    Digest result;                  // Section list that it must end at.
+    Digest base;                    // Of the site that the delta starts from.
+    Digest result;                  // Of the site that it must end at.
     CallerLimits limits;            // Of the result.
     std::vector<ObjectBytes> added; // Encoded sections that the base has not.
     std::vector<SectionPatch> patched;
--- a/Libraries/LibConfig/Encoding.cpp
+++ b/Libraries/LibConfig/Encoding.cpp
@@ -62,11 +62,13 @@
     return writeBytes([&](auto &archive) { section(archive, copy); });
 }
 
-ObjectBytes encodeSectionList(const std::vector<SectionReference> &sections)
+ObjectBytes encodeSite(const SiteManifest &site)
 {
-    std::vector<SectionReference> copy = sections;
+    SiteManifest copy = site;
     return writeBytes([&](auto &archive) {
-        list(archive, copy, [&](SectionReference &each) { reference(archive, each); });
+        list(archive, copy.sections, [&](SectionReference &each) { reference(archive, each); });
+        if (copy.limits != CallerLimits{})
+            limits(archive, copy.limits);
     });
 }
 
@@ -84,13 +86,14 @@
     return value;
 }
 
-Result<std::vector<SectionReference>> decodeSectionList(std::span<const std::byte> bytes,
-                                                        const Digest &expected)
+Result<SiteManifest> decodeSite(std::span<const std::byte> bytes, const Digest &expected)
 {
-    TRY_VOID(checkDigest(bytes, expected, "decode section list"));
-    std::vector<SectionReference> value;
-    TRY_VOID(readBytes(bytes, "decode section list", [&](auto &archive) {
-        list(archive, value, [&](SectionReference &each) { reference(archive, each); });
+    TRY_VOID(checkDigest(bytes, expected, "decode site"));
+    SiteManifest value;
+    TRY_VOID(readBytes(bytes, "decode site", [&](auto &archive, const SpanBuffer &rest) {
+        list(archive, value.sections, [&](SectionReference &each) { reference(archive, each); });
+        if (!rest.atEnd())
+            limits(archive, value.limits);
     }));
     return value;
 }
@@ -109,9 +112,9 @@
     return digestOf(encodeSection(value));
 }
 
-Digest sectionListDigest(const std::vector<SectionReference> &sections)
+Digest siteDigest(const SiteManifest &site)
 {
-    return digestOf(encodeSectionList(sections));
+    return digestOf(encodeSite(site));
 }
 
 std::string sectionObjectName(const Digest &digest)
--- a/Libraries/LibConfig/Model.h
+++ b/Libraries/LibConfig/Model.h
@@ -113,7 +113,7 @@
     struct SiteReference
     {
         std::string site;
-        Digest digest; // Of the site's section list without the version, so an unchanged site keeps it.
+        Digest digest; // Of the site without its version, so an unchanged site keeps it.
 
         bool operator==(const SiteReference &) const = default;
     };
--- a/Libraries/LibConfig/SourceFiles.cpp
+++ b/Libraries/LibConfig/SourceFiles.cpp
@@ -49,7 +49,8 @@
 public:
     SiteRenderer(const FileSource &base, const FileSource &overlay, const std::set<std::string> &services,
                  std::vector<SourceError> &errors)
-        : clusters(base.clusters)
+        : callers(base.callers)
+        , clusters(base.clusters)
         , routes(base.routes)
         , overlay(overlay)
         , services(services)
@@ -69,7 +70,7 @@
         for (const RouteSource &route : this->routes)
             this->renderRoute(route, sections);
         this->checkMatches();
-        RenderedSite site{siteName(this->overlay), {}};
+        RenderedSite site{siteName(this->overlay), {}, this->renderCallers()};
         for (auto &entry : sections)
             site.sections.push_back(std::move(entry.second));
         return site;
@@ -81,6 +82,20 @@
         this->errors.push_back({place.file, place.line, key, message});
     }
 
+    CallerLimits renderCallers()
+    {
+        const CallersSource &over = this->overlay.callers;
+        overlayField(this->callers.headerBytes, over.headerBytes);
+        overlayField(this->callers.bodyBytes, over.bodyBytes);
+        overlayField(this->callers.headerTimeout, over.headerTimeout);
+        overlayField(this->callers.idleTimeout, over.idleTimeout);
+        const CallerLimits unstated;
+        return {valueOf(this->callers.headerBytes, unstated.headerBytes),
+                valueOf<std::uint32_t>(this->callers.bodyBytes, 0),
+                valueOf(this->callers.headerTimeout, unstated.headerTimeout),
+                valueOf(this->callers.idleTimeout, unstated.idleTimeout)};
+    }
+
     void applyCluster(const std::string &name, const ClusterSource &over)
     {
         const auto standing = this->clusters.find(name);
@@ -228,6 +243,7 @@
         Route route;
     };
 
+    CallersSource callers;
     std::map<std::string, ClusterSource> clusters;
     std::vector<RouteSource> routes;
     const FileSource &overlay;
--- a/Libraries/LibConfig/SourceFiles.h
+++ b/Libraries/LibConfig/SourceFiles.h
@@ -36,6 +36,7 @@
 {
     std::string site;
     std::vector<Section> sections; // Sorted by cluster.
+    CallerLimits limits = {};
 };
 
 struct RenderResult
--- a/Libraries/LibConfig/SourceModel.h
+++ b/Libraries/LibConfig/SourceModel.h
@@ -57,11 +57,21 @@
     bool remove = false;                      // Only in overlays.
 };
 
+// What callers of the site may send, and how long they may take.
+struct CallersSource
+{
+    Field<std::uint32_t> headerBytes;
+    Field<std::uint32_t> bodyBytes;
+    Field<Milliseconds> headerTimeout;
+    Field<Milliseconds> idleTimeout;
+};
+
 struct FileSource
 {
     std::string file;
     Field<std::string> mesh; // Only in the base file.
     Field<std::string> site; // Only in overlays.
+    CallersSource callers;
     std::map<std::string, ClusterSource> clusters;
     std::vector<RouteSource> routes; // Names are unique within the file.
 };
--- a/Libraries/LibConfig/SourceReader.cpp
+++ b/Libraries/LibConfig/SourceReader.cpp
@@ -166,12 +166,14 @@
     {
         TableReader top = this->reader(root, "");
         if (this->kind == FileKind::Base) {
-            top.allowOnly({"mesh", "cluster", "route"});
+            top.allowOnly({"mesh", "callers", "cluster", "route"});
             this->readMesh(top);
         } else {
-            top.allowOnly({"site", "cluster", "route"});
+            top.allowOnly({"site", "callers", "cluster", "route"});
             this->source.site = top.text("site");
         }
+        if (const toml::table *callers = top.child("callers"))
+            this->readCallers(*callers);
         if (const toml::table *clusters = top.child("cluster"))
             this->readClusters(*clusters);
         if (const toml::node *routes = root.get("route"))
@@ -200,6 +202,18 @@
             reader.fault(mesh->source(), "name", "missing");
     }
 
+    void readCallers(const toml::table &callers)
+    {
+        TableReader reader = this->reader(callers, "callers");
+        reader.allowOnly(
+            {"maximum_header_bytes", "maximum_body_bytes", "header_timeout_ms", "idle_timeout_ms"});
+        CallersSource &into = this->source.callers;
+        into.headerBytes = reader.number("maximum_header_bytes", leastHeaderBytes, mostHeaderBytes);
+        into.bodyBytes = reader.number("maximum_body_bytes", 1, mostBodyBytes);
+        into.headerTimeout = reader.duration("header_timeout_ms");
+        into.idleTimeout = reader.duration("idle_timeout_ms");
+    }
+
     void readClusters(const toml::table &clusters)
     {
         for (const auto &[key, node] : clusters) {
--- a/Libraries/LibDecide/Admission.h
+++ b/Libraries/LibDecide/Admission.h
@@ -51,9 +51,9 @@
     Instant deadline;
     // Calls of one kind run about as long as each other: a route's. Zero where kinds are not told apart.
     std::uint64_t kind = 0;
-    std::uint32_t priority = 1;    // 0 goes first.
-    std::optional<Instant> target; // An answer after it is worth less to the caller.
-    bool lateAccepted = true;      // There is no better place left, so a late answer is wanted too.
+    std::uint32_t priority = 1;                   // 0 goes first.
+    std::optional<Instant> target = std::nullopt; // An answer after it is worth less to the caller.
+    bool lateAccepted = true; // There is no better place left, so a late answer is wanted too.
 };
 
 enum class GateVerdict : std::uint8_t { Start, Queue, Refuse };
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -60,6 +60,9 @@
 constexpr Milliseconds longestLinger{2000};
 constexpr std::size_t thrownAwayAtOnce = 16'384;
 
+// What is read at first; most requests are shorter.
+constexpr std::size_t usualRequest = 2048;
+
 constexpr std::string_view continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
 // What is wrong with a header that Beast takes, or nothing. Failure: two readers of one request see its end
@@ -93,7 +96,7 @@
     Session(const Session &) = delete;
     Session &operator=(const Session &) = delete;
 
-    void readRequest();
+    void awaitRequest();
     void respond(std::uint64_t exchange, HttpResponse response);
     void drop(std::uint64_t exchange);
     void onAbandoned(std::uint64_t exchange, std::function<void()> hook);
@@ -102,6 +105,7 @@
 
 private:
     HttpLimits limits() const;
+    void readRequest();
     void readBody();
     void readRest();
     void readFailed(const beast::error_code &error);
@@ -166,17 +170,35 @@
     return settings.currentLimits ? settings.currentLimits() : settings.limits;
 }
 
+// A connection may rest for long between requests; a request that has begun has less time.
+void Session::awaitRequest()
+{
+    if (this->buffer.size() != 0)
+        return this->readRequest();
+    this->stream.expires_after(this->limits().idleTimeout);
+    this->readsFirstByte = true;
+    this->stream.async_read_some(
+        this->buffer.prepare(usualRequest),
+        [self = this->shared_from_this()](const beast::error_code &error, std::size_t size) {
+            self->readsFirstByte = false;
+            if (error)
+                return self->close();
+            self->buffer.commit(size);
+            self->readRequest();
+        });
+}
+
+// Failure: a caller sends its headers a byte at a time. Symptom: it holds a connection for as long as one
+// that rests, and some thousand of them keep everybody else out.
 void Session::readRequest()
 {
     const HttpLimits limits = this->limits();
     this->parser.emplace();
     this->parser->header_limit(limits.headerBytes);
     this->parser->body_limit(limits.bodyBytes);
-    this->stream.expires_after(limits.idleTimeout);
-    this->readsFirstByte = true;
+    this->stream.expires_after(limits.headerTimeout);
     http::async_read_header(this->stream, this->buffer, *this->parser,
                             [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
-                                self->readsFirstByte = false;
                                 if (error)
                                     return self->readFailed(error);
                                 self->readBody();
@@ -191,6 +213,7 @@
         return this->refuse(400, problem);
     if (this->parser->is_done())
         return this->handleRequest();
+    this->stream.expires_after(this->limits().idleTimeout);
     // A caller that asks before it sends its body waits for this word.
     if (beast::iequals(header[http::field::expect], "100-continue")) {
         boost::asio::async_write(
@@ -351,7 +374,7 @@
                          return self->closeAfterReading();
                      if (error || !keepAlive)
                          return self->close();
-                     self->readRequest();
+                     self->awaitRequest();
                  });
 }
 
@@ -380,7 +403,7 @@
             if (!error && room) {
                 beast::error_code ignored;
                 socket.set_option(tcp::no_delay(true), ignored);
-                std::make_shared<Session>(std::move(socket), state)->readRequest();
+                std::make_shared<Session>(std::move(socket), state)->awaitRequest();
             }
             acceptNext(state);
         });
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -18,7 +18,8 @@
 {
     std::uint32_t headerBytes = 16'384;
     std::uint64_t bodyBytes = 1'048'576;
-    Milliseconds idleTimeout{60000}; // Also bounds how slowly a request may come in.
+    Milliseconds headerTimeout{60000}; // From a request's first byte to the end of its headers.
+    Milliseconds idleTimeout{60000};   // Between requests; also for the body of one to come in.
 };
 
 struct HttpServerSettings
--- a/Libraries/LibSource/Head.cpp
+++ b/Libraries/LibSource/Head.cpp
@@ -151,10 +151,12 @@
                              callback = std::move(callback)](Result<ObjectBytes> bytes) {
             if (!bytes)
                 return callback(std::move(bytes).assume_error());
-            auto sections = decodeSectionList(bytes.assume_value(), reference.digest);
-            if (!sections)
-                return callback(std::move(sections).assume_error());
-            callback(SiteManifest{version, reference.site, std::move(sections).assume_value()});
+            Result<SiteManifest> manifest = decodeSite(bytes.assume_value(), reference.digest);
+            if (manifest) {
+                manifest.assume_value().version = version;
+                manifest.assume_value().site = reference.site;
+            }
+            callback(std::move(manifest));
         };
         return this->objects.get(siteObjectName(reference.digest), finish);
     }
--- a/Libraries/LibSource/Publisher.cpp
+++ b/Libraries/LibSource/Publisher.cpp
@@ -30,6 +30,7 @@
     {
         for (RenderedSite &site : rendered) {
             this->sites.push_back(makeSiteConfiguration(0, std::move(site.site), std::move(site.sections)));
+            this->sites.back().manifest.limits = site.limits;
             const Result<void> checked = checkSite(this->sites.back());
             if (!checked)
                 return this->fail(checked.assume_error());
@@ -130,7 +131,7 @@
     {
         std::set<std::pair<std::string, Digest>> next;
         for (const SiteConfiguration &site : this->sites)
-            next.insert({site.manifest.site, sectionListDigest(site.manifest.sections)});
+            next.insert({site.manifest.site, siteDigest(site.manifest)});
         std::vector<std::string> changed;
         for (const VersionManifest::SiteReference &site : previous.sites) {
             this->stored.insert(siteObjectName(site.digest));
@@ -164,12 +165,12 @@
         NamedObjects all;
         for (const SiteConfiguration &site : this->sites) {
             const auto &references = site.manifest.sections;
-            const Digest digest = sectionListDigest(references);
+            const Digest digest = siteDigest(site.manifest);
             this->manifest.sites.push_back({site.manifest.site, digest});
             // A stored site list brings its stored sections along.
             if (this->stored.count(siteObjectName(digest)) != 0)
                 continue;
-            all.emplace(siteObjectName(digest), encodeSectionList(references));
+            all.emplace(siteObjectName(digest), encodeSite(site.manifest));
             for (std::size_t i = 0; i < references.size(); ++i) {
                 const std::string name = sectionObjectName(references[i].digest);
                 if (this->stored.count(name) == 0)
--- a/Libraries/LibWire/Frame.cpp
+++ b/Libraries/LibWire/Frame.cpp
@@ -8,7 +8,8 @@
     const bool joined = !this->partial.empty();
     if (joined)
         this->partial.insert(this->partial.end(), bytes.begin(), bytes.end());
-    std::span<const char> rest = joined ? std::span<const char>(this->partial) : bytes;
+    const std::span<const char> all = joined ? std::span<const char>(this->partial) : bytes;
+    std::span<const char> rest = all;
 
     while (rest.size() >= frameHeaderSize) {
         std::uint32_t length = 0;
@@ -22,7 +23,10 @@
         frame(type, rest.subspan(frameHeaderSize, length));
         rest = rest.subspan(frameHeaderSize + length);
     }
-    this->partial = Bytes(rest.begin(), rest.end());
+    // Load: a body of megabytes comes in some hundred pieces. Harm: copied at each piece, 16 MiB cost two
+    // gigabytes of copying. So what waits for its end stays where it is.
+    if (!joined || rest.size() < all.size())
+        this->partial = Bytes(rest.begin(), rest.end());
     return success();
 }
 
--- a/Libraries/LibWire/Frame.h
+++ b/Libraries/LibWire/Frame.h
@@ -24,9 +24,12 @@
     PullResponse,
 };
 
-// A caller's body is limited to one mebibyte; a frame leaves room for it and its headers. A longer frame is
-// taken for a broken or hostile peer, whose connection is closed before memory is given to it.
-inline constexpr std::size_t maximumFrameSize = std::size_t{4} << 20;
+// The largest body that a call or its answer may have; a site's own limit is at most this.
+inline constexpr std::size_t maximumCarriedBody = std::size_t{16} << 20;
+
+// A frame carries a body whole, and has room for its headers. A longer frame is taken for a broken or hostile
+// peer, whose connection is closed before memory is given to it.
+inline constexpr std::size_t maximumFrameSize = maximumCarriedBody + (std::size_t{1} << 20);
 
 inline constexpr std::size_t frameHeaderSize = 5;
 
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -3,6 +3,8 @@
 
 #include "NodeParts.h"
 
+#include <LibConfig/Check.h>
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -38,7 +40,7 @@
 // Valid when there is no reason against it.
 NodeOffered offeredEvent(const SiteManifest &manifest, std::string reason)
 {
-    return {manifest.version, toHex(sectionListDigest(manifest.sections)), reason.empty(), std::move(reason)};
+    return {manifest.version, toHex(siteDigest(manifest)), reason.empty(), std::move(reason)};
 }
 
 // Failure: nodes that restart together each believe to be alone and take the whole allowance of retries.
@@ -166,7 +168,7 @@
             event.version = next.version();
             event.previous = previous;
             event.site = this->settings.site;
-            event.digest = toHex(sectionListDigest(next.configuration().manifest.sections));
+            event.digest = toHex(siteDigest(next.configuration().manifest));
             for (const Section &section : next.configuration().sections) {
                 event.clusters.push_back(section.cluster);
                 event.routeClusters.insert(event.routeClusters.end(), section.routes.size(), section.cluster);
@@ -249,10 +251,11 @@
         return limits;
     const CallerLimits &stated = snapshot->configuration().manifest.limits;
     if (stated.headerBytes != 0)
-        limits.headerBytes = stated.headerBytes;
-    // A frame between nodes carries the body whole, so no route can allow more than fits one.
+        limits.headerBytes = std::min(stated.headerBytes, mostHeaderBytes);
     if (stated.bodyBytes != 0)
-        limits.bodyBytes = std::min<std::uint64_t>(stated.bodyBytes, maximumFrameSize / 2);
+        limits.bodyBytes = std::min<std::uint64_t>(stated.bodyBytes, maximumCarriedBody);
+    if (stated.headerTimeout.count() != 0)
+        limits.headerTimeout = stated.headerTimeout;
     if (stated.idleTimeout.count() != 0)
         limits.idleTimeout = stated.idleTimeout;
     return limits;
--- a/Services/Node/Worker.cpp
+++ b/Services/Node/Worker.cpp
@@ -13,6 +13,7 @@
 {
     HttpClientSettings client;
     client.idleTimeout = settings.requests.upstreamIdle;
+    client.maximumBodyBytes = maximumCarriedBody;
     return client;
 }
 
--- a/Tests/Control/TestControlPlane.cpp
+++ b/Tests/Control/TestControlPlane.cpp
@@ -62,8 +62,8 @@
         const std::uint64_t version = configuration.manifest.version;
         for (const auto &[digest, bytes] : sectionBytes(configuration))
             this->stored[sectionObjectName(digest)] = bytes;
-        const Digest site = sectionListDigest(configuration.manifest.sections);
-        this->stored[siteObjectName(site)] = encodeSectionList(configuration.manifest.sections);
+        const Digest site = siteDigest(configuration.manifest);
+        this->stored[siteObjectName(site)] = encodeSite(configuration.manifest);
         const VersionManifest manifest{version, "p", {{configuration.manifest.site, site}}};
         const auto bytes = encodeVersionManifest(manifest);
         this->stored[manifestObjectName(version, "p")] = bytes;
--- a/Tests/Ctl/TestArguments.cpp
+++ b/Tests/Ctl/TestArguments.cpp
@@ -147,3 +147,27 @@
                      "c site added\n",
               "%s", text.c_str());
 }
+
+// An operator looks at what a change does before publishing it: every value of a route and of the callers
+// shows.
+Test(content, changesOfAnyValueShow)
+{
+    const std::vector<RenderedSite> before = {siteWith("a", 1, {"x"})};
+    const auto shown = [&before](const std::function<void(RenderedSite &)> &change) {
+        std::vector<RenderedSite> after = before;
+        change(after[0]);
+        const std::vector<Change> changes = compareContent(before, after);
+        return changes.size() == 1 ? changes[0].what + ": " + changes[0].after : std::string();
+    };
+    const auto routeShows = [&shown](const char *value, const std::function<void(Route &)> &change) {
+        const std::string text = shown([&](RenderedSite &site) { change(site.sections[0].routes[0]); });
+        return text.starts_with("route x: ") && text.find(value) != std::string::npos;
+    };
+    cr_assert(routeShows("priority=0", [](Route &route) { route.priority = 0; }));
+    cr_assert(routeShows("host=h.example", [](Route &route) { route.host = "h.example"; }));
+    cr_assert(
+        routeShows("target_latency_ms=90", [](Route &route) { route.targetLatency = Milliseconds(90); }));
+    cr_assert(routeShows("split.entry=3", [](Route &route) { route.split = {{"entry", 3}}; }));
+    cr_assert(shown([](RenderedSite &site) { site.limits.bodyBytes = 9; })
+              == "callers: maximum_body_bytes=9");
+}
--- a/Tests/LibConfig/TestAssemble.cpp
+++ b/Tests/LibConfig/TestAssemble.cpp
@@ -1,6 +1,8 @@
 // A version is taken in whole, with every digest proved, or not at all.
 #include <LibConfig/Assemble.h>
 #include <LibConfig/Check.h>
+#include <LibConfig/Delta.h>
+#include <LibConfig/Encoding.h>
 
 #include <LibConfig/Samples.h>
 #include <Support/TableTest.h>
@@ -145,3 +147,20 @@
     cr_assert(!digestFromHex("0123"));
     cr_assert(!digestFromHex("0123456789abcdef00000000000000zz"));
 }
+
+// An operator changes nothing but what callers may send. If the site kept its digest, no node would take the
+// change over.
+Test(assemble, limitsOfCallersArePartOfTheSite)
+{
+    SiteConfiguration before = sampleSite(1, {sampleSection("booking")});
+    SiteConfiguration after = before;
+    after.manifest.version = 2;
+    after.manifest.limits.bodyBytes = 3'000'000;
+    cr_assert(siteDigest(before.manifest) != siteDigest(after.manifest));
+    for (const SiteManifest &site : {before.manifest, after.manifest}) {
+        const Result<SiteManifest> read = decodeSite(encodeSite(site), siteDigest(site));
+        cr_assert(read && read.value().limits == site.limits && read.value().sections == site.sections);
+    }
+    const Result<SiteConfiguration> applied = applyDelta(before, makeDelta(before, after));
+    cr_assert(applied && applied.value().manifest == after.manifest);
+}
--- a/Tests/LibConfig/TestHostileInput.cpp
+++ b/Tests/LibConfig/TestHostileInput.cpp
@@ -30,6 +30,6 @@
             continue;
         const auto applied = applyDelta(held, delta.value());
         if (applied)
-            cr_assert(sectionListDigest(applied.value().manifest.sections) == delta.value().result);
+            cr_assert(siteDigest(applied.value().manifest) == delta.value().result);
     }
 }
--- a/Tests/LibConfig/TestSourceFiles.cpp
+++ b/Tests/LibConfig/TestSourceFiles.cpp
@@ -60,6 +60,14 @@
     {"no mesh", "[cluster.booking]\n", "", {"base.toml:1: mesh"}},
     {"mesh without a name", "\n[mesh]\n", "", {"base.toml:2: mesh.name"}},
     {"unknown key of the file", "[mesh]\nname = \"m\"\n[clusters.a]\n", "", {"base.toml:3: clusters"}},
+    {"unknown key of the callers",
+     "[mesh]\nname = \"m\"\n[callers]\nbody = 1\n",
+     "",
+     {"base.toml:4: callers.body"}},
+    {"a body that no frame holds",
+     "[mesh]\nname = \"m\"\n[callers]\nmaximum_body_bytes = 16777217\n",
+     "",
+     {"base.toml:4: callers.maximum_body_bytes"}},
     {"unknown key of a cluster",
      "[mesh]\nname = \"m\"\n[cluster.a]\nmax_queue = 3\n",
      "",
@@ -243,6 +251,21 @@
     cr_assert(checkSite(makeSiteConfiguration(1, site.site, site.sections)).has_value());
 }
 
+// The base file states what callers may send; an overlay changes one of the values for its site.
+Test(sourceFiles, limitsOfCallersFollowTheOverlay)
+{
+    const std::string callers = "[callers]\nmaximum_body_bytes = 3000000\nidle_timeout_ms = 15000\n";
+    const RenderResult result = renderSites({"base.toml", goodBase + callers},
+                                            {{"sj-1.toml", "[callers]\nmaximum_header_bytes = 2048\n"
+                                                           "idle_timeout_ms = 9000\n"},
+                                             {"sj-2.toml", "[cluster.archive]"}});
+    cr_assert(result.errors.empty(), "%s", placesOf(result).c_str());
+    const CallerLimits changed{2048, 3000000, Milliseconds(0), Milliseconds(9000)};
+    const CallerLimits plain{0, 3000000, Milliseconds(0), Milliseconds(15000)};
+    cr_assert(result.sites[0].limits == changed);
+    cr_assert(result.sites[1].limits == plain);
+}
+
 // A route that depends on a service is there only where the service is, and follows it when it comes.
 Test(sourceFiles, aRouteFollowsTheServicesItRequires)
 {
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -64,6 +64,7 @@
         HttpServerSettings settings;
         settings.limits.headerBytes = 1024;
         settings.limits.bodyBytes = 2048;
+        settings.limits.headerTimeout = Milliseconds(200);
         return settings;
     }
 
@@ -219,6 +220,24 @@
     cr_assert(answer.find("Connection: close") != std::string::npos && answer.ends_with("late"));
 }
 
+// A caller begins a request and does not go on. Its connection is closed after the time that headers have;
+// one that rests between requests for as long is kept.
+Test(httpServer, aRequestThatBeginsAndStopsLosesItsConnection)
+{
+    EchoServer server;
+    boost::asio::io_context context;
+    tcp::socket resting = connectTo(context, server.address());
+    tcp::socket slow = connectTo(context, server.address());
+    boost::asio::write(slow, boost::asio::buffer(std::string("GET / HT")));
+    std::string answer;
+    boost::system::error_code error;
+    boost::asio::read(slow, boost::asio::dynamic_buffer(answer), error);
+    cr_assert(error == boost::asio::error::eof && answer.empty(), "%s", answer.c_str());
+    boost::asio::write(resting, boost::asio::buffer(std::string("GET /kept HTTP/1.1\r\nHost: a\r\n\r\n")));
+    boost::asio::read_until(resting, boost::asio::dynamic_buffer(answer), "GET ");
+    cr_assert(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
+}
+
 // A caller asks whether it may send its body. Without a word it would wait, and its request would time out.
 Test(httpServer, tellsACallerThatAsksToSendItsBody)
 {
--- a/Tests/LibWire/TestFrame.cpp
+++ b/Tests/LibWire/TestFrame.cpp
@@ -85,6 +85,26 @@
     cr_assert(!called);
 }
 
+// The largest body that a site may allow, with headers, comes in pieces as a socket gives them.
+Test(frame, theLargestBodyFits)
+{
+    CallRequest request = exampleRequest();
+    request.body.assign(maximumCarriedBody, 'b');
+    request.headers.push_back({"X", std::string(std::size_t{500} << 10, 'x')});
+    const Bytes stream = encodeFrame(FrameType::CallRequest, request);
+    constexpr std::size_t piece = 65536;
+    FrameReader reader;
+    std::size_t arrived = 0;
+    for (std::size_t at = 0; at < stream.size(); at += piece) {
+        const std::span<const char> part(stream.data() + at, std::min(piece, stream.size() - at));
+        const Result<void> taken = reader.take(part, [&](FrameType, std::span<const char> payload) {
+            arrived = decode<CallRequest>(payload, "test", "").value().body.size();
+        });
+        cr_assert(taken.has_value());
+    }
+    cr_assert(arrived == maximumCarriedBody);
+}
+
 TABLE_TEST(message, hostileBytesAreRefused, hostileRows)
 {
     const std::span<const char> bytes(reinterpret_cast<const char *>(row.bytes.data()), row.bytes.size());
--- a/Utilities/ConfigBench/Apply.cpp
+++ b/Utilities/ConfigBench/Apply.cpp
@@ -64,7 +64,7 @@
     VersionManifest manifest{1, std::string(32, 'a'), {}};
     for (const RenderedSite &site : makeSites(settings, 0))
         manifest.sites.push_back({site.site, Digest{1, 2}});
-    const std::size_t listBytes = encodeSectionList(before.manifest.sections).size();
+    const std::size_t listBytes = encodeSite(before.manifest).size();
     std::cout << "services " << settings.services << ", routes of each " << settings.routes << ", sites "
               << settings.sites << "\n"
               << "section: " << encodeSection(before.sections[0]).size() << " bytes\n"
--- a/Utilities/Ctl/Content.cpp
+++ b/Utilities/Ctl/Content.cpp
@@ -21,6 +21,8 @@
 Lines linesOf(const RenderedSite &site)
 {
     Lines lines;
+    if (const std::string limits = describeLimits(site.limits); !limits.empty())
+        lines["callers"] = limits;
     for (const Section &section : site.sections) {
         lines["cluster " + section.cluster] = "maximum_queue=" + std::to_string(section.maximumQueue);
         for (const Route &route : section.routes)
@@ -81,7 +83,7 @@
     SectionBytes known;
     for (const VersionManifest::SiteReference &reference : manifest.sites) {
         SiteConfiguration site = TRY(readSite(session, manifest, reference.site, known));
-        sites.push_back({reference.site, std::move(site.sections)});
+        sites.push_back({reference.site, std::move(site.sections), site.manifest.limits});
     }
     return sites;
 }
@@ -128,6 +130,27 @@
     text += " timeout_ms=" + std::to_string(route.timeout.count());
     text += " maximum_retries=" + std::to_string(route.maximumRetries);
     text += route.hedged ? " hedged=true" : " hedged=false";
+    text += " priority=" + std::to_string(route.priority);
+    if (route.targetLatency.count() != 0)
+        text += " target_latency_ms=" + std::to_string(route.targetLatency.count());
+    if (!route.host.empty())
+        text += " host=" + route.host;
+    for (const WeightedCluster &part : route.split)
+        text += " split." + part.cluster + "=" + std::to_string(part.weight);
+    return text;
+}
+
+std::string describeLimits(const CallerLimits &limits)
+{
+    std::string text;
+    const auto add = [&text](const char *name, std::uint64_t value) {
+        if (value != 0)
+            text += (text.empty() ? "" : " ") + std::string(name) + "=" + std::to_string(value);
+    };
+    add("maximum_header_bytes", limits.headerBytes);
+    add("maximum_body_bytes", limits.bodyBytes);
+    add("header_timeout_ms", static_cast<std::uint64_t>(limits.headerTimeout.count()));
+    add("idle_timeout_ms", static_cast<std::uint64_t>(limits.idleTimeout.count()));
     return text;
 }
 
--- a/Utilities/Ctl/Content.h
+++ b/Utilities/Ctl/Content.h
@@ -41,5 +41,7 @@
 
 // One line, as it stands in `before` and `after`.
 std::string describeRoute(const Route &route, const std::string &cluster);
+// Only what is stated; empty when nothing is.
+std::string describeLimits(const CallerLimits &limits);
 
 } // namespace Sagecrank
--- a/Utilities/Ctl/Print.cpp
+++ b/Utilities/Ctl/Print.cpp
@@ -28,6 +28,9 @@
 
 json::object routeJson(const Route &route)
 {
+    json::object split;
+    for (const WeightedCluster &part : route.split)
+        split[part.cluster] = part.weight;
     return {{"name", route.name},
             {"prefix", route.prefix},
             {"methods", textArray(route.methods)},
@@ -35,7 +38,20 @@
             {"idempotent", route.idempotent},
             {"timeout_ms", route.timeout.count()},
             {"maximum_retries", route.maximumRetries},
-            {"hedged", route.hedged}};
+            {"hedged", route.hedged},
+            {"priority", route.priority},
+            {"target_latency_ms", route.targetLatency.count()},
+            {"host", route.host},
+            {"split", std::move(split)}};
+}
+
+// Zero: the node's own settings hold.
+json::object limitsJson(const CallerLimits &limits)
+{
+    return {{"maximum_header_bytes", limits.headerBytes},
+            {"maximum_body_bytes", limits.bodyBytes},
+            {"header_timeout_ms", limits.headerTimeout.count()},
+            {"idle_timeout_ms", limits.idleTimeout.count()}};
 }
 
 json::object siteJson(const RenderedSite &site)
@@ -49,7 +65,7 @@
                                            {"maximum_queue", section.maximumQueue},
                                            {"routes", std::move(routes)}});
     }
-    return {{"site", site.site}, {"clusters", std::move(clusters)}};
+    return {{"site", site.site}, {"callers", limitsJson(site.limits)}, {"clusters", std::move(clusters)}};
 }
 
 json::object entryJson(const HistoryEntry &entry)
@@ -174,6 +190,8 @@
     }
     for (const RenderedSite &site : sites) {
         this->out << "site " << site.site << "\n";
+        if (const std::string limits = describeLimits(site.limits); !limits.empty())
+            this->out << "  callers " << limits << "\n";
         for (const Section &section : site.sections) {
             this->out << "  cluster " << section.cluster << " maximum_queue=" << section.maximumQueue << "\n";
             for (const Route &route : section.routes)
--- a/Utilities/FleetBench/Publish.cpp
+++ b/Utilities/FleetBench/Publish.cpp
@@ -91,7 +91,7 @@
         const std::string site = "zone-" + std::to_string(i);
         const SiteConfiguration configuration =
             makeSite(site, settings.version, settings.services, settings.routes, settings.changed);
-        const Digest digest = sectionListDigest(configuration.manifest.sections);
+        const Digest digest = siteDigest(configuration.manifest);
         manifest.sites.push_back({site, digest});
         // All sites have the same sections, and later versions share those that did not change.
         const std::size_t written = settings.version == 1 ? settings.services : settings.changed;
@@ -103,8 +103,7 @@
                                               encodeSection(configuration.sections[k])});
         }
         if (i == 0)
-            publisher->waiting.push_back(
-                {siteObjectName(digest), encodeSectionList(configuration.manifest.sections)});
+            publisher->waiting.push_back({siteObjectName(digest), encodeSite(configuration.manifest)});
     }
     std::sort(manifest.sites.begin(), manifest.sites.end(),
               [](const auto &first, const auto &second) { return first.site < second.site; });
