Platform: Read uploads, and let a broken rule cost itself alone

Cause: a version with one route of a kind that the reader did not know was refused whole.

Change: upload is a request that runs at most once. A word that is not known is read the same way and reported (configuration.doubtful). A rule with a broken field keeps its match and is served by nobody, so that its requests are refused as not run and never run at the service of a shorter prefix; all other routes serve. A document that cannot be read at all is logged as configuration.rejected.

Tests: the rows of aDamagedOneIsRefusedWhole that broke one rule moved to aBrokenRuleCostsItselfAlone, which asks for more: the route refuses, is not matched elsewhere, is reported, and the others serve. The table of kinds fails before the change. The whole document is still refused for what is not inside a rule.

--- a/Libraries/LibConfig/Model.h
+++ b/Libraries/LibConfig/Model.h
@@ -3,10 +3,12 @@
 #pragma once
 
 #include <LibCore/EnumNames.h>
+#include <LibCore/Error.h>
 #include <LibCore/Time.h>
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Sagecrank {
@@ -38,6 +40,10 @@
     }
 };
 
+// No upstream ever announces itself for this service. The routes of its section are matched, and their calls
+// are refused as not run.
+inline constexpr std::string_view unservedCluster = "";
+
 // One part of a route whose calls go to several services.
 struct WeightedCluster
 {
@@ -130,6 +136,9 @@
 {
     SiteManifest manifest;
     std::vector<Section> sections; // In the manifest's order.
+    // What its reader did not know or could not read, and what it did instead. Stays with that reader: other
+    // nodes are sent what came of it.
+    std::vector<Error> doubts;
 };
 
 } // namespace Sagecrank
--- a/Libraries/LibObserve/Events.h
+++ b/Libraries/LibObserve/Events.h
@@ -35,6 +35,7 @@
     ConfigurationRejected = 2002,
     ConfigurationStale = 2003,
     ConfigurationPullFailed = 2004,
+    ConfigurationDoubtful = 2005,
 
     MemberJoined = 3001,
     MemberSuspected = 3002,
@@ -113,6 +114,8 @@
      "A version at or below the held one was offered and ignored."},
     {EventId::ConfigurationPullFailed, "configuration.pull_failed", LogLevel::Warning,
      "A pull from a peer or the platform failed; it is tried elsewhere."},
+    {EventId::ConfigurationDoubtful, "configuration.doubtful", LogLevel::Warning,
+     "One route of a version could not be read as it stands; the line says what holds for it instead."},
 
     {EventId::MemberJoined, "member.joined", LogLevel::Info,
      "A node was seen for the first time or came back."},
--- a/Services/Node/ControlFollower.cpp
+++ b/Services/Node/ControlFollower.cpp
@@ -124,8 +124,13 @@
         } else {
             this->poll.failed();
             ++this->counts.headReadFailures;
-            if (this->poll.failuresInRow() == 1 && this->hooks.sourceLost)
-                this->hooks.sourceLost(head.assume_error());
+            const Error &error = head.assume_error();
+            // It answers, with something that cannot be read: nothing new comes into force until it is
+            // mended, and only this line says why.
+            if (error.kind == ErrorKind::InvalidInput)
+                this->hooks.failed(error);
+            else if (this->poll.failuresInRow() == 1 && this->hooks.sourceLost)
+                this->hooks.sourceLost(error);
         }
         this->pollLater(this->poll.nextDelay(this->hooks.rank()));
     });
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -210,11 +210,15 @@
 Result<void> Node::offer(SiteConfiguration configuration)
 {
     const SiteManifest manifest = configuration.manifest;
+    const std::vector<Error> doubts = configuration.doubts;
     const Result<void> taken = this->configuration.offer(std::move(configuration));
     if (!taken) {
         this->nodeLog.configurationRefused(manifest.version, taken.error());
         this->history.record([&] { return offeredEvent(manifest, taken.error().describe()); });
+        return taken;
     }
+    for (const Error &doubt : doubts)
+        this->nodeLog.configurationDoubtful(manifest.version, doubt);
     return taken;
 }
 
--- a/Services/Node/NodeLog.cpp
+++ b/Services/Node/NodeLog.cpp
@@ -60,9 +60,18 @@
         {{"version", version}, {"step", error.step}, {"peer", error.peer}, {"message", error.message}});
 }
 
+void NodeLog::configurationDoubtful(std::uint64_t version, const Error &doubt)
+{
+    this->log.write(
+        EventId::ConfigurationDoubtful,
+        {{"version", version}, {"step", doubt.step}, {"route", doubt.peer}, {"message", doubt.message}});
+}
+
+// A version that cannot be read will not be read tomorrow either, whoever sends it.
 void NodeLog::controlFailed(const Error &error)
 {
-    this->log.write(EventId::ConfigurationPullFailed,
+    const bool unreadable = error.kind == ErrorKind::InvalidInput;
+    this->log.write(unreadable ? EventId::ConfigurationRejected : EventId::ConfigurationPullFailed,
                     {{"step", error.step}, {"peer", error.peer}, {"message", error.message}});
 }
 
--- a/Services/Node/NodeLog.h
+++ b/Services/Node/NodeLog.h
@@ -21,6 +21,7 @@
 
     void configurationSwapped(std::uint64_t version, std::uint64_t previous);
     void configurationRefused(std::uint64_t version, const Error &error);
+    void configurationDoubtful(std::uint64_t version, const Error &doubt);
     void controlFailed(const Error &error);
     void memberChanged(const Member &member);
     void announcementRefused(const Error &error);
--- a/Tests/Platform/TestConfigurationDocument.cpp
+++ b/Tests/Platform/TestConfigurationDocument.cpp
@@ -37,14 +37,43 @@
     {"cut short", goodDocument.substr(0, 300)},
     {"no version", replaced("\"version\":7,", "")},
     {"version of another type", replaced("\"version\":7", "\"version\":\"7\"")},
-    {"unknown kind", replaced("\"unsafe\"", "\"once\"")},
+    {"services of another type", replaced("\"clusters\":[", "\"clusters\":[3,")},
+    {"no limits", replaced("\"limits\"", "\"bounds\"")},
+    {"a host of another type", replaced("\"listeners\":[", "\"listeners\":[3,")},
+};
+
+struct KindRow
+{
+    const char *kind;
+    bool idempotent;
+    std::size_t doubts;
+};
+
+const KindRow kindRows[] = {
+    {"safe", true, 0}, {"unsafe", false, 0}, {"upload", false, 0}, {"once", false, 1}, {"SAFE", false, 1},
+};
+
+const BadRow brokenRules[] = {
     {"no unit", replaced("\"800ms\"", "\"800\"")},
     {"unknown service", replaced("\"service\":\"booking\",\"timeout\"", "\"service\":\"other\",\"timeout\"")},
-    {"empty split",
-     replaced("{\"service\":\"booking\",\"weight\":90},{\"service\":\"entry\",\"weight\":10}", "")},
-    {"a rule that is no object", replaced("\"ruleSet\":[", "\"ruleSet\":[3,")},
+    {"no service", replaced("\"service\":\"booking\",\"timeout\"", "\"timeout\"")},
+    {"kind of another type", replaced("\"unsafe\"", "4")},
+    {"priority of another type", replaced("\"priority\":1", "\"priority\":\"high\"")},
+    {"empty split", replaced("\"service\":\"booking\",\"timeout\"", "\"weightedSplit\":[],\"timeout\"")},
+    {"split to an unknown service", replaced("\"service\":\"booking\",\"timeout\"",
+                                             "\"weightedSplit\":[{\"service\":\"booking\",\"weight\":1},"
+                                             "{\"service\":\"other\",\"weight\":1}],\"timeout\"")},
 };
 
+std::shared_ptr<const SiteConfiguration> decoded(const std::string &document)
+{
+    auto configuration = Platform::decodeConfiguration(document, "site");
+    cr_assert(configuration.has_value());
+    auto shared = std::make_shared<const SiteConfiguration>(std::move(configuration).assume_value());
+    cr_assert(checkSite(*shared).has_value());
+    return shared;
+}
+
 } // namespace
 
 Test(configurationDocument, readsRoutesLimitsAndSplits)
@@ -71,11 +100,54 @@
     cr_assert(snapshot.match("ficu95.example", "GET", "/lo") == nullptr);
 }
 
-// An operator's document is damaged or of another shape. Taken in part, routes would vanish or point at
-// services that are not there; so it is refused whole and the version before it stays in force.
+// An operator's document is damaged or of another shape. Taken in part, hosts would vanish with all of their
+// routes; so it is refused whole and the version before it stays in force.
 TABLE_TEST(configurationDocument, aDamagedOneIsRefusedWhole, badRows)
 {
     const auto decoded = Platform::decodeConfiguration(row.document, "site");
     cr_assert(!decoded.has_value(), "%s", row.what);
     cr_assert(decoded.error().kind == ErrorKind::InvalidInput);
 }
+
+// A route is of a kind that this reader does not know. If the version were refused for it, no caller of the
+// whole mesh would be served; if its requests could be sent again, one might run twice. The other routes
+// serve, and its requests run at most once.
+TABLE_TEST(configurationDocument, onlyOneKindMayRunAgain, kindRows)
+{
+    const auto configuration = decoded(replaced("\"unsafe\"", "\"" + std::string(row.kind) + "\""));
+    cr_assert(configuration->doubts.size() == row.doubts, "%s", row.kind);
+    const Snapshot snapshot(configuration);
+    const Route &pay = *snapshot.match("ficu95.example", "POST", "/pay/7")->route;
+    cr_assert(pay.idempotent == row.idempotent, "%s", row.kind);
+    cr_assert(pay.maximumRetries == (row.idempotent ? 1U : 0U), "%s", row.kind);
+    cr_assert(snapshot.match("ficu95.example", "POST", "/pay/7")->section->cluster == "booking");
+    cr_assert(snapshot.match("ficu95.example", "GET", "/look/a") != nullptr);
+}
+
+// One rule of many cannot be read. The callers of all other routes are served; its own are refused as not
+// run, and never matched by a shorter prefix, at whose service they would run by mistake.
+TABLE_TEST(configurationDocument, aBrokenRuleCostsItselfAlone, brokenRules)
+{
+    std::string document = row.document;
+    const std::string rules = "\"ruleSet\":[";
+    document.insert(document.find(rules) + rules.size(),
+                    R"({"name":"r-0","kind":"safe","targetLatency":"1s","priority":3,"match":{"prefix":"/"},
+                        "action":{"service":"entry","timeout":"1s","maxAttempts":2}},)");
+    const auto configuration = decoded(document);
+    cr_assert(configuration->doubts.size() == 1, "%s", row.what);
+    const Snapshot snapshot(configuration);
+    const RouteEntry *pay = snapshot.match("ficu95.example", "POST", "/pay/7");
+    cr_assert(pay != nullptr && pay->section->cluster == unservedCluster, "%s", row.what);
+    cr_assert(!pay->route->idempotent && pay->route->maximumRetries == 0 && pay->route->split.empty());
+    cr_assert(snapshot.match("ficu95.example", "GET", "/look/a")->route->split.size() == 2, "%s", row.what);
+    cr_assert(snapshot.match("ficu95.example", "GET", "/else/a")->section->cluster == "entry", "%s",
+              row.what);
+}
+
+// A rule that is no object names no requests that could be kept from others; it is left out and reported.
+Test(configurationDocument, aRuleWithoutShapeIsLeftOut)
+{
+    const auto configuration = decoded(replaced("\"ruleSet\":[", "\"ruleSet\":[3,"));
+    cr_assert(configuration->doubts.size() == 1);
+    cr_assert(Snapshot(configuration).routeCount() == 2);
+}
