LibMembership: Go on greeting the nodes that rows name until they answer

(2) A group that has met within itself stopped looking: it compared its view with one seed a minute, and no row of its own zone was read again. No line said so.

Change: each seed at which no member is known is greeted, after 50 ms, then ever more seldom (1.5 s with few, two datagrams a second in all); the first of a zone goes on reading its zone's rows and the mesh's. In a mesh of up to 16, what a comparison brought is told on, and comparisons follow each other faster; they go through the zone's peers in turn. Rounds of writing and reading are a decision of their own (IntroducerRounds). A row of a node that is not known is logged (member.unmet).

Ruled out: shortening the first pause alone, which raises the worst windows and splits the fleet.

--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -10,10 +10,15 @@
 constexpr std::uint32_t goodbyes = 5;     // Rounds of gossip after a leave; each goes to the whole fan-out.
 constexpr std::size_t maximumSeeds = 128; // Three introducers of each of 25 zones, and what settings list.
 constexpr Duration firstJoinBackoff = Milliseconds(500);
+// The hosts of a zone get their power back within a tenth of a second or two of each other, so the first
+// greetings often find nobody yet.
+constexpr Duration firstGreetingBackoff = Milliseconds(50);
 // About fifteen seconds without an answer from any seed: this node is the only one, and waiting for others
 // would keep it from serving for good.
 constexpr std::uint32_t joinAttemptsAlone = 5;
 constexpr Duration requestAgainAfter = Milliseconds(1000);
+// Some 2 KB of records, which each node tells on within two seconds of its 6 KB a second.
+constexpr std::size_t smallMesh = 16;
 // The owner of news knows it first; until its zone has heard, nobody else carries it to other zones.
 constexpr std::uint32_t roundsForOwnNews = 3;
 
@@ -48,6 +53,8 @@
 {
     this->own.state = MemberState::Alive;
     this->table.replaceOwn(this->own, Instant{});
+    for (const std::string &seed : this->settings.seeds)
+        this->greetings[seed] = Greeting{Instant{}, firstGreetingBackoff};
 }
 
 void Membership::tick(Instant now)
@@ -61,6 +68,8 @@
     this->checkSuspects(now);
     if (!this->leaving && now >= this->nextJoin)
         this->join(now);
+    if (!this->leaving)
+        this->greetStrangers(now);
     if (now >= this->nextGossip) {
         this->nextGossip = now + this->settings.gossipInterval;
         this->gossip(now);
@@ -73,8 +82,7 @@
         // A lost answer while there is much to learn must not cost a whole interval.
         const bool behind = this->catchUpRounds > 0;
         this->catchUpRounds -= behind ? 1 : 0;
-        this->nextSync =
-            now + this->jittered(behind ? this->settings.catchUpInterval * 2 : this->settings.syncInterval);
+        this->nextSync = now + this->jittered(behind ? this->paceOfCatchUp() : this->settings.syncInterval);
         this->startSync(now);
     }
     if (!this->leaving && now >= this->nextReconnect) {
@@ -89,6 +97,14 @@
     }
 }
 
+// Where the whole table fits two datagrams, rounds may follow each other faster: two groups of a small mesh
+// that have just met are one sooner, and each round costs a node 900 bytes.
+Duration Membership::paceOfCatchUp() const
+{
+    const bool small = this->table.presentCount() <= smallMesh;
+    return small ? this->settings.catchUpInterval : this->settings.catchUpInterval * 2;
+}
+
 // Load: a zone returns, and each of its nodes learns thousands of records from several peers at once. Harm:
 // the bytes that arrive pass the node's 13 KB a second for a minute. The wait ends at the ordinary interval,
 // so that a flood of datagrams cannot keep a node from comparing at all.
@@ -173,9 +189,11 @@
 
 void Membership::takeChanges(Instant now, const std::string &from, const Datagram &datagram)
 {
-    // What came by comparison is old news to the mesh. Telling it on would cost a node that has just joined
-    // its whole budget for minutes; whoever else missed it finds it by comparison too.
+    // What came by comparison is old news to a large mesh. Telling it on would cost a node that has just
+    // joined its whole budget for minutes; whoever else missed it finds it by comparison too. In a small one
+    // it may be a group that nobody here knew, and telling it on costs little.
     const bool answersSync = datagram.kind == DatagramKind::Gossip && datagram.sequence != 0;
+    const bool isOldNews = answersSync && this->table.presentCount() > smallMesh;
     for (const Member &member : datagram.members) {
         const std::uint64_t idHash = hashId(member.id);
         if (this->concernsOwn(now, idHash, member.incarnation, member.state))
@@ -184,7 +202,7 @@
         const bool whole = before == nullptr || before->fixedHash != hashFixedFacts(member);
         const MergeOutcome outcome = this->table.merge(member, now);
         this->afterMerge(now, idHash, outcome);
-        if (!answersSync)
+        if (!isOldNews)
             this->spread(idHash, outcome, whole);
     }
     std::vector<std::uint64_t> unknown;
@@ -298,16 +316,28 @@
     this->noteHead(head);
 }
 
-void Membership::addSeeds(const std::vector<std::string> &addresses, bool ownZone)
+void Membership::addSeeds(Instant now, const std::vector<std::string> &addresses, bool ownZone)
 {
     if (ownZone)
         this->zoneSeeds = addresses;
     for (const std::string &address : addresses) {
-        const bool known = std::find(this->settings.seeds.begin(), this->settings.seeds.end(), address)
-                           != this->settings.seeds.end();
-        if (!known && address != this->own.gossipAddress && this->settings.seeds.size() < maximumSeeds)
-            this->settings.seeds.push_back(address);
+        const bool known = this->greetings.contains(address);
+        if (known || address == this->own.gossipAddress || this->settings.seeds.size() >= maximumSeeds)
+            continue;
+        this->settings.seeds.push_back(address);
+        this->greetings[address] = Greeting{now, firstGreetingBackoff};
     }
+    if (!this->leaving)
+        this->greetStrangers(now);
+}
+
+bool Membership::hasMemberAt(const std::string &gossipAddress) const
+{
+    bool found = false;
+    this->table.forEach([&](const MemberRecord &record) {
+        found = found || (isPresent(record.member.state) && record.member.gossipAddress == gossipAddress);
+    });
+    return found;
 }
 
 void Membership::leave(Instant now)
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -104,7 +104,8 @@
     void receive(Instant now, const std::string &from, std::string_view bytes);
     void setUpstream(Instant now, const std::string &cluster, UpstreamState state, std::uint32_t slots);
     void setConfiguration(std::uint64_t heldVersion, const ConfigurationMark &head);
-    void addSeeds(const std::vector<std::string> &addresses, bool ownZone);
+    // Greets those that no member is known at.
+    void addSeeds(Instant now, const std::vector<std::string> &addresses, bool ownZone);
     void leave(Instant now); // Says goodbye; keep ticking until saidGoodbye().
 
     // Queries.
@@ -112,6 +113,7 @@
     const Member &self() const { return this->own; }
     const ConfigurationMark &head() const { return this->headMark; }
     const MembershipCounters &counters() const { return this->counts; }
+    bool hasMemberAt(const std::string &gossipAddress) const; // That is present.
     bool hasView() const; // Somebody answered, or there is nobody to ask, or nobody answered for long.
     bool saidGoodbye() const { return this->leaving && this->goodbyeRounds == 0; }
     std::uint32_t healthScore() const { return this->health; }
@@ -130,6 +132,13 @@
         Instant deadline; // Of the suspicion that they belong to.
         int made = 0;
     };
+    // A seed while no member is known at its address.
+    struct Greeting
+    {
+        Instant next;
+        Duration backoff;
+        bool met = false; // When last looked at.
+    };
     struct Relay
     {
         std::string requester; // Address.
@@ -170,6 +179,9 @@
     // Spreading and comparing (MembershipSync.cpp).
     void gossip(Instant now);
     void join(Instant now);
+    void greetStrangers(Instant now);
+    std::vector<std::string> dueStrangers(Instant now);
+    Duration longestBackoffOfGreetings() const;
     void startSync(Instant now);
     Datagram makeSyncDigest();
     void catchUp(Instant now); // There was news; there may be more.
@@ -181,10 +193,12 @@
     void sendRecords(const std::string &address, const std::vector<const MemberRecord *> &records,
                      std::size_t maximumDatagrams);
     std::uint64_t pickPeer(bool ownZone);
+    std::uint64_t nextToCompare();
     bool isMyTurnAcross(double ofTheZone); // Drawn anew each time.
 
     // Sending (Membership.cpp). A datagram that is not owed to anyone is held back when the budget is spent.
     bool maySpend(double share) const;
+    Duration paceOfCatchUp() const;
     bool mustAwaitInbound(Instant now) const; // Too much has arrived for the next comparison to begin yet.
     Datagram makeDatagram(DatagramKind kind, std::uint32_t sequence = 0) const;
     void sendWithChanges(const std::string &address, Datagram datagram);
@@ -214,6 +228,7 @@
     std::uint32_t probeRounds = 0;
     std::vector<std::uint64_t> zoneRing; // Still to be probed in this pass; each pass is shuffled anew.
     std::vector<std::uint64_t> otherRing;
+    std::vector<std::uint64_t> compareRing; // As zoneRing, for comparisons.
 
     std::string troubledZone;         // Another zone with several suspects.
     std::uint32_t troubledProbes = 0; // Extra probes still to be sent into it.
@@ -235,8 +250,9 @@
     bool heardAnyone = false;
     bool leaving = false;
     std::uint32_t goodbyeRounds = 0;
-    std::uint32_t ownNewsRounds = 0;    // Rounds of gossip that still cross to another zone for its own news.
-    std::vector<std::string> zoneSeeds; // Those of the seeds that are known to be of its zone.
+    std::uint32_t ownNewsRounds = 0; // Rounds of gossip that still cross to another zone for its own news.
+    std::map<std::string, Greeting> greetings; // By seed.
+    std::vector<std::string> zoneSeeds;        // Those of the seeds that are known to be of its zone.
 };
 
 } // namespace Sagecrank
--- a/Libraries/LibMembership/MembershipSync.cpp
+++ b/Libraries/LibMembership/MembershipSync.cpp
@@ -11,6 +11,13 @@
 constexpr Duration longestJoinBackoff = Milliseconds(10000);
 constexpr Duration rejoinInterval = std::chrono::minutes(1);
 constexpr std::uint32_t joinTargets = 3;
+// A row may outlive its node. All strangers together cost a node at most two datagrams of 300 bytes a second,
+// and with few of them each is greeted every 1.5 s: about as long as two groups may stand apart.
+constexpr Duration greetingInterval = Milliseconds(500);
+constexpr Duration shortestLastBackoff = Milliseconds(1500);
+constexpr Duration longestGreetingBackoff = Milliseconds(30000);
+// Whether a member still stands at a seed is looked at this often.
+constexpr Duration acquaintanceCheck = Milliseconds(1000);
 constexpr std::size_t joinAnswerDatagrams = 8; // A third of a zone of 260 in 1,200-byte datagrams.
 constexpr std::size_t syncAnswerDatagrams = 4;
 constexpr std::uint32_t roundsAfterNews = 4;
@@ -71,43 +78,86 @@
     }
 }
 
-// Asks seeds for a first view until somebody answers, then goes on at a slow pace: two halves of a mesh that
-// no longer know each other meet again through the seeds. Whoever has a view only compares it, with one of
-// them.
+// Whoever has a view compares it with one of the seeds now and then. One without a view counts how long it
+// has had no answer.
 void Membership::join(Instant now)
 {
-    std::vector<std::string> addresses = this->settings.seeds;
-    std::shuffle(addresses.begin(), addresses.end(), this->random);
-    std::erase(addresses, this->own.gossipAddress);
     if (this->heardAnyone && this->table.presentCount() > 1) {
         this->nextJoin = now + this->jittered(rejoinInterval);
-        if (!addresses.empty())
-            this->transmit(addresses.front(), this->makeSyncDigest());
+        if (!this->settings.seeds.empty()) {
+            std::uniform_int_distribution<std::size_t> any(0, this->settings.seeds.size() - 1);
+            this->transmit(this->settings.seeds[any(this->random)], this->makeSyncDigest());
+        }
         return;
     }
-    this->joinBackoff = std::min(this->joinBackoff * 2, longestJoinBackoff);
     this->nextJoin = now + this->jittered(this->joinBackoff);
+    if (this->settings.seeds.empty())
+        return;
+    this->joinBackoff = std::min(this->joinBackoff * 2, longestJoinBackoff);
     ++this->joinAttempts;
-    // Those of its zone know as much as the others and are near; when they are silent, all are asked.
-    if (this->joinAttempts == 1) {
-        std::stable_partition(addresses.begin(), addresses.end(), [this](const std::string &address) {
-            return std::find(this->zoneSeeds.begin(), this->zoneSeeds.end(), address)
-                   != this->zoneSeeds.end();
-        });
-    }
-    if (addresses.size() > joinTargets)
-        addresses.resize(joinTargets);
-    for (std::size_t i = 0; i < addresses.size(); ++i) {
+}
+
+// Failure: nodes start together, or a cut heals, and some meet before they have heard of the others. Symptom:
+// two groups that could reach each other each take themselves for the whole mesh, with no fault about, and
+// their callers find a part of the upstreams only. So meeting somebody does not end the search: each seed
+// that no member is known at is greeted until one is, ever more seldom, since a row may outlive its node. One
+// answer joins two groups: the greeter gets the other's members, and both spread what is new to them.
+void Membership::greetStrangers(Instant now)
+{
+    const std::vector<std::string> strangers = this->dueStrangers(now);
+    if (strangers.empty())
+        return;
+    const bool firstView = !this->heardAnyone;
+    for (std::size_t i = 0; i < strangers.size(); ++i) {
         Datagram datagram = this->makeDatagram(DatagramKind::Join);
         datagram.members.push_back(this->own);
-        // Each of those that are asked answers with another part of the zone.
-        datagram.buckets = {static_cast<std::uint8_t>(i), static_cast<std::uint8_t>(addresses.size())};
-        this->transmit(addresses[i], datagram);
+        // Each of those that are asked for a first view answers with another part of the zone.
+        if (firstView)
+            datagram.buckets = {static_cast<std::uint8_t>(i), static_cast<std::uint8_t>(strangers.size())};
+        this->transmit(strangers[i], datagram);
     }
+    if (!firstView)
+        return;
     this->catchUpRounds = std::max(this->catchUpRounds, roundsAfterJoin);
     this->nextSync = std::min(this->nextSync, now + this->settings.catchUpInterval);
 }
 
+Duration Membership::longestBackoffOfGreetings() const
+{
+    const auto strangers =
+        std::ranges::count_if(this->greetings, [](const auto &entry) { return !entry.second.met; });
+    return std::clamp<Duration>(greetingInterval * strangers, shortestLastBackoff, longestGreetingBackoff);
+}
+
+// A few at a time, those of its own zone first: they know as much as the others and are near.
+std::vector<std::string> Membership::dueStrangers(Instant now)
+{
+    std::vector<std::string> due;
+    for (const auto &[address, greeting] : this->greetings) {
+        if (greeting.next <= now && address != this->own.gossipAddress)
+            due.push_back(address);
+    }
+    std::shuffle(due.begin(), due.end(), this->random);
+    std::stable_partition(due.begin(), due.end(), [this](const std::string &address) {
+        return std::find(this->zoneSeeds.begin(), this->zoneSeeds.end(), address) != this->zoneSeeds.end();
+    });
+    std::vector<std::string> strangers;
+    for (const std::string &address : due) {
+        if (strangers.size() == joinTargets)
+            break;
+        Greeting &greeting = this->greetings[address];
+        if (this->hasMemberAt(address)) {
+            greeting = Greeting{now + acquaintanceCheck, acquaintanceCheck, true};
+            continue;
+        }
+        greeting.met = false;
+        greeting.next = now + this->jittered(greeting.backoff);
+        greeting.backoff = std::min(greeting.backoff * 2, this->longestBackoffOfGreetings());
+        strangers.push_back(address);
+    }
+    return strangers;
+}
+
 // A joining node gets members of its own zone first, for it calls those most; the rest comes by comparison.
 void Membership::handleJoin(Instant /*now*/, const std::string &from, const Datagram &datagram)
 {
@@ -155,11 +205,19 @@
     std::uniform_int_distribution<int> quarter(0, 3);
     const bool across =
         quarter(this->random) == 0 && this->isMyTurnAcross(4 * this->settings.syncersAcrossZone);
-    const MemberRecord *peer = this->table.find(this->pickPeer(!across));
+    const MemberRecord *peer = this->table.find(across ? this->pickPeer(false) : this->nextToCompare());
     if (peer != nullptr)
         this->transmit(peer->member.gossipAddress, this->makeSyncDigest());
 }
 
+// Failure: two nodes miss the same member and by chance compare with each other again and again. Symptom:
+// they do not hear of it for seconds. Each peer of the zone comes up once in a pass.
+std::uint64_t Membership::nextToCompare()
+{
+    const std::vector<std::uint64_t> &zonePeers = this->table.zonePeers();
+    return zonePeers.empty() ? this->pickPeer(true) : this->nextInRing(this->compareRing, zonePeers);
+}
+
 Datagram Membership::makeSyncDigest()
 {
     Datagram digest = this->makeDatagram(DatagramKind::SyncDigest, ++this->lastSequence);
--- a/Libraries/LibObserve/Events.h
+++ b/Libraries/LibObserve/Events.h
@@ -41,6 +41,7 @@
     MemberSuspected = 3002,
     MemberDead = 3003,
     MemberLeft = 3004,
+    MemberUnmet = 3005,
 
     PeerLost = 4002,
     PeerSilent = 4003,
@@ -124,6 +125,8 @@
     {EventId::MemberDead, "member.dead", LogLevel::Warning,
      "A suspected node did not refute in time; it gets no calls."},
     {EventId::MemberLeft, "member.left", LogLevel::Info, "A node said goodbye."},
+    {EventId::MemberUnmet, "member.unmet", LogLevel::Info,
+     "A row in the table names a node that no member is known at; it is greeted until it answers."},
 
     {EventId::PeerLost, "peer.lost", LogLevel::Warning, "A connection to a peer node broke."},
     {EventId::PeerSilent, "peer.silent", LogLevel::Warning,
--- a/Services/Node/ControlIntroducers.cpp
+++ b/Services/Node/ControlIntroducers.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-constexpr std::uint32_t introducersPerZone = 3;
-constexpr Duration renewInterval = std::chrono::seconds(60);
-constexpr Duration longestLonelyBackoff = std::chrono::seconds(30);
 constexpr std::uint32_t readLimit = 32;
 constexpr auto meshPartition = "introducers#mesh"; // One row a zone, so that zones find each other.
 
@@ -22,23 +19,23 @@
 } // namespace
 
 ControlIntroducers::ControlIntroducers(boost::asio::io_context &context, std::string id, std::string zone,
-                                       std::string gossipAddress, TablePort table,
-                                       IntroducerSettings settings, IntroducerHooks hooks, std::uint64_t seed)
+                                       std::string gossipAddress, TablePort table, IntroducerPace pace,
+                                       IntroducerHooks hooks, std::uint64_t seed)
     : timer(context)
     , id(std::move(id))
     , zone(std::move(zone))
     , gossipAddress(std::move(gossipAddress))
     , table(std::move(table))
-    , settings(settings)
+    , pace(pace)
     , hooks(std::move(hooks))
     , random(seed)
-    , lonelyBackoff(settings.lonelyBackoff)
+    , rounds(pace)
 {
 }
 
 void ControlIntroducers::start()
 {
-    this->later(this->settings.firstRound);
+    this->later(this->pace.firstRound);
 }
 
 void ControlIntroducers::stop()
@@ -59,41 +56,23 @@
 
 void ControlIntroducers::round()
 {
-    ++this->rounds;
-    const bool knowsOthers = this->hooks.knowsOthers();
-    const bool first = this->hooks.rank() == 0;
-    this->meetZone(knowsOthers);
-    if (this->rounds > 1 && (first || !knowsOthers))
-        this->meetOtherZones();
-    // Zones that start together may miss each other's rows, so the first of each looks more often at first.
-    const bool settled = knowsOthers && (!first || this->lonelyBackoff >= renewInterval);
-    if (settled)
-        return this->later(renewInterval);
-    this->later(this->lonelyBackoff);
-    const Duration longest = knowsOthers ? renewInterval : longestLonelyBackoff;
-    this->lonelyBackoff = std::min(this->lonelyBackoff * 2, longest);
-}
-
-void ControlIntroducers::meetZone(bool knowsOthers)
-{
-    if (this->hooks.rank() < introducersPerZone)
+    const IntroducerRound now = this->rounds.next(this->hooks.knowsOthers(), this->hooks.rank());
+    if (now.writeZone)
         this->writeWhenDue(this->zoneWrittenAt, zonePartition(this->zone), this->id);
-    if (!knowsOthers)
+    if (now.readZone)
         this->read(zonePartition(this->zone));
-}
-
-void ControlIntroducers::meetOtherZones()
-{
-    if (this->hooks.rank() == 0)
+    if (now.writeMesh)
         this->writeWhenDue(this->meshWrittenAt, meshPartition, this->zone);
-    this->read(meshPartition);
+    if (now.readMesh)
+        this->read(meshPartition);
+    this->later(now.pause);
 }
 
 void ControlIntroducers::writeWhenDue(Instant &writtenAt, const std::string &partition,
                                       const std::string &sort)
 {
     const Instant now = SteadyClock::now();
-    if (writtenAt != Instant::min() && now - writtenAt < renewInterval / 2)
+    if (writtenAt != Instant::min() && now - writtenAt < introducerRenewal / 2)
         return;
     writtenAt = now;
     ++this->counts.writes;
--- a/Services/Node/ControlIntroducers.h
+++ b/Services/Node/ControlIntroducers.h
@@ -4,13 +4,11 @@
 // Load: 6,500 nodes, 1,100 restarts a day, and a table with several hundred writes a second. Three rows a
 // zone, renewed about once a minute, and one row a zone for the mesh make two writes a second at 25 zones,
 // whatever the number of nodes.
-//
-// Load: all nodes start at once, and each takes itself for the only one. Harm of writing and reading
-// everything in each round: 11 calls a node (78 nodes) before they have met. A node writes a row once in its
-// time, and leaves the other zones to the second round, by when one of each zone knows that it is first.
+// A node writes a row once in half of the time after which it is renewed, however often it is its turn.
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibMembership/IntroducerRounds.h>
 #include <LibSource/Ports.h>
 
 #include <boost/asio/io_context.hpp>
@@ -31,14 +29,6 @@
     std::uint64_t failures = 0;
 };
 
-struct IntroducerSettings
-{
-    // Seeds are given this long to answer before the table is asked. Zero where there are no seeds.
-    Duration firstRound = Milliseconds(1500);
-    // Between the rounds of a node that knows nobody; doubles up to the longest.
-    Duration lonelyBackoff = Milliseconds(3000);
-};
-
 struct IntroducerHooks
 {
     std::function<std::uint32_t()> rank; // Among the zone's members, for this role.
@@ -50,8 +40,8 @@
 {
 public:
     ControlIntroducers(boost::asio::io_context &context, std::string id, std::string zone,
-                       std::string gossipAddress, TablePort table, IntroducerSettings settings,
-                       IntroducerHooks hooks, std::uint64_t seed);
+                       std::string gossipAddress, TablePort table, IntroducerPace pace, IntroducerHooks hooks,
+                       std::uint64_t seed);
 
     // Commands.
     void start();
@@ -63,8 +53,6 @@
 private:
     void later(Duration delay);
     void round();
-    void meetZone(bool knowsOthers);
-    void meetOtherZones();
     void writeWhenDue(Instant &writtenAt, const std::string &partition, const std::string &sort);
     void read(const std::string &partition);
 
@@ -73,12 +61,11 @@
     std::string zone;
     std::string gossipAddress;
     TablePort table;
-    const IntroducerSettings settings;
+    const IntroducerPace pace;
     IntroducerHooks hooks;
     std::mt19937_64 random;
     IntroducerCounters counts;
-    Duration lonelyBackoff;
-    std::uint32_t rounds = 0; // Begun.
+    IntroducerRounds rounds;
     Instant zoneWrittenAt = Instant::min();
     Instant meshWrittenAt = Instant::min();
     bool stopped = false;
--- a/Services/Node/ControlPlane.cpp
+++ b/Services/Node/ControlPlane.cpp
@@ -174,7 +174,14 @@
         made.rank = [this] { return this->introducerRank(); };
         made.knowsOthers = [this] { return this->gossip.membership().members().presentCount() > 1; };
         made.found = [this](const std::vector<std::string> &addresses, bool ownZone) {
-            this->gossip.membership().addSeeds(addresses, ownZone);
+            Membership &membership = this->gossip.membership();
+            membership.addSeeds(SteadyClock::now(), addresses, ownZone);
+            if (membership.members().presentCount() <= 1 || !this->hooks.unmet)
+                return;
+            for (const std::string &address : addresses) {
+                if (!membership.hasMemberAt(address))
+                    this->hooks.unmet(address);
+            }
         };
         return made;
     }
--- a/Services/Node/ControlPlane.h
+++ b/Services/Node/ControlPlane.h
@@ -38,7 +38,7 @@
     std::vector<std::string> seeds; // Gossip addresses.
     MembershipSettings membership;  // Its seeds are ignored.
     FollowerSettings follower;
-    IntroducerSettings introducers;
+    IntroducerPace introducers;
 };
 
 // All are called on the control thread. Hooks that are not set are not called.
@@ -54,6 +54,8 @@
     std::function<void(const Error &)> failed;
     std::function<void(const Error &)> sourceLost; // The source of versions stopped answering.
     std::function<void()> sourceBack;              // The source of versions answers again.
+    // A row names an introducer at whose address no member is known, although others are.
+    std::function<void(const std::string &gossipAddress)> unmet;
 };
 
 struct ControlStatus
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -203,6 +203,7 @@
         this->log.write(EventId::SourceLost,
                         {{"step", error.step}, {"peer", error.peer}, {"message", error.message}});
     };
+    hooks.unmet = [this](const std::string &address) { this->nodeLog.memberUnmet(address); };
     hooks.sourceBack = [this] { this->log.write(EventId::SourceRegained, {}); };
     return hooks;
 }
--- a/Services/Node/NodeLog.cpp
+++ b/Services/Node/NodeLog.cpp
@@ -88,6 +88,11 @@
         this->seen.erase(entry);
 }
 
+void NodeLog::memberUnmet(const std::string &gossipAddress)
+{
+    this->log.write(EventId::MemberUnmet, {{"peer", gossipAddress}});
+}
+
 void NodeLog::announcementRefused(const Error &error)
 {
     this->log.write(EventId::AnnouncementRefused,
--- a/Services/Node/NodeLog.h
+++ b/Services/Node/NodeLog.h
@@ -24,6 +24,7 @@
     void configurationDoubtful(std::uint64_t version, const Error &doubt);
     void controlFailed(const Error &error);
     void memberChanged(const Member &member);
+    void memberUnmet(const std::string &gossipAddress);
     void announcementRefused(const Error &error);
     void upstreamRecalled(const RecalledUpstream &upstream);
     void departureKept(const Departure &departure);
--- a/Tests/Control/TestIntroducers.cpp
+++ b/Tests/Control/TestIntroducers.cpp
@@ -70,7 +70,8 @@
         };
         node->introducers = std::make_unique<ControlIntroducers>(
             this->context, node->address, zone, node->address, this->table.port(),
-            IntroducerSettings{Milliseconds(10), Milliseconds(50)}, hooks, this->nodes.size() + 1);
+            IntroducerPace{Milliseconds(10), Milliseconds(50), Milliseconds(1000)}, hooks,
+            this->nodes.size() + 1);
         this->nodes.push_back(std::move(node));
     }
 
--- a/Tests/LibMembership/FakeNetwork.h
+++ b/Tests/LibMembership/FakeNetwork.h
@@ -33,6 +33,7 @@
         std::size_t regions = 1;
         std::uint64_t seed = 1;
         double loss = 0;
+        bool seeded = true; // The first three nodes are everybody's seeds, and all run from the start.
     };
 
     static constexpr Duration step = Milliseconds(50);
@@ -42,13 +43,17 @@
         , loss(shape.loss)
         , random(shape.seed)
     {
-        this->settings.seeds = {addressOf(0), addressOf(1), addressOf(2)};
+        if (shape.seeded)
+            this->settings.seeds = {addressOf(0), addressOf(1), addressOf(2)};
         for (std::size_t i = 0; i < shape.nodes; ++i) {
             FakeNode node;
             node.region = "r" + std::to_string(i % shape.regions);
             this->nodes.push_back(std::move(node));
             this->zones.push_back("z" + std::to_string(i % shape.zones));
-            this->start(i, 1);
+            if (shape.seeded)
+                this->start(i, 1);
+            else
+                this->nodes[i].running = false;
         }
     }
 
@@ -107,6 +112,8 @@
         return this->allRunning([&](const Membership &m) { return m.members().presentCount() == running; });
     }
 
+    bool running(std::size_t index) const { return this->nodes[index].running; }
+
     MemberState stateOf(std::size_t viewer, std::size_t member) const
     {
         const MemberRecord *record = this->nodes[viewer].membership->members().find(idOf(member));
