LibDecide: Leave room in a queue for runs above the mean

Hypothesis: at a little over the slots the queue stands at the length that admission allows, so a shorter one answers as many calls and more of them in time. Change: a call waits only where its mean run and one mean deviation fit before its target.

Played alone at 1.05 times the slots: 0.78 to 0.81 of the callers in time; the test fails before.

--- a/Libraries/LibDecide/TargetGate.cpp
+++ b/Libraries/LibDecide/TargetGate.cpp
@@ -142,7 +142,7 @@
     const bool beforeDeadline = now + wait + run < facts.deadline;
     if (!facts.target)
         return beforeDeadline ? RefusalReason::None : RefusalReason::DeadlineTooNear;
-    if (beforeDeadline && now + wait + run <= *facts.target)
+    if (beforeDeadline && now + wait + this->likelyRun(now, facts) <= *facts.target)
         return RefusalReason::None;
     if (!facts.lateAccepted)
         return RefusalReason::TargetTooNear;
--- a/Libraries/LibDecide/TargetGate.h
+++ b/Libraries/LibDecide/TargetGate.h
@@ -95,6 +95,7 @@
     void fade(Kind &kind, Instant now) const;
     Duration usualRun(Instant now, const CallFacts &facts) const;
     Duration quickRun(const CallFacts &facts) const;
+    Duration likelyRun(Instant now, const CallFacts &facts) const;
     bool inTime(Instant now, const CallFacts &facts) const;
     Rank rankOf(Instant now, const CallFacts &facts, Ticket ticket) const;
     static bool ranksBefore(const Rank &left, const Rank &right);
--- a/Libraries/LibDecide/TargetGateFigures.h
+++ b/Libraries/LibDecide/TargetGateFigures.h
@@ -20,6 +20,12 @@
 // few enough to follow a server that turns slow within a second.
 inline constexpr double leastWeight = 0.05;
 
+// Load: a little more than the slots bear, so that the queue is as long as it may be. Harm of letting a call
+// wait until its mean run alone fits before its target: the slots answer no more calls than with a shorter
+// queue, and runs that are longer than the mean end late. So many mean deviations are added: 0.81 of the
+// callers in time in place of 0.78 at 1.05 times the slots (played).
+inline constexpr double likelyDeviations = 1.0;
+
 // Offered and started calls of a kind count for about this long, in seconds.
 inline constexpr double window = 2.0;
 
--- a/Libraries/LibDecide/TargetGateRank.cpp
+++ b/Libraries/LibDecide/TargetGateRank.cpp
@@ -90,6 +90,14 @@
     return fromSeconds(std::max(0.0, kind->mean - 1.5 * kind->deviation));
 }
 
+// What most calls of the kind take. A call that waits is judged by this one.
+Duration TargetGate::likelyRun(Instant now, const CallFacts &facts) const
+{
+    const Kind *kind = this->find(facts.kind);
+    const double deviation = kind == nullptr ? 0 : kind->deviation;
+    return this->usualRun(now, facts) + fromSeconds(likelyDeviations * deviation);
+}
+
 bool TargetGate::inTime(Instant now, const CallFacts &facts) const
 {
     return !facts.target || now + this->quickRun(facts) <= *facts.target;
--- a/Tests/LibDecide/TestTargetGate.cpp
+++ b/Tests/LibDecide/TestTargetGate.cpp
@@ -170,3 +170,18 @@
     gate.finish(now, first.ticket, CallEnd::Succeeded, actions);
     cr_assert(gate.running() == 0 && gate.queued() == 0);
 }
+
+// A service is asked for a little more than its slots bear, for a long time. If calls may wait until their
+// mean run alone fits before their target, the queue stands at that length and more of the longer runs end
+// late, though the slots answer no more calls than with a shorter queue. Callers in time (first seed): 0.78
+// with the mean run, 0.81 with one deviation more.
+Test(targetGate, aQueueLeavesRoomForRunsAboveTheMean)
+{
+    const std::vector<LoadKind> kinds{{"list", 115, 110, 0.8, 2, Milliseconds(300), Milliseconds(800)}};
+    for (const std::uint64_t seed : seeds) {
+        const auto rule = std::make_shared<TargetGate>(TargetGateSettings{12, 256, seed});
+        TargetLoad load(admissionHooksOf(rule), 12, seed);
+        const auto outcomes = load.play(kinds, std::chrono::seconds(60));
+        cr_assert(outcomes.at("list").inTimeShare() > 0.79, "%.3f", outcomes.at("list").inTimeShare());
+    }
+}
