LibNet: Run lookups behind one another on a connection at once

Cause: a request that a caller sent behind another was read only after the answer before it, so unit reports of callers that send several at once waited for one another with slots free; and while its bytes waited, the server could not see that the caller had closed, so abandoned work ran on.

Change: a connection reads on while answers are awaited. What may run only once is held until all before it are answered, and is not run when the answer before it closes the connection. The session has a file of its own.

Tests: four tests of LibNet, which fail before: together and in order, once waits, nothing behind a closing answer, all are told of a close.

--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -38,6 +38,9 @@
     bool sharePort = false; // Lets several threads listen on the same address.
     // Replaces `limits` for each request when it is set: limits that change while the server runs.
     std::function<HttpLimits()> currentLimits;
+    // Whether a request may be handed on before those ahead of it on its connection are answered. Not set:
+    // none may, and each is read once the one before it is answered. Answers leave in order either way.
+    std::function<bool(const HttpRequest &)> mayRunBehind;
     // For stand-ins of faulty servers; a server of the product has neither. The first is given a whole
     // answer, header and body; the second may answer a request whose body is still coming, which ends its
     // connection.
--- /dev/null
+++ b/Libraries/LibNet/HttpSession.h
@@ -0,0 +1,124 @@
+// One connection of a caller to an HttpServer: requests in, answers out in the order of their requests.
+// Internal to LibNet.
+#pragma once
+
+#include <LibNet/HttpServer.h>
+#include <LibNet/HttpWire.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+
+namespace Sagecrank {
+
+class HttpSession;
+
+struct HttpServer::State
+{
+    State(boost::asio::io_context &context, HttpServerSettings settings, HttpHandler handler)
+        : settings(std::move(settings))
+        , handler(std::move(handler))
+        , context(context)
+        , acceptor(context)
+    {
+    }
+
+    HttpServerSettings settings;
+    HttpHandler handler;
+    boost::asio::io_context &context;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::unordered_set<HttpSession *> sessions; // Open ones; each takes itself out when it ends.
+    bool closing = false;
+};
+
+class HttpSession : public std::enable_shared_from_this<HttpSession>
+{
+public:
+    HttpSession(HttpSocket socket, std::shared_ptr<HttpServer::State> server);
+    ~HttpSession() { this->server->sessions.erase(this); }
+    HttpSession(const HttpSession &) = delete;
+    HttpSession &operator=(const HttpSession &) = delete;
+
+    void awaitRequest();
+    void respond(std::uint64_t number, HttpResponse response);
+    void drop(std::uint64_t number);
+    void onAbandoned(std::uint64_t number, std::function<void()> hook);
+    void close();
+    void closeWhenIdle();
+
+private:
+    using ErrorCode = boost::beast::error_code;
+    using RequestParser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using Response = boost::beast::http::response<boost::beast::http::string_body>;
+
+    // A request as it came, with what its answer needs of it.
+    struct Received
+    {
+        HttpRequest request;
+        bool keepAlive = false;
+        bool headOnly = false; // A HEAD request is answered with the headers of the GET and no body.
+    };
+
+    // A request that was handed on and whose answer has not left.
+    struct Exchange
+    {
+        std::uint64_t number = 0;
+        bool keepAlive = false;
+        bool headOnly = false;
+        bool unreadLeft = false;            // It was refused before it was read to its end.
+        std::optional<HttpResponse> answer; // Waits for those before it.
+        std::function<void()> abandoned;
+    };
+
+    // Reading.
+    HttpLimits limits() const;
+    void readRequest();
+    void readBody();
+    void sendContinue();
+    void readRest();
+    void readFailed(const ErrorCode &error);
+    void sendOwed();
+    bool answeredBeforeBody();
+    void take();
+    void begin(Received received);
+    bool mayRunBehind(const HttpRequest &request) const;
+    bool mayReadBehind() const;
+    void readOn();
+    void watch();
+    void lookAtSocket();
+    void refuse(std::uint32_t status, std::string_view message);
+    void answerAtOnce(HttpResponse response);
+
+    // Writing.
+    Exchange *find(std::uint64_t number);
+    void writeNext();
+    void writeResponse(const Exchange &exchange, HttpResponse response, bool keepAlive);
+    void writeRaw(bool keepAlive);
+    void written(const ErrorCode &error, bool keepAlive);
+    void giveUp();
+    void closeAfterReading();
+    void throwAwayNext();
+
+    HttpStream stream;
+    std::shared_ptr<HttpServer::State> server;
+    boost::beast::flat_buffer buffer;
+    std::optional<RequestParser> parser;
+    std::optional<Response> response; // Alive while it is written.
+    std::string responseHeader;       // The same.
+    RawAnswer raw;                    // Of a stand-in; its `beforeNext` waits for the next request.
+    std::deque<Exchange> exchanges;   // Oldest first. The first one's answer is being written, or is awaited.
+    std::optional<Received> held;     // Has come whole and is begun once all before it are answered.
+    std::uint64_t lastNumber = 0;     // Counts requests, so that a late or second answer is told apart.
+    bool reading = false;             // A request, from its first byte to its last; or the wait for one.
+    bool writing = false;
+    bool watching = false;
+    bool continueOwed = false;   // The caller waits for a word before it sends its body.
+    bool readsFirstByte = false; // Nothing of a next request has been read.
+};
+
+} // namespace Sagecrank
--- a/Services/Node/CallerFrontend.cpp
+++ b/Services/Node/CallerFrontend.cpp
@@ -103,6 +103,19 @@
     exchange.respond(this->makeAnswer(std::move(response), {}, callId));
 }
 
+std::optional<RouteChoice> CallerFrontend::routeOf(const HttpRequest &request) const
+{
+    const std::string_view path = std::string_view(request.target).substr(0, request.target.find('?'));
+    return this->hooks.route(findHeader(request.headers, "Host"), request.method, path);
+}
+
+// What no route serves is refused without running, so it may be refused at once as well.
+bool CallerFrontend::mayRunBehind(const HttpRequest &request) const
+{
+    const std::optional<RouteChoice> route = this->routeOf(request);
+    return !route || (route->idempotent && findHeader(request.headers, this->names.idempotencyKey).empty());
+}
+
 void CallerFrontend::handle(Worker &worker, HttpRequest request, std::shared_ptr<HttpExchange> exchange) const
 {
     const std::string_view problem = this->problemOf(request);
@@ -110,9 +123,7 @@
         this->context.observer.requestInvalid(problem);
         return this->refuse(request, *exchange, 400, problem, 0);
     }
-    const std::string_view path = std::string_view(request.target).substr(0, request.target.find('?'));
-    const std::string_view host = findHeader(request.headers, "Host");
-    const std::optional<RouteChoice> route = this->hooks.route(host, request.method, path);
+    const std::optional<RouteChoice> route = this->routeOf(request);
     if (!route && !this->hooks.holdsConfiguration())
         return this->refuse(request, *exchange, 503, "no_configuration_yet", noConfigurationRetryAfter);
     if (!route)
--- a/Services/Node/CallerFrontend.h
+++ b/Services/Node/CallerFrontend.h
@@ -51,9 +51,12 @@
     CallerFrontend(ForwardingContext &context, Milliseconds maximumTimeout, CallHeaders names,
                    std::string originService, CallerFrontendHooks hooks);
 
+    // Whether the request may be handled before those ahead of it on its connection are answered.
+    bool mayRunBehind(const HttpRequest &request) const;
     void handle(Worker &worker, HttpRequest request, std::shared_ptr<HttpExchange> exchange) const;
 
 private:
+    std::optional<RouteChoice> routeOf(const HttpRequest &request) const;
     std::string_view problemOf(const HttpRequest &request) const;
     void refuse(const HttpRequest &request, HttpExchange &exchange, std::uint32_t status,
                 std::string_view reason, std::uint32_t retryAfterMilliseconds) const;
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -118,11 +118,16 @@
     , signals(this->control, SIGTERM, SIGINT, SIGHUP)
 {
     for (std::uint32_t index = 0; index < this->settings.threads; ++index) {
-        this->workers.push_back(std::make_unique<Worker>(
-            this->settings, this->gate, this->observer, [this] { return this->callerLimits(); },
-            [this](Worker &worker, HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
-                this->callers.handle(worker, std::move(request), std::move(exchange));
-            }));
+        CallerHooks hooks;
+        hooks.limits = [this] { return this->callerLimits(); };
+        hooks.mayRunBehind = [this](const HttpRequest &request) {
+            return this->callers.mayRunBehind(request);
+        };
+        hooks.handle = [this](Worker &worker, HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+            this->callers.handle(worker, std::move(request), std::move(exchange));
+        };
+        this->workers.push_back(
+            std::make_unique<Worker>(this->settings, this->gate, this->observer, std::move(hooks)));
     }
 }
 
--- a/Services/Node/Worker.cpp
+++ b/Services/Node/Worker.cpp
@@ -19,10 +19,11 @@
     return client;
 }
 
-HttpServerSettings callerServerSettings(const NodeSettings &settings, std::function<HttpLimits()> limits)
+HttpServerSettings callerServerSettings(const NodeSettings &settings, const CallerHooks &callers)
 {
     HttpServerSettings server;
-    server.currentLimits = std::move(limits);
+    server.currentLimits = callers.limits;
+    server.mayRunBehind = callers.mayRunBehind;
     server.maximumConnections = settings.requests.maximumConnections;
     server.sharePort = true;
     return server;
@@ -30,17 +31,16 @@
 
 } // namespace
 
-Worker::Worker(const NodeSettings &settings, LocalGate &gate, RequestObserver &observer,
-               std::function<HttpLimits()> limits, CallerHandler callers)
+Worker::Worker(const NodeSettings &settings, LocalGate &gate, RequestObserver &observer, CallerHooks callers)
     : settings(settings)
     , observer(observer)
     , work(boost::asio::make_work_guard(this->context))
     , client(this->context, upstreamClientSettings(settings))
-    , callerServer(
-          this->context, callerServerSettings(settings, std::move(limits)),
-          [this, callers = std::move(callers)](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
-              callers(*this, std::move(request), std::move(exchange));
-          })
+    , callerServer(this->context, callerServerSettings(settings, callers),
+                   [this, handle = std::move(callers.handle)](HttpRequest request,
+                                                              std::shared_ptr<HttpExchange> exchange) {
+                       handle(*this, std::move(request), std::move(exchange));
+                   })
     , peerServer(GateHome{this->context, this->client}, gate, observer)
 {
 }
--- a/Services/Node/Worker.h
+++ b/Services/Node/Worker.h
@@ -25,14 +25,20 @@
 
 class ForwardedCall;
 
+class Worker;
+
+// What a worker's callers meet; all are asked for each request.
+struct CallerHooks
+{
+    std::function<HttpLimits()> limits;
+    std::function<bool(const HttpRequest &)> mayRunBehind; // See HttpServerSettings.
+    std::function<void(Worker &, HttpRequest, std::shared_ptr<HttpExchange>)> handle;
+};
+
 class Worker
 {
 public:
-    using CallerHandler = std::function<void(Worker &, HttpRequest, std::shared_ptr<HttpExchange>)>;
-
-    // `limits` is asked for each request of a caller.
-    Worker(const NodeSettings &settings, LocalGate &gate, RequestObserver &observer,
-           std::function<HttpLimits()> limits, CallerHandler callers);
+    Worker(const NodeSettings &settings, LocalGate &gate, RequestObserver &observer, CallerHooks callers);
     ~Worker();
     Worker(const Worker &) = delete;
     Worker &operator=(const Worker &) = delete;
--- a/Tests/LibNet/RawHttp.h
+++ b/Tests/LibNet/RawHttp.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <string>
@@ -45,4 +46,36 @@
     return answer;
 }
 
+// A connection that stays open between sending and reading; closes when it goes out of scope.
+class RawCaller
+{
+public:
+    explicit RawCaller(const std::string &address)
+        : socket(connectTo(this->context, address))
+    {
+    }
+
+    void send(const std::string &text) { boost::asio::write(this->socket, boost::asio::buffer(text)); }
+
+    std::string readUntil(const std::string &end)
+    {
+        std::string answer;
+        boost::system::error_code ignored;
+        boost::asio::read_until(this->socket, boost::asio::dynamic_buffer(answer), end, ignored);
+        return answer;
+    }
+
+    std::string readToEnd()
+    {
+        std::string answer;
+        boost::system::error_code ignored;
+        boost::asio::read(this->socket, boost::asio::dynamic_buffer(answer), ignored);
+        return answer;
+    }
+
+private:
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket;
+};
+
 } // namespace Sagecrank
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -14,8 +14,10 @@
 #include <boost/asio/write.hpp>
 
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace Sagecrank;
 using boost::asio::ip::tcp;
@@ -310,3 +312,136 @@
     context.run();
     cr_assert(ended == 2);
 }
+
+namespace {
+
+// A server that keeps each request until the test answers it; targets that begin with "/once" may run only
+// once.
+class KeepingServer
+{
+public:
+    KeepingServer()
+        : server(this->context, settings(),
+                 [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+                     const std::lock_guard guard(this->mutex);
+                     exchange->onAbandoned([this] { ++this->abandoned; });
+                     this->begun.push_back(std::move(request.target));
+                     this->exchanges.push_back(std::move(exchange));
+                 })
+    {
+        cr_assert(this->server.listen("127.0.0.1:0").has_value());
+        this->thread = std::thread([this] { this->context.run_for(std::chrono::seconds(20)); });
+    }
+
+    ~KeepingServer()
+    {
+        this->context.stop();
+        this->thread.join();
+    }
+
+    std::string address() const { return this->server.address(); }
+
+    std::vector<std::string> targets() const
+    {
+        const std::lock_guard guard(this->mutex);
+        return this->begun;
+    }
+
+    void answer(std::size_t index, const std::string &body)
+    {
+        boost::asio::post(this->context, [this, index, body] {
+            this->exchanges[index]->respond(makeResponse(200, "text/plain", body));
+        });
+    }
+
+    void stopAccepting()
+    {
+        boost::asio::post(this->context, [this] { this->server.stopAccepting(); });
+    }
+
+    std::atomic<int> abandoned = 0;
+
+private:
+    static HttpServerSettings settings()
+    {
+        HttpServerSettings settings;
+        settings.mayRunBehind = [](const HttpRequest &request) {
+            return !request.target.starts_with("/once");
+        };
+        return settings;
+    }
+
+    boost::asio::io_context context{1};
+    HttpServer server;
+    mutable std::mutex mutex;
+    std::vector<std::string> begun;
+    std::vector<std::shared_ptr<HttpExchange>> exchanges;
+    std::thread thread;
+};
+
+std::string get(const std::string &target)
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n";
+}
+
+} // namespace
+
+// A caller sends three lookups at once on one connection. Read one after the other, each waits for the
+// answers before it although there is room; begun together, they are answered in the order in which they were
+// sent.
+Test(httpServer, lookupsBehindOneAnotherRunTogether)
+{
+    KeepingServer server;
+    RawCaller caller(server.address());
+    caller.send(get("/a") + get("/b") + get("/c"));
+    cr_assert(eventually([&] { return server.targets().size() == 3; }));
+    server.answer(2, "third");
+    server.answer(1, "second");
+    server.answer(0, "first");
+    const std::string answers = caller.readUntil("third");
+    cr_assert(answers.find("first") < answers.find("second"), "%s", answers.c_str());
+    cr_assert(answers.find("second") < answers.find("third"), "%s", answers.c_str());
+}
+
+// A caller sends a booking behind a lookup. If the lookup's answer closed the connection, the caller would
+// take the booking for unread and send it again, so it must not run before that answer has left.
+Test(httpServer, whatRunsOnceWaitsForTheAnswerBeforeIt)
+{
+    KeepingServer server;
+    RawCaller caller(server.address());
+    caller.send(get("/a") + get("/once") + get("/b"));
+    cr_assert(eventually([&] { return server.targets().size() == 1; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    cr_assert(server.targets().size() == 1);
+    server.answer(0, "first");
+    cr_assert(eventually([&] { return server.targets().size() == 3; }));
+    cr_assert(server.targets()[1] == "/once" && server.targets()[2] == "/b");
+}
+
+// The node ends while a booking is held behind a lookup. The lookup's answer closes the connection, so the
+// caller sends the booking again elsewhere: here it must never run.
+Test(httpServer, whatIsBehindAClosingAnswerIsNotRun)
+{
+    KeepingServer server;
+    RawCaller caller(server.address());
+    caller.send(get("/a") + get("/once"));
+    cr_assert(eventually([&] { return server.targets().size() == 1; }));
+    server.stopAccepting();
+    server.answer(0, "first");
+    const std::string answers = caller.readToEnd();
+    cr_assert(answers.find("Connection: close") != std::string::npos, "%s", answers.c_str());
+    cr_assert(server.targets().size() == 1);
+}
+
+// A caller sends three lookups, loses patience and closes. All three are told; before, the bytes of the next
+// request hid the close, and the first one's work went on for nobody.
+Test(httpServer, tellsAllThatTheirCallerWent)
+{
+    KeepingServer server;
+    {
+        RawCaller caller(server.address());
+        caller.send(get("/a") + get("/b") + get("/c"));
+        cr_assert(eventually([&] { return server.targets().size() == 3; }));
+    }
+    cr_assert(eventually([&] { return server.abandoned == 3; }));
+}
