LibDecide: Believe a gate's word of its drain for two seconds only

Cause: a gate says on an answer that it drains, and the placer left that upstream out until told otherwise. A node that is restarted keeps its name, and nothing is sent there any more, so nothing is told: each sender that met a drain lost the upstream for good.

Change: the word counts for two seconds, twice what membership needs to hear of a drain; then membership alone decides.

Ruled out: islands (all nodes knew the members), ejection (no upstream had failed).

Test: aNodeThatDrainedAndCameBackIsUsedAgain, which fails before.

--- a/Libraries/LibDecide/Placer.cpp
+++ b/Libraries/LibDecide/Placer.cpp
@@ -47,6 +47,12 @@
 // Kinds of one service whose run time and answers are remembered; more start anew.
 constexpr std::size_t mostKinds = 512;
 
+// Failure: a host's node is restarted under the name that it had, and its gate said "draining" on its last
+// answer. Symptom: nothing is sent there again, so nothing is heard to the contrary, and its upstream is lost
+// to that sender for good; after a round of restarts its callers find none. Membership hears of a drain
+// within a second, so what the gate said counts for twice as long, and then membership alone.
+constexpr Duration drainingToldLife = std::chrono::seconds(2);
+
 // Among upstreams with a free slot the emptier one is a little better.
 constexpr double evenLoad = 0.01;
 
@@ -198,7 +204,7 @@
 {
     if (upstream == nullptr)
         return true;
-    if (upstream->toldDraining)
+    if (upstream->toldDraining && request.now - upstream->toldAt < drainingToldLife)
         return false;
     if (!trustedOnly || upstream->standing == Standing::Trusted)
         return true;
--- a/Tests/LibDecide/TestPlacer.cpp
+++ b/Tests/LibDecide/TestPlacer.cpp
@@ -88,6 +88,18 @@
         cr_assert(placer.place(Instant{}, candidates, CallClass::Interactive, nothingTried) == 1U);
 }
 
+// All nodes of a service are restarted one after the other, each under the name that it had. Senders that
+// were told of the drain never sent there again and in the end refused every call, with all upstreams ready.
+Test(placer, aNodeThatDrainedAndCameBackIsUsedAgain)
+{
+    Placer placer(PlacerSettings{}, seeded(1));
+    const std::array candidates{upstream("a", true)};
+    const Instant told = Instant() + 1h;
+    placer.told("a", told, {6, 0, true});
+    cr_assert(!placer.place(told + 1s, candidates, CallClass::Interactive, nothingTried));
+    cr_assert(placer.place(told + 2s, candidates, CallClass::Interactive, nothingTried));
+}
+
 Test(placer, neverRepeatsATriedUpstream)
 {
     Placer placer(PlacerSettings{}, seeded(1));
