Node: Say goodbye while other nodes are given time to hear of the drain

Hypothesis: a restarted node's upstream is out for 2.5 s: 1.0 s after the announcement, 0.9 s of goodbye, 0.55 s until it is up. Change: the goodbye is said with the announcement, so that an idle node ends with the linger; at the maximum what waits is withdrawn and what runs has 0.9 s more, as before.

Kept for what it is: each restart has its upstream back 0.9 s sooner.

Test: theGoodbyeTakesNoTimeOfItsOwn; the other tests of the order ask the same as before.

--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -430,7 +430,11 @@
 NodeDrainHooks Node::drainHooks()
 {
     NodeDrainHooks hooks;
-    hooks.announceDraining = [this] { this->presence.drain(); };
+    hooks.sayGoodbye = [this] {
+        this->presence.drain();
+        this->plane.leave([this] { this->goodbyeSaid = true; });
+    };
+    hooks.goodbyeSaid = [this] { return this->goodbyeSaid; };
     hooks.deflectCallers = [this] {
         this->log.write(EventId::ProcessDraining, {{"in_flight", this->gate.inFlight()}});
         for (const auto &worker : this->workers)
@@ -448,7 +452,7 @@
         for (const auto &worker : this->workers)
             worker->withdrawWaiting();
     };
-    hooks.leave = [this] { this->plane.leave([this] { this->endCalls(); }); };
+    hooks.leave = [this] { this->endCalls(); };
     return hooks;
 }
 
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -93,6 +93,7 @@
     HttpServer announcementServer;
     HttpServer probeServer;
     ControlPlane plane;
+    bool goodbyeSaid = false; // On the control thread.
     NodeDrain drain;
     SettingsReload settingsReload;
     std::vector<std::unique_ptr<Worker>> workers;
--- a/Services/Node/NodeDrain.cpp
+++ b/Services/Node/NodeDrain.cpp
@@ -33,7 +33,7 @@
     if (this->current == DrainStage::Deflecting
         && now - this->begunAt >= this->settings.linger - announceTime) {
         this->current = DrainStage::Announcing;
-        this->hooks.announceDraining();
+        this->hooks.sayGoodbye();
     }
     if (this->current == DrainStage::Announcing && now - this->begunAt >= this->settings.linger) {
         this->current = DrainStage::Finishing;
@@ -41,11 +41,13 @@
     }
     if (this->current != DrainStage::Finishing)
         return;
-    if (!this->hooks.idle()) {
-        if (now - this->begunAt < this->settings.maximum)
-            return;
+    if (!this->withdrawnAt && now - this->begunAt >= this->settings.maximum) {
+        this->withdrawnAt = now;
         this->hooks.withdrawWaiting();
     }
+    const bool done = this->hooks.idle() && this->hooks.goodbyeSaid();
+    if (!done && (!this->withdrawnAt || now - *this->withdrawnAt < lastAnswersTime))
+        return;
     this->current = DrainStage::Left;
     this->hooks.leave();
 }
--- a/Services/Node/NodeDrain.h
+++ b/Services/Node/NodeDrain.h
@@ -1,5 +1,5 @@
-// The order in which a node leaves: turn callers away softly, tell the other nodes, wait until they have
-// heard, stop taking callers, let what runs finish, say goodbye. Runs without sockets or clocks.
+// The order in which a node leaves: turn callers away softly, say goodbye to the other nodes, wait until they
+// have heard, stop taking callers, let what runs finish. Runs without sockets or clocks.
 //
 // Load: hosts are restarted one after the other, one each 2.5 s, and three upstreams serve a service. Harm of
 // telling the other nodes at once: each upstream stands idle while its callers look for another node, so that
@@ -12,13 +12,14 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 namespace Sagecrank {
 
 enum class DrainStage : std::uint8_t {
     Serving,
     Deflecting, // Callers are asked to go elsewhere; calls of other nodes are served as ever.
-    Announcing, // Other nodes are being told; what still arrives is served or refused as not run.
+    Announcing, // Other nodes are being told; what still arrives of them is refused as not run.
     Finishing,  // No new callers; what is under way ends.
     Left,
 };
@@ -34,20 +35,26 @@
 // Kept of the linger for the news to reach every node: half more than it took among 200.
 inline constexpr Duration announceTime = std::chrono::seconds(1);
 
+// What is withdrawn at the maximum is answered within this, and what still runs has as long.
+inline constexpr Duration lastAnswersTime = std::chrono::milliseconds(900);
+
 struct NodeDrainSettings
 {
     Duration linger;  // For callers to go elsewhere.
-    Duration maximum; // From the first word to the end, whatever still runs.
+    Duration maximum; // From the first word to the last answers, whatever still runs.
 };
 
 struct NodeDrainHooks
 {
     std::function<void()> deflectCallers;
-    std::function<void()> announceDraining;
+    // Load: hosts are restarted one after the other. Harm of saying goodbye only when nothing runs any more:
+    // the upstream stands idle for its 0.9 s as well, 2.5 s of each restart in place of 1.6 s.
+    std::function<void()> sayGoodbye;
+    std::function<bool()> goodbyeSaid;
     std::function<void()> stopCallers;
     std::function<bool()> idle;            // Nothing is waiting, running or unanswered.
     std::function<void()> withdrawWaiting; // What has not begun yet is refused.
-    std::function<void()> leave;           // What still runs goes on while the goodbye is said.
+    std::function<void()> leave;           // What still runs is answered as unknown.
 };
 
 class NodeDrain
@@ -66,6 +73,7 @@
     const NodeDrainHooks hooks;
     DrainStage current = DrainStage::Serving; // Only ever rises.
     Instant begunAt;
+    std::optional<Instant> withdrawnAt; // Set at the maximum.
 };
 
 } // namespace Sagecrank
--- a/Tests/Node/TestNodeDrain.cpp
+++ b/Tests/Node/TestNodeDrain.cpp
@@ -14,13 +14,15 @@
 class DrainFixture
 {
 public:
-    NodeDrain drain{
-        {std::chrono::seconds(3), std::chrono::seconds(60)},
-        {[this] { this->steps.emplace_back("deflect"); }, [this] { this->steps.emplace_back("announce"); },
-         [this] { this->steps.emplace_back("stop callers"); }, [this] { return this->idle; },
-         [this] { this->steps.emplace_back("withdraw"); }, [this] { this->steps.emplace_back("leave"); }}};
+    NodeDrain drain{{std::chrono::seconds(3), std::chrono::seconds(60)},
+                    {[this] { this->steps.emplace_back("deflect"); },
+                     [this] { this->steps.emplace_back("goodbye"); }, [this] { return this->goodbyeSaid; },
+                     [this] { this->steps.emplace_back("stop callers"); }, [this] { return this->idle; },
+                     [this] { this->steps.emplace_back("withdraw"); },
+                     [this] { this->steps.emplace_back("leave"); }}};
     std::vector<std::string> steps;
     bool idle = true;
+    bool goodbyeSaid = true;
     Instant start = Instant() + std::chrono::hours(1);
 };
 
@@ -55,13 +57,13 @@
     cr_assert(fixture.steps == std::vector<std::string>{"deflect"});
     fixture.drain.advance(fixture.start + Milliseconds(2000));
     fixture.drain.advance(fixture.start + Milliseconds(2999));
-    cr_assert(fixture.steps == std::vector<std::string>({"deflect", "announce"}));
+    cr_assert(fixture.steps == std::vector<std::string>({"deflect", "goodbye"}));
     fixture.drain.advance(fixture.start + Milliseconds(3000));
     fixture.drain.advance(fixture.start + Milliseconds(9000));
-    cr_assert(fixture.steps == std::vector<std::string>({"deflect", "announce", "stop callers"}));
+    cr_assert(fixture.steps == std::vector<std::string>({"deflect", "goodbye", "stop callers"}));
     fixture.idle = true;
     fixture.drain.advance(fixture.start + Milliseconds(9001));
-    cr_assert(fixture.steps == std::vector<std::string>({"deflect", "announce", "stop callers", "leave"}));
+    cr_assert(fixture.steps == std::vector<std::string>({"deflect", "goodbye", "stop callers", "leave"}));
 }
 
 // Hosts are restarted one after the other, and each takes its upstream out while its callers look for another
@@ -81,11 +83,12 @@
 {
     std::vector<std::string> steps;
     NodeDrain drain({Milliseconds(500), std::chrono::seconds(60)},
-                    {[&] { steps.emplace_back("deflect"); }, [&] { steps.emplace_back("announce"); },
-                     [&] { steps.emplace_back("stop callers"); }, [] { return false; }, [] {}, [] {}});
+                    {[&] { steps.emplace_back("deflect"); }, [&] { steps.emplace_back("goodbye"); },
+                     [] { return true; }, [&] { steps.emplace_back("stop callers"); }, [] { return false; },
+                     [] {}, [] {}});
     const Instant start = Instant() + std::chrono::hours(1);
     drain.begin(start);
-    cr_assert(steps == std::vector<std::string>({"deflect", "announce"}));
+    cr_assert(steps == std::vector<std::string>({"deflect", "goodbye"}));
     drain.advance(start + Milliseconds(500));
     cr_assert(steps.back() == "stop callers");
 }
@@ -105,11 +108,30 @@
     fixture.idle = false;
     fixture.drain.begin(fixture.start);
     fixture.drain.advance(fixture.start + std::chrono::seconds(60));
+    fixture.drain.advance(fixture.start + std::chrono::seconds(60) + Milliseconds(899));
+    cr_assert(fixture.drain.stage() == DrainStage::Finishing && fixture.steps.back() == "withdraw");
+    fixture.drain.advance(fixture.start + std::chrono::seconds(60) + Milliseconds(900));
     cr_assert(fixture.drain.stage() == DrainStage::Left);
     const std::vector<std::string> last(fixture.steps.end() - 2, fixture.steps.end());
     cr_assert(last == std::vector<std::string>({"withdraw", "leave"}));
 }
 
+// A host is restarted, and nothing runs there any more. Saying goodbye only then keeps its upstream out for
+// as long again; it is said while the other nodes are given time to hear, and the node ends with it.
+Test(nodeDrain, theGoodbyeTakesNoTimeOfItsOwn)
+{
+    DrainFixture fixture;
+    fixture.goodbyeSaid = false;
+    fixture.drain.begin(fixture.start);
+    fixture.drain.advance(fixture.start + Milliseconds(2000));
+    cr_assert(fixture.steps == std::vector<std::string>({"deflect", "goodbye"}));
+    fixture.drain.advance(fixture.start + Milliseconds(3000));
+    cr_assert(fixture.drain.stage() == DrainStage::Finishing);
+    fixture.goodbyeSaid = true;
+    fixture.drain.advance(fixture.start + Milliseconds(3050));
+    cr_assert(fixture.drain.stage() == DrainStage::Left && fixture.steps.back() == "leave");
+}
+
 // An upstream dies without a word. Its announcement runs out, the gate refuses what waits and others hear
 // that it is gone; when it announces itself again it is taken back.
 Test(upstreamPresence, silenceMeansGone)
