--- a/Services/Node/LocalGate.cpp
+++ b/Services/Node/LocalGate.cpp
@@ -278,6 +278,8 @@
     refusal.waited = now - call.arrived;
     refusal.left = call.deadline - now;
     refusal.retryAfter = retryAfter;
+    refusal.priority = call.request.priority;
+    refusal.lateAccepted = call.request.lateAccepted;
     {
         const std::lock_guard guard(this->mutex);
         refusal.running = this->gate.running();
--- a/Services/Node/RequestObserver.cpp
+++ b/Services/Node/RequestObserver.cpp
@@ -110,6 +110,8 @@
     this->log.write(EventId::GateRefused, {{"call", refusal.callId},
                                            {"reason", refusal.reason},
                                            {"waited_ms", milliseconds(refusal.waited)},
+                                           {"priority", refusal.priority},
+                                           {"late_accepted", refusal.lateAccepted},
                                            {"left_ms", milliseconds(refusal.left)},
                                            {"running", refusal.running},
                                            {"queued", refusal.queued},
--- a/Services/Node/RequestObserver.h
+++ b/Services/Node/RequestObserver.h
@@ -40,6 +40,8 @@
     std::uint32_t queued = 0;
     std::string_view condition; // Of the upstream, as it announced itself last.
     Duration retryAfter{};
+    std::uint32_t priority = 1;
+    bool lateAccepted = true; // It was to be answered even after its target.
 };
 
 // What is known of a call when the gate answers it.
