LibMembership: Look for members at all seeds in one pass

Cause: each second a node looks whether members still stand at its seeds, and searched the whole table for each: by size 830,000 records a second at 128 seeds and 6,500 members, where a node's control may use 3.1% of a core. Change: one pass over the table serves all seeds that are due, 6,500 records a second at most. Not measured at that size; TestMeeting and the other tests of membership pass as before.

--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -333,11 +333,7 @@
 
 bool Membership::hasMemberAt(const std::string &gossipAddress) const
 {
-    bool found = false;
-    this->table.forEach([&](const MemberRecord &record) {
-        found = found || (isPresent(record.member.state) && record.member.gossipAddress == gossipAddress);
-    });
-    return found;
+    return !this->membersAt({gossipAddress}).empty();
 }
 
 void Membership::leave(Instant now)
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -17,7 +17,9 @@
 #include <map>
 #include <random>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace Sagecrank {
@@ -181,6 +183,7 @@
     void join(Instant now);
     void greetStrangers(Instant now);
     std::vector<std::string> dueStrangers(Instant now);
+    std::unordered_set<std::string_view> membersAt(const std::vector<std::string> &addresses) const;
     Duration longestBackoffOfGreetings() const;
     void startSync(Instant now);
     Datagram makeSyncDigest();
--- a/Libraries/LibMembership/MembershipSync.cpp
+++ b/Libraries/LibMembership/MembershipSync.cpp
@@ -122,6 +122,22 @@
     this->nextSync = std::min(this->nextSync, now + this->settings.catchUpInterval);
 }
 
+// Load: 128 seeds and 6,500 members. Harm of searching the table for each seed: 830,000 records a second. One
+// pass serves all of them. The views point into `addresses`.
+std::unordered_set<std::string_view> Membership::membersAt(const std::vector<std::string> &addresses) const
+{
+    std::unordered_set<std::string_view> met;
+    if (addresses.empty())
+        return met;
+    const std::unordered_set<std::string_view> wanted(addresses.begin(), addresses.end());
+    this->table.forEach([&](const MemberRecord &record) {
+        const auto found = wanted.find(record.member.gossipAddress);
+        if (found != wanted.end() && isPresent(record.member.state))
+            met.insert(*found);
+    });
+    return met;
+}
+
 Duration Membership::longestBackoffOfGreetings() const
 {
     const auto strangers =
@@ -142,11 +158,12 @@
         return std::find(this->zoneSeeds.begin(), this->zoneSeeds.end(), address) != this->zoneSeeds.end();
     });
     std::vector<std::string> strangers;
+    const std::unordered_set<std::string_view> met = this->membersAt(due);
     for (const std::string &address : due) {
         if (strangers.size() == joinTargets)
             break;
         Greeting &greeting = this->greetings[address];
-        if (this->hasMemberAt(address)) {
+        if (met.contains(address)) {
             greeting = Greeting{now + acquaintanceCheck, acquaintanceCheck, true};
             continue;
         }
