--- a/Libraries/LibDecide/Placer.cpp
+++ b/Libraries/LibDecide/Placer.cpp
@@ -66,6 +66,12 @@
     return static_cast<std::size_t>(callClass);
 }
 
+// A running mean; zero is unknown.
+void learn(double &mean, double seen)
+{
+    mean = mean == 0 ? seen : mean + tookWeight * (seen - mean);
+}
+
 } // namespace
 
 Placer::Placer(PlacerSettings settings, std::function<std::uint64_t()> random)
@@ -108,7 +114,7 @@
     case PlacedEnd::Succeeded: {
         const double seconds = toSeconds(took);
         for (double *mean : {&upstream.took[indexOf(callClass)], &this->usualTook[indexOf(callClass)]})
-            *mean = *mean == 0 ? seconds : *mean + tookWeight * (seconds - *mean);
+            learn(*mean, seconds);
         this->noteSuccess(upstream);
         noteTaken(upstream, kind);
         break;
@@ -143,9 +149,6 @@
     if (this->usualKinds.size() >= mostKinds && !this->usualKinds.contains(kind))
         this->usualKinds.clear();
     KindUsual &usual = this->usualKinds[kind];
-    const auto learn = [](double &mean, double seen) {
-        mean = mean == 0 ? seen : mean + tookWeight * (seen - mean);
-    };
     learn(view.run, toSeconds(load.run));
     learn(usual.run, toSeconds(load.run));
     learn(usual.answerBytes, static_cast<double>(load.answerBytes));
@@ -256,7 +259,7 @@
 // Load: hosts of several zones whose bytes to each other are dear and slow, and whose zones are not equally
 // full. Harm of spreading by load alone: two thirds of all calls cross zones. Harm of leaving a zone only
 // when it refuses: a zone's one upstream makes its callers wait for 170 ms while half of the others' slots
-// are free. So a call crosses when its answer comes that much earlier, which is little for a small one.
+// are free. So a call crosses when its answer comes earlier by what its kilobytes cost.
 double Placer::zoneCost(std::uint64_t kind, std::size_t requestBytes) const
 {
     const auto known = this->usualKinds.find(kind);
@@ -352,7 +355,9 @@
 
 void Placer::noteTaken(Upstream &upstream, std::uint64_t kind)
 {
-    obtainKind(upstream, kind).refusedInRow = 0;
+    const auto known = std::ranges::find(upstream.kinds, kind, &KindView::kind);
+    if (known != upstream.kinds.end())
+        known->refusedInRow = 0;
 }
 
 // Goes through the eligible ones of a zone from a random one on. Ranks are counted among the eligible, since
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -331,11 +331,6 @@
         this->greetStrangers(now);
 }
 
-bool Membership::hasMemberAt(const std::string &gossipAddress) const
-{
-    return !this->membersAt({gossipAddress}).empty();
-}
-
 void Membership::leave(Instant now)
 {
     if (this->leaving)
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -115,7 +115,8 @@
     const Member &self() const { return this->own; }
     const ConfigurationMark &head() const { return this->headMark; }
     const MembershipCounters &counters() const { return this->counts; }
-    bool hasMemberAt(const std::string &gossipAddress) const; // That is present.
+    // Which of the gossip addresses a present member stands at; the views point into `addresses`.
+    std::unordered_set<std::string_view> membersAt(const std::vector<std::string> &addresses) const;
     bool hasView() const; // Somebody answered, or there is nobody to ask, or nobody answered for long.
     bool saidGoodbye() const { return this->leaving && this->goodbyeRounds == 0; }
     std::uint32_t healthScore() const { return this->health; }
@@ -183,7 +184,6 @@
     void join(Instant now);
     void greetStrangers(Instant now);
     std::vector<std::string> dueStrangers(Instant now);
-    std::unordered_set<std::string_view> membersAt(const std::vector<std::string> &addresses) const;
     Duration longestBackoffOfGreetings() const;
     void startSync(Instant now);
     Datagram makeSyncDigest();
--- a/Libraries/LibMembership/MembershipSync.cpp
+++ b/Libraries/LibMembership/MembershipSync.cpp
@@ -123,7 +123,7 @@
 }
 
 // Load: 128 seeds and 6,500 members. Harm of searching the table for each seed: 830,000 records a second. One
-// pass serves all of them. The views point into `addresses`.
+// pass serves all of them.
 std::unordered_set<std::string_view> Membership::membersAt(const std::vector<std::string> &addresses) const
 {
     std::unordered_set<std::string_view> met;
--- a/Services/Node/Callers/ForwardedCall.cpp
+++ b/Services/Node/Callers/ForwardedCall.cpp
@@ -146,17 +146,16 @@
     if (this->attempts.empty())
         this->service->retries.firstTry(now);
     Placer &placer = this->service->placer;
-    const auto index = placer.place(now, service->facts, this->plan.callClass, tried, this->request.kind,
-                                    this->request.body.size());
+    const auto place = [&] {
+        return placer.place(now, service->facts, this->plan.callClass, tried, this->request.kind,
+                            this->request.body.size());
+    };
+    const auto index = place();
     if (!index)
         return false;
     tried.push_back(*index);
     // Nobody answers in time what is late already.
-    target.lateAccepted = this->isLate(now)
-                          || !placer
-                                  .place(now, service->facts, this->plan.callClass, tried, this->request.kind,
-                                         this->request.body.size())
-                                  .has_value();
+    target.lateAccepted = this->isLate(now) || !place().has_value();
     this->service->placer.started(service->facts[*index].id, now);
     target.candidate = service->candidates[*index];
     target.sameHost = service->facts[*index].sameHost;
--- a/Services/Node/Control/ControlPlane.cpp
+++ b/Services/Node/Control/ControlPlane.cpp
@@ -178,8 +178,9 @@
             membership.addSeeds(SteadyClock::now(), addresses, ownZone);
             if (membership.members().presentCount() <= 1 || !this->hooks.unmet)
                 return;
+            const auto met = membership.membersAt(addresses);
             for (const std::string &address : addresses) {
-                if (!membership.hasMemberAt(address))
+                if (!met.contains(address))
                     this->hooks.unmet(address);
             }
         };
