--- a/Services/Node/AdminFrontend.h
+++ b/Services/Node/Admin/AdminFrontend.h
@@ -1,7 +1,7 @@
 // The node's own HTTP for the upstream beside it, for operators and for metrics.
 #pragma once
 
-#include "UpstreamPresence.h"
+#include <Node/Upstream/UpstreamPresence.h>
 
 #include <LibMembership/Member.h>
 #include <LibNet/HttpServer.h>
--- a/Services/Node/NodeStatus.h
+++ b/Services/Node/Admin/NodeStatus.h
@@ -1,8 +1,8 @@
 // What a node says of itself to operators and to metrics.
 #pragma once
 
-#include "ControlPlane.h"
-#include "NodeDrain.h"
+#include <Node/Control/ControlPlane.h>
+#include <Node/NodeDrain.h>
 
 #include <LibMembership/Member.h>
 #include <LibPlatform/PlatformClient.h>
--- a/Services/Node/SettingsReload.h
+++ b/Services/Node/Admin/SettingsReload.h
@@ -3,8 +3,8 @@
 // hold from the next start. A file that does not check changes nothing.
 #pragma once
 
-#include "NodeDrain.h"
-#include "NodeSettings.h"
+#include <Node/NodeDrain.h>
+#include <Node/NodeSettings.h>
 
 #include <LibObserve/EventLog.h>
 
--- a/Services/Node/CallerFrontend.cpp
+++ b/Services/Node/Callers/CallerFrontend.cpp
@@ -1,7 +1,7 @@
 // Translates between HTTP and calls.
 #include "CallerFrontend.h"
 
-#include "HopHeaders.h"
+#include <Node/HopHeaders.h>
 
 #include <algorithm>
 #include <array>
--- a/Services/Node/CallerFrontend.h
+++ b/Services/Node/Callers/CallerFrontend.h
@@ -2,8 +2,8 @@
 // and headers say what is known of its effect and when to come back.
 #pragma once
 
-#include "CallHeaders.h"
 #include "ForwardedCall.h"
+#include <Node/CallHeaders.h>
 
 #include <LibNet/HttpServer.h>
 
--- a/Services/Node/ForwardedCall.cpp
+++ b/Services/Node/Callers/ForwardedCall.cpp
@@ -1,8 +1,8 @@
 // Placing, sending, retrying and answering one call.
 #include "ForwardedCall.h"
 
-#include "CallReasons.h"
-#include "GateCall.h"
+#include <Node/CallReasons.h>
+#include <Node/Gate/GateCall.h>
 
 #include <algorithm>
 
--- a/Services/Node/ForwardedCall.h
+++ b/Services/Node/Callers/ForwardedCall.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "CallIds.h"
-#include "LocalGate.h"
 #include "UpstreamView.h"
 #include "Worker.h"
+#include <Node/Gate/LocalGate.h>
 
 #include <LibConfig/Model.h>
 #include <LibCore/RcuPointer.h>
--- a/Services/Node/UpstreamView.cpp
+++ b/Services/Node/Callers/UpstreamView.cpp
@@ -1,7 +1,7 @@
 // Builds views from the members that gossip knows.
 #include "UpstreamView.h"
 
-#include "UpstreamPresence.h"
+#include <Node/Upstream/UpstreamPresence.h>
 
 namespace Sagecrank {
 
--- a/Services/Node/Worker.h
+++ b/Services/Node/Callers/Worker.h
@@ -2,10 +2,10 @@
 // Calls stay on the thread that took them, so nothing of a call needs a lock.
 #pragma once
 
-#include "LocalGate.h"
-#include "NodeSettings.h"
-#include "PeerLink.h"
-#include "PeerServer.h"
+#include <Node/Gate/LocalGate.h>
+#include <Node/NodeSettings.h>
+#include <Node/Peers/PeerLink.h>
+#include <Node/Peers/PeerServer.h>
 
 #include <LibNet/HttpClient.h>
 #include <LibNet/HttpServer.h>
--- a/Services/Node/LocalGate.cpp
+++ b/Services/Node/Gate/LocalGate.cpp
@@ -1,8 +1,8 @@
 // The way of a call through the gate: claim, admit, run, answer.
 #include "LocalGate.h"
 
-#include "CallReasons.h"
 #include "GateCall.h"
+#include <Node/CallReasons.h>
 
 #include <boost/asio/post.hpp>
 
--- a/Services/Node/LocalGate.h
+++ b/Services/Node/Gate/LocalGate.h
@@ -2,10 +2,10 @@
 // LibDecide what may start, sends calls to the upstream, and says of each call whether it ran.
 #pragma once
 
-#include "CallHeaders.h"
 #include "ClaimHooks.h"
-#include "RequestObserver.h"
-#include "UpstreamAnnouncement.h"
+#include <Node/CallHeaders.h>
+#include <Node/RequestObserver.h>
+#include <Node/Upstream/UpstreamAnnouncement.h>
 
 #include <LibDecide/Admission.h>
 #include <LibHistory/HistoryRecorder.h>
--- a/Services/Node/LocalGateUpstream.cpp
+++ b/Services/Node/Gate/LocalGateUpstream.cpp
@@ -1,9 +1,9 @@
 // The exchange between the gate and its upstream: what a call is sent as, and what its answer proves.
 #include "LocalGate.h"
 
-#include "CallReasons.h"
 #include "GateCall.h"
-#include "HopHeaders.h"
+#include <Node/CallReasons.h>
+#include <Node/HopHeaders.h>
 
 #include <algorithm>
 
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -1,20 +1,20 @@
 // The whole node: builds its parts, joins them by hooks, and takes them through start, drain and end.
 #pragma once
 
-#include "AdminFrontend.h"
-#include "CallerFrontend.h"
-#include "ClaimService.h"
-#include "ControlPlane.h"
 #include "NodeAdapter.h"
 #include "NodeDrain.h"
 #include "NodeLog.h"
 #include "NodeSettings.h"
-#include "NodeStatus.h"
 #include "RequestObserver.h"
-#include "SettingsReload.h"
-#include "UpstreamPresence.h"
-#include "UpstreamRecord.h"
-#include "Worker.h"
+#include <Node/Admin/AdminFrontend.h>
+#include <Node/Admin/NodeStatus.h>
+#include <Node/Admin/SettingsReload.h>
+#include <Node/Callers/CallerFrontend.h>
+#include <Node/Callers/Worker.h>
+#include <Node/Control/ControlPlane.h>
+#include <Node/Gate/ClaimService.h>
+#include <Node/Upstream/UpstreamPresence.h>
+#include <Node/Upstream/UpstreamRecord.h>
 
 #include <LibConfig/ConfigurationHolder.h>
 #include <boost/asio/signal_set.hpp>
--- a/Services/Node/NodeAdapter.h
+++ b/Services/Node/NodeAdapter.h
@@ -2,9 +2,9 @@
 // and upstreams use, and the platform's own calls to the node. The rest of the node knows none of it.
 #pragma once
 
-#include "AdminFrontend.h"
 #include "CallHeaders.h"
 #include "NodeSettings.h"
+#include <Node/Admin/AdminFrontend.h>
 
 #include <LibPlatform/PlatformClient.h>
 #include <LibSource/VersionSource.h>
--- a/Services/Node/NodeLog.h
+++ b/Services/Node/NodeLog.h
@@ -1,7 +1,7 @@
 // Which log event each change of a node is.
 #pragma once
 
-#include "UpstreamPresence.h"
+#include <Node/Upstream/UpstreamPresence.h>
 
 #include <LibCore/Error.h>
 #include <LibMembership/Member.h>
--- a/Services/Node/NodeParts.h
+++ b/Services/Node/NodeParts.h
@@ -2,8 +2,8 @@
 // admits them.
 #pragma once
 
-#include "ControlPlane.h"
 #include "NodeSettings.h"
+#include <Node/Control/ControlPlane.h>
 
 #include <LibDecide/Admission.h>
 #include <LibDecide/Placer.h>
--- a/Services/Node/PeerLink.cpp
+++ b/Services/Node/Peers/PeerLink.cpp
@@ -1,7 +1,7 @@
 // Connecting, pairing answers with calls, and finding silent connections.
 #include "PeerLink.h"
 
-#include "CallReasons.h"
+#include <Node/CallReasons.h>
 
 #include <boost/asio/post.hpp>
 
--- a/Services/Node/PeerServer.cpp
+++ b/Services/Node/Peers/PeerServer.cpp
@@ -1,7 +1,7 @@
 // One session for each connection of another node.
 #include "PeerServer.h"
 
-#include "GateCall.h"
+#include <Node/Gate/GateCall.h>
 
 #include <sys/socket.h>
 
--- a/Services/Node/PeerServer.h
+++ b/Services/Node/Peers/PeerServer.h
@@ -1,7 +1,7 @@
 // Takes other nodes' calls for the upstream beside this one, on one request thread.
 #pragma once
 
-#include "LocalGate.h"
+#include <Node/Gate/LocalGate.h>
 
 #include <LibNet/FramedConnection.h>
 
--- a/Services/Node/UpstreamPresence.h
+++ b/Services/Node/Upstream/UpstreamPresence.h
@@ -2,7 +2,7 @@
 // silent without a word is taken as gone.
 #pragma once
 
-#include "LocalGate.h"
+#include <Node/Gate/LocalGate.h>
 
 #include <LibCore/Time.h>
 #include <LibMembership/Member.h>
--- a/Tests/Control/TestControlPlane.cpp
+++ b/Tests/Control/TestControlPlane.cpp
@@ -1,8 +1,8 @@
 // Three control planes on loopback with a platform in memory: versions and members reach all of them.
 #include <LibConfig/Assemble.h>
 #include <LibConfig/ConfigurationHolder.h>
-#include <Node/ControlFollower.h>
-#include <Node/ControlPlane.h>
+#include <Node/Control/ControlFollower.h>
+#include <Node/Control/ControlPlane.h>
 
 #include <LibSource/Head.h>
 
--- a/Tests/Control/TestIntroducers.cpp
+++ b/Tests/Control/TestIntroducers.cpp
@@ -1,5 +1,5 @@
 // Nodes that know nobody meet over rows of the platform's table, with few calls.
-#include <Node/ControlIntroducers.h>
+#include <Node/Control/ControlIntroducers.h>
 
 #include <Support/TableTest.h>
 
--- a/Tests/Node/GateFixture.h
+++ b/Tests/Node/GateFixture.h
@@ -3,8 +3,8 @@
 
 #include <LibDecide/Gate.h>
 #include <LibNet/HttpServer.h>
-#include <Node/GateCall.h>
-#include <Node/LocalGate.h>
+#include <Node/Gate/GateCall.h>
+#include <Node/Gate/LocalGate.h>
 
 #include <criterion/criterion.h>
 
--- a/Tests/Node/TestAdminFrontend.cpp
+++ b/Tests/Node/TestAdminFrontend.cpp
@@ -1,5 +1,5 @@
 // The admin port: announcements that check and those that do not, commands and queries.
-#include <Node/AdminFrontend.h>
+#include <Node/Admin/AdminFrontend.h>
 
 #include <Support/TableTest.h>
 
--- a/Tests/Node/TestCallTimeout.cpp
+++ b/Tests/Node/TestCallTimeout.cpp
@@ -1,5 +1,5 @@
 // How long a call may take, by its caller, its route and the node's maximum.
-#include <Node/CallerFrontend.h>
+#include <Node/Callers/CallerFrontend.h>
 
 #include <Support/TableTest.h>
 
--- a/Tests/Node/TestForwardedCall.cpp
+++ b/Tests/Node/TestForwardedCall.cpp
@@ -3,7 +3,7 @@
 #include "FakePeer.h"
 
 #include <LibDecide/Gate.h>
-#include <Node/ForwardedCall.h>
+#include <Node/Callers/ForwardedCall.h>
 
 #include <Support/TableTest.h>
 
--- a/Tests/Node/TestNodeDrain.cpp
+++ b/Tests/Node/TestNodeDrain.cpp
@@ -1,6 +1,6 @@
 // The order of a drain, and the presence of the upstream beside the node.
 #include <Node/NodeDrain.h>
-#include <Node/UpstreamPresence.h>
+#include <Node/Upstream/UpstreamPresence.h>
 
 #include <Support/TableTest.h>
 
--- a/Tests/Node/TestPeerLink.cpp
+++ b/Tests/Node/TestPeerLink.cpp
@@ -1,7 +1,7 @@
 // The connection to another node when the other side is late, out of order, silent, or gone.
 #include "FakePeer.h"
 
-#include <Node/PeerLink.h>
+#include <Node/Peers/PeerLink.h>
 
 #include <Support/TableTest.h>
 
--- a/Tests/Node/TestPeerServer.cpp
+++ b/Tests/Node/TestPeerServer.cpp
@@ -1,8 +1,8 @@
 // What other nodes send over TCP: calls, and bytes that are none.
 #include "GateFixture.h"
 
-#include <Node/PeerLink.h>
-#include <Node/PeerServer.h>
+#include <Node/Peers/PeerLink.h>
+#include <Node/Peers/PeerServer.h>
 
 #include <Support/TableTest.h>
 
--- a/Tests/Node/TestSettingsReload.cpp
+++ b/Tests/Node/TestSettingsReload.cpp
@@ -1,5 +1,5 @@
 // What a signal that the settings changed does to a running node.
-#include <Node/SettingsReload.h>
+#include <Node/Admin/SettingsReload.h>
 
 #include <Support/TableTest.h>
 
--- a/Tests/Node/TestUpstreamRecord.cpp
+++ b/Tests/Node/TestUpstreamRecord.cpp
@@ -1,5 +1,5 @@
 // The row about a leaving upstream, and what a node that was started anew makes of it.
-#include <Node/UpstreamRecord.h>
+#include <Node/Upstream/UpstreamRecord.h>
 
 #include <Support/TableTest.h>
 
--- a/Tests/Platform/PlatformGate.h
+++ b/Tests/Platform/PlatformGate.h
@@ -4,8 +4,8 @@
 
 #include <LibDecide/TargetGate.h>
 #include <LibNet/HttpClient.h>
-#include <Node/GateCall.h>
-#include <Node/LocalGate.h>
+#include <Node/Gate/GateCall.h>
+#include <Node/Gate/LocalGate.h>
 #include <platform/StandInServer.h>
 
 #include <criterion/criterion.h>
--- a/Tests/Platform/TestHostileInput.cpp
+++ b/Tests/Platform/TestHostileInput.cpp
@@ -4,7 +4,7 @@
 #include <LibConfig/ConfigurationHolder.h>
 #include <LibNet/FramedConnection.h>
 #include <LibNet/HttpServer.h>
-#include <Node/UpstreamPresence.h>
+#include <Node/Upstream/UpstreamPresence.h>
 #include <Support/Mutations.h>
 #include <Support/TableTest.h>
 #include <platform/ConfigurationDocument.h>
--- a/Tests/Platform/TestInstanceCalls.cpp
+++ b/Tests/Platform/TestInstanceCalls.cpp
@@ -1,5 +1,5 @@
 // Check-ins and goodbyes of the server beside a node, from the wire to what the node believes.
-#include <Node/UpstreamPresence.h>
+#include <Node/Upstream/UpstreamPresence.h>
 #include <Support/TableTest.h>
 #include <platform/InstanceCalls.h>
 #include <platform/StandInServer.h>
--- a/Utilities/FleetBench/Polling.cpp
+++ b/Utilities/FleetBench/Polling.cpp
@@ -2,7 +2,7 @@
 #include "Commands.h"
 
 #include <LibPlatform/PlatformClient.h>
-#include <Node/ControlFollower.h>
+#include <Node/Control/ControlFollower.h>
 
 #include <boost/asio/signal_set.hpp>
 
--- a/Utilities/FleetBench/Push.cpp
+++ b/Utilities/FleetBench/Push.cpp
@@ -3,7 +3,7 @@
 
 #include <LibConfig/Delta.h>
 #include <LibPlatform/PlatformClient.h>
-#include <Node/ControlFollower.h>
+#include <Node/Control/ControlFollower.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
--- a/Utilities/NodeBench/Main.cpp
+++ b/Utilities/NodeBench/Main.cpp
@@ -3,7 +3,7 @@
 #include <LibCommandLine/CommandLine.h>
 #include <LibWire/Frame.h>
 #include <LibWire/PeerMessages.h>
-#include <Node/UpstreamView.h>
+#include <Node/Callers/UpstreamView.h>
 
 #include <boost/program_options.hpp>
 
