Node: Log each try to read the source of configurations

Sight for the late change after an outage. The nodes logged the first failure of an outage and its end, so that a call held up, a pause that grew and a store that still refused looked alike. Now each try that fails is a line with how long it waited, how many failed in a row and the pause after it; the return tells how long the source was away and which version it has; the age of the last answer and the failures are metrics. No change of logic.

--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace Sagecrank {
 
@@ -12,4 +13,10 @@
 using Milliseconds = std::chrono::milliseconds;
 using Microseconds = std::chrono::microseconds;
 
+// Rounded towards zero; for log lines and messages.
+inline std::int64_t wholeMilliseconds(Duration span)
+{
+    return std::chrono::duration_cast<Milliseconds>(span).count();
+}
+
 } // namespace Sagecrank
--- a/Libraries/LibObserve/Events.h
+++ b/Libraries/LibObserve/Events.h
@@ -58,6 +58,7 @@
 
     SourceLost = 5006,
     SourceRegained = 5007,
+    SourceStillLost = 5008,
 
     ClaimRefused = 5005,
 
@@ -156,7 +157,9 @@
     {EventId::SourceLost, "source.lost", LogLevel::Warning,
      "The source of configurations does not answer; the held version stays in force."},
     {EventId::SourceRegained, "source.regained", LogLevel::Info,
-     "The source of configurations answers again."},
+     "The source of configurations answers again: for how long it did not, and the version that it has."},
+    {EventId::SourceStillLost, "source.still_lost", LogLevel::Info,
+     "A further read of the source of configurations was not answered."},
 
     {EventId::UpstreamAnnounced, "upstream.announced", LogLevel::Info,
      "An upstream announced itself to this node."},
--- a/Services/Node/Admin/NodeStatus.cpp
+++ b/Services/Node/Admin/NodeStatus.cpp
@@ -34,6 +34,11 @@
     text += name + " " + std::to_string(row.value) + "\n";
 }
 
+std::uint64_t wholeSeconds(Duration span)
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(span).count());
+}
+
 } // namespace
 
 std::string statusJson(const NodeStatus &status)
@@ -83,6 +88,10 @@
         {"configuration_version", "gauge", "Version that this node holds.", control.heldVersion},
         {"configuration_head_version", "gauge", "Highest accepted version that this node has heard of.",
          control.headVersion},
+        {"configuration_source_age_seconds", "gauge",
+         "Since the source of configurations last answered this node.", wholeSeconds(control.sourceAge)},
+        {"configuration_source_failures_total", "counter",
+         "Reads of the source of configurations that were not answered.", control.headReadFailures},
         {"configuration_refused_total", "counter", "Versions that did not check.", control.refusedVersions},
         {"configuration_pull_failures_total", "counter", "Pulls that brought nothing.", control.pullFailures},
         {"configuration_pulled_bytes_total", "counter", "Bytes of configuration taken in.",
--- a/Services/Node/Control/ControlFollower.cpp
+++ b/Services/Node/Control/ControlFollower.cpp
@@ -73,6 +73,7 @@
 void ControlFollower::start()
 {
     this->started = SteadyClock::now();
+    this->sourceAnswered = this->started;
     this->pollLater(this->poll.firstDelay(this->hooks.hasView()));
     this->advance();
 }
@@ -109,33 +110,49 @@
     // Only those who read often wait for news; the others look once and leave the source alone.
     const bool waits = this->poll.isFast(this->hooks.rank());
     const auto known = waits ? std::optional(this->plan.wanted().version) : std::nullopt;
-    this->source.newest(known, [this](Result<Head> head) {
+    this->source.newest(known, [this, begun = SteadyClock::now()](Result<Head> head) {
         if (this->stopped)
             return;
-        if (head) {
-            if (this->poll.failuresInRow() != 0 && this->hooks.sourceBack)
-                this->hooks.sourceBack();
-            this->poll.succeeded();
-            const Head &found = head.assume_value();
-            const ConfigurationMark mark{found.version, found.digest.high, found.digest.low};
-            this->plan.want(mark, SteadyClock::now());
-            if (mark.version != 0)
-                this->hooks.headSeen(mark);
-        } else {
+        if (head)
+            this->headRead(head.assume_value());
+        else
             this->poll.failed();
-            ++this->counts.headReadFailures;
-            const Error &error = head.assume_error();
-            // It answers, with something that cannot be read: nothing new comes into force until it is
-            // mended, and only this line says why.
-            if (error.kind == ErrorKind::InvalidInput)
-                this->hooks.failed(error);
-            else if (this->poll.failuresInRow() == 1 && this->hooks.sourceLost)
-                this->hooks.sourceLost(error);
-        }
-        this->pollLater(this->poll.nextDelay(this->hooks.rank()));
+        const Duration pause = this->poll.nextDelay(this->hooks.rank());
+        if (!head)
+            this->headReadFailed(head.assume_error(), SteadyClock::now() - begun, pause);
+        this->pollLater(pause);
     });
 }
 
+void ControlFollower::headRead(const Head &found)
+{
+    const Instant now = SteadyClock::now();
+    if (this->poll.failuresInRow() != 0 && this->hooks.sourceBack)
+        this->hooks.sourceBack({now - this->sourceAnswered, this->poll.failuresInRow(), found.version});
+    this->sourceAnswered = now;
+    this->poll.succeeded();
+    const ConfigurationMark mark{found.version, found.digest.high, found.digest.low};
+    this->plan.want(mark, now);
+    if (mark.version != 0)
+        this->hooks.headSeen(mark);
+}
+
+void ControlFollower::headReadFailed(const Error &error, Duration waited, Duration retryIn)
+{
+    ++this->counts.headReadFailures;
+    // It answers, with something that cannot be read: nothing new comes into force until it is mended, and
+    // only this line says why.
+    if (error.kind == ErrorKind::InvalidInput)
+        this->hooks.failed(error);
+    else if (this->hooks.sourceFailed)
+        this->hooks.sourceFailed({error, waited, this->poll.failuresInRow(), retryIn});
+}
+
+Duration ControlFollower::sourceAge() const
+{
+    return SteadyClock::now() - this->sourceAnswered;
+}
+
 void ControlFollower::advance()
 {
     if (this->stopped)
--- a/Services/Node/Control/ControlFollower.h
+++ b/Services/Node/Control/ControlFollower.h
@@ -31,6 +31,23 @@
     std::uint64_t wholePulls = 0; // Answers of peers that were not deltas.
 };
 
+// A read of the head that brought nothing.
+struct SourceFailure
+{
+    Error error;
+    Duration waited{};          // From its start until it failed.
+    std::uint32_t failures = 0; // In a row, with this one; 1: the source answered before it.
+    Duration retryIn{};
+};
+
+// The first answer after failures.
+struct SourceReturn
+{
+    Duration away{}; // Since the answer before the failures, or since the start.
+    std::uint32_t failures = 0;
+    std::uint64_t version = 0;
+};
+
 struct FollowerHooks
 {
     std::function<Result<void>(SiteConfiguration)> offer;
@@ -39,8 +56,8 @@
     std::function<std::vector<Holder>(std::uint64_t version)> holders;
     std::function<std::vector<std::uint64_t>()> zoneVersions; // What the zone's peers hold.
     std::function<std::uint32_t()> rank;                      // For polling the head.
-    std::function<void(const Error &)> sourceLost;            // The first failure after it answered.
-    std::function<void()> sourceBack;                         // It answers again after failures.
+    std::function<void(const SourceFailure &)> sourceFailed;
+    std::function<void(const SourceReturn &)> sourceBack;
     std::function<bool()> hasView;
     std::function<void(const Error &)> failed; // A version or a source failed; for the log.
 };
@@ -69,11 +86,14 @@
     const FollowerCounters &counters() const { return this->counts; }
     VersionSourceCounters sourceCounters() const { return this->source.counters(); }
     const ConfigurationMark &wanted() const { return this->plan.wanted(); }
+    Duration sourceAge() const; // Since the source last answered, or since the start.
 
 private:
     void advance();
     void pollLater(Duration delay);
     void readHead();
+    void headRead(const Head &found);
+    void headReadFailed(const Error &error, Duration waited, Duration retryIn);
     void wantAgreedVersion(Instant now);
     void pullFromPeer(const PullStep &step);
     Result<void> takePeerAnswer(const PullResponse &response);
@@ -93,6 +113,7 @@
     PullPlan plan;
     FollowerCounters counts;
     Instant started{};
+    Instant sourceAnswered{}; // When the head was last read; the start before the first time.
     bool stopped = false;
 
     // Newest last; the base of deltas for peers that are a few versions behind. Bounded.
--- a/Services/Node/Control/ControlPlane.cpp
+++ b/Services/Node/Control/ControlPlane.cpp
@@ -152,14 +152,8 @@
         made.holders = [this](std::uint64_t version) { return this->holders(version); };
         made.zoneVersions = [this] { return this->zoneVersions(); };
         made.rank = [this] { return this->readerRank(); };
-        made.sourceLost = [this](const Error &error) {
-            if (this->hooks.sourceLost)
-                this->hooks.sourceLost(error);
-        };
-        made.sourceBack = [this] {
-            if (this->hooks.sourceBack)
-                this->hooks.sourceBack();
-        };
+        made.sourceFailed = this->hooks.sourceFailed;
+        made.sourceBack = this->hooks.sourceBack;
         made.hasView = [this] { return this->gossip.membership().hasView(); };
         made.failed = [this](const Error &error) {
             if (this->hooks.failed)
@@ -317,6 +311,7 @@
         status.gossipSendFailures = this->gossip.sendFailures();
         status.headReads = source.headReads;
         status.headReadFailures = follower.headReadFailures;
+        status.sourceAge = this->follower.sourceAge();
         status.objectReads = source.objectReads;
         status.introducerReads = this->introducers.counters().reads;
         status.introducerWrites = this->introducers.counters().writes;
--- a/Services/Node/Control/ControlPlane.h
+++ b/Services/Node/Control/ControlPlane.h
@@ -52,8 +52,8 @@
     std::function<Result<void>(SiteConfiguration)> configurationOffered;
     // Something failed that an operator may want to know; not called again and again for one outage.
     std::function<void(const Error &)> failed;
-    std::function<void(const Error &)> sourceLost; // The source of versions stopped answering.
-    std::function<void()> sourceBack;              // The source of versions answers again.
+    std::function<void(const SourceFailure &)> sourceFailed; // The source of versions did not answer.
+    std::function<void(const SourceReturn &)> sourceBack;    // The source of versions answers again.
     // A row names an introducer at whose address no member is known, although others are.
     std::function<void(const std::string &gossipAddress)> unmet;
 };
@@ -70,6 +70,7 @@
     std::uint64_t gossipSendFailures = 0;
     std::uint64_t headReads = 0;
     std::uint64_t headReadFailures = 0;
+    Duration sourceAge{}; // Since the source of versions last answered this node.
     std::uint64_t objectReads = 0;
     std::uint64_t introducerReads = 0;
     std::uint64_t introducerWrites = 0;
--- a/Services/Node/Gate/LocalGate.cpp
+++ b/Services/Node/Gate/LocalGate.cpp
@@ -19,7 +19,7 @@
 // Bounds how often a waiting call looks at the queue.
 constexpr Duration shortestQueueCheck = Milliseconds(1);
 
-std::uint32_t wholeMilliseconds(Duration span)
+std::uint32_t retryMilliseconds(Duration span)
 {
     const auto count = std::chrono::ceil<Milliseconds>(span).count();
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 1, 3600000));
@@ -125,7 +125,7 @@
     response.outcome = Outcome::Unknown;
     response.reason = reason;
     response.status = status;
-    response.retryAfterMilliseconds = wholeMilliseconds(retryAfter);
+    response.retryAfterMilliseconds = retryMilliseconds(retryAfter);
     this->answer(call, std::move(response));
 }
 
@@ -262,7 +262,7 @@
     response.outcome = Outcome::NotRun;
     response.reason = reason;
     response.status = statusUnavailable;
-    response.retryAfterMilliseconds = wholeMilliseconds(retryAfter);
+    response.retryAfterMilliseconds = retryMilliseconds(retryAfter);
     response.claimHeld = call->claimed;
     if (call->claimed)
         this->claims.release(call->claimName, call->request.attempt);
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -205,12 +205,9 @@
         this->recordMember(member);
     };
     hooks.failed = [this](const Error &error) { this->nodeLog.controlFailed(error); };
-    hooks.sourceLost = [this](const Error &error) {
-        this->log.write(EventId::SourceLost,
-                        {{"step", error.step}, {"peer", error.peer}, {"message", error.message}});
-    };
+    hooks.sourceFailed = [this](const SourceFailure &failure) { this->nodeLog.sourceFailed(failure); };
     hooks.unmet = [this](const std::string &address) { this->nodeLog.memberUnmet(address); };
-    hooks.sourceBack = [this] { this->log.write(EventId::SourceRegained, {}); };
+    hooks.sourceBack = [this](const SourceReturn &found) { this->nodeLog.sourceBack(found); };
     return hooks;
 }
 
--- a/Services/Node/NodeLog.cpp
+++ b/Services/Node/NodeLog.cpp
@@ -75,6 +75,24 @@
                     {{"step", error.step}, {"peer", error.peer}, {"message", error.message}});
 }
 
+void NodeLog::sourceFailed(const SourceFailure &failure)
+{
+    this->log.write(failure.failures == 1 ? EventId::SourceLost : EventId::SourceStillLost,
+                    {{"step", failure.error.step},
+                     {"peer", failure.error.peer},
+                     {"message", failure.error.message},
+                     {"waited_ms", wholeMilliseconds(failure.waited)},
+                     {"failures", failure.failures},
+                     {"retry_in_ms", wholeMilliseconds(failure.retryIn)}});
+}
+
+void NodeLog::sourceBack(const SourceReturn &found)
+{
+    this->log.write(EventId::SourceRegained, {{"away_ms", wholeMilliseconds(found.away)},
+                                              {"failures", found.failures},
+                                              {"version", found.version}});
+}
+
 void NodeLog::memberChanged(const Member &member)
 {
     if (member.id == this->ownId)
--- a/Services/Node/NodeLog.h
+++ b/Services/Node/NodeLog.h
@@ -1,6 +1,7 @@
 // Which log event each change of a node is.
 #pragma once
 
+#include <Node/Control/ControlFollower.h>
 #include <Node/Upstream/UpstreamPresence.h>
 
 #include <LibCore/Error.h>
@@ -23,6 +24,8 @@
     void configurationRefused(std::uint64_t version, const Error &error);
     void configurationDoubtful(std::uint64_t version, const Error &doubt);
     void controlFailed(const Error &error);
+    void sourceFailed(const SourceFailure &failure);
+    void sourceBack(const SourceReturn &found);
     void memberChanged(const Member &member);
     void memberUnmet(const std::string &gossipAddress);
     void announcementRefused(const Error &error);
--- a/Services/Node/RequestObserver.cpp
+++ b/Services/Node/RequestObserver.cpp
@@ -13,11 +13,6 @@
     return count > 0 ? static_cast<std::uint64_t>(count) : 0;
 }
 
-std::int64_t milliseconds(Duration span)
-{
-    return std::chrono::duration_cast<Milliseconds>(span).count();
-}
-
 } // namespace
 
 RequestObserver::RequestObserver(EventLog &log, Metrics &metrics, SpanRing &ring)
@@ -74,8 +69,8 @@
                             {"outcome", summary.outcome},
                             {"status", summary.status},
                             {"reason", summary.reason},
-                            {"took_ms", milliseconds(summary.took)},
-                            {"left_ms", milliseconds(summary.left)}});
+                            {"took_ms", wholeMilliseconds(summary.took)},
+                            {"left_ms", wholeMilliseconds(summary.left)}});
 }
 
 void RequestObserver::requestRefused(std::string_view callId, std::uint32_t status, std::string_view reason)
@@ -98,8 +93,8 @@
                                             {"outcome", summary.outcome},
                                             {"status", summary.status},
                                             {"reason", summary.reason},
-                                            {"waited_ms", milliseconds(summary.waited)},
-                                            {"ran_ms", milliseconds(summary.ran)},
+                                            {"waited_ms", wholeMilliseconds(summary.waited)},
+                                            {"ran_ms", wholeMilliseconds(summary.ran)},
                                             {"free_slots", summary.freeSlots},
                                             {"queued", summary.queued}});
 }
@@ -109,14 +104,14 @@
 {
     this->log.write(EventId::GateRefused, {{"call", refusal.callId},
                                            {"reason", refusal.reason},
-                                           {"waited_ms", milliseconds(refusal.waited)},
+                                           {"waited_ms", wholeMilliseconds(refusal.waited)},
                                            {"priority", refusal.priority},
                                            {"late_accepted", refusal.lateAccepted},
-                                           {"left_ms", milliseconds(refusal.left)},
+                                           {"left_ms", wholeMilliseconds(refusal.left)},
                                            {"running", refusal.running},
                                            {"queued", refusal.queued},
                                            {"upstream", refusal.condition},
-                                           {"retry_after_ms", milliseconds(refusal.retryAfter)}});
+                                           {"retry_after_ms", wholeMilliseconds(refusal.retryAfter)}});
     this->metrics
         .counter("sagecrank_gate_refused_total", "Calls that the gate refused as not run.",
                  {{"reason", std::string(refusal.reason)}})
