LibSpread: Overtake head reads that nobody answers, at a steady pace

What callers saw: after an outage of the store a confirmed change was not in force two seconds later; routes that had been added were refused with 404, or requests were handled as an older version says.

Cause: a poller had one read under way at a time and began the next only when it had ended. A read that an outage swallows ends by its own timeout, 4.0 s after it began, and a pause that had doubled with each failure (1 s, with jitter 1.5 s) came after it. A change ends the watches of all pollers at once, so all began theirs together and all were deaf together. Ruled out by the log lines: the store refusing the nodes after it served the operator, and slow spreading between nodes (0.2 s).

Change: HeadPoll decides without clocks when a read begins, whether it waits, and when it is overdue. An overdue read is overtaken by one on a fresh connection, at a steady pace that does not slacken, because few poll; a node that knows no peers keeps the slower pace, because it cannot know whether it is one of few. After news the first hold is staggered by rank. Nothing answers a read that was lost, so what holds the return now is one retry interval at most.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -104,9 +104,10 @@
         this->message.prepare_payload();
     }
 
-    void start(Duration timeout)
+    void start(Duration timeout, ConnectionChoice connection)
     {
-        this->stream = this->pool->take(this->address);
+        if (connection == ConnectionChoice::Kept)
+            this->stream = this->pool->take(this->address);
         if (this->stream) {
             this->stream->expires_after(timeout);
             return this->write();
@@ -271,7 +272,7 @@
 {
     const auto call = std::make_shared<HttpClientCall>(this->pool, address, std::move(request),
                                                        options.echoHeader, std::move(done));
-    call->start(options.timeout);
+    call->start(options.timeout, options.connection);
     return Handle(call);
 }
 
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -26,12 +26,18 @@
     Milliseconds idleTimeout{30000};
 };
 
+enum class ConnectionChoice : std::uint8_t {
+    Kept,  // One that is idle, if there is one.
+    Fresh, // A new one: those that are kept may have fallen silent without an end.
+};
+
 struct HttpSendOptions
 {
     Duration timeout{}; // Spans connecting, sending and the answer.
     // A header of the request that its answer repeats. An answer with another value belongs to an earlier
     // request on the same connection and is passed over. Empty: answers are not checked.
     std::string echoHeader;
+    ConnectionChoice connection = ConnectionChoice::Kept;
 };
 
 class HttpClientCall;
@@ -65,7 +71,8 @@
     Handle send(const std::string &address, HttpRequest request, HttpSendOptions options, AnswerHook done);
     Handle send(const std::string &address, HttpRequest request, Duration timeout, AnswerHook done)
     {
-        return this->send(address, std::move(request), HttpSendOptions{timeout, {}}, std::move(done));
+        return this->send(address, std::move(request), HttpSendOptions{timeout, {}, ConnectionChoice::Kept},
+                          std::move(done));
     }
 
     struct Pool; // Only the .cpp file knows what is in it.
--- a/Libraries/LibSource/TableVersionSource.cpp
+++ b/Libraries/LibSource/TableVersionSource.cpp
@@ -133,7 +133,7 @@
     const auto source =
         std::make_shared<TableVersionSource>(std::move(table), std::move(objects), std::move(site));
     VersionSource hooks;
-    hooks.newest = [source](std::optional<std::uint64_t>, HeadCallback callback) {
+    hooks.newest = [source](const HeadQuery &, HeadCallback callback) {
         source->newest(std::move(callback));
     };
     hooks.read = [source](std::shared_ptr<const SiteConfiguration> held, SiteCallback callback) {
--- a/Libraries/LibSource/VersionSource.h
+++ b/Libraries/LibSource/VersionSource.h
@@ -2,6 +2,7 @@
 // publisher, or any other place that keeps one accepted version after the other.
 #pragma once
 
+#include <LibCore/Time.h>
 #include <LibSource/Head.h>
 
 #include <functional>
@@ -19,14 +20,23 @@
     std::uint64_t readBytes = 0;
 };
 
+struct HeadQuery
+{
+    // With it, a source that can wait answers as soon as there is a newer version, or after the hold; and it
+    // need not say again what is not newer. Without it, it answers at once.
+    std::optional<std::uint64_t> known;
+    Duration hold{};
+    bool freshConnection = false; // Not one that was kept, which may have fallen silent.
+};
+
 using HeadCallback = std::function<void(Result<Head>)>;
 using SiteCallback = std::function<void(Result<SiteConfiguration>)>;
 
 struct VersionSource
 {
-    // The newest accepted version; version zero before the first one. With `known`, a source that can wait
-    // holds its answer back for some seconds while nothing is newer than that; without, it answers at once.
-    std::function<void(std::optional<std::uint64_t> known, HeadCallback)> newest;
+    // The newest accepted version; version zero before the first one. Reads may overlap, and be answered in
+    // any order.
+    std::function<void(const HeadQuery &query, HeadCallback)> newest;
 
     // The whole of this site at the newest accepted version. What `held` has (it may be null) need not be
     // read again. InvalidInput and TooLarge: it will not check tomorrow either.
--- a/Services/Node/Control/ControlFollower.cpp
+++ b/Services/Node/Control/ControlFollower.cpp
@@ -74,7 +74,8 @@
 {
     this->started = SteadyClock::now();
     this->sourceAnswered = this->started;
-    this->pollLater(this->poll.firstDelay(this->hooks.hasView()));
+    this->poll.start(this->started, this->hooks.hasView());
+    this->pollLater();
     this->advance();
 }
 
@@ -96,56 +97,84 @@
     return this->recent.empty() ? 0 : this->recent.back()->manifest.version;
 }
 
-void ControlFollower::pollLater(Duration delay)
+HeadPoller ControlFollower::poller() const
 {
-    this->pollTimer.expires_after(delay);
+    return {this->hooks.rank(), this->hooks.knowsPeers()};
+}
+
+void ControlFollower::pollHead()
+{
+    const HeadStep step = this->poll.next(SteadyClock::now(), this->poller());
+    for (const OverdueRead &read : step.overdue) {
+        ++this->counts.headReadFailures;
+        this->tellSourceFailed(makeError(ErrorKind::Timeout, "read head", "", "no answer in time"),
+                               read.waited, read.failures);
+    }
+    if (step.begin)
+        this->readHead(*step.begin);
+    this->pollLater();
+}
+
+void ControlFollower::pollLater()
+{
+    this->pollTimer.expires_at(this->poll.wakeAt());
     this->pollTimer.async_wait([this](const boost::system::error_code &error) {
         if (!error && !this->stopped)
-            this->readHead();
+            this->pollHead();
     });
 }
 
-void ControlFollower::readHead()
+void ControlFollower::readHead(const HeadRead &read)
 {
+    const std::uint64_t known = this->plan.wanted().version;
+    HeadQuery query;
     // Only those who read often wait for news; the others look once and leave the source alone.
-    const bool waits = this->poll.isFast(this->hooks.rank());
-    const auto known = waits ? std::optional(this->plan.wanted().version) : std::nullopt;
-    this->source.newest(known, [this, begun = SteadyClock::now()](Result<Head> head) {
+    if (read.waits)
+        query.known = known;
+    query.hold = read.hold;
+    query.freshConnection = read.isRetry;
+    this->source.newest(query, [this, read, known, begun = SteadyClock::now()](Result<Head> head) {
         if (this->stopped)
             return;
         if (head)
-            this->headRead(head.assume_value());
+            this->headRead(read, known, head.assume_value());
         else
-            this->poll.failed();
-        const Duration pause = this->poll.nextDelay(this->hooks.rank());
-        if (!head)
-            this->headReadFailed(head.assume_error(), SteadyClock::now() - begun, pause);
-        this->pollLater(pause);
+            this->headReadFailed(read, head.assume_error(), SteadyClock::now() - begun);
+        this->pollLater();
     });
 }
 
-void ControlFollower::headRead(const Head &found)
+void ControlFollower::headRead(const HeadRead &read, std::uint64_t known, const Head &found)
 {
     const Instant now = SteadyClock::now();
     if (this->poll.failuresInRow() != 0 && this->hooks.sourceBack)
         this->hooks.sourceBack({now - this->sourceAnswered, this->poll.failuresInRow(), found.version});
     this->sourceAnswered = now;
-    this->poll.succeeded();
+    this->poll.answered(now, this->poller(), read.number, found.version > known);
     const ConfigurationMark mark{found.version, found.digest.high, found.digest.low};
     this->plan.want(mark, now);
     if (mark.version != 0)
         this->hooks.headSeen(mark);
 }
 
-void ControlFollower::headReadFailed(const Error &error, Duration waited, Duration retryIn)
+void ControlFollower::headReadFailed(const HeadRead &read, const Error &error, Duration waited)
 {
+    if (!this->poll.failed(SteadyClock::now(), this->poller(), read.number))
+        return; // Told when it was overdue.
     ++this->counts.headReadFailures;
     // It answers, with something that cannot be read: nothing new comes into force until it is mended, and
     // only this line says why.
     if (error.kind == ErrorKind::InvalidInput)
         this->hooks.failed(error);
-    else if (this->hooks.sourceFailed)
-        this->hooks.sourceFailed({error, waited, this->poll.failuresInRow(), retryIn});
+    else
+        this->tellSourceFailed(error, waited, this->poll.failuresInRow());
+}
+
+void ControlFollower::tellSourceFailed(const Error &error, Duration waited, std::uint32_t failures)
+{
+    const Duration retryIn = std::max(this->poll.wakeAt() - SteadyClock::now(), Duration::zero());
+    if (this->hooks.sourceFailed)
+        this->hooks.sourceFailed({error, waited, failures, retryIn});
 }
 
 Duration ControlFollower::sourceAge() const
--- a/Services/Node/Control/ControlFollower.h
+++ b/Services/Node/Control/ControlFollower.h
@@ -59,6 +59,7 @@
     std::function<void(const SourceFailure &)> sourceFailed;
     std::function<void(const SourceReturn &)> sourceBack;
     std::function<bool()> hasView;
+    std::function<bool()> knowsPeers;          // Of any other node that is present.
     std::function<void(const Error &)> failed; // A version or a source failed; for the log.
 };
 
@@ -90,10 +91,14 @@
 
 private:
     void advance();
-    void pollLater(Duration delay);
-    void readHead();
-    void headRead(const Head &found);
-    void headReadFailed(const Error &error, Duration waited, Duration retryIn);
+    HeadPoller poller() const;
+    void pollHead();
+    void pollLater();
+    void readHead(const HeadRead &read);
+    // `known`: the newest version when the read began.
+    void headRead(const HeadRead &read, std::uint64_t known, const Head &found);
+    void headReadFailed(const HeadRead &read, const Error &error, Duration waited);
+    void tellSourceFailed(const Error &error, Duration waited, std::uint32_t failures);
     void wantAgreedVersion(Instant now);
     void pullFromPeer(const PullStep &step);
     Result<void> takePeerAnswer(const PullResponse &response);
--- a/Services/Node/Control/ControlPlane.cpp
+++ b/Services/Node/Control/ControlPlane.cpp
@@ -152,6 +152,7 @@
         made.holders = [this](std::uint64_t version) { return this->holders(version); };
         made.zoneVersions = [this] { return this->zoneVersions(); };
         made.rank = [this] { return this->readerRank(); };
+        made.knowsPeers = [this] { return this->knowsPeers(); };
         made.sourceFailed = this->hooks.sourceFailed;
         made.sourceBack = this->hooks.sourceBack;
         made.hasView = [this] { return this->gossip.membership().hasView(); };
@@ -166,7 +167,7 @@
     {
         IntroducerHooks made;
         made.rank = [this] { return this->introducerRank(); };
-        made.knowsOthers = [this] { return this->gossip.membership().members().presentCount() > 1; };
+        made.knowsOthers = [this] { return this->knowsPeers(); };
         made.found = [this](const std::vector<std::string> &addresses, bool ownZone) {
             Membership &membership = this->gossip.membership();
             membership.addSeeds(SteadyClock::now(), addresses, ownZone);
@@ -181,6 +182,8 @@
         return made;
     }
 
+    bool knowsPeers() const { return this->gossip.membership().members().presentCount() > 1; }
+
     // For each other node of the zone that is alive.
     template <typename Take>
     void forEachZonePeer(Take take) const
--- a/Services/Node/NodeParts.cpp
+++ b/Services/Node/NodeParts.cpp
@@ -28,9 +28,17 @@
 {
     constexpr std::uint32_t watchersPerZone = 3;
     constexpr Duration pauseBetweenWatches = Milliseconds(200); // A tenth of the time a change may take.
+    constexpr Duration longestHold = Milliseconds(2000);        // A third of that for the first after news.
+    // A store that is slow takes 250 to 300 ms for an answer.
+    constexpr Duration storeAnswerTime = Milliseconds(500);
+    // The watchers of 25 zones make 150 reads a second of it while the store is away.
+    constexpr Duration pauseBetweenRetries = Milliseconds(500);
     control.follower.poll.fastPollersPerZone = watchersPerZone;
     control.follower.poll.fastInterval = pauseBetweenWatches;
-    control.follower.poll.longestBackoff = Milliseconds(1000);
+    control.follower.poll.hold = longestHold;
+    control.follower.poll.answerTime = storeAnswerTime;
+    control.follower.poll.retryInterval = pauseBetweenRetries;
+    control.follower.poll.lonelyRetryInterval = Milliseconds(1000);
     control.follower.poll.blindSpread = Milliseconds(20);
     control.follower.poll.firstSpread = Milliseconds(20);
     control.follower.pull.platformPullers = watchersPerZone;
--- a/Tests/Control/TestControlPlane.cpp
+++ b/Tests/Control/TestControlPlane.cpp
@@ -309,7 +309,7 @@
     VersionSource source()
     {
         VersionSource made;
-        made.newest = [this](std::optional<std::uint64_t>, HeadCallback callback) {
+        made.newest = [this](const HeadQuery &, HeadCallback callback) {
             ++this->asked;
             if (!this->silent)
                 boost::asio::post(this->context, [this, callback = std::move(callback)] {
@@ -334,8 +334,10 @@
 } // namespace
 
 // A caller is told 404 for a route that was confirmed seconds ago. The source falls silent while a node waits
-// for its answer; it is back, has a newer version, and answers whoever asks; but the node asks nobody until
-// the read that the silence swallowed has ended, which here it never does.
+// for its answer; it is back, has a newer version, and answers whoever asks; but the node asked nobody until
+// the read that the silence swallowed had ended, which here it never does, and then paused for longer the
+// longer the outage had been. Evidence: lines of reads that were begun before an outage ended and given up
+// 4.0 s later (5008), at all nodes that watch, and the first answer (5007) only after those.
 Test(controlFollower, aReadThatIsNeverAnsweredHoldsUpNoOther)
 {
     Fixture fixture;
@@ -348,6 +350,7 @@
     hooks.holders = [](std::uint64_t) { return std::vector<Holder>{}; };
     hooks.rank = [] { return 0U; };
     hooks.hasView = [] { return true; };
+    hooks.knowsPeers = [] { return true; };
     hooks.failed = [](const Error &) {};
     FollowerSettings settings;
     settings.poll.firstSpread = Milliseconds(10);
--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -62,10 +62,10 @@
 };
 
 Answer sendAndWait(boost::asio::io_context &context, HttpClient &client, const std::string &address,
-                   std::string body)
+                   std::string body, ConnectionChoice connection = ConnectionChoice::Kept)
 {
     Answer answer;
-    client.send(address, {"POST", "/", {}, std::move(body)}, std::chrono::seconds(10),
+    client.send(address, {"POST", "/", {}, std::move(body)}, {std::chrono::seconds(10), {}, connection},
                 [&](const HttpFailure *failure, HttpResponse response) {
                     answer.failed = failure != nullptr;
                     answer.mayHaveBeenSent = failure != nullptr && failure->mayHaveBeenSent;
@@ -195,3 +195,44 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
     cr_assert(!sendAndWait(context, client, server.address(), "").failed);
 }
+
+struct ChoiceRow
+{
+    ConnectionChoice choice;
+    int connections;
+};
+
+const ChoiceRow choiceRows[] = {
+    {ConnectionChoice::Kept, 1},
+    {ConnectionChoice::Fresh, 2},
+};
+
+// A server falls silent on the connections that it has and answers on new ones. What is sent to find out
+// whether it lives must not go over a connection that was kept, although one is idle.
+TABLE_TEST(httpClient, aFreshConnectionIsAsGoodAsItsName, choiceRows)
+{
+    int connections = 0;
+    {
+        PlayedServer server([&connections, &row](tcp::acceptor &acceptor) {
+            tcp::socket socket = acceptor.accept();
+            ++connections;
+            std::string buffer;
+            readHeader(socket, buffer);
+            boost::asio::write(socket, boost::asio::buffer(earlyAnswer));
+            const tcp::socket silent =
+                row.connections == 2 ? std::move(socket) : tcp::socket(acceptor.get_executor());
+            if (row.connections == 2) {
+                socket = acceptor.accept();
+                ++connections;
+            }
+            readHeader(socket, buffer);
+            boost::asio::write(socket, boost::asio::buffer(earlyAnswer));
+        });
+        boost::asio::io_context context;
+        HttpClient client(context, {});
+        cr_assert(!sendAndWait(context, client, server.address(), "").failed);
+        cr_assert(!sendAndWait(context, client, server.address(), "", row.choice).failed,
+                  "choice %d, %d connections", static_cast<int>(row.choice), connections);
+    }
+    cr_assert(connections == row.connections, "%d connections", connections);
+}
--- a/Tests/LibSpread/TestSpread.cpp
+++ b/Tests/LibSpread/TestSpread.cpp
@@ -257,10 +257,14 @@
     double reads = 0;
     for (std::uint32_t node = 0; node < 6500; ++node) {
         HeadPoll poll({}, node);
-        const std::uint32_t rank = node / 25;
-        Duration time = poll.firstDelay(true);
-        for (; time < minutes(10); time += poll.nextDelay(rank))
+        const HeadPoller self{node / 25, true};
+        const Instant begin(std::chrono::hours(1));
+        poll.start(begin, true);
+        while (poll.wakeAt() - begin < minutes(10)) {
+            const Instant now = poll.wakeAt();
+            poll.answered(now, self, poll.next(now, self).begin->number, false);
             ++reads;
+        }
     }
     const double perSecond = reads / 600;
     cr_assert(perSecond > 100 && perSecond < 200, "%f reads a second", perSecond);
--- a/Tests/Platform/TestHostileInput.cpp
+++ b/Tests/Platform/TestHostileInput.cpp
@@ -102,10 +102,11 @@
     std::function<void()> readNext = [&] {
         if (ended == reads)
             return context.stop();
-        client.get({"op", {}, "config", {}, 1}, [&](const Result<Platform::RowsAnswer> &) {
-            ++ended;
-            boost::asio::post(context, readNext);
-        });
+        client.get({"op", {}, "config", {}, 1}, ConnectionChoice::Kept,
+                   [&](const Result<Platform::RowsAnswer> &) {
+                       ++ended;
+                       boost::asio::post(context, readNext);
+                   });
     };
     readNext();
     context.run_for(std::chrono::seconds(60));
--- a/Tests/Platform/TestRowsStore.cpp
+++ b/Tests/Platform/TestRowsStore.cpp
@@ -51,9 +51,9 @@
         return this->await<Result<void>>([&](auto done) { this->client->write(row, done); });
     }
 
-    Result<Head> newest(const VersionSource &source, std::optional<std::uint64_t> known)
+    Result<Head> newest(const VersionSource &source, const HeadQuery &query)
     {
-        return this->await<Result<Head>>([&](auto done) { source.newest(known, done); });
+        return this->await<Result<Head>>([&](auto done) { source.newest(query, done); });
     }
 
     void faults(const std::string &json) { this->faults(json, this->server.address()); }
@@ -100,7 +100,7 @@
     const Result<void> again = fixture.write(row);
     cr_assert(!again.has_value() && again.error().kind == ErrorKind::Conflict);
     const auto rows = fixture.await<Result<Platform::RowsAnswer>>([&](auto done) {
-        fixture.client->get({"t", "p", {}, {}, 10}, done);
+        fixture.client->get({"t", "p", {}, {}, 10}, ConnectionChoice::Kept, done);
     });
     cr_assert(rows.has_value() && rows.value().rows.size() == 1 && rows.value().rows[0].value == "first");
 }
@@ -141,14 +141,14 @@
     cr_assert(fixture.newest(source, {}).value().version == 3);
 
     auto pending = fixture.await<Result<Head>>([&](auto done) {
-        source.newest(3, done);
+        source.newest({3, std::chrono::seconds(2), false}, done);
         boost::asio::post(fixture.context, [&] { fixture.service.putConfiguration(document(5)); });
     });
     cr_assert(pending.value().version == 5);
 
     fixture.service.putConfiguration(document(8));
     fixture.service.dropHistory();
-    cr_assert(fixture.newest(source, 5).value().version == 8);
+    cr_assert(fixture.newest(source, {5, std::chrono::seconds(2), false}).value().version == 8);
 }
 
 // A read of the store is behind and shows an older version than the node has seen. Taken for the newest,
