LibSpread: Count a node's turn from when it fell behind

What callers saw: on hosts that the store turned away, routes as they were up to nine versions and 9.0 s before, while hosts of other zones had each change within 0.1 s.

Cause: the wait after which a node asks another zone, or the store out of turn, began anew with each version that it heard of. Changes each 1.1 s put it off until they ended. It is counted now from when the node fell behind or last came nearer. On stores that bring content with the number another zone is asked after 0.5 s instead of 1.5 s, because three watchers a zone have a change within 0.1 s or not at all.

Found while looking elsewhere for the cause of the late change after an outage: a wait that hangs on what was begun or heard while something was away.

--- a/Libraries/LibSpread/PullPlan.cpp
+++ b/Libraries/LibSpread/PullPlan.cpp
@@ -25,7 +25,7 @@
         return;
     this->deferred = {};
     this->target = mark;
-    this->targetSince = now;
+    this->noteBehind(now);
     this->notBefore = now;
     this->failures = 0;
     this->peerContentInvalid = false;
@@ -46,11 +46,14 @@
 PullStep PullPlan::next(Instant now, std::uint64_t heldVersion, std::uint32_t rank,
                         const std::vector<Holder> &holders)
 {
-    if (this->target.version <= heldVersion || this->inFlight() || now < this->notBefore)
+    if (this->target.version <= heldVersion) {
+        this->behind = false;
         return {};
-    if (this->isRefused(this->target))
+    }
+    this->noteBehind(now);
+    if (this->inFlight() || now < this->notBefore || this->isRefused(this->target))
         return {};
-    const Duration waited = now - this->targetSince;
+    const Duration waited = now - this->behindSince;
     const int place = static_cast<int>(rank);
     const bool poller =
         rank < this->settings.platformPullers && waited >= this->settings.laterPollerDelay * place;
@@ -74,6 +77,16 @@
     return step;
 }
 
+// Failure: versions come faster than a node's turn at other zones and at the platform. Symptom: counted from
+// the newest version, the turn never comes, and a node whose own zone has nothing for it stays behind until
+// the changes end. So it is counted from when the node fell behind.
+void PullPlan::noteBehind(Instant now)
+{
+    if (!this->behind)
+        this->behindSince = now;
+    this->behind = true;
+}
+
 PullStep PullPlan::choosePeer(Instant now, const std::vector<Holder> &holders, bool sameZone)
 {
     std::vector<const Holder *> usable;
@@ -90,6 +103,7 @@
 void PullPlan::succeeded()
 {
     this->current = {};
+    this->behind = false; // Nearer to the target, if not there.
     this->failures = 0;
     this->platformFailures = 0;
     if (this->deferred.version > this->target.version)
--- a/Libraries/LibSpread/PullPlan.h
+++ b/Libraries/LibSpread/PullPlan.h
@@ -93,6 +93,7 @@
     bool isRefused(const ConfigurationMark &mark) const;
 
 private:
+    void noteBehind(Instant now);
     bool isAvoided(const std::string &id, Instant now) const;
     PullStep choosePeer(Instant now, const std::vector<Holder> &holders, bool sameZone);
     Duration backoff();
@@ -101,7 +102,10 @@
     std::mt19937_64 random;
     ConfigurationMark target;
     ConfigurationMark deferred; // Wanted once the target is held; newer than it, or no version.
-    Instant targetSince{};
+    // When the node fell behind, or last came nearer to the target; from it the turns of other zones and of
+    // the platform are counted.
+    Instant behindSince{};
+    bool behind = false;
     PullStep current; // The attempt under way.
     Instant notBefore{};
     Instant platformNotBefore{};
--- a/Services/Node/NodeParts.cpp
+++ b/Services/Node/NodeParts.cpp
@@ -44,6 +44,9 @@
     control.follower.pull.platformPullers = watchersPerZone;
     control.follower.pull.laterPollerDelay = Duration::zero();
     control.follower.pull.platformFirst = true;
+    // The watchers of a zone have a change within a tenth of a second. When none has it after this, the store
+    // turns the zone away, and a change from another zone is some hundred bytes.
+    control.follower.pull.otherZonesAfter = Milliseconds(500);
     // A node that no peer has helped for half of the time that a change may take reads the row itself, one
     // after the other in each zone: 50 calls a second of a zone at most.
     control.follower.pull.platformAfter = Milliseconds(1000);
