LibSpread: Ask peers first for what only peers told of

What callers saw: on a host that the store turned away in silence, each changed route as it was for 2.2 s more, though hosts beside it had the change after 0.1 s.

Cause: a node that may ask the store asks it first, because a store that told of a version has brought its content along. It did so too for versions that only peers had told of, and waited for a store that was silent towards it until that read was given up; and the pause that grew with such failures outlived the outage: one node heard from the store at 13.16 s and put the version in its hands in force at 14.21 s. Now the plan knows what the source itself told of: that is taken at once, whatever failed before; the rest is asked of peers of the zone, then of other zones (0.5 s), then of the store (0.6 s).

Same class as the late change after an outage: a turn that is held by a read which nobody answers.

--- a/Libraries/LibSpread/PullPlan.cpp
+++ b/Libraries/LibSpread/PullPlan.cpp
@@ -31,6 +31,19 @@
     this->peerContentInvalid = false;
 }
 
+// Failure: the source does not answer while peers tell of versions, and the reads for these fail one after
+// the other. Symptom: the pause that grew meanwhile outlives the outage, and a node that has the newest
+// version in its hands puts it in force a second late, or more. A source that tells of a version lives.
+void PullPlan::sourceTold(const ConfigurationMark &mark, Instant now)
+{
+    this->toldBySource = std::max(this->toldBySource, mark.version);
+    this->platformFailures = 0;
+    this->platformNotBefore = now;
+    if (this->settings.platformFirst && mark.version >= this->target.version)
+        this->notBefore = now;
+    this->want(mark, now);
+}
+
 void PullPlan::settleFor(const ConfigurationMark &mark, Instant now)
 {
     if (mark.version == 0 || this->inFlight())
@@ -55,14 +68,19 @@
         return {};
     const Duration waited = now - this->behindSince;
     const int place = static_cast<int>(rank);
-    const bool poller =
-        rank < this->settings.platformPullers && waited >= this->settings.laterPollerDelay * place;
+    // Failure: the source is silent towards this node while peers tell of a version. Symptom: the node asks
+    // it first, and the version is late by the time after which such a read is given up. Whoever told has it
+    // or knows who has, so peers go first.
+    const bool told = this->toldBySource >= this->target.version;
+    const Duration pollerPause = told ? Duration::zero() : this->settings.peersFirstFor;
+    const bool poller = rank < this->settings.platformPullers
+                        && waited >= pollerPause + this->settings.laterPollerDelay * place;
     const Duration turn = this->settings.platformAfter + this->settings.platformAfterEachRank * place;
     const bool platformDue = (poller || waited >= turn) && now >= this->platformNotBefore;
     // A node that holds nothing would read every section from the platform; another zone costs it nothing.
     const bool otherDue = heldVersion == 0 || waited >= this->settings.otherZonesAfter;
     PullStep step;
-    if (this->settings.platformFirst && platformDue) {
+    if (this->settings.platformFirst && told && platformDue) {
         step.source = PullSource::Platform;
         this->current = step;
         return step;
--- a/Libraries/LibSpread/PullPlan.h
+++ b/Libraries/LibSpread/PullPlan.h
@@ -67,8 +67,11 @@
     Duration firstBackoff = Milliseconds(50);
     Duration longestBackoff = Milliseconds(5000);
     Duration avoidPeerFor = Milliseconds(5000);
-    // The platform is asked before peers by those who may: its source has the content already.
+    // What the source itself told of is taken from it before peers are asked: it has the content already.
     bool platformFirst = false;
+    // What only peers told of is asked of the platform by those who may after this; until then a peer that
+    // holds it may turn up.
+    Duration peersFirstFor{};
     std::uint32_t platformPullers = 2; // Ranks that may ask the platform at once; equals the fast pollers.
 };
 
@@ -78,7 +81,8 @@
     PullPlan(PullSettings settings, std::uint64_t seed);
 
     // Commands.
-    void want(const ConfigurationMark &mark, Instant now);
+    void want(const ConfigurationMark &mark, Instant now); // Heard of from peers.
+    void sourceTold(const ConfigurationMark &mark, Instant now);
     // Only for a node that holds nothing: takes an older version first, and wants the newer one after it.
     void settleFor(const ConfigurationMark &mark, Instant now);
     // Begins an attempt when it names a source; exactly one of the next two must follow it.
@@ -101,7 +105,8 @@
     PullSettings settings;
     std::mt19937_64 random;
     ConfigurationMark target;
-    ConfigurationMark deferred; // Wanted once the target is held; newer than it, or no version.
+    std::uint64_t toldBySource = 0; // The newest version that the source itself told of.
+    ConfigurationMark deferred;     // Wanted once the target is held; newer than it, or no version.
     // When the node fell behind, or last came nearer to the target; from it the turns of other zones and of
     // the platform are counted.
     Instant behindSince{};
--- a/Services/Node/Control/ControlFollower.cpp
+++ b/Services/Node/Control/ControlFollower.cpp
@@ -152,7 +152,7 @@
     this->sourceAnswered = now;
     this->poll.answered(now, this->poller(), read.number, found.version > known);
     const ConfigurationMark mark{found.version, found.digest.high, found.digest.low};
-    this->plan.want(mark, now);
+    this->plan.sourceTold(mark, now);
     if (mark.version != 0)
         this->hooks.headSeen(mark);
 }
@@ -245,7 +245,7 @@
 Result<void> ControlFollower::takePlatformAnswer(Result<SiteConfiguration> configuration)
 {
     SiteConfiguration found = TRY(std::move(configuration));
-    this->plan.want({found.manifest.version, 0, 0}, SteadyClock::now());
+    this->plan.sourceTold({found.manifest.version, 0, 0}, SteadyClock::now());
     return this->take(std::move(found));
 }
 
--- a/Services/Node/NodeParts.cpp
+++ b/Services/Node/NodeParts.cpp
@@ -44,6 +44,9 @@
     control.follower.pull.platformPullers = watchersPerZone;
     control.follower.pull.laterPollerDelay = Duration::zero();
     control.follower.pull.platformFirst = true;
+    // After other zones: the watch brings content too, so reading the store for what it has not told of helps
+    // only those who do not watch.
+    control.follower.pull.peersFirstFor = Milliseconds(600);
     // The watchers of a zone have a change within a tenth of a second. When none has it after this, the store
     // turns the zone away, and a change from another zone is some hundred bytes.
     control.follower.pull.otherZonesAfter = Milliseconds(500);
--- a/Tests/LibSpread/TestPullPlan.cpp
+++ b/Tests/LibSpread/TestPullPlan.cpp
@@ -15,6 +15,7 @@
     PullSettings settings;
     settings.laterPollerDelay = Duration::zero();
     settings.platformFirst = true;
+    settings.peersFirstFor = Milliseconds(600);
     settings.platformPullers = 3;
     settings.otherZonesAfter = Milliseconds(500);
     settings.platformAfter = Milliseconds(1000);
@@ -22,10 +23,24 @@
     return settings;
 }
 
+const Holder near{"near", "", true};
 const Holder far{"far", "", false};
 
 } // namespace
 
+// An operator's change is in force everywhere but at one node, which refuses the new route with 404 for two
+// seconds. The store is silent towards that node alone; a peer of its zone tells it of the version and has
+// it; but the node is one of those that may ask the store, asks it first, and waits for an answer that does
+// not come. Evidence: lines of hosts turned away that swapped 2.2 s after the others (2001), each right after
+// a pull from the store that had timed out (2004).
+Test(pullPlan, whatPeersToldOfIsAskedOfPeers)
+{
+    PullPlan plan(contentComesAlong(), 1);
+    const Instant now(std::chrono::hours(1));
+    plan.want({5, 0, 0}, now);
+    cr_assert(plan.next(now, 4, 0, {near}).source == PullSource::ZonePeer);
+}
+
 // Changes come each second while the store turns a whole zone away. Its nodes hear of each from other zones,
 // but stay at the version before all of them until the changes end: the wait after which another zone is
 // asked began anew with each version. Evidence: two hosts that stayed 9 s behind, without one pull from a
@@ -51,3 +66,34 @@
     }
     cr_assert_fail("no other zone was asked");
 }
+
+// The store is back, and the node that watches it reads the newest version, content and all. It must be in
+// force at once, although reads for versions that peers told of had failed one after the other meanwhile, and
+// the pause between them had grown. Evidence: a node that heard from the store at 13.16 s and swapped at
+// 14.21 s.
+Test(pullPlan, whatTheSourceItselfToldOfIsTakenAtOnce)
+{
+    PullPlan plan(contentComesAlong(), 1);
+    Instant now(std::chrono::hours(1));
+    plan.want({5, 0, 0}, now);
+    int failed = 0;
+    for (; failed < 8; now += tick) {
+        if (plan.next(now, 4, 0, {}).source == PullSource::None)
+            continue;
+        plan.failed(now, PullFailure::Unreachable, {});
+        ++failed;
+    }
+    plan.sourceTold({6, 0, 0}, now);
+    cr_assert(plan.next(now, 4, 0, {near}).source == PullSource::Platform);
+}
+
+// Nobody near has what a peer told of: the platform is asked after a moment, as it was before.
+Test(pullPlan, whatNoPeerHoldsIsReadFromThePlatform)
+{
+    PullPlan plan(contentComesAlong(), 1);
+    const Instant begin(std::chrono::hours(1));
+    plan.want({5, 0, 0}, begin);
+    cr_assert(plan.next(begin, 4, 0, {}).source == PullSource::None);
+    const Instant later = begin + contentComesAlong().peersFirstFor;
+    cr_assert(plan.next(later, 4, 0, {}).source == PullSource::Platform);
+}
