LibSpread: Overtake pulls that nobody answers

What callers saw, or would: a node that pulls a change from a peer which has just lost power, or from a store that is silent towards it, refuses the new route until that pull is given up after two to three seconds, though others have the change at hand.

A pull is now overdue after 0.5 s (2 s for a node that holds nothing, whose answer is the whole site); then another holder is asked, three at most are open, the first answer ends the others, and an overdue peer is left alone for a while. What the source itself has just told of ends them too: its content is at hand.

--- a/Libraries/LibSpread/PullPlan.cpp
+++ b/Libraries/LibSpread/PullPlan.cpp
@@ -10,6 +10,7 @@
 constexpr std::size_t maximumRefused = 32;
 constexpr std::size_t maximumAvoided = 256;
 constexpr std::uint32_t largestShift = 10;
+constexpr std::size_t maximumOpen = 3;
 
 } // namespace
 
@@ -36,11 +37,14 @@
 // version in its hands puts it in force a second late, or more. A source that tells of a version lives.
 void PullPlan::sourceTold(const ConfigurationMark &mark, Instant now)
 {
+    const bool news = mark.version > this->toldBySource && mark.version >= this->target.version;
     this->toldBySource = std::max(this->toldBySource, mark.version);
     this->platformFailures = 0;
     this->platformNotBefore = now;
-    if (this->settings.platformFirst && mark.version >= this->target.version)
+    if (this->settings.platformFirst && news) {
         this->notBefore = now;
+        this->open.clear(); // What they would bring is at hand.
+    }
     this->want(mark, now);
 }
 
@@ -64,8 +68,32 @@
         return {};
     }
     this->noteBehind(now);
-    if (this->inFlight() || now < this->notBefore || this->isRefused(this->target))
+    if (!this->mayBegin(now))
         return {};
+    PullStep step = this->choose(now, heldVersion, rank, holders);
+    if (step.source == PullSource::None)
+        return step;
+    step.number = ++this->lastNumber;
+    const Duration answerTime = heldVersion == 0 ? this->settings.wholeAnswerTime : this->settings.answerTime;
+    this->open.push_back({step, now, now + answerTime, false});
+    return step;
+}
+
+// Failure: a peer loses power, or the way to the platform is cut, while a pull is under way. Symptom: the
+// node lacks the version until that pull is given up after seconds, though others have it at hand. So a pull
+// that is overdue does not keep the node from asking elsewhere; what was asked stays open, since it may be
+// slow only, and whichever answers first ends the others.
+bool PullPlan::mayBegin(Instant now) const
+{
+    const bool waits = std::any_of(this->open.begin(), this->open.end(),
+                                   [now](const Attempt &attempt) { return now < attempt.dueAt; });
+    return !waits && this->open.size() < maximumOpen && now >= this->notBefore
+           && !this->isRefused(this->target);
+}
+
+PullStep PullPlan::choose(Instant now, std::uint64_t heldVersion, std::uint32_t rank,
+                          const std::vector<Holder> &holders)
+{
     const Duration waited = now - this->behindSince;
     const int place = static_cast<int>(rank);
     // Failure: the source is silent towards this node while peers tell of a version. Symptom: the node asks
@@ -76,13 +104,13 @@
     const bool poller = rank < this->settings.platformPullers
                         && waited >= pollerPause + this->settings.laterPollerDelay * place;
     const Duration turn = this->settings.platformAfter + this->settings.platformAfterEachRank * place;
-    const bool platformDue = (poller || waited >= turn) && now >= this->platformNotBefore;
+    const bool platformDue =
+        (poller || waited >= turn) && now >= this->platformNotBefore && !this->isPlatformAsked();
     // A node that holds nothing would read every section from the platform; another zone costs it nothing.
     const bool otherDue = heldVersion == 0 || waited >= this->settings.otherZonesAfter;
     PullStep step;
     if (this->settings.platformFirst && told && platformDue) {
         step.source = PullSource::Platform;
-        this->current = step;
         return step;
     }
     if (!this->peerContentInvalid)
@@ -91,7 +119,6 @@
         step = this->choosePeer(now, holders, false);
     if (step.source == PullSource::None && platformDue)
         step.source = PullSource::Platform;
-    this->current = step;
     return step;
 }
 
@@ -109,7 +136,7 @@
 {
     std::vector<const Holder *> usable;
     for (const Holder &holder : holders) {
-        if (holder.sameZone == sameZone && !this->isAvoided(holder.id, now))
+        if (holder.sameZone == sameZone && !this->isAvoided(holder.id, now) && !this->isAsked(holder.id))
             usable.push_back(&holder);
     }
     if (usable.empty())
@@ -118,43 +145,85 @@
     return {sameZone ? PullSource::ZonePeer : PullSource::OtherPeer, *usable[any(this->random)]};
 }
 
-void PullPlan::succeeded()
+bool PullPlan::isOpen(std::uint64_t number) const
+{
+    return std::any_of(this->open.begin(), this->open.end(),
+                       [number](const Attempt &attempt) { return attempt.step.number == number; });
+}
+
+std::vector<OverduePull> PullPlan::takeOverdue(Instant now)
+{
+    std::vector<OverduePull> overdue;
+    for (Attempt &attempt : this->open) {
+        if (attempt.isOverdue || now < attempt.dueAt)
+            continue;
+        attempt.isOverdue = true;
+        if (attempt.step.source != PullSource::Platform)
+            this->avoid(attempt.step.holder.id, now);
+        overdue.push_back({attempt.step, now - attempt.begunAt});
+    }
+    return overdue;
+}
+
+bool PullPlan::succeeded(std::uint64_t number)
 {
-    this->current = {};
+    if (!this->isOpen(number))
+        return false;
+    this->open.clear();
     this->behind = false; // Nearer to the target, if not there.
     this->failures = 0;
     this->platformFailures = 0;
     if (this->deferred.version > this->target.version)
         this->target = this->deferred;
     this->deferred = {};
+    return true;
 }
 
-void PullPlan::failed(Instant now, PullFailure failure, Duration retryAfter)
+bool PullPlan::failed(Instant now, std::uint64_t number, PullFailure failure, Duration retryAfter)
 {
-    const PullStep attempt = this->current;
-    this->current = {};
+    const auto found = std::find_if(this->open.begin(), this->open.end(), [number](const Attempt &attempt) {
+        return attempt.step.number == number;
+    });
+    if (found == this->open.end())
+        return false;
+    const PullStep attempt = found->step;
+    this->open.erase(found);
     ++this->failures;
     this->notBefore = now + std::max(retryAfter, this->backoff());
-    if (attempt.source == PullSource::Platform) {
-        if (failure == PullFailure::Invalid) {
-            if (this->refused.size() >= maximumRefused)
-                this->refused.erase(this->refused.begin());
-            this->refused.push_back(this->target);
-            return;
-        }
-        ++this->platformFailures;
-        const auto factor = std::int64_t{1} << std::min(this->platformFailures, largestShift);
-        this->platformNotBefore =
-            now + std::min(this->settings.longestBackoff * 4, this->settings.firstBackoff * 4 * factor);
+    if (attempt.source == PullSource::Platform)
+        this->platformFailed(now, failure);
+    else
+        this->peerFailed(now, attempt.holder.id, failure);
+    return true;
+}
+
+void PullPlan::platformFailed(Instant now, PullFailure failure)
+{
+    if (failure == PullFailure::Invalid) {
+        if (this->refused.size() >= maximumRefused)
+            this->refused.erase(this->refused.begin());
+        this->refused.push_back(this->target);
         return;
     }
+    ++this->platformFailures;
+    const auto factor = std::int64_t{1} << std::min(this->platformFailures, largestShift);
+    this->platformNotBefore =
+        now + std::min(this->settings.longestBackoff * 4, this->settings.firstBackoff * 4 * factor);
+}
+
+void PullPlan::peerFailed(Instant now, const std::string &id, PullFailure failure)
+{
     if (failure == PullFailure::Invalid)
         this->peerContentInvalid = true;
-    if (failure == PullFailure::Busy)
-        return;
+    if (failure != PullFailure::Busy)
+        this->avoid(id, now);
+}
+
+void PullPlan::avoid(const std::string &id, Instant now)
+{
     if (this->avoided.size() >= maximumAvoided)
         this->avoided.clear();
-    this->avoided[attempt.holder.id] = now + this->settings.avoidPeerFor;
+    this->avoided[id] = now + this->settings.avoidPeerFor;
 }
 
 bool PullPlan::isRefused(const ConfigurationMark &mark) const
@@ -162,6 +231,18 @@
     return std::find(this->refused.begin(), this->refused.end(), mark) != this->refused.end();
 }
 
+bool PullPlan::isPlatformAsked() const
+{
+    return std::any_of(this->open.begin(), this->open.end(),
+                       [](const Attempt &attempt) { return attempt.step.source == PullSource::Platform; });
+}
+
+bool PullPlan::isAsked(const std::string &id) const
+{
+    return std::any_of(this->open.begin(), this->open.end(),
+                       [&id](const Attempt &attempt) { return attempt.step.holder.id == id; });
+}
+
 bool PullPlan::isAvoided(const std::string &id, Instant now) const
 {
     const auto found = this->avoided.find(id);
--- a/Libraries/LibSpread/PullPlan.h
+++ b/Libraries/LibSpread/PullPlan.h
@@ -56,6 +56,14 @@
 {
     PullSource source = PullSource::None; // None: not now.
     Holder holder;                        // For the peers.
+    std::uint64_t number = 0;
+};
+
+// A pull that nobody has answered in time; it may still be answered.
+struct OverduePull
+{
+    PullStep step;
+    Duration waited{};
 };
 
 struct PullSettings
@@ -67,6 +75,10 @@
     Duration firstBackoff = Milliseconds(50);
     Duration longestBackoff = Milliseconds(5000);
     Duration avoidPeerFor = Milliseconds(5000);
+    // After which a pull is overtaken by another. A change is some kilobytes.
+    Duration answerTime = Milliseconds(500);
+    // The same for a node that holds nothing. A whole site takes a second on a link of 5 Mbit/s.
+    Duration wholeAnswerTime = Milliseconds(2000);
     // What the source itself told of is taken from it before peers are asked: it has the content already.
     bool platformFirst = false;
     // What only peers told of is asked of the platform by those who may after this; until then a peer that
@@ -85,21 +97,42 @@
     void sourceTold(const ConfigurationMark &mark, Instant now);
     // Only for a node that holds nothing: takes an older version first, and wants the newer one after it.
     void settleFor(const ConfigurationMark &mark, Instant now);
-    // Begins an attempt when it names a source; exactly one of the next two must follow it.
+    // Begins an attempt when it names a source; succeeded() or failed() with its number must follow.
     PullStep next(Instant now, std::uint64_t heldVersion, std::uint32_t rank,
                   const std::vector<Holder> &holders);
-    void succeeded();
-    void failed(Instant now, PullFailure failure, Duration retryAfter);
+    // Ends all attempts. False when another has done so before: its content is not needed any more.
+    bool succeeded(std::uint64_t number);
+    // False when the attempt had ended already.
+    bool failed(Instant now, std::uint64_t number, PullFailure failure, Duration retryAfter);
+    // Attempts that are overdue now and have not been named before; their peers are avoided for a while.
+    std::vector<OverduePull> takeOverdue(Instant now);
 
     // Queries.
     const ConfigurationMark &wanted() const { return this->target; }
-    bool inFlight() const { return this->current.source != PullSource::None; }
+    bool inFlight() const { return !this->open.empty(); }
+    bool isOpen(std::uint64_t number) const;
     bool isRefused(const ConfigurationMark &mark) const;
 
 private:
     void noteBehind(Instant now);
+    bool isPlatformAsked() const;
+    bool isAsked(const std::string &id) const;
     bool isAvoided(const std::string &id, Instant now) const;
+    struct Attempt
+    {
+        PullStep step;
+        Instant begunAt{};
+        Instant dueAt{};
+        bool isOverdue = false;
+    };
+
+    bool mayBegin(Instant now) const;
+    PullStep choose(Instant now, std::uint64_t heldVersion, std::uint32_t rank,
+                    const std::vector<Holder> &holders);
     PullStep choosePeer(Instant now, const std::vector<Holder> &holders, bool sameZone);
+    void platformFailed(Instant now, PullFailure failure);
+    void peerFailed(Instant now, const std::string &id, PullFailure failure);
+    void avoid(const std::string &id, Instant now);
     Duration backoff();
 
     PullSettings settings;
@@ -111,7 +144,8 @@
     // the platform are counted.
     Instant behindSince{};
     bool behind = false;
-    PullStep current; // The attempt under way.
+    std::vector<Attempt> open; // Bounded; more than one only while all but the last are overdue.
+    std::uint64_t lastNumber = 0;
     Instant notBefore{};
     Instant platformNotBefore{};
     std::uint32_t failures = 0;             // In a row.
--- a/Services/Node/Control/ControlFollower.cpp
+++ b/Services/Node/Control/ControlFollower.cpp
@@ -201,19 +201,29 @@
 void ControlFollower::considerPull()
 {
     const std::uint64_t held = this->heldVersion();
-    if (this->stopped || this->plan.wanted().version <= held || this->plan.inFlight())
+    if (this->stopped || this->plan.wanted().version <= held)
         return;
+    const Instant now = SteadyClock::now();
+    for (const OverduePull &pull : this->plan.takeOverdue(now))
+        this->tellOverdue(pull);
     // Failure: versions come faster than nodes hear who holds the newest. Symptom: nobody known holds the one
     // that is wanted, and a node stays behind by many versions for as long as that lasts. Whoever holds a
     // newer one than this node brings it closer.
     const auto holders = this->hooks.holders(held + 1);
-    const PullStep step = this->plan.next(SteadyClock::now(), held, this->hooks.rank(), holders);
+    const PullStep step = this->plan.next(now, held, this->hooks.rank(), holders);
     if (step.source == PullSource::Platform)
-        this->pullFromPlatform();
+        this->pullFromPlatform(step);
     else if (step.source != PullSource::None)
         this->pullFromPeer(step);
 }
 
+void ControlFollower::tellOverdue(const OverduePull &pull)
+{
+    const std::string waited = std::to_string(wholeMilliseconds(pull.waited));
+    this->hooks.failed(makeError(ErrorKind::Timeout, "pull version", pull.step.holder.id,
+                                 "no answer after " + waited + " ms; it is asked elsewhere"));
+}
+
 // Load: hosts are replaced while the platform is out. Harm: a node without a configuration serves nobody for
 // the whole of the outage. The version that two peers of the zone hold was accepted, so it may take that, and
 // goes on to a newer one once somebody has it.
@@ -223,21 +233,23 @@
         this->plan.settleFor({agreedVersion(this->hooks.zoneVersions()), 0, 0}, now);
 }
 
-void ControlFollower::pullFromPlatform()
+void ControlFollower::pullFromPlatform(const PullStep &step)
 {
     ++this->counts.platformPulls;
     const auto held = this->recent.empty() ? nullptr : this->recent.back();
-    this->source.read(held, [this](Result<SiteConfiguration> configuration) {
-        if (this->stopped)
+    this->source.read(held, [this, number = step.number](Result<SiteConfiguration> configuration) {
+        if (this->stopped || !this->plan.isOpen(number))
             return;
         const Result<void> taken = this->takePlatformAnswer(std::move(configuration));
-        if (taken)
-            return this->plan.succeeded();
+        if (taken) {
+            this->plan.succeeded(number);
+            return;
+        }
         // A version that does not check will not check tomorrow: it is refused whole and for good. A store
         // that does not answer is asked again later.
         const ErrorKind kind = taken.error().kind;
         const bool invalid = kind == ErrorKind::InvalidInput || kind == ErrorKind::TooLarge;
-        this->fail(taken.error(), invalid ? PullFailure::Invalid : PullFailure::Unreachable, {});
+        this->fail(number, taken.error(), invalid ? PullFailure::Invalid : PullFailure::Unreachable);
     });
 }
 
@@ -245,7 +257,7 @@
 Result<void> ControlFollower::takePlatformAnswer(Result<SiteConfiguration> configuration)
 {
     SiteConfiguration found = TRY(std::move(configuration));
-    this->plan.sourceTold({found.manifest.version, 0, 0}, SteadyClock::now());
+    this->plan.want({found.manifest.version, 0, 0}, SteadyClock::now());
     return this->take(std::move(found));
 }
 
@@ -255,25 +267,32 @@
     const std::uint64_t held = this->heldVersion();
     const PullRequest request{this->nodeId, this->site, held + 1, held};
     const std::string peer = step.holder.controlAddress;
-    Sagecrank::pullFromPeer(this->context, peer, request, [this, peer](Result<PulledAnswer> answer) {
-        if (this->stopped)
+    const std::uint64_t number = step.number;
+    Sagecrank::pullFromPeer(this->context, peer, request, [this, peer, number](Result<PulledAnswer> answer) {
+        if (this->stopped || !this->plan.isOpen(number))
             return;
         if (!answer)
-            return this->fail(answer.assume_error(), PullFailure::Unreachable, {});
+            return this->fail(number, answer.assume_error(), PullFailure::Unreachable);
         const PulledAnswer &pulled = answer.assume_value();
         this->counts.pulledBytes += pulled.receivedBytes;
         const PullResponse &response = pulled.response;
         const auto pause = Milliseconds(std::min(response.retryAfterMilliseconds, std::uint32_t{5000}));
-        if (response.answer == PullAnswer::Busy)
-            return this->plan.failed(SteadyClock::now(), PullFailure::Busy, pause);
-        if (response.answer == PullAnswer::Missing)
-            return this->plan.failed(SteadyClock::now(), PullFailure::Missing, {});
+        if (response.answer == PullAnswer::Busy) {
+            this->plan.failed(SteadyClock::now(), number, PullFailure::Busy, pause);
+            return;
+        }
+        if (response.answer == PullAnswer::Missing) {
+            this->plan.failed(SteadyClock::now(), number, PullFailure::Missing, {});
+            return;
+        }
         const Result<void> taken = this->takePeerAnswer(response);
-        if (taken)
-            return this->plan.succeeded();
+        if (taken) {
+            this->plan.succeeded(number);
+            return;
+        }
         Error error = taken.error();
         error.peer = peer;
-        this->fail(error, failureOf(error), {});
+        this->fail(number, error, failureOf(error));
     });
 }
 
@@ -298,11 +317,11 @@
     return success();
 }
 
-void ControlFollower::fail(const Error &error, PullFailure failure, Duration retryAfter)
+void ControlFollower::fail(std::uint64_t number, const Error &error, PullFailure failure)
 {
     ++this->counts.pullFailures;
     const ConfigurationMark mark = this->plan.wanted();
-    this->plan.failed(SteadyClock::now(), failure, retryAfter);
+    this->plan.failed(SteadyClock::now(), number, failure, {});
     if (this->plan.isRefused(mark))
         ++this->counts.refusedVersions;
     this->hooks.failed(error);
--- a/Services/Node/Control/ControlFollower.h
+++ b/Services/Node/Control/ControlFollower.h
@@ -102,10 +102,11 @@
     void wantAgreedVersion(Instant now);
     void pullFromPeer(const PullStep &step);
     Result<void> takePeerAnswer(const PullResponse &response);
-    void pullFromPlatform();
+    void pullFromPlatform(const PullStep &step);
+    void tellOverdue(const OverduePull &pull);
     Result<void> takePlatformAnswer(Result<SiteConfiguration> configuration);
     Result<void> take(SiteConfiguration configuration);
-    void fail(const Error &error, PullFailure failure, Duration retryAfter);
+    void fail(std::uint64_t number, const Error &error, PullFailure failure);
 
     boost::asio::io_context &context;
     boost::asio::steady_timer pollTimer;
--- a/Tests/LibSpread/TestPullPlan.cpp
+++ b/Tests/LibSpread/TestPullPlan.cpp
@@ -78,12 +78,16 @@
     plan.want({5, 0, 0}, now);
     int failed = 0;
     for (; failed < 8; now += tick) {
-        if (plan.next(now, 4, 0, {}).source == PullSource::None)
+        const PullStep step = plan.next(now, 4, 0, {});
+        if (step.source == PullSource::None)
             continue;
-        plan.failed(now, PullFailure::Unreachable, {});
+        plan.failed(now, step.number, PullFailure::Unreachable, {});
         ++failed;
     }
-    plan.sourceTold({6, 0, 0}, now);
+    plan.want({6, 0, 0}, now);
+    while (plan.next(now, 4, 0, {}).source != PullSource::Platform)
+        now += tick;
+    plan.sourceTold({6, 0, 0}, now); // While another read is under way.
     cr_assert(plan.next(now, 4, 0, {near}).source == PullSource::Platform);
 }
 
@@ -97,3 +101,23 @@
     const Instant later = begin + contentComesAlong().peersFirstFor;
     cr_assert(plan.next(later, 4, 0, {}).source == PullSource::Platform);
 }
+
+// A host loses power right after it told its zone that it holds a new version. Each node that had asked it
+// waits until the connection is given up, and refuses the new route for that long, though others hold the
+// version. Another is asked as soon as an answer is overdue; the answer that comes first counts.
+Test(pullPlan, aPeerThatDoesNotAnswerIsOvertaken)
+{
+    PullPlan plan(contentComesAlong(), 1);
+    const Instant begin(std::chrono::hours(1));
+    const Holder other{"other", "", true};
+    plan.want({5, 0, 0}, begin);
+    const PullStep first = plan.next(begin, 4, 9, {near, other});
+    cr_assert(first.source == PullSource::ZonePeer);
+    cr_assert(plan.next(begin + tick, 4, 9, {near, other}).source == PullSource::None);
+    const Instant overdue = begin + contentComesAlong().answerTime;
+    const PullStep second = plan.next(overdue, 4, 9, {near, other});
+    cr_assert(second.source == PullSource::ZonePeer && second.holder.id != first.holder.id);
+    cr_assert(plan.succeeded(second.number));
+    cr_assert(!plan.succeeded(first.number), "its content is not offered again");
+    cr_assert(!plan.inFlight());
+}
--- a/Tests/LibSpread/TestSpread.cpp
+++ b/Tests/LibSpread/TestSpread.cpp
@@ -34,7 +34,8 @@
         Instant toldAt{};   // When the others know what it holds.
         Instant pullEnds{}; // Of the pull under way.
         Node *server = nullptr;
-        bool hears = false; // Knows of the target.
+        std::uint64_t pull = 0; // Its number.
+        bool hears = false;     // Knows of the target.
         Instant hearsAt{};
     };
 
@@ -124,6 +125,7 @@
         const PullStep step = node.plan->next(this->now, node.held, node.rank, this->holders(node));
         if (step.source == PullSource::None)
             return;
+        node.pull = step.number;
         node.pullEnds = this->now + Milliseconds(30);
         node.server = nullptr;
         if (step.source == PullSource::Platform) {
@@ -136,7 +138,7 @@
         if (server.admission->begin())
             node.server = &server;
         else
-            node.plan->failed(this->now, PullFailure::Busy, server.admission->retryAfter());
+            node.plan->failed(this->now, node.pull, PullFailure::Busy, server.admission->retryAfter());
     }
 
     void finish(Node &node)
@@ -146,11 +148,15 @@
         if (node.server != nullptr)
             node.server->admission->end();
         const bool fromPlatform = node.server == nullptr;
-        if (fromPlatform && this->platformDown)
-            return node.plan->failed(this->now, PullFailure::Unreachable, {});
-        if (this->contentInvalid)
-            return node.plan->failed(this->now, PullFailure::Invalid, {});
-        node.plan->succeeded();
+        if (fromPlatform && this->platformDown) {
+            node.plan->failed(this->now, node.pull, PullFailure::Unreachable, {});
+            return;
+        }
+        if (this->contentInvalid) {
+            node.plan->failed(this->now, node.pull, PullFailure::Invalid, {});
+            return;
+        }
+        node.plan->succeeded(node.pull);
         node.held = this->version;
         node.toldAt = this->now + Milliseconds(200);
     }
@@ -344,12 +350,14 @@
     Instant now(std::chrono::hours(1));
     plan.want({5, 1, 1}, now);
     const std::vector<Holder> holders = {{"n1", "", true}};
-    cr_assert(plan.next(now, 4, 40, holders).source == PullSource::ZonePeer);
-    plan.failed(now, PullFailure::Invalid, {});
+    const PullStep fromPeer = plan.next(now, 4, 40, holders);
+    cr_assert(fromPeer.source == PullSource::ZonePeer);
+    plan.failed(now, fromPeer.number, PullFailure::Invalid, {});
     cr_assert(!plan.isRefused({5, 1, 1}));
     now += minutes(1);
-    cr_assert(plan.next(now, 4, 40, holders).source == PullSource::Platform);
-    plan.failed(now, PullFailure::Invalid, {});
+    const PullStep fromPlatform = plan.next(now, 4, 40, holders);
+    cr_assert(fromPlatform.source == PullSource::Platform);
+    plan.failed(now, fromPlatform.number, PullFailure::Invalid, {});
     cr_assert(plan.isRefused({5, 1, 1}));
 }
 
@@ -372,9 +380,10 @@
     plan.want({9, 1, 1}, now);
     plan.settleFor({8, 0, 0}, now);
     cr_assert(plan.wanted().version == 8);
-    cr_assert(plan.next(now, 0, 40, {{"n1", "", true}}).source == PullSource::ZonePeer);
+    const PullStep step = plan.next(now, 0, 40, {{"n1", "", true}});
+    cr_assert(step.source == PullSource::ZonePeer);
     plan.want({9, 1, 1}, now);
     cr_assert(plan.wanted().version == 8);
-    plan.succeeded();
+    cr_assert(plan.succeeded(step.number));
     cr_assert(plan.wanted().version == 9);
 }
