LibSpread: Wake a node that has become a poller

What callers would see: changes in force up to a minute and a half late in a zone whose pollers are all gone for good at once, where no other zone tells of them.

Cause: a node looks at its rank when it polls, and one that does not poll fast sleeps for 30 to 90 s. Same class as the late change after an outage: what can be used again, or by whom, was noticed only when a wait begun before had ended. The rank is looked at each 0.1 s now, with the pulls that are due; a node whose rank has risen reads the head within one interval. The first read of a process keeps its own time, which spreads a fleet that starts.

The test names a command that the code before did not have; without it the wake stays 30 s away or more.

--- a/Libraries/LibSpread/HeadPoll.cpp
+++ b/Libraries/LibSpread/HeadPoll.cpp
@@ -34,6 +34,7 @@
     HeadStep step;
     if (now < this->nextAt)
         return step;
+    this->wasFast = this->isFast(self);
     step.overdue = this->markOverdue(now);
     step.begin = this->makeRead(self);
     const Instant dueAt = now + step.begin->hold + this->settings.answerTime;
@@ -48,6 +49,16 @@
     return step;
 }
 
+// Failure: those that polled for a zone are gone, and the next in rank sleeps until its slow poll. Symptom:
+// no change is in force for up to a minute and a half, though the source answers. A new rank ends the sleep.
+void HeadPoll::rankChanged(Instant now, const HeadPoller &self)
+{
+    const bool isFast = this->isFast(self);
+    if (isFast && !this->wasFast)
+        this->nextAt = std::min(this->nextAt, now + this->jittered(this->settings.fastInterval, fastSpread));
+    this->wasFast = isFast;
+}
+
 std::vector<OverdueRead> HeadPoll::markOverdue(Instant now)
 {
     std::vector<OverdueRead> overdue;
--- a/Libraries/LibSpread/HeadPoll.h
+++ b/Libraries/LibSpread/HeadPoll.h
@@ -78,6 +78,8 @@
     // Commands. Each read that next() begins is followed by answered() or failed(), however late.
     void start(Instant now, bool hasView);
     HeadStep next(Instant now, const HeadPoller &self);
+    // Looks whether the node has become one of those that poll fast; called often.
+    void rankChanged(Instant now, const HeadPoller &self);
     // `news`: the answer brought a version that was not known.
     void answered(Instant now, const HeadPoller &self, std::uint64_t number, bool news);
     // Whether it counts: not for a read that was overdue, or that another answer has overtaken.
@@ -109,6 +111,7 @@
     std::uint64_t lastNumber = 0;
     Instant lastBegun{};
     Instant nextAt{};
+    bool wasFast = true;  // When its rank was last looked at; its first read keeps its own time.
     bool staggers = true; // The next read that waits is held for a share of the hold only.
     // Begun since the source last answered, the oldest first. Bounded.
     std::vector<OpenRead> open;
--- a/Services/Node/Control/ControlFollower.cpp
+++ b/Services/Node/Control/ControlFollower.cpp
@@ -191,6 +191,7 @@
     if (held == 0 && now - this->started > settleAfter && !this->plan.inFlight())
         this->wantAgreedVersion(now);
     this->considerPull();
+    this->considerRank(now);
     this->advanceTimer.expires_after(advanceInterval);
     this->advanceTimer.async_wait([this](const boost::system::error_code &error) {
         if (!error)
@@ -198,6 +199,14 @@
     });
 }
 
+void ControlFollower::considerRank(Instant now)
+{
+    const Instant before = this->poll.wakeAt();
+    this->poll.rankChanged(now, this->poller());
+    if (this->poll.wakeAt() != before)
+        this->pollLater();
+}
+
 void ControlFollower::considerPull()
 {
     const std::uint64_t held = this->heldVersion();
--- a/Services/Node/Control/ControlFollower.h
+++ b/Services/Node/Control/ControlFollower.h
@@ -91,6 +91,7 @@
 
 private:
     void advance();
+    void considerRank(Instant now);
     HeadPoller poller() const;
     void pollHead();
     void pollLater();
--- a/Tests/LibSpread/TestHeadPoll.cpp
+++ b/Tests/LibSpread/TestHeadPoll.cpp
@@ -267,3 +267,24 @@
     poll.answered(now, self, first.number, true);
     cr_assert(poll.wakeAt() == wake && poll.failuresInRow() == 0);
 }
+
+// All pollers of a zone lose their power for good at once, and no other zone is near to tell of changes. The
+// next in rank has looked a moment ago and meant to look again in a minute: changes come into force that much
+// later, unless its new rank wakes it.
+Test(headPoll, aNodeThatBecomesAPollerDoesNotSleepOn)
+{
+    const HeadPollSettings settings = waitingSettings();
+    HeadPoll poll(settings, 5);
+    Instant now(std::chrono::hours(1));
+    poll.start(now, true);
+    now = poll.wakeAt();
+    const HeadPoller idle{settings.fastPollersPerZone, true};
+    poll.answered(now, idle, poll.next(now, idle).begin->number, true);
+    cr_assert(poll.wakeAt() - now >= settings.slowInterval / 2);
+    now += seconds(1);
+    poll.rankChanged(now, {0, true});
+    cr_assert(poll.wakeAt() - now <= settings.fastInterval * 2);
+    const Instant wake = poll.wakeAt();
+    poll.rankChanged(now, {1, true});
+    cr_assert(poll.wakeAt() == wake, "once");
+}
