Platform: Read a row that cannot be decoded once

What operators would see: a node's link carries the same bytes twice a second while the configuration's row holds what cannot be read, and 2002 is logged each time.

Cause: the feed went on from the revision before the row, so each watch brought it again at once; the pause that grew with failures had hidden that in part, and the steady pace of retries does not. The test was seen failing.

--- a/Tests/Platform/TestRowsStore.cpp
+++ b/Tests/Platform/TestRowsStore.cpp
@@ -151,6 +151,23 @@
     cr_assert(fixture.newest(source, {5, std::chrono::seconds(2), false}).value().version == 8);
 }
 
+// Somebody writes what cannot be read in place of the configuration. Whoever watches is told so once, and
+// does not carry the same bytes over its link twice a second until the row is mended; the version that mends
+// it is taken at once.
+Test(rowsStore, aRowThatCannotBeReadIsReadOnce)
+{
+    StoreFixture fixture;
+    const VersionSource source = Platform::makeConfigurationFeed(fixture.client, "site");
+    fixture.service.putConfiguration(document(3));
+    cr_assert(fixture.newest(source, {}).value().version == 3);
+    fixture.service.putConfiguration("{");
+    const Result<Head> spoilt = fixture.newest(source, {3, std::chrono::seconds(2), false});
+    cr_assert(!spoilt.has_value() && spoilt.error().kind == ErrorKind::InvalidInput);
+    cr_assert(fixture.newest(source, {3, Duration::zero(), true}).value().version == 3);
+    fixture.service.putConfiguration(document(5));
+    cr_assert(fixture.newest(source, {3, std::chrono::seconds(2), false}).value().version == 5);
+}
+
 // A read of the store is behind and shows an older version than the node has seen. Taken for the newest,
 // routes would move back.
 Test(rowsStore, anOlderVersionNeverReplacesANewerOne)
