--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -6,12 +6,13 @@
 ./Meta/build.sh release
 ./Meta/format.sh --check
 ./Meta/lint.sh
-# Each line of KNOWN-RED.txt begins with a test program and the test in it that is passed over.
+# Each line of KNOWN-RED.txt begins with a test program and the test in it that is passed over, or with "play": a day that
+# is played by hand and not here.
 red_programs=()
 if [ -s KNOWN-RED.txt ]; then
     echo "known red tests, each for a real fault that is not mended yet:"
     cat KNOWN-RED.txt
-    mapfile -t red_programs < <(cut -d' ' -f1 KNOWN-RED.txt | sort -u)
+    mapfile -t red_programs < <(awk '$1 != "play" { print $1 }' KNOWN-RED.txt | sort -u)
 fi
 passed_over=$(IFS='|'; echo "${red_programs[*]}")
 ctest --test-dir Build/release --output-on-failure -j 4 -E "^(${passed_over:-none})\$"
