Tests: Show that a node which ends passes a request on and closes its connection

Traced by reading and shown without sockets' luck: a read on a kept connection has brought a request and waits for its turn in the event loop; the close of idle connections runs before it, takes the connection for idle, and the request is passed on with no way back.

--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -445,3 +445,47 @@
     }
     cr_assert(eventually([&] { return server.abandoned == 3; }));
 }
+
+namespace {
+
+const int hopsBeforeTheClose[] = {0, 1, 2, 3, 4, 5};
+
+} // namespace
+
+// A caller's request is passed on and its connection closed without an answer, while a node ends. The request
+// comes on a kept connection while the answer before it is written; the next read finds it at once, and the
+// close, which takes the connection for idle, runs between that read and what it brought. Rows: how many
+// turns of the event loop the close comes after the answer.
+TABLE_TEST(httpServer, aRequestThatIsPassedOnIsAnswered, hopsBeforeTheClose)
+{
+    constexpr auto request = "GET /echo HTTP/1.1\r\nHost: a\r\n\r\n";
+    boost::asio::io_context context{1};
+    std::unique_ptr<RawCaller> caller;
+    std::size_t passedOn = 0;
+    std::function<void(int)> closeAfter;
+    HttpServer server(context, HttpServerSettings{},
+                      [&](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+                          const bool first = ++passedOn == 1;
+                          if (first)
+                              caller->send(request);
+                          exchange->respond(makeResponse(200, "text/plain", "ok"));
+                          if (first)
+                              closeAfter(row);
+                      });
+    closeAfter = [&](int hops) {
+        boost::asio::post(context, [&, hops] { hops == 0 ? server.stopAccepting() : closeAfter(hops - 1); });
+    };
+    cr_assert(server.listen("127.0.0.1:0").has_value());
+    caller = std::make_unique<RawCaller>(server.address());
+    caller->send(request);
+    context.run_for(Milliseconds(300));
+    server.closeAll();
+    context.restart();
+    context.run_for(Milliseconds(50));
+    const std::string answers = caller->readToEnd();
+    std::size_t answered = 0;
+    for (std::size_t at = answers.find("200 OK"); at != std::string::npos;
+         at = answers.find("200 OK", at + 1))
+        ++answered;
+    cr_assert(answered == passedOn, "%zu passed on, %zu answered", passedOn, answered);
+}
