LibNet: Let the pending read decide when an idle connection is closed

A node that ends closed a kept connection as idle while the read that had brought the next request waited for its turn in the event loop; the request was passed on with no way back. The read is cancelled now, and its handler closes on an error and serves what is there. The same race behind an answer that closes the connection is closed by taking no request from a connection that has ended.

--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -80,12 +80,22 @@
                                  [self = this->shared_from_this()](const ErrorCode &error, std::size_t size) {
                                      self->readsFirstByte = false;
                                      if (error)
-                                         return self->giveUp();
+                                         return self->readEnded(error);
                                      self->buffer.commit(size);
                                      self->readRequest();
                                  });
 }
 
+// The read of an idle connection is cancelled when the server closes. A request that is there by then is
+// still served.
+void HttpSession::readEnded(const ErrorCode &error)
+{
+    const bool cancelled = error == boost::asio::error::operation_aborted && !this->closed;
+    if (cancelled && this->stream.socket().available() != 0)
+        return this->awaitRequest();
+    this->giveUp();
+}
+
 // Failure: a caller sends its headers a byte at a time. Symptom: it holds a connection for as long as one
 // that rests, and some thousand of them keep everybody else out.
 void HttpSession::readRequest()
@@ -175,10 +185,12 @@
     this->giveUp();
 }
 
-// A whole request has come.
+// A whole request has come. One whose connection was closed meanwhile has nobody to answer.
 void HttpSession::take()
 {
     this->reading = false;
+    if (this->closed)
+        return;
     http::request<http::string_body> message = this->parser->release();
     Received received;
     received.request = headerOf(message);
@@ -416,15 +428,17 @@
                                  });
 }
 
-// A request that has come in part is read to its end and answered.
+// A request that has come in part is read to its end and answered. The read of the first byte may have ended
+// with its handler still queued, so that handler closes the connection.
 void HttpSession::closeWhenIdle()
 {
-    if (this->readsFirstByte && this->buffer.size() == 0 && this->exchanges.empty())
-        this->close();
+    if (this->readsFirstByte && this->exchanges.empty())
+        this->stream.cancel();
 }
 
 void HttpSession::close()
 {
+    this->closed = true;
     ErrorCode ignored;
     this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     this->stream.close();
--- a/Libraries/LibNet/HttpSession.h
+++ b/Libraries/LibNet/HttpSession.h
@@ -77,6 +77,7 @@
 
     // Reading.
     HttpLimits limits() const;
+    void readEnded(const ErrorCode &error);
     void readRequest();
     void readBody();
     void sendContinue();
@@ -119,6 +120,7 @@
     bool watching = false;
     bool continueOwed = false;   // The caller waits for a word before it sends its body.
     bool readsFirstByte = false; // Nothing of a next request has been read.
+    bool closed = false;         // No request is begun any more.
 };
 
 } // namespace Sagecrank
