Node: Take the end of a drain from the time that the platform gives

The maximum was 5 s in the template, made for a grace of 6 s. Where the platform gives 10 s a node cut off what still ran at 5.9 s. It leaves a second before the process is killed now.

--- a/Services/Node/Admin/SettingsReload.cpp
+++ b/Services/Node/Admin/SettingsReload.cpp
@@ -1,11 +1,23 @@
 // Takes over what may change while the node runs.
 #include "SettingsReload.h"
 
+#include <algorithm>
+
 namespace Sagecrank {
 
+namespace {
+
+// Kept of the time before the process is killed: the last answers, and a busy host's own end.
+constexpr Duration timeToLeave = lastAnswersTime + Milliseconds(100);
+
+} // namespace
+
 NodeDrainSettings drainSettings(const NodeSettings &settings)
 {
-    return {settings.drain.linger, settings.drain.maximum};
+    NodeDrainSettings drain{settings.drain.linger, settings.drain.maximum};
+    if (settings.drain.killAfter > Milliseconds(0))
+        drain.maximum = std::min<Duration>(drain.maximum, settings.drain.killAfter - timeToLeave);
+    return drain;
 }
 
 SettingsReload::SettingsReload(NodeSettings running, SettingsReloadHooks hooks, EventLog &log)
--- a/Services/Node/NodeSettings.cpp
+++ b/Services/Node/NodeSettings.cpp
@@ -304,6 +304,7 @@
         this->section("drain", [&](SettingsTable &table) {
             table.readMilliseconds("linger_ms", drain.linger, 0, 600000);
             table.readMilliseconds("maximum_ms", drain.maximum, 0, 3600000);
+            table.readMilliseconds("kill_after_ms", drain.killAfter, 0, 3600000);
         });
     }
 
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -108,6 +108,7 @@
     {
         Milliseconds linger{3000};   // How long peers are given to hear of it.
         Milliseconds maximum{60000}; // After this the node leaves whatever still runs.
+        Milliseconds killAfter{0};   // The process is killed so long after its signal; 0 when it is not.
 
         bool operator==(const Drain &) const = default;
     } drain;
--- a/Tests/Node/TestSettingsReload.cpp
+++ b/Tests/Node/TestSettingsReload.cpp
@@ -77,3 +77,32 @@
     cr_assert(!fixture.level && !fixture.drain);
     cr_assert(fixture.said("1009") && fixture.said("node.toml:3"));
 }
+
+namespace {
+
+struct DrainRow
+{
+    const char *what;
+    Milliseconds maximum;
+    Milliseconds killAfter;
+    Milliseconds expected;
+};
+
+const DrainRow drainRows[] = {
+    {"never killed", Milliseconds(60000), Milliseconds(0), Milliseconds(60000)},
+    {"killed early", Milliseconds(60000), Milliseconds(6000), Milliseconds(5000)},
+    {"killed late", Milliseconds(60000), Milliseconds(10000), Milliseconds(9000)},
+    {"the maximum comes first", Milliseconds(3000), Milliseconds(10000), Milliseconds(3000)},
+};
+
+} // namespace
+
+// A fixed maximum ends what runs long before the platform would, or is still at work when it kills the
+// process.
+TABLE_TEST(settingsReload, aDrainEndsBeforeTheProcessIsKilled, drainRows)
+{
+    NodeSettings settings;
+    settings.drain.maximum = row.maximum;
+    settings.drain.killAfter = row.killAfter;
+    cr_assert(drainSettings(settings).maximum == row.expected, "%s", row.what);
+}
