Node: Take back the suspected connections between nodes

Hypothesis: a silent connection that is kept, with a second copy where a call may run twice, loses no answer and costs nothing. Calls were held to their deadline behind full links, and frames that nobody waited for went on filling them; a connection that is closed drops both. Conclusion: not kept. What a full path carries must be ordered first; until then patience belongs only where a node is ending.

--- a/Libraries/LibNet/FramedConnection.cpp
+++ b/Libraries/LibNet/FramedConnection.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <charconv>
@@ -16,17 +15,6 @@
 
 using boost::asio::ip::tcp;
 
-namespace {
-
-constexpr std::size_t mostWrittenAtOnce = 65'536;
-
-// Bytes that the kernel holds unsent. What waits beyond them waits here, where its progress shows.
-constexpr int mostUnsentInKernel = 65'536;
-
-using UnsentLimit = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
-
-} // namespace
-
 FramedConnection::FramedConnection(tcp::socket socket, std::size_t maximumFrame, FramedConnectionHooks hooks)
     : socket(std::move(socket))
     , reader(maximumFrame)
@@ -37,8 +25,6 @@
     if (!error)
         this->peer = addressText(remote);
     this->socket.set_option(tcp::no_delay(true), error);
-    // Without it, which not every system has, a large send buffer hides progress for longer.
-    this->socket.set_option(UnsentLimit(mostUnsentInKernel), error);
 }
 
 void FramedConnection::start()
@@ -56,12 +42,6 @@
         this->writeWaiting();
 }
 
-bool FramedConnection::hasUnreadBytes() const
-{
-    boost::system::error_code error;
-    return this->open && this->socket.available(error) != 0 && !error;
-}
-
 void FramedConnection::close(Error reason)
 {
     if (!this->open)
@@ -86,7 +66,6 @@
                 return;
             if (error)
                 return self->close(makeError(ErrorKind::Unavailable, "read from peer", "", error.message()));
-            self->received += size;
             const auto frame = [&self](FrameType type, std::span<const char> payload) {
                 if (self->open)
                     self->hooks.frame(type, payload);
@@ -107,17 +86,11 @@
     buffers.reserve(this->writing.size());
     for (const Bytes &frame : this->writing)
         buffers.emplace_back(frame.data(), frame.size());
-    const auto countPart = [self = this->shared_from_this()](const boost::system::error_code &error,
-                                                             std::size_t size) -> std::size_t {
-        self->sentOfWrite = size;
-        return error ? 0 : mostWrittenAtOnce;
-    };
     boost::asio::async_write(
-        this->socket, buffers, countPart,
+        this->socket, buffers,
         [self = this->shared_from_this()](const boost::system::error_code &error, std::size_t size) {
             self->writing.clear();
             self->writeInProgress = false;
-            self->sentOfWrite = 0;
             if (!self->open)
                 return;
             if (error)
--- a/Libraries/LibNet/FramedConnection.h
+++ b/Libraries/LibNet/FramedConnection.h
@@ -36,18 +36,11 @@
     void close(Error reason);
 
     bool isOpen() const { return this->open; }
-    // Bytes taken by the socket, also of a frame that has left in part.
-    std::uint64_t bytesSent() const { return this->sent + this->sentOfWrite; }
-
-    // Bytes read, also of a frame that has come in part.
-    std::uint64_t bytesReceived() const { return this->received; }
-
-    // Bytes that came and have not been read, as after this process was held up.
-    bool hasUnreadBytes() const;
+    std::uint64_t bytesSent() const { return this->sent; }
 
     // Bytes that were queued and not yet taken by the socket. A peer that stops reading lets it grow,
     // so that senders can refuse before memory runs out.
-    std::size_t bytesWaiting() const { return this->waitingBytes - this->sentOfWrite; }
+    std::size_t bytesWaiting() const { return this->waitingBytes; }
 
     const std::string &peerName() const { return this->peer; }
 
@@ -63,9 +56,7 @@
     std::vector<Bytes> waiting; // Not yet handed to the socket.
     std::vector<Bytes> writing; // Stays untouched until its write ends.
     std::size_t waitingBytes = 0;
-    std::uint64_t sent = 0;      // By writes that have ended.
-    std::size_t sentOfWrite = 0; // By the write in progress.
-    std::uint64_t received = 0;
+    std::uint64_t sent = 0;
     bool open = true;
     bool writeInProgress = false;
 };
--- a/Services/Node/Callers/ForwardedCall.cpp
+++ b/Services/Node/Callers/ForwardedCall.cpp
@@ -194,9 +194,8 @@
         return;
     }
     this->attempts[index].peerAddress = target.candidate.peerAddress;
-    auto silent = [self = this->shared_from_this(), index] { self->attemptSilent(index); };
-    this->attempts[index].peerCallId = this->worker.link(target.candidate.peerAddress)
-                                           .call(std::move(attempt), {std::move(ended), std::move(silent)});
+    this->attempts[index].peerCallId =
+        this->worker.link(target.candidate.peerAddress).call(std::move(attempt), std::move(ended));
 }
 
 void ForwardedCall::attemptEnded(std::size_t index, CallResponse response)
@@ -233,32 +232,6 @@
     this->finish(std::move(response));
 }
 
-// Failure: the other node is dead, or the path to it is full; from here both look alike. Symptom of giving
-// the attempt up: its upstream is at work and its answer is lost. So a second copy goes out where the call
-// may run twice, and the first answer counts.
-void ForwardedCall::attemptSilent(std::size_t index)
-{
-    if (!this->answer || this->ending || !this->attempts[index].open)
-        return;
-    const bool mayRunTwice = this->plan.idempotent && this->request.idempotencyKey.empty();
-    if (!mayRunTwice || this->upstreamsPerhapsReached() > this->plan.maximumRetries)
-        return;
-    bool withinBudget = false;
-    {
-        const std::lock_guard guard(this->service->mutex);
-        withinBudget = this->service->retries.tryRetry(SteadyClock::now());
-    }
-    if (withinBudget)
-        this->placeAndSend();
-}
-
-std::uint32_t ForwardedCall::upstreamsPerhapsReached() const
-{
-    const auto open =
-        std::ranges::count_if(this->attempts, [](const Attempt &attempt) { return attempt.open; });
-    return this->upstreamsReached + static_cast<std::uint32_t>(open);
-}
-
 void ForwardedCall::tellPlacer(const Attempt &attempt, const CallResponse &response, Instant now)
 {
     const std::lock_guard guard(this->service->mutex);
--- a/Services/Node/Callers/ForwardedCall.h
+++ b/Services/Node/Callers/ForwardedCall.h
@@ -103,8 +103,6 @@
     bool chooseTarget(Target &target);
     void send(std::size_t index, const Target &target);
     void attemptEnded(std::size_t index, CallResponse response);
-    void attemptSilent(std::size_t index);
-    std::uint32_t upstreamsPerhapsReached() const;
     void tellPlacer(const Attempt &attempt, const CallResponse &response, Instant now);
     bool tryAgain(const CallResponse &response, Instant now);
     void finish(CallResponse response);
--- a/Tests/Node/FakePeer.h
+++ b/Tests/Node/FakePeer.h
@@ -8,7 +8,6 @@
 #include <boost/asio/ip/address_v4.hpp>
 
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -33,7 +32,7 @@
         response.outcome = Outcome::Done;
         response.status = status;
         response.body = body;
-        this->connections[this->carriers[index]]->send(encodeFrame(FrameType::CallResponse, response));
+        this->connections.back()->send(encodeFrame(FrameType::CallResponse, response));
     }
 
     void refuse(std::size_t index, bool claimHeld)
@@ -45,14 +44,12 @@
         response.status = 503;
         response.retryAfterMilliseconds = 70;
         response.claimHeld = claimHeld;
-        this->connections[this->carriers[index]]->send(encodeFrame(FrameType::CallResponse, response));
+        this->connections.back()->send(encodeFrame(FrameType::CallResponse, response));
     }
 
     std::vector<CallRequest> calls;
     std::vector<std::shared_ptr<FramedConnection>> connections;
-    std::vector<std::size_t> carriers; // Of each call: the index of its connection.
     bool answersPings = true;
-    std::set<std::size_t> silentConnections; // Heartbeats on these are not answered.
     int cancels = 0;
     int withdrawals = 0;
 
@@ -63,31 +60,27 @@
             [this](const boost::system::error_code &error, boost::asio::ip::tcp::socket socket) {
                 if (error)
                     return;
-                const std::size_t index = this->connections.size();
                 const auto connection = std::make_shared<FramedConnection>(
                     std::move(socket), maximumFrameSize,
-                    FramedConnectionHooks{[this, index](FrameType type, std::span<const char> payload) {
-                                              this->take(index, type, payload);
-                                          },
-                                          [](const Error &) {}});
+                    FramedConnectionHooks{
+                        [this](FrameType type, std::span<const char> payload) { this->take(type, payload); },
+                        [](const Error &) {}});
                 this->connections.push_back(connection);
                 connection->start();
                 this->accept();
             });
     }
 
-    void take(std::size_t connection, FrameType type, std::span<const char> payload)
+    void take(FrameType type, std::span<const char> payload)
     {
-        if (type == FrameType::CallRequest)
-            this->carriers.push_back(connection);
         if (type == FrameType::CallRequest)
             this->calls.push_back(decode<CallRequest>(payload, "test", "").value());
         if (type == FrameType::CallCancel)
             ++this->cancels;
         if (type == FrameType::CallWithdraw)
             ++this->withdrawals;
-        if (type == FrameType::Ping && this->answersPings && !this->silentConnections.contains(connection))
-            this->connections[connection]->send(
+        if (type == FrameType::Ping && this->answersPings)
+            this->connections.back()->send(
                 encodeFrame(FrameType::Pong, decode<Heartbeat>(payload, "test", "").value()));
     }
 
--- a/Tests/Node/TestPeerLink.cpp
+++ b/Tests/Node/TestPeerLink.cpp
@@ -8,7 +8,6 @@
 #include <map>
 
 using namespace Sagecrank;
-using boost::asio::ip::tcp;
 
 namespace {
 
@@ -28,8 +27,7 @@
         request.cluster = "booking";
         request.attempt = name;
         return this->link->call(
-            request, {[this, name](CallResponse response) { this->answers[name] = std::move(response); },
-                      [this, name] { ++this->silences[name]; }});
+            request, [this, name](CallResponse response) { this->answers[name] = std::move(response); });
     }
 
     bool runUntil(const std::function<bool()> &condition)
@@ -45,7 +43,6 @@
         PeerLinkSettings settings;
         settings.ownId = "a1";
         settings.silence = Milliseconds(100);
-        settings.longestSilence = Milliseconds(1000);
         return settings;
     }
 
@@ -53,7 +50,6 @@
     FakePeer peer;
     std::shared_ptr<PeerLink> link;
     std::map<std::string, CallResponse> answers;
-    std::map<std::string, int> silences;
 };
 
 struct OrderRow
@@ -81,92 +77,24 @@
 }
 
 // Something between the two ends loses track of the connection: it stays open and silent while new ones work.
+// The call on it ends as unknown after the allowed silence, and the next call goes through on a new
+// connection.
 Test(peerLink, silentConnectionIsReplaced)
 {
     LinkFixture fixture;
-    fixture.peer.silentConnections = {0};
-    const Instant begun = SteadyClock::now();
+    fixture.peer.answersPings = false;
     fixture.call("lost");
-    cr_assert(fixture.runUntil([&] { return fixture.silences["lost"] == 1; }));
+    cr_assert(fixture.runUntil([&] { return fixture.answers.contains("lost"); }));
+    cr_assert(fixture.answers["lost"].outcome == Outcome::Unknown);
+    fixture.peer.answersPings = true;
     fixture.call("next");
     cr_assert(fixture.runUntil([&] { return fixture.peer.calls.size() == 2; }));
     fixture.peer.answer(1, "next");
     cr_assert(fixture.runUntil([&] { return fixture.answers.contains("next"); }));
     cr_assert(fixture.answers["next"].outcome == Outcome::Done);
-    cr_assert(fixture.runUntil([&] { return fixture.answers.contains("lost"); }));
-    cr_assert(fixture.answers["lost"].outcome == Outcome::Unknown);
-    cr_assert(SteadyClock::now() - begun < LinkFixture::settings().longestSilence);
     cr_assert(fixture.peer.connections.size() == 2);
 }
 
-// The other node is gone and no connection to it works: what it was sent ends as unknown, in bounded time.
-Test(peerLink, silentPeerIsGivenUp)
-{
-    LinkFixture fixture;
-    fixture.peer.answersPings = false;
-    fixture.call("lost");
-    cr_assert(fixture.runUntil([&] { return fixture.answers.contains("lost"); }));
-    cr_assert(fixture.answers["lost"].outcome == Outcome::Unknown);
-    cr_assert(fixture.silences["lost"] == 1);
-}
-
-namespace {
-
-struct FullPathRow
-{
-    const char *what;
-    Milliseconds wait; // For the answer, with nothing else passing.
-    int silences;
-};
-
-const FullPathRow fullPathRows[] = {
-    {"shorter than the allowed silence", Milliseconds(50), 0},
-    {"longer", Milliseconds(300), 1},
-    {"much longer", Milliseconds(700), 1},
-};
-
-} // namespace
-
-// A path is full and takes longer than the allowed silence. A call whose upstream is at work keeps its way
-// back.
-TABLE_TEST(peerLink, fullPathIsNotADeadPeer, fullPathRows)
-{
-    LinkFixture fixture;
-    fixture.peer.answersPings = false;
-    fixture.call("slow");
-    const Instant until = SteadyClock::now() + row.wait;
-    fixture.runUntil([&] { return SteadyClock::now() >= until; });
-    cr_assert(fixture.answers.empty(), "%s", row.what);
-    fixture.peer.answersPings = true;
-    fixture.peer.answer(0, "late");
-    cr_assert(fixture.runUntil([&] { return fixture.answers.contains("slow"); }), "%s", row.what);
-    cr_assert(fixture.answers["slow"].body == "late", "%s", row.what);
-    cr_assert(fixture.silences["slow"] == row.silences, "%s", row.what);
-}
-
-// The other node reads a large body slowly: bytes move, and the connection is not suspected.
-Test(peerLink, bytesThatMoveAreASignOfLife)
-{
-    boost::asio::io_context context{1};
-    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    const auto link = std::make_shared<PeerLink>(context, addressText(acceptor.local_endpoint()),
-                                                 LinkFixture::settings(), [](const Error &) {});
-    int silences = 0;
-    CallRequest request;
-    request.body.assign(std::size_t{7} << 20, 'x');
-    link->call(request, {[](const CallResponse &) {}, [&silences] { ++silences; }});
-    tcp::socket peer = acceptor.accept();
-    peer.non_blocking(true);
-    std::vector<char> taken(std::size_t{64} << 10);
-    const Instant until = SteadyClock::now() + 8 * LinkFixture::settings().silence;
-    while (SteadyClock::now() < until) {
-        context.run_for(LinkFixture::settings().silence / 8);
-        boost::system::error_code nothingThere;
-        peer.read_some(boost::asio::buffer(taken), nothingThere);
-    }
-    cr_assert(silences == 0);
-}
-
 // The same, when every call gives up before the allowed silence is over and a new one follows at once. A
 // clock that starts anew with each call would never find the silence, and every call would go into the dead
 // connection.
--- a/Tests/Node/TestPeerServer.cpp
+++ b/Tests/Node/TestPeerServer.cpp
@@ -75,9 +75,8 @@
         request.callerCallId = name;
         request.method = "GET";
         request.target = "/" + name;
-        this->link->call(
-            request,
-            {[this, name](CallResponse response) { this->answers[name] = std::move(response); }, nullptr});
+        this->link->call(request,
+                         [this, name](CallResponse response) { this->answers[name] = std::move(response); });
     }
 
     // Sends the bytes on a connection of their own and reports whether the server closed it.
@@ -139,7 +138,7 @@
         request.method = "GET";
         request.target = "/";
         request.attempt = name;
-        fixture.link->call(request, {[](const CallResponse &) {}, nullptr});
+        fixture.link->call(request, [](const CallResponse &) {});
     }
     cr_assert(fixture.runUntil([&] { return fixture.began.size() == 1 && fixture.gate.queued() == 1; }));
     fixture.link.reset();
