Node: Let a node that ends wait through a peer's silence

From its first word on that it ends, silence is no reason to give a call up; its deadline and the end of the drain are. In ordinary service silence ends a connection as before, since dropping what waits on it is what relieves a full path.

--- a/Services/Node/Callers/Worker.cpp
+++ b/Services/Node/Callers/Worker.cpp
@@ -71,9 +71,16 @@
         this->thread.join();
 }
 
-void Worker::askCallersToClose()
+// Failure: a node that ends takes a full path for a dead peer. Symptom: it answers for calls at which
+// upstreams are at work, and its callers have no other node to ask. They keep their deadlines.
+void Worker::beginEnding()
 {
-    boost::asio::post(this->context, [this] { this->callerServer.askToClose(); });
+    boost::asio::post(this->context, [this] {
+        this->callerServer.askToClose();
+        this->ending = true;
+        for (const auto &[address, link] : this->links)
+            link->waitThroughSilence();
+    });
 }
 
 void Worker::stopAccepting()
@@ -125,6 +132,8 @@
         link = std::make_shared<PeerLink>(
             this->context, peerAddress, peer,
             [this, peerAddress](const Error &reason) { this->observer.peerLost(peerAddress, reason); });
+        if (this->ending)
+            link->waitThroughSilence();
     }
     return *link;
 }
--- a/Services/Node/Callers/Worker.h
+++ b/Services/Node/Callers/Worker.h
@@ -48,7 +48,7 @@
     void stop(); // Ends the thread; calls that are under way end with their connections.
 
     // From any thread.
-    void askCallersToClose();
+    void beginEnding(); // Callers are asked to close; calls to other nodes are waited for.
     void stopAccepting();
     void withdrawWaiting();
     void endCalls(std::function<void()> done); // Answers all that is under way; `done` runs on its thread.
@@ -75,6 +75,7 @@
     HttpServer callerServer;
     PeerServer peerServer;
     std::unordered_map<std::string, std::shared_ptr<PeerLink>> links; // By peer address.
+    bool ending = false;
     std::unordered_set<ForwardedCall *> calls; // Not answered yet; each takes itself out.
     std::thread thread;
 };
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -435,7 +435,7 @@
     hooks.deflectCallers = [this] {
         this->log.write(EventId::ProcessDraining, {{"in_flight", this->gate.inFlight()}});
         for (const auto &worker : this->workers)
-            worker->askCallersToClose();
+            worker->beginEnding();
     };
     hooks.stopCallers = [this] {
         for (const auto &worker : this->workers)
--- a/Services/Node/Peers/PeerLink.cpp
+++ b/Services/Node/Peers/PeerLink.cpp
@@ -228,7 +228,8 @@
     // This process itself was held up: answers may lie unread, so the silence is counted anew.
     if (this->owedSince && now - this->heartbeatDue > this->settings.silence / 2)
         this->owedSince = now;
-    if (this->owedSince && now - *this->owedSince > this->settings.silence)
+    const bool silent = this->owedSince && now - *this->owedSince > this->settings.silence;
+    if (silent && !this->waitsThroughSilence)
         return this->connection->close(
             makeError(ErrorKind::Timeout, "wait for heartbeat", this->address, "silent"));
     if (!this->calls.empty() || this->owedSince) {
--- a/Services/Node/Peers/PeerLink.h
+++ b/Services/Node/Peers/PeerLink.h
@@ -48,6 +48,9 @@
     // Asks for the answer now when the call has not begun; its hook is called as for any other.
     void withdraw(std::uint64_t callId);
 
+    // Silence is no reason to give up a call any more.
+    void waitThroughSilence() { this->waitsThroughSilence = true; }
+
     bool unusedSince(Instant before) const { return this->calls.empty() && this->usedAt < before; }
 
 private:
@@ -77,6 +80,7 @@
     boost::asio::steady_timer timer;
     bool connecting = false;
     bool timerArmed = false;
+    bool waitsThroughSilence = false;
     std::optional<Instant>
         owedSince; // Something was sent that must be answered, and nothing was heard since.
     Instant heartbeatDue;
--- a/Tests/Node/TestPeerLink.cpp
+++ b/Tests/Node/TestPeerLink.cpp
@@ -187,3 +187,18 @@
     fixture.link.reset();
     cr_assert(fixture.runUntil([&] { return !fixture.peer.connections[0]->isOpen(); }));
 }
+
+// A path is full while this node ends. An upstream at work behind it must not be answered for.
+Test(peerLink, aNodeThatEndsWaitsThroughSilence)
+{
+    LinkFixture fixture;
+    fixture.peer.answersPings = false;
+    fixture.call("slow");
+    fixture.link->waitThroughSilence();
+    const Instant until = SteadyClock::now() + 4 * LinkFixture::settings().silence;
+    fixture.runUntil([&] { return SteadyClock::now() >= until; });
+    cr_assert(fixture.answers.empty());
+    fixture.peer.answer(0, "late");
+    cr_assert(fixture.runUntil([&] { return fixture.answers.contains("slow"); }));
+    cr_assert(fixture.answers["slow"].body == "late");
+}
