LibNet, Node: Send small frames before bodies, and nothing that nobody waits for

Hypothesis: on a full path heartbeats, answers and small calls wait behind all bodies of their connection, and bodies of calls that ended long ago go on filling it.

--- a/Libraries/LibNet/FramedConnection.cpp
+++ b/Libraries/LibNet/FramedConnection.cpp
@@ -9,12 +9,25 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace Sagecrank {
 
 using boost::asio::ip::tcp;
 
+namespace {
+
+constexpr std::size_t largeFrameBytes = 4096;
+constexpr std::size_t mostSmallFramesBytes = 65'536; // In one write.
+
+auto hasTag(std::uint64_t tag)
+{
+    return [tag](const auto &frame) { return frame.tag == tag; };
+}
+
+} // namespace
+
 FramedConnection::FramedConnection(tcp::socket socket, std::size_t maximumFrame, FramedConnectionHooks hooks)
     : socket(std::move(socket))
     , reader(maximumFrame)
@@ -32,16 +45,36 @@
     this->readSome();
 }
 
-void FramedConnection::send(Bytes frame)
+void FramedConnection::send(Bytes frame, std::uint64_t tag)
 {
     if (!this->open)
         return;
     this->waitingBytes += frame.size();
-    this->waiting.push_back(std::move(frame));
+    std::deque<Frame> &queue = frame.size() < largeFrameBytes ? this->smallFrames : this->largeFrames;
+    queue.push_back({std::move(frame), tag});
     if (!this->writeInProgress)
         this->writeWaiting();
 }
 
+bool FramedConnection::withdraw(std::uint64_t tag)
+{
+    for (std::deque<Frame> *queue : {&this->smallFrames, &this->largeFrames}) {
+        const auto found = std::ranges::find_if(*queue, hasTag(tag));
+        if (found == queue->end())
+            continue;
+        this->waitingBytes -= found->bytes.size();
+        queue->erase(found);
+        return true;
+    }
+    return false;
+}
+
+bool FramedConnection::isWaiting(std::uint64_t tag) const
+{
+    return std::ranges::any_of(this->smallFrames, hasTag(tag))
+           || std::ranges::any_of(this->largeFrames, hasTag(tag));
+}
+
 void FramedConnection::close(Error reason)
 {
     if (!this->open)
@@ -78,10 +111,23 @@
         });
 }
 
+void FramedConnection::takeFirst(std::deque<Frame> &queue)
+{
+    this->writing.push_back(std::move(queue.front().bytes));
+    queue.pop_front();
+}
+
+// Load: large bodies on a narrow link. Harm of writing in the order of sending: heartbeats, answers and small
+// calls wait behind all bodies. They wait for one at the most, and the bodies for a bounded write of them.
 void FramedConnection::writeWaiting()
 {
     this->writeInProgress = true;
-    this->writing.swap(this->waiting);
+    for (std::size_t size = 0; !this->smallFrames.empty() && size < mostSmallFramesBytes;) {
+        size += this->smallFrames.front().bytes.size();
+        this->takeFirst(this->smallFrames);
+    }
+    if (!this->largeFrames.empty())
+        this->takeFirst(this->largeFrames);
     std::vector<boost::asio::const_buffer> buffers;
     buffers.reserve(this->writing.size());
     for (const Bytes &frame : this->writing)
@@ -97,7 +143,7 @@
                 return self->close(makeError(ErrorKind::Unavailable, "write to peer", "", error.message()));
             self->sent += size;
             self->waitingBytes -= size;
-            if (!self->waiting.empty())
+            if (!self->smallFrames.empty() || !self->largeFrames.empty())
                 self->writeWaiting();
         });
 }
