Node: Keep a sixth of the time before the kill for the end of a drain

A second was too little where the platform gives 10 s: of the small twins of the large deployment three processes were still there at its end instead of two.

--- a/Services/Node/Admin/SettingsReload.cpp
+++ b/Services/Node/Admin/SettingsReload.cpp
@@ -7,16 +7,19 @@
 
 namespace {
 
-// Kept of the time before the process is killed: the last answers, and a busy host's own end.
-constexpr Duration timeToLeave = lastAnswersTime + Milliseconds(100);
+// Kept of the time before the process is killed: a sixth, and at least the last answers and the process's
+// end.
+constexpr int partsOfTime = 6;
+constexpr Duration shortestEnd = lastAnswersTime + Milliseconds(100);
 
 } // namespace
 
 NodeDrainSettings drainSettings(const NodeSettings &settings)
 {
     NodeDrainSettings drain{settings.drain.linger, settings.drain.maximum};
-    if (settings.drain.killAfter > Milliseconds(0))
-        drain.maximum = std::min<Duration>(drain.maximum, settings.drain.killAfter - timeToLeave);
+    const Duration killAfter = settings.drain.killAfter;
+    if (killAfter > Duration::zero())
+        drain.maximum = std::min(drain.maximum, killAfter - std::max(killAfter / partsOfTime, shortestEnd));
     return drain;
 }
 
--- a/Tests/Node/TestSettingsReload.cpp
+++ b/Tests/Node/TestSettingsReload.cpp
@@ -91,7 +91,8 @@
 const DrainRow drainRows[] = {
     {"never killed", Milliseconds(60000), Milliseconds(0), Milliseconds(60000)},
     {"killed early", Milliseconds(60000), Milliseconds(6000), Milliseconds(5000)},
-    {"killed late", Milliseconds(60000), Milliseconds(10000), Milliseconds(9000)},
+    {"killed soon", Milliseconds(60000), Milliseconds(3000), Milliseconds(2000)},
+    {"killed late", Milliseconds(60000), Milliseconds(12000), Milliseconds(10000)},
     {"the maximum comes first", Milliseconds(3000), Milliseconds(10000), Milliseconds(3000)},
 };
 
