LibNet, Node: Take back the order of frames

Hypothesis of the change: small frames that pass bodies, and no frames that nobody waits for, serve more calls on full paths.

--- a/Libraries/LibNet/FramedConnection.cpp
+++ b/Libraries/LibNet/FramedConnection.cpp
@@ -9,25 +9,12 @@
 
 #include <sys/socket.h>
 
-#include <algorithm>
 #include <charconv>
 
 namespace Sagecrank {
 
 using boost::asio::ip::tcp;
 
-namespace {
-
-constexpr std::size_t largeFrameBytes = 4096;
-constexpr std::size_t mostSmallFramesBytes = 65'536; // In one write.
-
-auto hasTag(std::uint64_t tag)
-{
-    return [tag](const auto &frame) { return frame.tag == tag; };
-}
-
-} // namespace
-
 FramedConnection::FramedConnection(tcp::socket socket, std::size_t maximumFrame, FramedConnectionHooks hooks)
     : socket(std::move(socket))
     , reader(maximumFrame)
@@ -45,36 +32,16 @@
     this->readSome();
 }
 
-void FramedConnection::send(Bytes frame, std::uint64_t tag)
+void FramedConnection::send(Bytes frame)
 {
     if (!this->open)
         return;
     this->waitingBytes += frame.size();
-    std::deque<Frame> &queue = frame.size() < largeFrameBytes ? this->smallFrames : this->largeFrames;
-    queue.push_back({std::move(frame), tag});
+    this->waiting.push_back(std::move(frame));
     if (!this->writeInProgress)
         this->writeWaiting();
 }
 
-bool FramedConnection::withdraw(std::uint64_t tag)
-{
-    for (std::deque<Frame> *queue : {&this->smallFrames, &this->largeFrames}) {
-        const auto found = std::ranges::find_if(*queue, hasTag(tag));
-        if (found == queue->end())
-            continue;
-        this->waitingBytes -= found->bytes.size();
-        queue->erase(found);
-        return true;
-    }
-    return false;
-}
-
-bool FramedConnection::isWaiting(std::uint64_t tag) const
-{
-    return std::ranges::any_of(this->smallFrames, hasTag(tag))
-           || std::ranges::any_of(this->largeFrames, hasTag(tag));
-}
-
 void FramedConnection::close(Error reason)
 {
     if (!this->open)
@@ -111,23 +78,10 @@
         });
 }
 
-void FramedConnection::takeFirst(std::deque<Frame> &queue)
-{
-    this->writing.push_back(std::move(queue.front().bytes));
-    queue.pop_front();
-}
-
-// Load: large bodies on a narrow link. Harm of writing in the order of sending: heartbeats, answers and small
-// calls wait behind all bodies. They wait for one at the most, and the bodies for a bounded write of them.
 void FramedConnection::writeWaiting()
 {
     this->writeInProgress = true;
-    for (std::size_t size = 0; !this->smallFrames.empty() && size < mostSmallFramesBytes;) {
-        size += this->smallFrames.front().bytes.size();
-        this->takeFirst(this->smallFrames);
-    }
-    if (!this->largeFrames.empty())
-        this->takeFirst(this->largeFrames);
+    this->writing.swap(this->waiting);
     std::vector<boost::asio::const_buffer> buffers;
     buffers.reserve(this->writing.size());
     for (const Bytes &frame : this->writing)
@@ -143,7 +97,7 @@
                 return self->close(makeError(ErrorKind::Unavailable, "write to peer", "", error.message()));
             self->sent += size;
             self->waitingBytes -= size;
-            if (!self->smallFrames.empty() || !self->largeFrames.empty())
+            if (!self->waiting.empty())
                 self->writeWaiting();
         });
 }
--- a/Libraries/LibNet/FramedConnection.h
+++ b/Libraries/LibNet/FramedConnection.h
@@ -8,7 +8,6 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <array>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -31,18 +30,11 @@
     // Begins to read. The hooks are kept until the connection has closed.
     void start();
 
-    // Queues a whole frame; small ones that wait are written together and before large ones. A tag that is
-    // not zero names the frame for withdraw().
-    void send(Bytes frame, std::uint64_t tag = 0);
-
-    // Takes the frame out if no byte of it has left.
-    bool withdraw(std::uint64_t tag);
+    // Queues whole frames; frames that wait are written together.
+    void send(Bytes frame);
 
     void close(Error reason);
 
-    // Whether no byte of the frame has left; also after the connection has closed.
-    bool isWaiting(std::uint64_t tag) const;
-
     bool isOpen() const { return this->open; }
     std::uint64_t bytesSent() const { return this->sent; }
 
@@ -53,23 +45,15 @@
     const std::string &peerName() const { return this->peer; }
 
 private:
-    struct Frame
-    {
-        Bytes bytes;
-        std::uint64_t tag = 0;
-    };
-
     void readSome();
     void writeWaiting();
-    void takeFirst(std::deque<Frame> &queue);
 
     boost::asio::ip::tcp::socket socket;
     FrameReader reader;
     FramedConnectionHooks hooks;
     std::string peer;
     std::array<char, 16384> buffer{};
-    std::deque<Frame> smallFrames; // Not yet handed to the socket, like the next ones.
-    std::deque<Frame> largeFrames;
+    std::vector<Bytes> waiting; // Not yet handed to the socket.
     std::vector<Bytes> writing; // Stays untouched until its write ends.
     std::size_t waitingBytes = 0;
     std::uint64_t sent = 0;
--- a/Services/Node/Peers/PeerLink.cpp
+++ b/Services/Node/Peers/PeerLink.cpp
@@ -68,7 +68,7 @@
     }
     Bytes frame = encodeFrame(FrameType::CallRequest, request);
     if (this->connection) {
-        this->connection->send(std::move(frame), callId);
+        this->connection->send(std::move(frame));
         this->oweAnswer(this->usedAt);
         return callId;
     }
@@ -85,7 +85,7 @@
         return;
     const bool sent = found->second.unsent.empty();
     this->calls.erase(found);
-    if (sent && this->connection && !this->connection->withdraw(callId))
+    if (sent && this->connection)
         this->connection->send(encodeFrame(FrameType::CallCancel, CallCancel{callId}));
 }
 
@@ -96,8 +96,6 @@
         return;
     if (!found->second.unsent.empty())
         return this->give(callId, linkFailure(Outcome::NotRun, reasonPeerUnreachable));
-    if (this->connection && this->connection->withdraw(callId))
-        return this->give(callId, linkFailure(Outcome::NotRun, reasonPeerCongested));
     if (this->connection)
         this->connection->send(encodeFrame(FrameType::CallWithdraw, CallCancel{callId}));
 }
@@ -136,23 +134,22 @@
     this->connection->send(encodeFrame(FrameType::Hello, HelloMessage{this->settings.ownId, 1}));
     for (auto &[callId, pending] : this->calls) {
         if (!pending.unsent.empty())
-            this->connection->send(std::move(pending.unsent), callId);
+            this->connection->send(std::move(pending.unsent));
         pending.unsent.clear();
     }
     this->oweAnswer(SteadyClock::now());
 }
 
-// A call of which a byte has left may have run; one that still waited has not.
+// A call that was handed to the connection may have run; one that was not has not.
 void PeerLink::closed(const Error &reason)
 {
     if (!this->calls.empty())
         this->lost(reason);
-    const std::shared_ptr<FramedConnection> ending = std::move(this->connection);
     this->connection.reset();
     std::unordered_map<std::uint64_t, Pending> ended;
     ended.swap(this->calls);
     for (auto &[callId, pending] : ended) {
-        const bool sent = pending.unsent.empty() && !ending->isWaiting(callId);
+        const bool sent = pending.unsent.empty();
         pending.answer(linkFailure(sent ? Outcome::Unknown : Outcome::NotRun, reasonPeerLost));
     }
 }
--- a/Services/Node/Peers/PeerServer.cpp
+++ b/Services/Node/Peers/PeerServer.cpp
@@ -88,12 +88,12 @@
             return this->close(
                 makeError(ErrorKind::InvalidInput, "read call", "", "a call number is used twice"));
         this->calls.emplace(callId, nullptr);
-        const auto call = this->server->gate.submit(
-            this->server->home, std::move(request).assume_value(),
-            [self = this->shared_from_this()](CallResponse response) {
-                self->calls.erase(response.callId);
-                self->send(encodeFrame(FrameType::CallResponse, response), response.callId);
-            });
+        const auto call =
+            this->server->gate.submit(this->server->home, std::move(request).assume_value(),
+                                      [self = this->shared_from_this()](CallResponse response) {
+                                          self->calls.erase(response.callId);
+                                          self->send(encodeFrame(FrameType::CallResponse, response));
+                                      });
         // It may have been answered inside submit.
         const auto found = this->calls.find(callId);
         if (found != this->calls.end())
@@ -109,19 +109,11 @@
             return this->close(cancel.error());
         const auto found = this->calls.find(cancel.value().callId);
         if (found == this->calls.end())
-            return this->dropAnswer(cancel.value().callId, cancelCall);
+            return;
         const std::shared_ptr<GateCall> call = found->second;
         (this->server->gate.*cancelCall)(call);
     }
 
-    // A withdrawn call still wants its answer; a cancelled one does not, and its answer may be large.
-    void dropAnswer(std::uint64_t callId, Cancel cancelCall)
-    {
-        const auto open = this->connection.lock();
-        if (open && cancelCall == &LocalGate::cancel)
-            open->withdraw(callId);
-    }
-
     // The node that sent the calls cannot be answered any more: what waits is taken out, what may be cut off
     // is.
     void closed(const Error &reason)
@@ -135,10 +127,10 @@
         }
     }
 
-    void send(Bytes frame, std::uint64_t tag = 0)
+    void send(Bytes frame)
     {
         if (const auto open = this->connection.lock())
-            open->send(std::move(frame), tag);
+            open->send(std::move(frame));
     }
 
     void close(Error reason)
--- a/Tests/Node/TestPeerLink.cpp
+++ b/Tests/Node/TestPeerLink.cpp
@@ -202,31 +202,3 @@
     cr_assert(fixture.runUntil([&] { return fixture.answers.contains("slow"); }));
     cr_assert(fixture.answers["slow"].body == "late");
 }
-
-// A call waits behind a body on a path that is full, and the connection ends. No byte of it has left, so it
-// may go elsewhere, whatever it is.
-Test(peerLink, aCallThatStillWaitedHasNotRun)
-{
-    boost::asio::io_context context{1};
-    boost::asio::ip::tcp::acceptor acceptor(
-        context, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    const auto link = std::make_shared<PeerLink>(context, addressText(acceptor.local_endpoint()),
-                                                 LinkFixture::settings(), [](const Error &) {});
-    std::map<std::size_t, Outcome> outcomes;
-    const auto call = [&](std::size_t bodySize) {
-        CallRequest request;
-        request.body.assign(bodySize, 'x');
-        link->call(request, [&outcomes, bodySize](const CallResponse &response) {
-            outcomes[bodySize] = response.outcome;
-        });
-    };
-    constexpr std::size_t filling = std::size_t{7} << 20;
-    constexpr std::size_t behind = 50'000;
-    call(filling);
-    context.run_for(Milliseconds(20));
-    call(behind);
-    context.run_for(2 * LinkFixture::settings().silence);
-    cr_assert(outcomes.size() == 2);
-    cr_assert(outcomes[filling] == Outcome::Unknown);
-    cr_assert(outcomes[behind] == Outcome::NotRun);
-}
