--- a/Libraries/LibMembership/IntroducerRounds.cpp
+++ b/Libraries/LibMembership/IntroducerRounds.cpp
@@ -18,9 +18,9 @@
 // other zones': wherever a group is, it has a first, and two groups that share a table come upon each other's
 // rows.
 //
-// Load: all nodes start at once, and each takes itself for the only one and so for the first. Harm of each
-// writing a row: as many writes as nodes, when the few that came first are enough to meet by. Harm of
-// greeting the other zones in the first round: all nodes do it, when one of each zone is enough.
+// Each node of a fleet that starts takes itself for the first of its zone. Writing a row and greeting other
+// zones wait until the rows have been read, or a start would cost as many writes and greetings as there are
+// nodes.
 IntroducerRound IntroducerRounds::next(bool knowsOthers, std::uint32_t rank)
 {
     ++this->begun;
--- a/Libraries/LibMembership/IntroducerRounds.h
+++ b/Libraries/LibMembership/IntroducerRounds.h
@@ -29,7 +29,7 @@
 struct IntroducerRound
 {
     bool read = false;
-    bool greetOtherZones = false; // And not only those of its own zone that the rows name.
+    bool greetOtherZones = false; // Beside those of its own zone.
     IntroducerWrite write = IntroducerWrite::None;
     Duration pause{}; // Until the next round.
 };
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -353,7 +353,7 @@
     return this->budget.available() > this->budget.capacity() * share;
 }
 
-// What a start may spend beyond the ordinary burst is for the own zone: the others hear from it of few.
+// The allowance for a first view is spent within the zone; bytes to other zones keep to their own budget.
 bool Membership::maySpendAcross(double share) const
 {
     return this->maySpend(share) && this->acrossBudget.available() > this->acrossBudget.capacity() * share;
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -56,8 +56,8 @@
     // Sent bytes. Under half of a node's 13 KB a second, because as many arrive as leave.
     double bytesPerSecond = 6000;
     double burstBytes = 12000;
-    // Load: a fleet starts, or has lost power, and each node learns all others. Harm of an ordinary burst:
-    // views stay incomplete for as many seconds as the rate takes for a table of some hundred members.
+    // Sent bytes that a new process may spend at once, so that a fleet that starts together learns its
+    // members before callers need them.
     double firstViewBytes = 96000;
     // Sent bytes to other zones, as a part of the above.
     double acrossBytesPerSecond = 3000;
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -91,7 +91,8 @@
 void HttpSession::readEnded(const ErrorCode &error)
 {
     const bool cancelled = error == boost::asio::error::operation_aborted && !this->closed;
-    if (cancelled && this->stream.socket().available() != 0)
+    ErrorCode unreadable;
+    if (cancelled && this->stream.socket().available(unreadable) != 0)
         return this->awaitRequest();
     this->giveUp();
 }
--- a/Services/Node/Control/ControlIntroducers.h
+++ b/Services/Node/Control/ControlIntroducers.h
@@ -1,8 +1,7 @@
 // The entry point that outlives every node: a bounded set of introducers of each zone keeps a row in the
 // platform's table, and a node that knows nobody reads it. Lives on the control thread.
 //
-// Load: all nodes start at once, and the table bears a bounded number of calls. A node's start costs one read
-// of a few rows a zone, whose number does not grow with the fleet.
+// A start costs a node one read of a few rows a zone, whose number does not grow with the fleet.
 // A node writes its row once in half of the time after which it is renewed, however often it is its turn.
 #pragma once
 
