--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -48,7 +48,7 @@
     , random(seed)
     , table(this->own.zone)
     , budget(this->settings.bytesPerSecond, this->settings.burstBytes, this->settings.firstViewBytes)
-    , acrossBudget(this->settings.acrossBytesPerSecond, this->settings.acrossBurstBytes, 0)
+    , acrossBudget(this->settings.acrossBytesPerSecond, this->settings.acrossBurstBytes)
     , inbound(this->settings.catchUpBytesPerSecond, this->settings.burstBytes, this->settings.firstViewBytes)
     , joinBackoff(firstJoinBackoff)
 {
@@ -348,15 +348,18 @@
     return this->heardAnyone || this->settings.seeds.empty() || this->joinAttempts >= joinAttemptsAlone;
 }
 
-bool Membership::maySpend(double share) const
+// The allowance for a first view is spent within the zone; bytes to other zones keep to their own budget.
+bool Membership::maySpend(double share, bool ownZone) const
 {
-    return this->budget.available() > this->budget.capacity() * share;
+    const auto allows = [share](const TokenBucket &bucket) {
+        return bucket.available() > bucket.capacity() * share;
+    };
+    return allows(this->budget) && (ownZone || allows(this->acrossBudget));
 }
 
-// The allowance for a first view is spent within the zone; bytes to other zones keep to their own budget.
-bool Membership::maySpendAcross(double share) const
+bool Membership::isOfOwnZone(const MemberRecord *record) const
 {
-    return this->maySpend(share) && this->acrossBudget.available() > this->acrossBudget.capacity() * share;
+    return record != nullptr && record->member.zone == this->own.zone;
 }
 
 Datagram Membership::makeDatagram(DatagramKind kind, std::uint32_t sequence) const
@@ -381,25 +384,24 @@
         std::min<std::size_t>(maximumDatagramBytes - headRoom, static_cast<std::size_t>(spendable));
     if (room >= smallest && !this->changes.empty())
         this->changes.fill(datagram, room, this->table);
-    const std::size_t size = this->transmit(address, datagram);
-    if (!ownZone)
-        this->acrossBudget.take(size);
+    this->transmit(address, datagram, ownZone);
 }
 
-std::size_t Membership::transmit(const std::string &address, const Datagram &datagram)
+void Membership::transmit(const std::string &address, const Datagram &datagram, bool ownZone)
 {
     const std::string bytes = encodeDatagram(datagram);
     if (address.empty() || bytes.size() > maximumDatagramBytes) {
         ++this->counts.heldBack;
-        return 0;
+        return;
     }
     const std::size_t size = bytes.size() + datagramOverheadBytes;
     this->budget.take(size);
+    if (!ownZone)
+        this->acrossBudget.take(size);
     KindCounters &kind = this->counts.kinds[static_cast<std::size_t>(datagram.kind)];
     ++kind.sent;
     kind.sentBytes += size;
     this->hooks.send(address, bytes);
-    return size;
 }
 
 Duration Membership::jittered(Duration interval)
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -206,14 +206,13 @@
     bool isMyTurnAcross(double ofTheZone); // Drawn anew each time.
 
     // Sending (Membership.cpp). A datagram that is not owed to anyone is held back when the budget is spent.
-    bool maySpend(double share) const;
-    bool maySpendAcross(double share) const;
-    bool isOfOwnZone(const std::string &nodeId) const;
+    bool maySpend(double share, bool ownZone = true) const;
+    bool isOfOwnZone(const MemberRecord *record) const; // False when there is none.
     Duration paceOfCatchUp() const;
     bool mustAwaitInbound(Instant now) const; // Too much has arrived for the next comparison to begin yet.
     Datagram makeDatagram(DatagramKind kind, std::uint32_t sequence = 0) const;
     void sendWithChanges(const std::string &address, bool ownZone, Datagram datagram);
-    std::size_t transmit(const std::string &address, const Datagram &datagram);
+    void transmit(const std::string &address, const Datagram &datagram, bool ownZone = true);
     Duration jittered(Duration interval);
 
     MembershipSettings settings;
--- a/Libraries/LibMembership/MembershipProbe.cpp
+++ b/Libraries/LibMembership/MembershipProbe.cpp
@@ -115,8 +115,7 @@
     // A suspect learns of it from whoever probes it, and can refute.
     if (record->member.state != MemberState::Alive)
         ping.briefs.push_back(MemberTable::briefOf(*record));
-    this->sendWithChanges(record->member.gossipAddress, record->member.zone == this->own.zone,
-                          std::move(ping));
+    this->sendWithChanges(record->member.gossipAddress, this->isOfOwnZone(record), std::move(ping));
 }
 
 void Membership::checkProbes(Instant now)
@@ -254,7 +253,7 @@
     const MemberRecord *sender = this->table.find(datagram.sender);
     if (sender != nullptr && sender->member.state != MemberState::Alive)
         ack.briefs.push_back(MemberTable::briefOf(*sender));
-    this->sendWithChanges(from, this->isOfOwnZone(datagram.sender), std::move(ack));
+    this->sendWithChanges(from, this->isOfOwnZone(sender), std::move(ack));
 }
 
 void Membership::handlePingRequest(Instant now, const Datagram &datagram, const std::string &from)
--- a/Libraries/LibMembership/MembershipSync.cpp
+++ b/Libraries/LibMembership/MembershipSync.cpp
@@ -73,8 +73,8 @@
         const MemberRecord *peer = this->table.find(this->pickPeer(i != 0 || !across));
         if (peer == nullptr)
             return;
-        const bool ownZone = peer->member.zone == this->own.zone;
-        if (!ownZone && !this->maySpendAcross(0))
+        const bool ownZone = this->isOfOwnZone(peer);
+        if (!this->maySpend(0, ownZone))
             continue;
         ++this->headTold;
         this->sendWithChanges(peer->member.gossipAddress, ownZone, this->makeDatagram(DatagramKind::Gossip));
@@ -202,7 +202,7 @@
     std::shuffle(far.begin(), far.end(), this->random);
     near.insert(near.end(), far.begin(), far.end());
     // This node's own record is in the list or not by chance; the header's incarnation makes up for it.
-    this->sendRecords(from, joiner->member.zone == this->own.zone, near, joinAnswerDatagrams);
+    this->sendRecords(from, this->isOfOwnZone(joiner), near, joinAnswerDatagrams);
     if (joiner->member.incarnation > datagram.senderIncarnation || !isPresent(joiner->member.state)) {
         Datagram notice = this->makeDatagram(DatagramKind::Gossip);
         notice.briefs.push_back(MemberTable::briefOf(*joiner));
@@ -288,7 +288,7 @@
             return record->member.zone == asker->member.zone;
         });
     }
-    this->sendRecords(from, this->isOfOwnZone(datagram.sender), missing, syncAnswerDatagrams);
+    this->sendRecords(from, this->isOfOwnZone(asker), missing, syncAnswerDatagrams);
 }
 
 void Membership::handleSyncEntries(Instant now, const std::string &from, const Datagram &datagram)
@@ -322,7 +322,8 @@
         }
     }
     this->request(now, from, wanted);
-    this->sendRecords(from, this->isOfOwnZone(datagram.sender), offered, syncAnswerDatagrams);
+    this->sendRecords(from, this->isOfOwnZone(this->table.find(datagram.sender)), offered,
+                      syncAnswerDatagrams);
     if (!wanted.empty() || !offered.empty())
         this->catchUp(now);
 }
@@ -335,7 +336,8 @@
         if (record != nullptr)
             records.push_back(record);
     }
-    this->sendRecords(from, this->isOfOwnZone(datagram.sender), records, syncAnswerDatagrams);
+    this->sendRecords(from, this->isOfOwnZone(this->table.find(datagram.sender)), records,
+                      syncAnswerDatagrams);
 }
 
 void Membership::request(Instant now, const std::string &address, const std::vector<std::uint64_t> &wanted)
@@ -355,19 +357,13 @@
     this->transmit(address, datagram);
 }
 
-bool Membership::isOfOwnZone(const std::string &nodeId) const
-{
-    const MemberRecord *record = this->table.find(nodeId);
-    return record != nullptr && record->member.zone == this->own.zone;
-}
-
 void Membership::sendRecords(const std::string &address, bool ownZone,
                              const std::vector<const MemberRecord *> &records, std::size_t maximumDatagrams)
 {
     constexpr std::size_t headRoom = 200;
     std::size_t next = 0;
     for (std::size_t sent = 0; sent < maximumDatagrams && next < records.size(); ++sent) {
-        if (ownZone ? !this->maySpend(syncReserve) : !this->maySpendAcross(syncReserve)) {
+        if (!this->maySpend(syncReserve, ownZone)) {
             ++this->counts.heldBack;
             return;
         }
@@ -382,9 +378,7 @@
             answer.members.push_back(records[next]->member);
             ++next;
         }
-        const std::size_t size = this->transmit(address, answer);
-        if (!ownZone)
-            this->acrossBudget.take(size);
+        this->transmit(address, answer, ownZone);
     }
 }
 
--- a/Libraries/LibMembership/TokenBucket.h
+++ b/Libraries/LibMembership/TokenBucket.h
@@ -11,7 +11,7 @@
 class TokenBucket
 {
 public:
-    TokenBucket(double bytesPerSecond, double burstBytes, double firstBytes)
+    TokenBucket(double bytesPerSecond, double burstBytes, double firstBytes = 0)
         : rate(bytesPerSecond)
         , burst(burstBytes)
         , tokens(std::max(burstBytes, firstBytes))
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -90,8 +90,8 @@
 // still served.
 void HttpSession::readEnded(const ErrorCode &error)
 {
-    const bool cancelled = error == boost::asio::error::operation_aborted && !this->closed;
-    ErrorCode unreadable;
+    const bool cancelled = error == boost::asio::error::operation_aborted;
+    ErrorCode unreadable; // Nothing is there on a closed socket.
     if (cancelled && this->stream.socket().available(unreadable) != 0)
         return this->awaitRequest();
     this->giveUp();
@@ -190,7 +190,7 @@
 void HttpSession::take()
 {
     this->reading = false;
-    if (this->closed)
+    if (!this->stream.socket().is_open())
         return;
     http::request<http::string_body> message = this->parser->release();
     Received received;
@@ -439,7 +439,6 @@
 
 void HttpSession::close()
 {
-    this->closed = true;
     ErrorCode ignored;
     this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     this->stream.close();
--- a/Libraries/LibNet/HttpSession.h
+++ b/Libraries/LibNet/HttpSession.h
@@ -120,7 +120,6 @@
     bool watching = false;
     bool continueOwed = false;   // The caller waits for a word before it sends its body.
     bool readsFirstByte = false; // Nothing of a next request has been read.
-    bool closed = false;         // No request is begun any more.
 };
 
 } // namespace Sagecrank
--- a/Libraries/LibSpread/PullPlan.cpp
+++ b/Libraries/LibSpread/PullPlan.cpp
@@ -35,10 +35,10 @@
 // Failure: the source does not answer while peers tell of versions, and the reads for these fail one after
 // the other. Symptom: the pause that grew meanwhile outlives the outage, and a node that has the newest
 // version in its hands puts it in force a second late, or more. A source that tells of a version lives.
-void PullPlan::sourceTold(const ConfigurationMark &mark, Instant now)
+void PullPlan::sourceReported(const ConfigurationMark &mark, Instant now)
 {
-    const bool news = mark.version > this->toldBySource && mark.version >= this->target.version;
-    this->toldBySource = std::max(this->toldBySource, mark.version);
+    const bool news = mark.version > this->reportedBySource && mark.version >= this->target.version;
+    this->reportedBySource = std::max(this->reportedBySource, mark.version);
     this->platformFailures = 0;
     this->platformNotBefore = now;
     if (this->settings.platformFirst && news) {
@@ -99,8 +99,8 @@
     // Failure: the source is silent towards this node while peers tell of a version. Symptom: the node asks
     // it first, and the version is late by the time after which such a read is given up. Whoever told has it
     // or knows who has, so peers go first.
-    const bool told = this->toldBySource >= this->target.version;
-    const Duration pollerPause = told ? Duration::zero() : this->settings.peersFirstFor;
+    const bool reported = this->reportedBySource >= this->target.version;
+    const Duration pollerPause = reported ? Duration::zero() : this->settings.peersFirstFor;
     const bool poller = rank < this->settings.platformPullers
                         && waited >= pollerPause + this->settings.laterPollerDelay * place;
     const Duration turn = this->settings.platformAfter + this->settings.platformAfterEachRank * place;
@@ -109,7 +109,7 @@
     // A node that holds nothing would read every section from the platform; another zone costs it nothing.
     const bool otherDue = heldVersion == 0 || waited >= this->settings.otherZonesAfter;
     PullStep step;
-    if (this->settings.platformFirst && told && platformDue) {
+    if (this->settings.platformFirst && reported && platformDue) {
         step.source = PullSource::Platform;
         return step;
     }
--- a/Libraries/LibSpread/PullPlan.h
+++ b/Libraries/LibSpread/PullPlan.h
@@ -94,7 +94,7 @@
 
     // Commands.
     void want(const ConfigurationMark &mark, Instant now); // Heard of from peers.
-    void sourceTold(const ConfigurationMark &mark, Instant now);
+    void sourceReported(const ConfigurationMark &mark, Instant now);
     // Only for a node that holds nothing: takes an older version first, and wants the newer one after it.
     void settleFor(const ConfigurationMark &mark, Instant now);
     // Begins an attempt when it names a source; succeeded() or failed() with its number must follow.
@@ -138,8 +138,8 @@
     PullSettings settings;
     std::mt19937_64 random;
     ConfigurationMark target;
-    std::uint64_t toldBySource = 0; // The newest version that the source itself told of.
-    ConfigurationMark deferred;     // Wanted once the target is held; newer than it, or no version.
+    std::uint64_t reportedBySource = 0; // The newest version that the source itself reported.
+    ConfigurationMark deferred;         // Wanted once the target is held; newer than it, or no version.
     // When the node fell behind, or last came nearer to the target; from it the turns of other zones and of
     // the platform are counted.
     Instant behindSince{};
--- a/Services/Node/Control/ControlFollower.cpp
+++ b/Services/Node/Control/ControlFollower.cpp
@@ -152,7 +152,7 @@
     this->sourceAnswered = now;
     this->poll.answered(now, this->poller(), read.number, found.version > known);
     const ConfigurationMark mark{found.version, found.digest.high, found.digest.low};
-    this->plan.sourceTold(mark, now);
+    this->plan.sourceReported(mark, now);
     if (mark.version != 0)
         this->hooks.headSeen(mark);
 }
--- a/Services/Node/Control/ControlIntroducers.cpp
+++ b/Services/Node/Control/ControlIntroducers.cpp
@@ -33,11 +33,10 @@
 
 } // namespace
 
-ControlIntroducers::ControlIntroducers(boost::asio::io_context &context, std::string id, std::string zone,
+ControlIntroducers::ControlIntroducers(boost::asio::io_context &context, std::string zone,
                                        std::string gossipAddress, TablePort table, IntroducerPace pace,
                                        IntroducerHooks hooks, std::uint64_t seed)
     : timer(context)
-    , id(std::move(id))
     , zone(std::move(zone))
     , gossipAddress(std::move(gossipAddress))
     , table(std::move(table))
--- a/Services/Node/Control/ControlIntroducers.h
+++ b/Services/Node/Control/ControlIntroducers.h
@@ -37,9 +37,8 @@
 class ControlIntroducers
 {
 public:
-    ControlIntroducers(boost::asio::io_context &context, std::string id, std::string zone,
-                       std::string gossipAddress, TablePort table, IntroducerPace pace, IntroducerHooks hooks,
-                       std::uint64_t seed);
+    ControlIntroducers(boost::asio::io_context &context, std::string zone, std::string gossipAddress,
+                       TablePort table, IntroducerPace pace, IntroducerHooks hooks, std::uint64_t seed);
 
     // Commands.
     void start();
@@ -57,7 +56,6 @@
     std::uint32_t anyOf(const std::vector<std::uint32_t> &places);
 
     boost::asio::steady_timer timer;
-    std::string id;
     std::string zone;
     std::string gossipAddress;
     TablePort table;
--- a/Services/Node/Control/ControlPlane.cpp
+++ b/Services/Node/Control/ControlPlane.cpp
@@ -77,9 +77,8 @@
                    this->settings.follower, this->followerHooks(), std::random_device{}())
         , server(context, std::random_device{}(),
                  [this](const PullRequest &request) { return this->follower.serve(request); })
-        , introducers(context, this->settings.id, this->settings.zone, this->settings.gossipAddress,
-                      std::move(table), this->settings.introducers, this->introducerHooks(),
-                      std::random_device{}())
+        , introducers(context, this->settings.zone, this->settings.gossipAddress, std::move(table),
+                      this->settings.introducers, this->introducerHooks(), std::random_device{}())
     {
     }
 
--- a/Services/Node/Peers/PeerLink.cpp
+++ b/Services/Node/Peers/PeerLink.cpp
@@ -69,7 +69,7 @@
     Bytes frame = encodeFrame(FrameType::CallRequest, request);
     if (this->connection) {
         this->connection->send(std::move(frame));
-        this->oweAnswer(this->usedAt);
+        this->expectAnswer(this->usedAt);
         return callId;
     }
     this->calls[callId].unsent = std::move(frame);
@@ -127,7 +127,7 @@
             self->closed(reason);
     };
     this->backoff = Duration::zero();
-    this->owedSince.reset();
+    this->unansweredSince.reset();
     this->connection =
         std::make_shared<FramedConnection>(std::move(socket), maximumFrameSize, std::move(hooks));
     this->connection->start();
@@ -137,7 +137,7 @@
             this->connection->send(std::move(pending.unsent));
         pending.unsent.clear();
     }
-    this->oweAnswer(SteadyClock::now());
+    this->expectAnswer(SteadyClock::now());
 }
 
 // A call that was handed to the connection may have run; one that was not has not.
@@ -171,7 +171,7 @@
 
 void PeerLink::takeFrame(FrameType type, std::span<const char> payload)
 {
-    this->owedSince.reset();
+    this->unansweredSince.reset();
     if (type == FrameType::Pong)
         return;
     if (type != FrameType::CallResponse)
@@ -196,10 +196,10 @@
 
 // The clock of a silence starts with the first unanswered sending and not with each: calls whose own
 // deadlines are shorter than the silence would otherwise put its end off for ever.
-void PeerLink::oweAnswer(Instant now)
+void PeerLink::expectAnswer(Instant now)
 {
-    if (!this->owedSince)
-        this->owedSince = now;
+    if (!this->unansweredSince)
+        this->unansweredSince = now;
     this->armHeartbeat();
 }
 
@@ -226,15 +226,15 @@
         return;
     const Instant now = SteadyClock::now();
     // This process itself was held up: answers may lie unread, so the silence is counted anew.
-    if (this->owedSince && now - this->heartbeatDue > this->settings.silence / 2)
-        this->owedSince = now;
-    const bool silent = this->owedSince && now - *this->owedSince > this->settings.silence;
+    if (this->unansweredSince && now - this->heartbeatDue > this->settings.silence / 2)
+        this->unansweredSince = now;
+    const bool silent = this->unansweredSince && now - *this->unansweredSince > this->settings.silence;
     if (silent && !this->waitsThroughSilence)
         return this->connection->close(
             makeError(ErrorKind::Timeout, "wait for heartbeat", this->address, "silent"));
-    if (!this->calls.empty() || this->owedSince) {
+    if (!this->calls.empty() || this->unansweredSince) {
         this->connection->send(encodeFrame(FrameType::Ping, Heartbeat{++this->pings}));
-        return this->oweAnswer(now);
+        return this->expectAnswer(now);
     }
     if (now - this->usedAt > this->settings.idleTimeout)
         return this->connection->close(
--- a/Services/Node/Peers/PeerLink.h
+++ b/Services/Node/Peers/PeerLink.h
@@ -66,7 +66,7 @@
     void takeFrame(FrameType type, std::span<const char> payload);
     void failUnsent(std::string_view reason);
     void give(std::uint64_t callId, CallResponse response);
-    void oweAnswer(Instant now);
+    void expectAnswer(Instant now);
     void armHeartbeat();
     void heartbeat();
 
@@ -81,8 +81,8 @@
     bool connecting = false;
     bool timerArmed = false;
     bool waitsThroughSilence = false;
-    std::optional<Instant>
-        owedSince; // Something was sent that must be answered, and nothing was heard since.
+    // The first sending that expects an answer since anything was received.
+    std::optional<Instant> unansweredSince;
     Instant heartbeatDue;
     Instant usedAt;
     std::uint64_t pings = 0;
--- a/Tests/Control/TestIntroducers.cpp
+++ b/Tests/Control/TestIntroducers.cpp
@@ -69,7 +69,7 @@
                 this->meet(*self, address);
         };
         node->introducers = std::make_unique<ControlIntroducers>(
-            this->context, node->address, zone, node->address, this->table.port(),
+            this->context, zone, node->address, this->table.port(),
             IntroducerPace{Milliseconds(10), Milliseconds(50), Milliseconds(1000)}, hooks,
             this->nodes.size() + 1);
         this->nodes.push_back(std::move(node));
--- a/Tests/LibSpread/TestPullPlan.cpp
+++ b/Tests/LibSpread/TestPullPlan.cpp
@@ -50,11 +50,11 @@
     PullPlan plan(contentComesAlong(), 1);
     const Instant begin(std::chrono::hours(1));
     std::uint64_t version = 5;
-    Instant heardAt = begin;
+    Instant newsAt = begin;
     plan.want({version, 0, 0}, begin);
     for (Instant now = begin; now < begin + std::chrono::seconds(10); now += tick) {
-        if (now - heardAt >= std::chrono::seconds(1)) {
-            heardAt = now;
+        if (now - newsAt >= std::chrono::seconds(1)) {
+            newsAt = now;
             plan.want({++version, 0, 0}, now);
         }
         const PullStep step = plan.next(now, 4, 9, {far});
@@ -87,7 +87,7 @@
     plan.want({6, 0, 0}, now);
     while (plan.next(now, 4, 0, {}).source != PullSource::Platform)
         now += tick;
-    plan.sourceTold({6, 0, 0}, now); // While another read is under way.
+    plan.sourceReported({6, 0, 0}, now); // While another read is under way.
     cr_assert(plan.next(now, 4, 0, {near}).source == PullSource::Platform);
 }
 
