Node: Send new calls beside a silent path while the node ends

Callers saw: calls that a node was sent while it ended waited to their deadlines and got 504, when the path to the upstream's host had gone silent for good. Cause: from SIGTERM on a node waits through silence, and it sent new calls on the silent connection as well. Change: a node that ends opens a second connection for new calls once the first has been silent for as long as is allowed; an attempt keeps the connection that it was sent on, which closes with its last call. Why it works: a new connection opens where only the old one is lost, and fails within its limit where nobody is there; answers on the old one are still taken. Result: aNodeThatEndsSendsNewCallsBesideASilentPath fails before ("peer.connections.size() == 2 is false"), passes after; all other tests of TestNode pass.

--- a/Services/Node/Callers/ForwardedCall.cpp
+++ b/Services/Node/Callers/ForwardedCall.cpp
@@ -199,9 +199,9 @@
         this->attempts[index].local = call;
         return;
     }
-    this->attempts[index].peerAddress = target.candidate.peerAddress;
-    this->attempts[index].peerCallId =
-        this->worker.link(target.candidate.peerAddress).call(std::move(attempt), std::move(ended));
+    const std::shared_ptr<PeerLink> link = this->worker.link(target.candidate.peerAddress);
+    this->attempts[index].link = link;
+    this->attempts[index].peerCallId = link->call(std::move(attempt), std::move(ended));
 }
 
 void ForwardedCall::attemptEnded(std::size_t index, CallResponse response)
@@ -362,8 +362,8 @@
             continue;
         if (attempt.local)
             this->context.gate.withdraw(attempt.local);
-        else if (!attempt.peerAddress.empty())
-            this->worker.link(attempt.peerAddress).withdraw(attempt.peerCallId);
+        else if (attempt.link)
+            attempt.link->withdraw(attempt.peerCallId);
     }
 }
 
@@ -389,8 +389,8 @@
         }
         if (attempt.local)
             this->context.gate.cancel(attempt.local);
-        else if (!attempt.peerAddress.empty())
-            this->worker.link(attempt.peerAddress).cancel(attempt.peerCallId);
+        else if (attempt.link)
+            attempt.link->cancel(attempt.peerCallId);
     }
 }
 
--- a/Services/Node/Callers/ForwardedCall.h
+++ b/Services/Node/Callers/ForwardedCall.h
@@ -85,8 +85,8 @@
         Instant startedAt;
         bool open = true;
         std::shared_ptr<GateCall> local; // Set when the upstream is beside this node.
-        std::string peerAddress;         // Set when it is beside another.
-        std::uint64_t peerCallId = 0;
+        std::shared_ptr<PeerLink> link;  // Set when it is beside another.
+        std::uint64_t peerCallId = 0;    // On the link.
         std::optional<Span> span; // Set from its sending on.
     };
 
--- a/Services/Node/Callers/Worker.cpp
+++ b/Services/Node/Callers/Worker.cpp
@@ -127,21 +127,28 @@
     });
 }
 
-PeerLink &Worker::link(const std::string &peerAddress)
+// Failure: a path goes silent for good while this node waits through silence. Symptom: every new call on it
+// waits to its deadline. What is under way there may still be answered; new calls go beside it.
+std::shared_ptr<PeerLink> Worker::link(const std::string &peerAddress)
 {
     std::shared_ptr<PeerLink> &link = this->links[peerAddress];
-    if (!link) {
-        PeerLinkSettings peer;
-        peer.ownId = this->settings.id;
-        peer.connectTimeout = this->settings.requests.connectTimeout;
-        peer.silence = this->settings.requests.peerSilence;
-        link = std::make_shared<PeerLink>(
-            this->context, peerAddress, peer,
-            [this, peerAddress](const Error &reason) { this->observer.peerLost(peerAddress, reason); });
-        if (this->ending)
-            link->waitThroughSilence();
-    }
-    return *link;
+    if (!link || (this->ending && link->isSilent(SteadyClock::now())))
+        link = this->makeLink(peerAddress);
+    return link;
+}
+
+std::shared_ptr<PeerLink> Worker::makeLink(const std::string &peerAddress)
+{
+    PeerLinkSettings peer;
+    peer.ownId = this->settings.id;
+    peer.connectTimeout = this->settings.requests.connectTimeout;
+    peer.silence = this->settings.requests.peerSilence;
+    auto link = std::make_shared<PeerLink>(
+        this->context, peerAddress, peer,
+        [this, peerAddress](const Error &reason) { this->observer.peerLost(peerAddress, reason); });
+    if (this->ending)
+        link->waitThroughSilence();
+    return link;
 }
 
 } // namespace Sagecrank
--- a/Services/Node/Callers/Worker.h
+++ b/Services/Node/Callers/Worker.h
@@ -62,12 +62,14 @@
     void forgetUnused(Instant before);
 
     // On the worker's own thread.
-    PeerLink &link(const std::string &peerAddress);
+    // Calls keep theirs until they end; another one may take its place meanwhile.
+    std::shared_ptr<PeerLink> link(const std::string &peerAddress);
     void opened(ForwardedCall &call) { this->calls.insert(&call); }
     void closed(ForwardedCall &call) { this->calls.erase(&call); }
 
 private:
     std::vector<std::shared_ptr<ForwardedCall>> openCalls() const;
+    std::shared_ptr<PeerLink> makeLink(const std::string &peerAddress);
 
     const NodeSettings &settings;
     RequestObserver &observer;
--- a/Services/Node/Peers/PeerLink.cpp
+++ b/Services/Node/Peers/PeerLink.cpp
@@ -323,8 +323,7 @@
     // This process itself was held up: answers may lie unread, so the silence is counted anew.
     if (this->unansweredSince && now - this->heartbeatDue > this->settings.silence / 2)
         this->unansweredSince = now;
-    const bool silent = this->unansweredSince && now - *this->unansweredSince > this->settings.silence;
-    if (silent && !this->waitsThroughSilence)
+    if (this->isSilent(now) && !this->waitsThroughSilence)
         return this->connection->close(
             makeError(ErrorKind::Timeout, "wait for heartbeat", this->address, "silent"));
     if (!this->calls.empty() || this->unansweredSince) {
--- a/Services/Node/Peers/PeerLink.h
+++ b/Services/Node/Peers/PeerLink.h
@@ -51,6 +51,12 @@
     // Silence is no reason to give up a call any more.
     void waitThroughSilence() { this->waitsThroughSilence = true; }
 
+    // Something was sent that must be answered, and nothing was heard for longer than allowed.
+    bool isSilent(Instant now) const
+    {
+        return this->unansweredSince && now - *this->unansweredSince > this->settings.silence;
+    }
+
     bool unusedSince(Instant before) const { return this->calls.empty() && this->usedAt < before; }
 
 private:
--- a/Tests/Node/FakePeer.h
+++ b/Tests/Node/FakePeer.h
@@ -26,13 +26,20 @@
     std::string address() const { return addressText(this->acceptor.local_endpoint()); }
 
     void answer(std::size_t index, const std::string &body, std::uint32_t status = 200)
+    {
+        this->answerOn(this->connections.size() - 1, index, body, status);
+    }
+
+    // On an earlier connection, where the call came.
+    void answerOn(std::size_t connection, std::size_t index, const std::string &body,
+                  std::uint32_t status = 200)
     {
         CallResponse response;
         response.callId = this->calls[index].callId;
         response.outcome = Outcome::Done;
         response.status = status;
         response.body = body;
-        this->connections.back()->send(encodeFrame(FrameType::CallResponse, response));
+        this->connections[connection]->send(encodeFrame(FrameType::CallResponse, response));
     }
 
     void refuse(std::size_t index, bool claimHeld)
--- a/Tests/Node/TestForwardedCall.cpp
+++ b/Tests/Node/TestForwardedCall.cpp
@@ -17,10 +17,11 @@
 class ForwardFixture
 {
 public:
-    ForwardFixture()
+    explicit ForwardFixture(Milliseconds peerSilence = std::chrono::minutes(1), std::size_t hosts = 2)
+        : settings(makeSettings(peerSilence))
     {
         std::vector<Member> members;
-        for (std::size_t index = 0; index < this->peers.size(); ++index) {
+        for (std::size_t index = 0; index < hosts; ++index) {
             Member member;
             member.id = "host-" + std::to_string(index);
             member.zone = "zone";
@@ -68,7 +69,7 @@
     std::size_t callsSent() const { return this->peers[0].calls.size() + this->peers[1].calls.size(); }
 
     RcuThread reader;
-    NodeSettings settings = makeSettings();
+    NodeSettings settings;
     HistoryRecorder history{"node", false};
     EventLog log{"node", {}, [](LogLevel, const std::string &) {}};
     Metrics metrics;
@@ -103,11 +104,11 @@
     std::optional<CallResponse> answer;
 
 private:
-    static NodeSettings makeSettings()
+    static NodeSettings makeSettings(Milliseconds peerSilence)
     {
         NodeSettings settings;
         settings.id = "node";
-        settings.requests.peerSilence = Milliseconds(60000);
+        settings.requests.peerSilence = peerSilence;
         return settings;
     }
 };
@@ -334,3 +335,29 @@
     cr_assert(fixture.answer->retryAfterMilliseconds == 300'000);
     cr_assert(fixture.callsSent() == 0);
 }
+
+// A path goes silent for good while the node ends, and new calls wait behind it to their deadlines.
+Test(forwardedCall, aNodeThatEndsSendsNewCallsBesideASilentPath)
+{
+    constexpr Milliseconds silence(100);
+    ForwardFixture fixture(silence, 1);
+    FakePeer &peer = fixture.peers[0];
+    peer.answersPings = false;
+    fixture.call(ForwardFixture::plan(false));
+    const std::shared_ptr<ForwardedCall> slow = fixture.forwarded;
+    cr_assert(fixture.runUntil([&] { return peer.calls.size() == 1; }));
+    fixture.worker.beginEnding();
+    const Instant until = SteadyClock::now() + 4 * silence;
+    fixture.runUntil([&] { return SteadyClock::now() >= until; });
+    cr_assert(!fixture.answer, "what may be running was given up");
+    fixture.call(ForwardFixture::plan(false));
+    cr_assert(fixture.runUntil([&] { return peer.calls.size() == 2; }));
+    cr_assert(peer.connections.size() == 2);
+    peer.answerOn(1, 1, "new");
+    cr_assert(fixture.runUntil([&] { return fixture.answer.has_value(); }));
+    cr_assert(fixture.answer->body == "new");
+    fixture.answer.reset();
+    peer.answerOn(0, 0, "slow");
+    cr_assert(fixture.runUntil([&] { return fixture.answer.has_value(); }));
+    cr_assert(fixture.answer->body == "slow");
+}
