Node: Tell other nodes which calls a node that ends has not taken

Callers saw: 504 "unknown" for calls that had not run anywhere, when the node that they were sent to ended as they came. Cause: its process closed its connections without a word, and what had been sent by then counts as perhaps run. The last answers were at risk as well: with the process gone, a reset answers what the other side still sends and drops them. Why it works: frames keep their order, so all answers come before the last word, and the end is read only after it.

--- a/Libraries/LibNet/FramedConnection.cpp
+++ b/Libraries/LibNet/FramedConnection.cpp
@@ -34,7 +34,7 @@
 
 void FramedConnection::send(Bytes frame)
 {
-    if (!this->open)
+    if (!this->open || this->sendingEnds)
         return;
     this->waitingBytes += frame.size();
     this->waiting.push_back(std::move(frame));
@@ -42,6 +42,19 @@
         this->writeWaiting();
 }
 
+void FramedConnection::endSending()
+{
+    this->sendingEnds = true;
+    if (this->open && !this->writeInProgress)
+        this->shutDownSending();
+}
+
+void FramedConnection::shutDownSending()
+{
+    boost::system::error_code ignored; // The read tells of a connection that is lost.
+    this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void FramedConnection::close(Error reason)
 {
     if (!this->open)
@@ -99,6 +112,8 @@
             self->waitingBytes -= size;
             if (!self->waiting.empty())
                 return self->writeWaiting();
+            if (self->sendingEnds)
+                self->shutDownSending();
             if (self->hooks.sent)
                 self->hooks.sent();
         });
--- a/Libraries/LibNet/FramedConnection.h
+++ b/Libraries/LibNet/FramedConnection.h
@@ -36,6 +36,10 @@
 
     void close(Error reason);
 
+    // No frame is queued after it. What was queued leaves first, then the other side reads an end; frames are
+    // still received until it closes.
+    void endSending();
+
     bool isOpen() const { return this->open; }
     std::uint64_t bytesSent() const { return this->sent; }
 
@@ -48,6 +52,7 @@
 private:
     void readSome();
     void writeWaiting();
+    void shutDownSending();
 
     boost::asio::ip::tcp::socket socket;
     FrameReader reader;
@@ -60,6 +65,7 @@
     std::uint64_t sent = 0;
     bool open = true;
     bool writeInProgress = false;
+    bool sendingEnds = false; // Once all that waits has left.
 };
 
 // "ip:port" to an endpoint; names are not resolved. Port 0, "any free port", has to be allowed by the caller.
--- a/Libraries/LibWire/Frame.h
+++ b/Libraries/LibWire/Frame.h
@@ -23,6 +23,7 @@
     CallHead,     // A call whose body stays with its sender until it is granted.
     CallGrant,
     CallBody, // Once for each grant; the call is whole then.
+    GoAway,   // The last frame of a node that ends.
     // Configuration pulls, on the control port.
     PullRequest = 32,
     PullResponse,
--- a/Libraries/LibWire/PeerMessages.h
+++ b/Libraries/LibWire/PeerMessages.h
@@ -160,6 +160,19 @@
     }
 };
 
+// Calls of a higher number have not run there and will not. Those up to it have been answered before, or
+// nobody knows how they end.
+struct GoAway
+{
+    std::uint64_t lastCallId = 0;
+
+    template <typename Archive>
+    void serialize(Archive &archive)
+    {
+        archive(this->lastCallId);
+    }
+};
+
 struct Heartbeat
 {
     std::uint64_t sequence = 0;
--- a/Services/Node/CallReasons.h
+++ b/Services/Node/CallReasons.h
@@ -19,6 +19,7 @@
 inline constexpr std::string_view reasonPeerUnreachable = "peer_unreachable";
 inline constexpr std::string_view reasonPeerLost = "peer_connection_lost";
 inline constexpr std::string_view reasonPeerCongested = "peer_congested";
+inline constexpr std::string_view reasonPeerLeaving = "peer_leaving";
 
 // Of the gate.
 inline constexpr std::string_view reasonKeyInProgress = "key_in_progress";
--- a/Services/Node/Callers/ForwardedCall.cpp
+++ b/Services/Node/Callers/ForwardedCall.cpp
@@ -41,7 +41,7 @@
         return response.status >= 500 ? PlacedEnd::Failed : PlacedEnd::Succeeded;
     case Outcome::NotRun: {
         const bool nothingThere = response.reason == reasonPeerUnreachable
-                                  || response.reason == reasonPeerLost
+                                  || response.reason == reasonPeerLost || response.reason == reasonPeerLeaving
                                   || response.reason == reasonUnreachable;
         if (response.reason == reasonQuarantined)
             return PlacedEnd::Cancelled; // Says nothing about the upstream.
@@ -245,7 +245,7 @@
     this->service->placer.ended(attempt.upstreamId, now, this->plan.callClass, took, endOf(response),
                                 this->request.kind);
     const bool gateSpoke = response.reason != reasonPeerUnreachable && response.reason != reasonPeerLost
-                           && response.reason != reasonPeerCongested;
+                           && response.reason != reasonPeerCongested && response.reason != reasonPeerLeaving;
     if (gateSpoke)
         this->service->placer.told(attempt.upstreamId, now, toldBy(response), this->request.kind);
     if (response.outcome == Outcome::Done && this->plan.hedged)
--- a/Services/Node/Callers/ForwardedCall.h
+++ b/Services/Node/Callers/ForwardedCall.h
@@ -87,7 +87,7 @@
         std::shared_ptr<GateCall> local; // Set when the upstream is beside this node.
         std::shared_ptr<PeerLink> link;  // Set when it is beside another.
         std::uint64_t peerCallId = 0;    // On the link.
-        std::optional<Span> span; // Set from its sending on.
+        std::optional<Span> span;        // Set from its sending on.
     };
 
     // Where an attempt goes, copied out of the view.
--- a/Services/Node/Callers/Worker.cpp
+++ b/Services/Node/Callers/Worker.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr Duration peersCheckInterval = Milliseconds(10);
+
 HttpClientSettings upstreamClientSettings(const NodeSettings &settings)
 {
     HttpClientSettings client;
@@ -43,6 +45,7 @@
                        handle(*this, std::move(request), std::move(exchange));
                    })
     , peerServer(GateHome{this->context, this->client}, gate, bodies, observer)
+    , peersTimer(this->context)
 {
 }
 
@@ -97,15 +100,27 @@
     });
 }
 
-void Worker::endCalls(std::function<void()> done)
+void Worker::endCalls(Duration longestWait, std::function<void()> done)
 {
-    boost::asio::post(this->context, [this, done = std::move(done)] {
+    boost::asio::post(this->context, [this, longestWait, done = std::move(done)]() mutable {
         for (const auto &call : this->openCalls())
             call->endUnknown();
-        done();
+        this->peerServer.goAway();
+        this->awaitPeers(SteadyClock::now() + longestWait, std::move(done));
     });
 }
 
+void Worker::awaitPeers(Instant until, std::function<void()> done)
+{
+    if (this->peerServer.connections() == 0 || SteadyClock::now() >= until)
+        return done();
+    this->peersTimer.expires_after(peersCheckInterval);
+    this->peersTimer.async_wait(
+        [this, until, done = std::move(done)](const boost::system::error_code &) mutable {
+            this->awaitPeers(until, std::move(done));
+        });
+}
+
 bool Worker::allAnswered() const
 {
     return this->callerServer.unanswered() == 0 && this->peerServer.unsent() == 0;
--- a/Services/Node/Callers/Worker.h
+++ b/Services/Node/Callers/Worker.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -52,8 +53,10 @@
     void beginEnding(); // Callers are asked to close; calls to other nodes are waited for.
     void stopAccepting();
     void withdrawWaiting();
-    void endCalls(std::function<void()> done); // Answers all that is under way; `done` runs on its thread.
-    bool allAnswered() const;                  // Nothing that was taken waits for its answer to leave.
+    // Answers all that is under way and takes leave of other nodes, for whose last answers and closing it
+    // waits so long at most; `done` runs on its thread.
+    void endCalls(Duration longestWait, std::function<void()> done);
+    bool allAnswered() const; // Nothing that was taken waits for its answer to leave.
 
     boost::asio::io_context &ioContext() { return this->context; }
     GateHome gateHome() { return {this->context, this->client}; }
@@ -70,6 +73,7 @@
 private:
     std::vector<std::shared_ptr<ForwardedCall>> openCalls() const;
     std::shared_ptr<PeerLink> makeLink(const std::string &peerAddress);
+    void awaitPeers(Instant until, std::function<void()> done);
 
     const NodeSettings &settings;
     RequestObserver &observer;
@@ -79,6 +83,7 @@
     HttpServer callerServer;
     PeerServer peerServer;
     std::unordered_map<std::string, std::shared_ptr<PeerLink>> links; // By peer address.
+    boost::asio::steady_timer peersTimer;
     bool ending = false;
     std::unordered_set<ForwardedCall *> calls; // Not answered yet; each takes itself out.
     std::thread thread;
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -463,12 +463,20 @@
     return status;
 }
 
-// The process ends once each thread has given what is under way its final answer.
+bool Node::isIdle() const
+{
+    return this->gate.inFlight() == 0 && this->callsForwarded == 0 && this->claims.unsettled() == 0
+           && std::ranges::all_of(this->workers, &Worker::allAnswered);
+}
+
+// The process ends once each thread has given what is under way its final answer. At the maximum of a drain
+// the process may be killed soon after it.
 void Node::endCalls()
 {
+    const Duration peersTime = this->isIdle() ? lastAnswersTime : Duration::zero();
     const auto left = std::make_shared<std::atomic<std::size_t>>(this->workers.size());
     for (const auto &worker : this->workers) {
-        worker->endCalls([this, left] {
+        worker->endCalls(peersTime, [this, left] {
             if (--*left == 0)
                 this->control.stop();
         });
@@ -492,10 +500,7 @@
         for (const auto &worker : this->workers)
             worker->stopAccepting();
     };
-    hooks.idle = [this] {
-        return this->gate.inFlight() == 0 && this->callsForwarded == 0 && this->claims.unsettled() == 0
-               && std::ranges::all_of(this->workers, &Worker::allAnswered);
-    };
+    hooks.idle = [this] { return this->isIdle(); };
     hooks.withdrawWaiting = [this] {
         this->gate.withdrawWaiting();
         for (const auto &worker : this->workers)
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -49,6 +49,7 @@
     AdminHooks adminHooks();
     NodeDrainHooks drainHooks();
     SettingsReloadHooks reloadHooks(ReadSettings readSettings);
+    bool isIdle() const; // Nothing is waiting, running or unanswered.
     void endCalls();
     void confirm(const HttpRequest &request, HttpResponse response,
                  const std::shared_ptr<HttpExchange> &exchange);
--- a/Services/Node/Peers/PeerLink.cpp
+++ b/Services/Node/Peers/PeerLink.cpp
@@ -58,7 +58,8 @@
 
     const bool congested =
         this->connection && this->connection->bytesWaiting() > this->settings.maximumWaitingBytes;
-    const bool unreachable = !this->connection && !this->connecting && this->usedAt < this->retryAt;
+    const bool gone = this->connection && this->otherLeaves;
+    const bool unreachable = gone || (!this->connection && !this->connecting && this->usedAt < this->retryAt);
     if (congested || unreachable) {
         const std::string_view reason = congested ? reasonPeerCongested : reasonPeerUnreachable;
         boost::asio::post(this->context, [self = this->shared_from_this(), callId, reason] {
@@ -147,6 +148,7 @@
         std::make_shared<FramedConnection>(std::move(socket), maximumFrameSize, std::move(hooks));
     this->connection->start();
     this->grants = Grants::NotKnown;
+    this->otherLeaves = false;
     this->connection->send(encodeFrame(FrameType::Hello, HelloMessage{this->settings.ownId}));
     // A node that grants no bodies answers this first.
     this->connection->send(encodeFrame(FrameType::Ping, Heartbeat{++this->pings}));
@@ -192,6 +194,8 @@
     this->unansweredSince.reset();
     if (type == FrameType::Hello)
         return this->takeHello(payload);
+    if (type == FrameType::GoAway)
+        return this->takeGoAway(payload);
     this->learnGrants(Grants::No);
     switch (type) {
     case FrameType::Pong:
@@ -270,6 +274,26 @@
     this->expectAnswer(SteadyClock::now());
 }
 
+// Failure: a call crosses the end of the node that it is sent to. Symptom: its caller is told that nobody
+// knows whether it ran, and may not send it again.
+void PeerLink::takeGoAway(std::span<const char> payload)
+{
+    const Result<GoAway> said = decode<GoAway>(payload, "read go-away", this->address);
+    if (!said)
+        return this->connection->close(said.error());
+    this->otherLeaves = true;
+    std::vector<std::uint64_t> notTaken;
+    for (const auto &[callId, pending] : this->calls) {
+        if (callId > said.value().lastCallId || pending.held)
+            notTaken.push_back(callId);
+    }
+    for (const std::uint64_t callId : notTaken)
+        this->give(callId, linkFailure(Outcome::NotRun, reasonPeerLeaving));
+    if (this->calls.empty() && this->connection)
+        this->connection->close(
+            makeError(ErrorKind::Unavailable, "keep connection", this->address, "the other node leaves"));
+}
+
 void PeerLink::takeAnswer(std::span<const char> payload)
 {
     Result<CallResponse> response = decode<CallResponse>(payload, "read call answer", this->address);
--- a/Services/Node/Peers/PeerLink.h
+++ b/Services/Node/Peers/PeerLink.h
@@ -84,6 +84,7 @@
     void takeAnswer(std::span<const char> payload);
     void learnGrants(Grants learnt);
     void sendHeld(Pending &pending);
+    void takeGoAway(std::span<const char> payload);
     void failUnsent(std::string_view reason);
     void give(std::uint64_t callId, CallResponse response);
     void expectAnswer(Instant now);
@@ -100,6 +101,7 @@
     boost::asio::steady_timer timer;
     Grants grants = Grants::NotKnown;
     bool connecting = false;
+    bool otherLeaves = false; // Said on this connection; it takes no more calls.
     bool timerArmed = false;
     bool waitsThroughSilence = false;
     // The first sending that expects an answer since anything was received.
--- a/Services/Node/Peers/PeerServer.cpp
+++ b/Services/Node/Peers/PeerServer.cpp
@@ -11,11 +11,18 @@
 #include <algorithm>
 #include <atomic>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace Sagecrank {
 
 using boost::asio::ip::tcp;
 
+namespace {
+
+class PeerSession;
+
+} // namespace
+
 struct PeerServer::State
 {
     State(GateHome home, LocalGate &gate, BodyLine &bodies, RequestObserver &observer)
@@ -33,6 +40,7 @@
     RequestObserver &observer;
     tcp::acceptor acceptor;
     std::atomic<std::size_t> unsent = 0;
+    std::unordered_set<PeerSession *> sessions; // With an open connection.
 };
 
 namespace {
@@ -100,12 +108,28 @@
             std::make_shared<FramedConnection>(std::move(socket), maximumFrameSize, std::move(hooks));
         this->connection = opened;
         this->peer = opened->peerName();
+        this->server->sessions.insert(this);
         opened->start();
     }
 
+    // The other node closes once it has read all answers; a reset by what it still sends would cut them
+    // short.
+    void goAway()
+    {
+        this->leaving = true;
+        const auto waiting = this->ahead;
+        for (const auto &[callId, call] : waiting)
+            this->refuseUnsent(*call, refusalReasonNames.name(RefusalReason::Draining));
+        this->send(encodeFrame(FrameType::GoAway, GoAway{this->lastCallId}));
+        if (const auto open = this->connection.lock())
+            open->endSending();
+    }
+
 private:
     void takeFrame(FrameType type, std::span<const char> payload)
     {
+        if (this->leaving)
+            return;
         switch (type) {
         case FrameType::Hello:
             return this->takeHello(payload);
@@ -155,6 +179,8 @@
         this->submit(std::move(request).assume_value(), {});
     }
 
+    void noteTaken(std::uint64_t callId) { this->lastCallId = std::max(this->lastCallId, callId); }
+
     bool isKnown(std::uint64_t callId) const
     {
         return this->calls.contains(callId) || this->ahead.contains(callId);
@@ -169,6 +195,7 @@
     void submit(CallRequest request, std::function<void(CallResponse &)> told)
     {
         const std::uint64_t callId = request.callId;
+        this->noteTaken(callId);
         this->calls.emplace(callId, nullptr);
         const auto call = this->server->gate.submit(
             this->server->home, std::move(request),
@@ -198,6 +225,7 @@
         BodyLine &bodies = this->server->bodies;
         const auto call =
             std::make_shared<CallAhead>(this->server->home.context, std::move(head), bodies.nextName());
+        this->noteTaken(callId);
         this->ahead.emplace(callId, call);
         const std::uint32_t priority = call->head.call.priority;
         if (this->refuseAhead(*call, bodies.expected(call->head.bodyBytes, priority)))
@@ -340,6 +368,7 @@
     // is.
     void closed(const Error &reason)
     {
+        this->server->sessions.erase(this);
         this->setUnsent(false);
         if (reason.kind == ErrorKind::InvalidInput || reason.kind == ErrorKind::TooLarge)
             this->server->observer.peerFrameInvalid(this->peer, reason);
@@ -391,7 +420,9 @@
     std::string peer;
     std::unordered_map<std::uint64_t, std::shared_ptr<GateCall>> calls; // Not answered yet.
     std::unordered_map<std::uint64_t, std::shared_ptr<CallAhead>> ahead;
-    bool unsent = false; // Answers wait to leave.
+    std::uint64_t lastCallId = 0; // The highest that was taken.
+    bool unsent = false;          // Answers wait to leave.
+    bool leaving = false;         // Nothing is taken any more.
 };
 
 void acceptNext(const std::shared_ptr<PeerServer::State> &state)
@@ -431,6 +462,19 @@
     return addressText(this->state->acceptor.local_endpoint(ignored));
 }
 
+void PeerServer::goAway()
+{
+    this->stopAccepting();
+    const std::unordered_set<PeerSession *> open = this->state->sessions;
+    for (PeerSession *session : open)
+        session->goAway();
+}
+
+std::size_t PeerServer::connections() const
+{
+    return this->state->sessions.size();
+}
+
 std::size_t PeerServer::unsent() const
 {
     return this->state->unsent;
--- a/Tests/Node/TestForwardedCall.cpp
+++ b/Tests/Node/TestForwardedCall.cpp
@@ -318,7 +318,7 @@
     cr_assert(fixture.runUntil([&] { return fixture.callsSent() == 1; }));
     bool ended = false;
     fixture.worker.withdrawWaiting();
-    fixture.worker.endCalls([&ended] { ended = true; });
+    fixture.worker.endCalls(Duration::zero(), [&ended] { ended = true; });
     cr_assert(fixture.runUntil([&] { return ended; }));
     cr_assert(fixture.answer && fixture.answer->outcome == Outcome::Unknown && fixture.answer->status == 504);
     cr_assert(fixture.answer->retryAfterMilliseconds > 0);
--- a/Tests/Node/TestPeerLink.cpp
+++ b/Tests/Node/TestPeerLink.cpp
@@ -306,3 +306,56 @@
     cr_assert(fixture.runUntil([&] { return fixture.answers.contains("small"); }));
     cr_assert(fixture.answers["small"].outcome == Outcome::Unknown);
 }
+
+namespace {
+
+struct GoAwayRow
+{
+    const char *what;
+    std::uint64_t lastCallId; // Of two calls.
+    bool secondHasNotRun;
+};
+
+const GoAwayRow goAwayRows[] = {
+    {"the second crossed the end", 1, true},
+    {"both were taken", 2, false},
+};
+
+} // namespace
+
+// A call crosses the end of the node that it is sent to, and its caller is told that it may have run.
+TABLE_TEST(peerLink, aCallThatCrossesTheEndOfItsNodeHasNotRun, goAwayRows)
+{
+    LinkFixture fixture;
+    fixture.call("first");
+    cr_assert(fixture.runUntil([&] { return fixture.peer.calls.size() == 1; }));
+    fixture.call("second");
+    cr_assert(fixture.runUntil([&] { return fixture.peer.calls.size() == 2; }));
+    fixture.peer.answer(0, "well");
+    FramedConnection &end = *fixture.peer.connections[0];
+    end.send(encodeFrame(FrameType::GoAway, GoAway{row.lastCallId}));
+    end.endSending();
+    cr_assert(fixture.runUntil([&] { return fixture.answers.size() == 2; }));
+    cr_assert(fixture.answers["first"].body == "well", "%s", row.what);
+    const CallResponse &second = fixture.answers["second"];
+    cr_assert(second.outcome == (row.secondHasNotRun ? Outcome::NotRun : Outcome::Unknown), "%s", row.what);
+    cr_assert(second.retryAfterMilliseconds > 0);
+    cr_assert(fixture.runUntil([&] { return !end.isOpen(); }), "its end was not closed");
+}
+
+// A call that waits for its grant, or comes after the last word, must not be sent to a node that ends.
+Test(peerLink, aNodeThatEndsIsSentNothingMore)
+{
+    LinkFixture fixture;
+    fixture.peer.grantsBodies = true;
+    fixture.call("running");
+    fixture.call("large", smallestGrantedBody);
+    cr_assert(fixture.runUntil([&] { return fixture.peer.heads.size() == 1; }));
+    fixture.peer.connections[0]->send(encodeFrame(FrameType::GoAway, GoAway{2}));
+    cr_assert(fixture.runUntil([&] { return fixture.answers.contains("large"); }));
+    cr_assert(fixture.answers["large"].outcome == Outcome::NotRun);
+    fixture.call("next");
+    cr_assert(fixture.runUntil([&] { return fixture.answers.contains("next"); }));
+    cr_assert(fixture.answers["next"].outcome == Outcome::NotRun);
+    cr_assert(fixture.peer.calls.size() == 1 && !fixture.answers.contains("running"));
+}
--- a/Tests/Node/TestPeerServer.cpp
+++ b/Tests/Node/TestPeerServer.cpp
@@ -251,6 +251,7 @@
     std::vector<FrameType> frames;
     std::vector<std::uint64_t> granted;
     std::vector<CallResponse> answers;
+    std::optional<std::uint64_t> lastCallId; // Of its last word.
 
 private:
     void read()
@@ -274,6 +275,8 @@
             this->granted.push_back(decode<CallGrant>(payload, "test", "").value().callId);
         if (type == FrameType::CallResponse)
             this->answers.push_back(decode<CallResponse>(payload, "test", "").value());
+        if (type == FrameType::GoAway)
+            this->lastCallId = decode<GoAway>(payload, "test", "").value().lastCallId;
     }
 
     std::array<char, 4096> buffer{};
@@ -443,3 +446,43 @@
     cr_assert(sender.answers[0].reason == "peer_congested");
     cr_assert(sender.answers[0].outcome == Outcome::NotRun);
 }
+
+// The last answers of a node that ends are cut short by a reset when the other node still sends.
+Test(peerServer, aNodeThatEndsWaitsUntilOthersHaveReadItsAnswers)
+{
+    PeerServerFixture fixture;
+    Sender sender(fixture);
+    CallRequest request;
+    request.callId = 7;
+    request.cluster = "booking";
+    request.method = "GET";
+    request.target = "/";
+    request.remainingMicroseconds = 30000000;
+    sender.send(encodeFrame(FrameType::CallRequest, request));
+    cr_assert(fixture.runUntil([&] { return fixture.began.size() == 1; }));
+    fixture.exchanges[0]->respond(makeResponse(200, "text/plain", "well"));
+    cr_assert(fixture.runUntil([&] { return fixture.gate.inFlight() == 0; }));
+    fixture.server.goAway();
+    request.callId = 8;
+    sender.send(encodeFrame(FrameType::CallRequest, request));
+    cr_assert(fixture.runUntil([&] { return sender.lastCallId.has_value(); }));
+    cr_assert(sender.answers.size() == 1 && *sender.lastCallId == 7);
+    cr_assert(fixture.server.connections() == 1);
+    sender.socket.close();
+    cr_assert(fixture.runUntil([&] { return fixture.server.connections() == 0; }));
+    cr_assert(fixture.began.size() == 1, "a call was taken after the last word");
+}
+
+// A granted body is on its way when the node ends: it is refused as not run, and its grant is free.
+Test(peerServer, aNodeThatEndsRefusesWhatItGranted)
+{
+    PeerServerFixture fixture(narrowLink());
+    Sender sender(fixture);
+    sender.send(encodeFrame(FrameType::CallHead, headOf(1, smallestGrantedBody)));
+    cr_assert(fixture.runUntil([&] { return sender.granted.size() == 1; }));
+    fixture.server.goAway();
+    sender.send(encodeFrame(FrameType::CallBody, CallBody{1, std::string(smallestGrantedBody, 'x')}));
+    cr_assert(fixture.runUntil([&] { return sender.lastCallId.has_value(); }));
+    cr_assert(sender.answers.size() == 1 && sender.answers[0].outcome == Outcome::NotRun);
+    cr_assert(fixture.began.empty() && fixture.gate.inFlight() == 0);
+}
