Node: Begin no request after the last look of a drain

Callers saw: a request that was read whole as its node ended was sent on and answered 504 while its upstream was at work. Cause: the control thread looked whether anything was open, and the request threads went on taking what was read until they were told to end; what came between was ended with all else. Change: once nothing is open, all request threads refuse what they read from then on, as not run and with when to come back; only when all of them do, the drain looks again, and leaves if still nothing is open. Why it works: a request is counted as open on its thread before that thread refuses.

--- a/Services/Node/Callers/CallerFrontend.cpp
+++ b/Services/Node/Callers/CallerFrontend.cpp
@@ -1,6 +1,7 @@
 // Translates between HTTP and calls.
 #include "CallerFrontend.h"
 
+#include <Node/CallReasons.h>
 #include <Node/HopHeaders.h>
 
 #include <algorithm>
@@ -19,6 +20,9 @@
 // A node that has just started reads its first version within some hundred milliseconds.
 constexpr std::uint32_t noConfigurationRetryAfter = 300;
 
+// A node that is replaced by another process is back within this.
+constexpr std::uint32_t leavingRetryAfter = 1000;
+
 bool isOneOf(std::string_view name, std::initializer_list<std::string_view> names)
 {
     return std::any_of(names.begin(), names.end(), [name](std::string_view other) {
@@ -123,6 +127,8 @@
         this->context.observer.requestInvalid(problem);
         return this->refuse(request, *exchange, 400, problem, 0);
     }
+    if (worker.refusesCallers())
+        return this->refuse(request, *exchange, 503, reasonLeaving, leavingRetryAfter);
     const std::optional<RouteChoice> route = this->routeOf(request);
     if (!route && !this->hooks.holdsConfiguration())
         return this->refuse(request, *exchange, 503, "no_configuration_yet", noConfigurationRetryAfter);
--- a/Services/Node/Callers/Worker.cpp
+++ b/Services/Node/Callers/Worker.cpp
@@ -92,6 +92,14 @@
     boost::asio::post(this->context, [this] { this->callerServer.stopAccepting(); });
 }
 
+void Worker::refuseCallers(std::function<void()> done)
+{
+    boost::asio::post(this->context, [this, done = std::move(done)] {
+        this->refusing = true;
+        done();
+    });
+}
+
 void Worker::withdrawWaiting()
 {
     boost::asio::post(this->context, [this] {
--- a/Services/Node/Callers/Worker.h
+++ b/Services/Node/Callers/Worker.h
@@ -53,6 +53,8 @@
     void beginEnding(); // Callers are asked to close; calls to other nodes are waited for.
     void stopAccepting();
     void withdrawWaiting();
+    void
+    refuseCallers(std::function<void()> done); // `done` runs on its thread, once all that is read is refused.
     // Answers all that is under way and takes leave of other nodes, for whose last answers and closing it
     // waits so long at most; `done` runs on its thread.
     void endCalls(Duration longestWait, std::function<void()> done);
@@ -65,6 +67,7 @@
     void forgetUnused(Instant before);
 
     // On the worker's own thread.
+    bool refusesCallers() const { return this->refusing; }
     // Calls keep theirs until they end; another one may take its place meanwhile.
     std::shared_ptr<PeerLink> link(const std::string &peerAddress);
     void opened(ForwardedCall &call) { this->calls.insert(&call); }
@@ -85,6 +88,7 @@
     std::unordered_map<std::string, std::shared_ptr<PeerLink>> links; // By peer address.
     boost::asio::steady_timer peersTimer;
     bool ending = false;
+    bool refusing = false;
     std::unordered_set<ForwardedCall *> calls; // Not answered yet; each takes itself out.
     std::thread thread;
 };
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -469,6 +469,21 @@
            && std::ranges::all_of(this->workers, &Worker::allAnswered);
 }
 
+void Node::refuseCallers()
+{
+    const auto left = std::make_shared<std::atomic<std::size_t>>(this->workers.size());
+    for (const auto &worker : this->workers) {
+        worker->refuseCallers([this, left] {
+            if (--*left != 0)
+                return;
+            boost::asio::post(this->control, [this] {
+                this->callersRefused = true;
+                this->drain.advance(SteadyClock::now());
+            });
+        });
+    }
+}
+
 // The process ends once each thread has given what is under way its final answer. At the maximum of a drain
 // the process may be killed soon after it.
 void Node::endCalls()
@@ -507,6 +522,8 @@
             worker->withdrawWaiting();
     };
     hooks.leave = [this] { this->endCalls(); };
+    hooks.refuseCallers = [this] { this->refuseCallers(); };
+    hooks.callersRefused = [this] { return this->callersRefused; };
     return hooks;
 }
 
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -50,6 +50,7 @@
     NodeDrainHooks drainHooks();
     SettingsReloadHooks reloadHooks(ReadSettings readSettings);
     bool isIdle() const; // Nothing is waiting, running or unanswered.
+    void refuseCallers();
     void endCalls();
     void confirm(const HttpRequest &request, HttpResponse response,
                  const std::shared_ptr<HttpExchange> &exchange);
@@ -99,7 +100,8 @@
     HttpServer announcementServer;
     HttpServer probeServer;
     ControlPlane plane;
-    bool goodbyeSaid = false; // On the control thread.
+    bool goodbyeSaid = false;    // On the control thread.
+    bool callersRefused = false; // By all workers, at the end of a drain.
     NodeDrain drain;
     SettingsReload settingsReload;
     std::vector<std::unique_ptr<Worker>> workers;
--- a/Services/Node/NodeDrain.cpp
+++ b/Services/Node/NodeDrain.cpp
@@ -45,11 +45,25 @@
         this->withdrawnAt = now;
         this->hooks.withdrawWaiting();
     }
-    const bool done = this->hooks.idle() && this->hooks.goodbyeSaid();
+    const bool done = this->isDone();
     if (!done && (!this->withdrawnAt || now - *this->withdrawnAt < lastAnswersTime))
         return;
     this->current = DrainStage::Left;
     this->hooks.leave();
 }
 
+// Failure: a request is read whole between the last look at what is open and the end. Symptom: it is sent to
+// an upstream, and its caller gets 504 while that is at work. So nothing is begun any more before the last
+// look.
+bool NodeDrain::isDone()
+{
+    const bool refused = !this->hooks.refuseCallers || (this->refusing && this->hooks.callersRefused());
+    const bool idle = this->hooks.idle() && this->hooks.goodbyeSaid();
+    if (idle && !refused && !this->refusing) {
+        this->refusing = true;
+        this->hooks.refuseCallers();
+    }
+    return refused && idle;
+}
+
 } // namespace Sagecrank
--- a/Services/Node/NodeDrain.h
+++ b/Services/Node/NodeDrain.h
@@ -55,6 +55,9 @@
     std::function<bool()> idle;            // Nothing is waiting, running or unanswered.
     std::function<void()> withdrawWaiting; // What has not begun yet is refused.
     std::function<void()> leave;           // What still runs is answered as unknown.
+    // A request that is still read, on any thread, is refused from now on. May be empty, as may the next.
+    std::function<void()> refuseCallers = {};
+    std::function<bool()> callersRefused = {}; // All threads do.
 };
 
 class NodeDrain
@@ -69,11 +72,14 @@
     DrainStage stage() const { return this->current; }
 
 private:
+    bool isDone();
+
     NodeDrainSettings settings;
     const NodeDrainHooks hooks;
     DrainStage current = DrainStage::Serving; // Only ever rises.
     Instant begunAt;
     std::optional<Instant> withdrawnAt; // Set at the maximum.
+    bool refusing = false;              // Callers; only ever rises.
 };
 
 } // namespace Sagecrank
--- a/Tests/Node/TestNodeDrain.cpp
+++ b/Tests/Node/TestNodeDrain.cpp
@@ -78,6 +78,33 @@
     cr_assert(fixture.drain.stage() == DrainStage::Announcing);
 }
 
+// A request is read between the last look at what is open and the end, and is cut at its upstream.
+Test(nodeDrain, nothingIsBegunAfterTheLastLook)
+{
+    bool idle = true;
+    bool refused = false;
+    std::vector<std::string> steps;
+    NodeDrainHooks hooks;
+    hooks.deflectCallers = hooks.sayGoodbye = hooks.stopCallers = hooks.withdrawWaiting = [] {};
+    hooks.goodbyeSaid = [] { return true; };
+    hooks.idle = [&] { return idle; };
+    hooks.leave = [&] { steps.emplace_back("leave"); };
+    hooks.refuseCallers = [&] { steps.emplace_back("refuse"); };
+    hooks.callersRefused = [&] { return refused; };
+    NodeDrain drain({std::chrono::seconds(3), std::chrono::seconds(60)}, std::move(hooks));
+    const Instant start = Instant() + std::chrono::hours(1);
+    drain.begin(start);
+    drain.advance(start + Milliseconds(3000));
+    cr_assert(steps == std::vector<std::string>{"refuse"});
+    idle = false; // A request was read before its thread refused.
+    refused = true;
+    drain.advance(start + Milliseconds(3001));
+    cr_assert(steps == std::vector<std::string>{"refuse"});
+    idle = true;
+    drain.advance(start + Milliseconds(3500));
+    cr_assert(steps == std::vector<std::string>({"refuse", "leave"}));
+}
+
 // With less linger than the news needs, the news comes first.
 Test(nodeDrain, aShortLingerAnnouncesAtOnce)
 {
