Node: Take each step of a drain when it is due

Callers may have seen: no last answer from a node at the maximum of its drain. Cause: the drain looked at the clock each 0.1 s, so that giving up what waits and answering what runs came up to 0.2 s late, 6.1 s after SIGTERM where the process is killed after 6. Change: the drain says when its next step is due, and the node looks then.

--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -559,7 +559,10 @@
     this->presence.advance(now);
     this->drain.advance(now);
     this->forgetUnused(now);
-    this->ticker.expires_after(tickInterval);
+    // Failure: each step of a drain comes up to an interval late. Symptom: the last answers come when the
+    // process is being killed.
+    const Instant next = now + tickInterval;
+    this->ticker.expires_at(std::min(next, this->drain.nextStep().value_or(next)));
     this->ticker.async_wait([this](const boost::system::error_code &error) {
         if (!error)
             this->tick();
--- a/Services/Node/NodeDrain.cpp
+++ b/Services/Node/NodeDrain.cpp
@@ -52,6 +52,22 @@
     this->hooks.leave();
 }
 
+std::optional<Instant> NodeDrain::nextStep() const
+{
+    switch (this->current) {
+    case DrainStage::Serving:
+    case DrainStage::Left:
+        return std::nullopt;
+    case DrainStage::Deflecting:
+        return this->begunAt + this->settings.linger - announceTime;
+    case DrainStage::Announcing:
+        return this->begunAt + this->settings.linger;
+    case DrainStage::Finishing:
+        break;
+    }
+    return this->withdrawnAt ? *this->withdrawnAt + lastAnswersTime : this->begunAt + this->settings.maximum;
+}
+
 // Failure: a request is read whole between the last look at what is open and the end. Symptom: it is sent to
 // an upstream, and its caller gets 504 while that is at work. So nothing is begun any more before the last
 // look.
--- a/Services/Node/NodeDrain.h
+++ b/Services/Node/NodeDrain.h
@@ -68,6 +68,7 @@
     void configure(const NodeDrainSettings &settings);
     void begin(Instant now); // Later calls do nothing.
     void advance(Instant now);
+    std::optional<Instant> nextStep() const; // When advance() has something to do, whatever else happens.
 
     DrainStage stage() const { return this->current; }
 
--- a/Tests/Node/TestNodeDrain.cpp
+++ b/Tests/Node/TestNodeDrain.cpp
@@ -105,6 +105,21 @@
     cr_assert(steps == std::vector<std::string>({"refuse", "leave"}));
 }
 
+// Each step comes an interval late, and the last answers with it, when the process is being killed.
+Test(nodeDrain, eachStepIsDueAtItsTime)
+{
+    DrainFixture fixture;
+    fixture.idle = false;
+    cr_assert(!fixture.drain.nextStep());
+    fixture.drain.begin(fixture.start);
+    for (const Milliseconds step :
+         {Milliseconds(2000), Milliseconds(3000), Milliseconds(60000), Milliseconds(60900)}) {
+        cr_assert(fixture.drain.nextStep() == fixture.start + step);
+        fixture.drain.advance(*fixture.drain.nextStep());
+    }
+    cr_assert(fixture.drain.stage() == DrainStage::Left && !fixture.drain.nextStep());
+}
+
 // With less linger than the news needs, the news comes first.
 Test(nodeDrain, aShortLingerAnnouncesAtOnce)
 {
