Node: Ask no gate that ends for a late answer

Callers saw: a call that no gate would answer in time was sent once more to the first one, which had refused it because its node was ending, and came as that node ended: "unknown" for what had not run. Change: the first gate that stays is asked; where there is none, the caller is refused at once.

--- a/Services/Node/Callers/ForwardedCall.cpp
+++ b/Services/Node/Callers/ForwardedCall.cpp
@@ -101,35 +101,36 @@
     Target target;
     if (!this->chooseTarget(target))
         return false;
-    Attempt attempt;
-    attempt.upstreamId = target.candidate.id;
-    attempt.startedAt = SteadyClock::now();
     this->triedIds.push_back(target.candidate.id);
     if (!this->attempts.empty())
         this->context.observer.callSentAgain(this->request.callerCallId, target.candidate.id);
-    this->attempts.push_back(std::move(attempt));
-    if (this->attempts.size() == 1)
-        this->firstTarget = target;
-    this->send(this->attempts.size() - 1, target);
+    this->sendTo(std::move(target));
     return true;
 }
 
-// No gate would answer in time. The first one, which is the nearest, is asked once more whether it has room
-// for a late answer.
-bool ForwardedCall::sendForLateAnswer()
+void ForwardedCall::sendTo(Target target)
 {
-    if (!this->plan.target || this->firstTarget.lateAccepted)
-        return false;
-    this->firstTarget.lateAccepted = true;
     Attempt attempt;
-    attempt.upstreamId = this->firstTarget.candidate.id;
+    attempt.target = std::move(target);
     attempt.startedAt = SteadyClock::now();
     this->attempts.push_back(std::move(attempt));
+    this->send(this->attempts.size() - 1);
+}
+
+// No gate would answer in time. The first one that stays, which is the nearest, is asked once more whether it
+// has room for a late answer.
+bool ForwardedCall::sendForLateAnswer()
+{
+    const auto nearest = std::ranges::find(this->attempts, false, &Attempt::leaves);
+    if (!this->plan.target || nearest == this->attempts.end() || nearest->target.lateAccepted)
+        return false;
+    Target target = nearest->target;
+    target.lateAccepted = true;
     {
         const std::lock_guard guard(this->service->mutex);
-        this->service->placer.started(this->firstTarget.candidate.id, SteadyClock::now());
+        this->service->placer.started(target.candidate.id, SteadyClock::now());
     }
-    this->send(this->attempts.size() - 1, this->firstTarget);
+    this->sendTo(std::move(target));
     return true;
 }
 
@@ -168,8 +169,9 @@
     return true;
 }
 
-void ForwardedCall::send(std::size_t index, const Target &target)
+void ForwardedCall::send(std::size_t index)
 {
+    const Target target = this->attempts[index].target;
     CallRequest attempt = this->request;
     attempt.attempt = this->context.ids.next();
     attempt.lateAccepted = target.lateAccepted;
@@ -213,6 +215,7 @@
     const Instant now = SteadyClock::now();
     attempt.span->field("outcome", outcomeNames.name(response.outcome));
     attempt.span->end(now);
+    attempt.leaves = response.draining;
     this->tellPlacer(attempt, response, now);
     if (!this->answer)
         return;
@@ -242,12 +245,12 @@
 {
     const std::lock_guard guard(this->service->mutex);
     const Duration took = now - attempt.startedAt;
-    this->service->placer.ended(attempt.upstreamId, now, this->plan.callClass, took, endOf(response),
+    this->service->placer.ended(attempt.target.candidate.id, now, this->plan.callClass, took, endOf(response),
                                 this->request.kind);
     const bool gateSpoke = response.reason != reasonPeerUnreachable && response.reason != reasonPeerLost
                            && response.reason != reasonPeerCongested && response.reason != reasonPeerLeaving;
     if (gateSpoke)
-        this->service->placer.told(attempt.upstreamId, now, toldBy(response), this->request.kind);
+        this->service->placer.told(attempt.target.candidate.id, now, toldBy(response), this->request.kind);
     if (response.outcome == Outcome::Done && this->plan.hedged)
         this->service->hedge.observed(took);
 }
@@ -384,7 +387,7 @@
             const std::lock_guard guard(this->service->mutex);
             const Instant now = SteadyClock::now();
             this->service->placer.ended(
-                attempt.upstreamId, now, this->plan.callClass, now - attempt.startedAt,
+                attempt.target.candidate.id, now, this->plan.callClass, now - attempt.startedAt,
                 now >= this->plan.deadline ? PlacedEnd::Unknown : PlacedEnd::Cancelled);
         }
         if (attempt.local)
--- a/Services/Node/Callers/ForwardedCall.h
+++ b/Services/Node/Callers/ForwardedCall.h
@@ -79,30 +79,32 @@
     void endUnknown();
 
 private:
+    // Where an attempt goes, copied out of the view.
+    struct Target
+    {
+        Candidate candidate;
+        bool sameHost = false;
+        bool lateAccepted = true; // There is no other place to try.
+    };
+
     struct Attempt
     {
-        std::string upstreamId;
+        Target target;
         Instant startedAt;
         bool open = true;
         std::shared_ptr<GateCall> local; // Set when the upstream is beside this node.
         std::shared_ptr<PeerLink> link;  // Set when it is beside another.
         std::uint64_t peerCallId = 0;    // On the link.
         std::optional<Span> span;        // Set from its sending on.
-    };
-
-    // Where an attempt goes, copied out of the view.
-    struct Target
-    {
-        Candidate candidate;
-        bool sameHost = false;
-        bool lateAccepted = true; // There is no other place to try.
+        bool leaves = false;             // Its gate said that it takes nothing new.
     };
 
     bool placeAndSend();
+    void sendTo(Target target);
     bool tryAfterRefusal();
     bool sendForLateAnswer();
     bool chooseTarget(Target &target);
-    void send(std::size_t index, const Target &target);
+    void send(std::size_t index);
     void attemptEnded(std::size_t index, CallResponse response);
     void tellPlacer(const Attempt &attempt, const CallResponse &response, Instant now);
     bool tryAgain(const CallResponse &response, Instant now);
@@ -124,7 +126,6 @@
     std::shared_ptr<ServiceState> service;
     std::vector<Attempt> attempts;
     std::vector<std::string> triedIds;
-    Target firstTarget;
     std::optional<CallResponse> upstreamFailure; // The last answer of an upstream that was a failure.
     bool ending = false;                         // It is not sent again.
     bool mayHaveRun = false;                     // Some attempt ended otherwise than "not run".
--- a/Tests/Node/FakePeer.h
+++ b/Tests/Node/FakePeer.h
@@ -42,7 +42,7 @@
         this->connections[connection]->send(encodeFrame(FrameType::CallResponse, response));
     }
 
-    void refuse(std::size_t index, bool claimHeld)
+    void refuse(std::size_t index, bool claimHeld, bool draining = false)
     {
         CallResponse response;
         response.callId = this->calls[index].callId;
@@ -51,6 +51,7 @@
         response.status = 503;
         response.retryAfterMilliseconds = 70;
         response.claimHeld = claimHeld;
+        response.draining = draining;
         this->connections.back()->send(encodeFrame(FrameType::CallResponse, response));
     }
 
--- a/Tests/Node/TestForwardedCall.cpp
+++ b/Tests/Node/TestForwardedCall.cpp
@@ -361,3 +361,36 @@
     cr_assert(fixture.runUntil([&] { return fixture.answer.has_value(); }));
     cr_assert(fixture.answer->body == "slow");
 }
+
+namespace {
+
+struct LateRow
+{
+    const char *what;
+    bool firstDrains;
+};
+
+const LateRow lateRows[] = {
+    {"the first gate stays", false},
+    {"the first gate ends", true},
+};
+
+} // namespace
+
+// No gate answers in time, and the one that is asked for a late answer is about to end.
+TABLE_TEST(forwardedCall, aLateAnswerIsAskedOfAGateThatStays, lateRows)
+{
+    ForwardFixture fixture;
+    CallPlan plan = ForwardFixture::plan(true);
+    plan.target = SteadyClock::now() + std::chrono::seconds(20);
+    fixture.call(plan);
+    cr_assert(fixture.runUntil([&] { return fixture.callsSent() == 1; }));
+    FakePeer &first = fixture.peers[fixture.first()];
+    FakePeer &second = fixture.peers[1 - fixture.first()];
+    cr_assert(!first.calls[0].lateAccepted);
+    first.refuse(0, false, row.firstDrains);
+    cr_assert(fixture.runUntil([&] { return second.calls.size() == 1; }));
+    second.refuse(0, false);
+    cr_assert(fixture.runUntil([&] { return fixture.callsSent() == 3 || fixture.answer; }));
+    cr_assert(first.calls.size() == (row.firstDrains ? 1 : 2), "%s", row.what);
+}
