LibNet: Hold the last answer's connection until its caller closes

Callers saw: the last answer of a connection cut short when they sent another request while it was on its way, to a node that ended. Cause: the connection was closed as soon as the kernel had the answer, and what came then was answered by a reset, which drops what the kernel has not sent; only requests that had come before were provided for. Change: a server that closes ends its sending behind each last answer, and behind idle connections, and holds the connection without reading until the caller closes, for half a second at most; a drain waits for it. Why it works: a caller that reads the end has all bytes before it.

--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -37,6 +37,9 @@
     HttpLimits limits;
     std::uint32_t maximumConnections = 4096;
     bool sharePort = false; // Lets several threads listen on the same address.
+    // How long a caller has to take the last answer of its connection when the server closes; on a full path
+    // an answer is some round trips behind.
+    Milliseconds lastAnswerTime{500};
     // Replaces `limits` for each request when it is set: limits that change while the server runs.
     std::function<HttpLimits()> currentLimits;
     // Whether a request may be handed on before those ahead of it on its connection are answered. Not set:
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -22,9 +22,6 @@
 constexpr Milliseconds longestLinger{2000};
 constexpr std::size_t thrownAwayAtOnce = 16'384;
 
-// For a caller to take its last answer; on a full path an answer is some round trips behind.
-constexpr Milliseconds unreadLinger{500};
-
 // What is read at first; most requests are shorter.
 constexpr std::size_t usualRequest = 2048;
 
@@ -62,6 +59,7 @@
 HttpSession::HttpSession(HttpSocket socket, std::shared_ptr<HttpServer::State> server)
     : stream(std::move(socket))
     , server(std::move(server))
+    , lingerTimer(this->stream.get_executor())
 {
     this->server->sessions.insert(this);
 }
@@ -89,6 +87,8 @@
     this->stream.async_read_some(this->buffer.prepare(usualRequest),
                                  [self = this->shared_from_this()](const ErrorCode &error, std::size_t size) {
                                      self->readsFirstByte = false;
+                                     if (self->lingers)
+                                         return;
                                      if (error)
                                          return self->readEnded(error);
                                      self->buffer.commit(size);
@@ -104,6 +104,9 @@
     ErrorCode unreadable; // Nothing is there on a closed socket.
     if (cancelled && this->stream.socket().available(unreadable) != 0)
         return this->awaitRequest();
+    // The answer before may still be on its way.
+    if (cancelled && this->stream.socket().is_open())
+        return this->closeWithoutReading();
     this->giveUp();
 }
 
@@ -126,6 +129,8 @@
 
 void HttpSession::readBody()
 {
+    if (this->lingers)
+        return;
     const auto &header = this->parser->get();
     const std::string_view problem = headerProblem(header);
     if (!problem.empty())
@@ -190,6 +195,8 @@
 
 void HttpSession::readFailed(const ErrorCode &error)
 {
+    if (this->lingers)
+        return;
     const std::uint32_t status = statusOfReadError(error);
     if (status != 0)
         return this->refuse(status, error.message());
@@ -200,7 +207,7 @@
 void HttpSession::take()
 {
     this->reading = false;
-    if (!this->stream.socket().is_open())
+    if (!this->stream.socket().is_open() || this->lingers)
         return;
     http::request<http::string_body> message = this->parser->release();
     Received received;
@@ -394,7 +401,7 @@
     --this->server->unanswered;
     if (!error && unreadLeft)
         return this->closeAfterReading();
-    if (!error && !keepAlive && this->exchanges.empty() && this->hasUnread())
+    if (!error && !keepAlive && this->exchanges.empty() && (this->server->closing || this->hasUnread()))
         return this->closeWithoutReading();
     if (error || !keepAlive)
         return this->giveUp();
@@ -444,21 +451,40 @@
     return this->stream.socket().available(error) > 0 && !error;
 }
 
-// Failure: a caller has sent another request when the last answer of its connection leaves, and the
-// connection is closed with that unread. Symptom: the reset that follows overtakes the answer. The request
-// must not be read either, since one that was read counts as taken. So only this side's sending ends, and the
-// caller has a moment to take the answer; the server is not done before.
+// Failure: a caller sends another request while the last answer of its connection is on its way, and the
+// connection is closed. Symptom: the reset that follows overtakes the answer. The request must not be read
+// either, since one that was read counts as taken. So only this side's sending ends, and the caller has a
+// moment to take the answer and close; the server is not done before.
 void HttpSession::closeWithoutReading()
 {
     this->held.reset();
+    this->lingers = true;
     ErrorCode ignored;
+    this->stream.socket().cancel(ignored); // A read for a next request.
     this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     ++this->server->unanswered;
-    const auto timer = std::make_shared<boost::asio::steady_timer>(this->stream.get_executor(), unreadLinger);
-    timer->async_wait([self = this->shared_from_this(), timer](const ErrorCode &) {
-        --self->server->unanswered;
-        self->close();
-    });
+    this->lingerTimer.expires_after(this->server->settings.lastAnswerTime);
+    this->lingerTimer.async_wait([self = this->shared_from_this()](const ErrorCode &) { self->endLinger(); });
+    this->awaitCallersClose();
+}
+
+// A caller that has sent more is not seen to close, since its bytes stay unread.
+void HttpSession::awaitCallersClose()
+{
+    this->stream.socket().async_wait(
+        tcp::socket::wait_read, [self = this->shared_from_this()](const ErrorCode &error) {
+            if (error || !self->stream.socket().is_open())
+                return;
+            char byte = 0;
+            if (::recv(self->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0)
+                self->lingerTimer.cancel();
+        });
+}
+
+void HttpSession::endLinger()
+{
+    --this->server->unanswered;
+    this->close();
 }
 
 void HttpSession::throwAwayNext()
--- a/Libraries/LibNet/HttpSession.h
+++ b/Libraries/LibNet/HttpSession.h
@@ -5,6 +5,8 @@
 #include <LibNet/HttpServer.h>
 #include <LibNet/HttpWire.h>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
@@ -109,6 +111,8 @@
     void closeAfterReading();
     bool hasUnread();
     void closeWithoutReading();
+    void awaitCallersClose();
+    void endLinger();
     void throwAwayNext();
 
     HttpStream stream;
@@ -126,6 +130,8 @@
     bool watching = false;
     bool continueOwed = false;   // The caller waits for a word before it sends its body.
     bool readsFirstByte = false; // Nothing of a next request has been read.
+    bool lingers = false;        // The last answer has been written; nothing more is taken.
+    boost::asio::steady_timer lingerTimer;
 };
 
 } // namespace Sagecrank
--- a/Tests/LibNet/RawHttp.h
+++ b/Tests/LibNet/RawHttp.h
@@ -57,6 +57,8 @@
 
     void send(const std::string &text) { boost::asio::write(this->socket, boost::asio::buffer(text)); }
 
+    void close() { this->socket.close(); }
+
     std::string readUntil(const std::string &end)
     {
         std::string answer;
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -322,8 +322,8 @@
 class KeepingServer
 {
 public:
-    KeepingServer()
-        : server(this->context, settings(),
+    explicit KeepingServer(Milliseconds lastAnswerTime = HttpServerSettings().lastAnswerTime)
+        : server(this->context, settings(lastAnswerTime),
                  [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
                      const std::lock_guard guard(this->mutex);
                      exchange->onAbandoned([this] { ++this->abandoned; });
@@ -374,9 +374,10 @@
     std::atomic<int> abandoned = 0;
 
 private:
-    static HttpServerSettings settings()
+    static HttpServerSettings settings(Milliseconds lastAnswerTime)
     {
         HttpServerSettings settings;
+        settings.lastAnswerTime = lastAnswerTime;
         settings.mayRunBehind = [](const HttpRequest &request) {
             return !request.target.starts_with("/once");
         };
@@ -465,6 +466,39 @@
     cr_assert(server.targets().size() == 1);
 }
 
+// The same for a request that comes when the last answer is on its way. It must not run.
+Test(httpServer, aClosingAnswerReachesACallerThatSendsMoreLater, .timeout = 5)
+{
+    KeepingServer server;
+    RawCaller caller(server.address());
+    caller.send(get("/a"));
+    cr_assert(eventually([&] { return server.targets().size() == 1; }));
+    server.stopAccepting();
+    server.settle();
+    const std::string body(500'000, 'x');
+    server.answer(0, body);
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    caller.send(get("/b"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    cr_assert(caller.readToEnd().ends_with(body));
+    cr_assert(server.targets().size() == 1);
+}
+
+// A process that ends waits for the callers of its last answers, and no longer than they take.
+Test(httpServer, aCallerThatClosesHoldsNoEnd)
+{
+    KeepingServer server(std::chrono::minutes(1));
+    RawCaller caller(server.address());
+    caller.send(get("/a"));
+    cr_assert(eventually([&] { return server.targets().size() == 1; }));
+    server.stopAccepting();
+    server.answer(0, "last");
+    cr_assert(caller.readToEnd().ends_with("last"));
+    cr_assert(server.unanswered() == 1);
+    caller.close();
+    cr_assert(eventually([&] { return server.unanswered() == 0; }));
+}
+
 // A caller sends three lookups, loses patience and closes. All three are told; before, the bytes of the next
 // request hid the close, and the first one's work went on for nobody.
 Test(httpServer, tellsAllThatTheirCallerWent)
