Node: Ask for a late answer once

Callers saw: closed connections, where the node that they had asked ended with a stack overflow. Change: a call remembers that it has asked.

--- a/Services/Node/Callers/ForwardedCall.cpp
+++ b/Services/Node/Callers/ForwardedCall.cpp
@@ -122,8 +122,10 @@
 bool ForwardedCall::sendForLateAnswer()
 {
     const auto nearest = std::ranges::find(this->attempts, false, &Attempt::leaves);
-    if (!this->plan.target || nearest == this->attempts.end() || nearest->target.lateAccepted)
+    if (!this->plan.target || this->lateAnswerAsked || nearest == this->attempts.end()
+        || nearest->target.lateAccepted)
         return false;
+    this->lateAnswerAsked = true;
     Target target = nearest->target;
     target.lateAccepted = true;
     {
--- a/Services/Node/Callers/ForwardedCall.h
+++ b/Services/Node/Callers/ForwardedCall.h
@@ -128,6 +128,7 @@
     std::vector<std::string> triedIds;
     std::optional<CallResponse> upstreamFailure; // The last answer of an upstream that was a failure.
     bool ending = false;                         // It is not sent again.
+    bool lateAnswerAsked = false;                // Of a gate that had refused.
     bool mayHaveRun = false;                     // Some attempt ended otherwise than "not run".
     std::uint32_t refusals = 0;                  // By gates, before an upstream saw the call.
     std::uint32_t upstreamsReached = 0;          // Attempts that were sent to an upstream, or may have been.
--- a/Tests/Node/TestForwardedCall.cpp
+++ b/Tests/Node/TestForwardedCall.cpp
@@ -393,4 +393,8 @@
     second.refuse(0, false);
     cr_assert(fixture.runUntil([&] { return fixture.callsSent() == 3 || fixture.answer; }));
     cr_assert(first.calls.size() == (row.firstDrains ? 1 : 2), "%s", row.what);
+    if (!row.firstDrains)
+        first.refuse(1, false);
+    cr_assert(fixture.runUntil([&] { return fixture.callsSent() > 3 || fixture.answer; }));
+    cr_assert(fixture.answer && fixture.answer->outcome == Outcome::NotRun, "it is asked once");
 }
