Node: Wait at the end only for nodes that were answered lately

Cause: a node that ends waited 0.9 s for every other node's close, also for hosts that are dead and read nothing; its upstream stood idle meanwhile. Change: it waits only where an answer left within the last second.

--- a/Services/Node/Callers/Worker.cpp
+++ b/Services/Node/Callers/Worker.cpp
@@ -120,7 +120,7 @@
 
 void Worker::awaitPeers(Instant until, std::function<void()> done)
 {
-    if (this->peerServer.connections() == 0 || SteadyClock::now() >= until)
+    if (this->peerServer.awaitedCloses() == 0 || SteadyClock::now() >= until)
         return done();
     this->peersTimer.expires_after(peersCheckInterval);
     this->peersTimer.async_wait(
--- a/Services/Node/Peers/PeerServer.cpp
+++ b/Services/Node/Peers/PeerServer.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -48,6 +49,9 @@
 // Bounds how often a call that waits for its body looks at the line.
 constexpr Duration shortestLineCheck = Milliseconds(1);
 
+// An answer that left earlier has been read by now, or its path is lost.
+constexpr Duration answerTravelTime = Milliseconds(1000);
+
 // A call whose body is still with its sender.
 struct CallAhead
 {
@@ -117,6 +121,7 @@
     void goAway()
     {
         this->leaving = true;
+        this->awaitsClose = this->answeredAt && SteadyClock::now() - *this->answeredAt < answerTravelTime;
         const auto waiting = this->ahead;
         for (const auto &[callId, call] : waiting)
             this->refuseUnsent(*call, refusalReasonNames.name(RefusalReason::Draining));
@@ -125,6 +130,8 @@
             open->endSending();
     }
 
+    bool closeIsAwaited() const { return this->awaitsClose; }
+
 private:
     void takeFrame(FrameType type, std::span<const char> payload)
     {
@@ -391,6 +398,7 @@
         if (!open || !open->isOpen())
             return;
         this->setUnsent(true);
+        this->answeredAt = SteadyClock::now();
         open->send(encodeFrame(FrameType::CallResponse, response));
     }
 
@@ -423,6 +431,8 @@
     std::uint64_t lastCallId = 0; // The highest that was taken.
     bool unsent = false;          // Answers wait to leave.
     bool leaving = false;         // Nothing is taken any more.
+    bool awaitsClose = false;     // The other side may not have read its last answer.
+    std::optional<Instant> answeredAt;
 };
 
 void acceptNext(const std::shared_ptr<PeerServer::State> &state)
@@ -470,9 +480,10 @@
         session->goAway();
 }
 
-std::size_t PeerServer::connections() const
+std::size_t PeerServer::awaitedCloses() const
 {
-    return this->state->sessions.size();
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->state->sessions, &PeerSession::closeIsAwaited));
 }
 
 std::size_t PeerServer::unsent() const
--- a/Services/Node/Peers/PeerServer.h
+++ b/Services/Node/Peers/PeerServer.h
@@ -31,7 +31,7 @@
     // On its own thread. Other nodes are told which of their calls have not run, after all answers; what they
     // send from now on is not taken, and they close their connections.
     void goAway();
-    std::size_t connections() const; // Open ones.
+    std::size_t awaitedCloses() const; // Of nodes that were answered shortly before it.
 
     // Connections on which answers wait to leave. From any thread.
     std::size_t unsent() const;
--- a/Tests/Node/TestPeerServer.cpp
+++ b/Tests/Node/TestPeerServer.cpp
@@ -467,12 +467,23 @@
     sender.send(encodeFrame(FrameType::CallRequest, request));
     cr_assert(fixture.runUntil([&] { return sender.lastCallId.has_value(); }));
     cr_assert(sender.answers.size() == 1 && *sender.lastCallId == 7);
-    cr_assert(fixture.server.connections() == 1);
+    cr_assert(fixture.server.awaitedCloses() == 1);
     sender.socket.close();
-    cr_assert(fixture.runUntil([&] { return fixture.server.connections() == 0; }));
+    cr_assert(fixture.runUntil([&] { return fixture.server.awaitedCloses() == 0; }));
     cr_assert(fixture.began.size() == 1, "a call was taken after the last word");
 }
 
+// A host that is dead, or has nothing to read, must not hold up the end of a node.
+Test(peerServer, aNodeThatEndsWaitsForNobodyItHasNotAnswered)
+{
+    PeerServerFixture fixture;
+    Sender sender(fixture);
+    sender.send(encodeFrame(FrameType::Ping, Heartbeat{1}));
+    cr_assert(fixture.runUntil([&] { return sender.frames.size() == 1; }));
+    fixture.server.goAway();
+    cr_assert(fixture.server.awaitedCloses() == 0);
+}
+
 // A granted body is on its way when the node ends: it is refused as not run, and its grant is free.
 Test(peerServer, aNodeThatEndsRefusesWhatItGranted)
 {
