--- a/Services/Node/Callers/Worker.h
+++ b/Services/Node/Callers/Worker.h
@@ -53,10 +53,10 @@
     void beginEnding(); // Callers are asked to close; calls to other nodes are waited for.
     void stopAccepting();
     void withdrawWaiting();
-    void
-    refuseCallers(std::function<void()> done); // `done` runs on its thread, once all that is read is refused.
-    // Answers all that is under way and takes leave of other nodes, for whose last answers and closing it
-    // waits so long at most; `done` runs on its thread.
+    // All that is read from now on is refused; `done` runs on its thread once that holds.
+    void refuseCallers(std::function<void()> done);
+    // Answers all that is under way and takes leave of the other nodes, and waits so long at most for those
+    // to read their last answers; `done` runs on its thread.
     void endCalls(Duration longestWait, std::function<void()> done);
     bool allAnswered() const; // Nothing that was taken waits for its answer to leave.
 
