Tests: Write to the store only when it is back

Cause: drillsInARowLoseNothing waited the time for which the store is away and 10 ms; a process that was held up meanwhile had not run the store's return yet, and its write was not answered. Evidence: without the wait the same check fails with "read answer: timeout: end of stream". Change: the test waits, besides, until the stand-in is back; its checks are as they were.

--- a/Services/RowsEmulator/RowsService.h
+++ b/Services/RowsEmulator/RowsService.h
@@ -57,6 +57,7 @@
     void takeCopy() { this->copy = this->store; }
     // False when no copy was taken. At once where nothing is to be waited for.
     bool returnFromCopy(const ReturnSettings &drill);
+    bool isAway() const { return this->away; } // Answers nothing.
     // In place of its own number; empty: its answers do not say. Nothing: its own number again.
     void stateEra(std::optional<std::string> text) { this->eraText = std::move(text); }
 
--- a/Tests/Platform/TestStoreReturn.cpp
+++ b/Tests/Platform/TestStoreReturn.cpp
@@ -229,6 +229,7 @@
         settings.forgetsWatches = draw(1) == 0;
         cr_assert(fixture.service.returnFromCopy(settings));
         fixture.runUntil([] { return false; }, settings.away + Milliseconds(10));
+        cr_assert(fixture.runUntil([&] { return !fixture.service.isAway(); }, std::chrono::seconds(20)));
         if (draw(1) == 0)
             change();
         const auto arrived = [&] {
