--- a/Libraries/LibNet/HttpSession.h
+++ b/Libraries/LibNet/HttpSession.h
@@ -61,6 +61,9 @@
     using RequestParser = boost::beast::http::request_parser<boost::beast::http::string_body>;
     using Response = boost::beast::http::response<boost::beast::http::string_body>;
 
+    // What the caller has sent and this side has not read.
+    enum class Peeked : std::uint8_t { Bytes, Nothing, Closed };
+
     // A request as it came, with what its answer needs of it.
     struct Received
     {
@@ -97,6 +100,7 @@
     void readOn();
     void watch();
     void lookAtSocket();
+    Peeked peek();
     void refuse(std::uint32_t status, std::string_view message);
     void answerAtOnce(HttpResponse response);
 
