--- a/Services/Node/Callers/ForwardedCall.cpp
+++ b/Services/Node/Callers/ForwardedCall.cpp
@@ -34,15 +34,20 @@
     return response;
 }
 
+// Said by this node of the connection to the other one.
+bool isOfConnection(const CallResponse &response)
+{
+    return response.reason == reasonPeerUnreachable || response.reason == reasonPeerLost
+           || response.reason == reasonPeerLeaving;
+}
+
 PlacedEnd endOf(const CallResponse &response)
 {
     switch (response.outcome) {
     case Outcome::Done:
         return response.status >= 500 ? PlacedEnd::Failed : PlacedEnd::Succeeded;
     case Outcome::NotRun: {
-        const bool nothingThere = response.reason == reasonPeerUnreachable
-                                  || response.reason == reasonPeerLost || response.reason == reasonPeerLeaving
-                                  || response.reason == reasonUnreachable;
+        const bool nothingThere = isOfConnection(response) || response.reason == reasonUnreachable;
         if (response.reason == reasonQuarantined)
             return PlacedEnd::Cancelled; // Says nothing about the upstream.
         return nothingThere ? PlacedEnd::Failed : PlacedEnd::RefusedNotRun;
@@ -249,8 +254,7 @@
     const Duration took = now - attempt.startedAt;
     this->service->placer.ended(attempt.target.candidate.id, now, this->plan.callClass, took, endOf(response),
                                 this->request.kind);
-    const bool gateSpoke = response.reason != reasonPeerUnreachable && response.reason != reasonPeerLost
-                           && response.reason != reasonPeerCongested && response.reason != reasonPeerLeaving;
+    const bool gateSpoke = !isOfConnection(response) && response.reason != reasonPeerCongested;
     if (gateSpoke)
         this->service->placer.told(attempt.target.candidate.id, now, toldBy(response), this->request.kind);
     if (response.outcome == Outcome::Done && this->plan.hedged)
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -50,6 +50,7 @@
     NodeDrainHooks drainHooks();
     SettingsReloadHooks reloadHooks(ReadSettings readSettings);
     bool isIdle() const; // Nothing is waiting, running or unanswered.
+    std::function<void()> afterAllWorkers(std::function<void()> done) const;
     void refuseCallers();
     void endCalls();
     void confirm(const HttpRequest &request, HttpResponse response,
