LibDecide: Bound retries for each kind of call as well as for the service

While upstreams of cobranza shed half of their calls, job-status fails for its price-checks; it took nearly all retries of despacho, and each of them repeated two calls at cobranza, where they count as repeats beside cobranza's own 8%. Change: the budget holds for each kind of call too, so a kind that makes many calls can repeat no more than its own share of them. At most 64 kinds are kept for a service. The ways weighed: a lower share for all (costs retries everywhere), and repeats that carry a mark through every hop (an upstream's calls bear no trace of the run that made them on this platform).

--- a/Libraries/LibDecide/Retry.cpp
+++ b/Libraries/LibDecide/Retry.cpp
@@ -42,26 +42,43 @@
 {
 }
 
-void RetryBudget::recordFirstAttempt(Instant now)
+void RetryBudget::recordFirstAttempt(Instant now, std::uint64_t kind)
 {
     this->refill(now);
     this->recentFirstAttempts += 1;
-    this->sliceAt(now).firstAttempts += 1;
+    this->all.recordFirstAttempt(now);
+    if (AttemptWindow *window = this->obtainKind(kind))
+        window->recordFirstAttempt(now);
     this->tokens =
         std::min(this->tokens + this->share, this->reserve + this->share * this->recentFirstAttempts);
 }
 
-bool RetryBudget::tryAcquireRetry(Instant now)
+bool RetryBudget::tryAcquireRetry(Instant now, std::uint64_t kind)
 {
     this->refill(now);
-    if (this->tokens < 1 || !this->windowAllows(now))
+    AttemptWindow *window = this->obtainKind(kind);
+    if (this->tokens < 1 || !this->all.allowsRetry(now, this->share, this->reserve))
+        return false;
+    if (window != nullptr && !window->allowsRetry(now, this->share, this->reserve))
         return false;
     this->tokens -= 1;
-    this->sliceAt(now).retries += 1;
+    this->all.recordRetry(now);
+    if (window != nullptr)
+        window->recordRetry(now);
     return true;
 }
 
-RetryBudget::Slice &RetryBudget::sliceAt(Instant now)
+// Kinds beyond the limit are bounded by the service's window only.
+AttemptWindow *RetryBudget::obtainKind(std::uint64_t kind)
+{
+    constexpr std::size_t maximumKinds = 64; // About 20 KB for a service.
+    const auto found = this->kinds.find(kind);
+    if (found != this->kinds.end())
+        return &found->second;
+    return this->kinds.size() < maximumKinds ? &this->kinds[kind] : nullptr;
+}
+
+AttemptWindow::Slice &AttemptWindow::sliceAt(Instant now)
 {
     const std::int64_t number = now.time_since_epoch() / sliceLength;
     Slice &slice = this->slices[static_cast<std::size_t>(number) % sliceCount];
@@ -70,7 +87,7 @@
     return slice;
 }
 
-bool RetryBudget::windowAllows(Instant now)
+bool AttemptWindow::allowsRetry(Instant now, double share, double reserve) const
 {
     const std::int64_t newest = now.time_since_epoch() / sliceLength;
     double firstAttempts = 0;
@@ -81,7 +98,7 @@
         firstAttempts += slice.firstAttempts;
         retries += slice.retries;
     }
-    return retries + 1 <= this->reserve + this->share * firstAttempts;
+    return retries + 1 <= reserve + share * firstAttempts;
 }
 
 // Unused tokens decay with the first attempts that earned them; the reserve is replenished once per window.
--- a/Libraries/LibDecide/Retry.h
+++ b/Libraries/LibDecide/Retry.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <unordered_map>
 
 namespace Sagecrank {
 
@@ -23,25 +24,19 @@
 // idempotent.
 bool isRetrySafe(CallPhase phase, bool idempotent, bool refusedNotRun);
 
-// Bounds retries to a share of recent first attempts. If an upstream or a zone fails and every call to it is
-// retried, the retries would double the load on the rest, which then fails too. The reserve allows callers
-// with few calls to retry at all.
-class RetryBudget
+// First attempts and retries of the last ten seconds, in slices.
+class AttemptWindow
 {
 public:
-    RetryBudget(double share, double reserve);
-
     // Commands.
+    void recordFirstAttempt(Instant now) { this->sliceAt(now).firstAttempts += 1; }
+    void recordRetry(Instant now) { this->sliceAt(now).retries += 1; }
 
-    void recordFirstAttempt(Instant now);
-    // Takes one retry from the budget; returns false if there is none.
-    bool tryAcquireRetry(Instant now);
-
-    // Sets this node's part of a reserve that several nodes share; it changes with their number.
-    void setReserve(double reserve) { this->reserve = reserve; }
+    // Queries.
+    // Whether one more retry keeps all of them within `reserve` plus `share` of the first attempts.
+    bool allowsRetry(Instant now, double share, double reserve) const;
 
 private:
-    // Attempts in a part of the window.
     struct Slice
     {
         std::int64_t number = -1; // Counted from the epoch of the clock.
@@ -52,9 +47,35 @@
     static constexpr std::size_t sliceCount =
         21; // One more than a window has, since the oldest one lies only partly within it.
 
-    void refill(Instant now);
     Slice &sliceAt(Instant now);
-    bool windowAllows(Instant now);
+
+    std::array<Slice, sliceCount> slices;
+};
+
+// Bounds retries to a share of recent first attempts. If an upstream or a zone fails and every call to it is
+// retried, the retries would double the load on the rest, which then fails too. The reserve allows callers
+// with few calls to retry at all.
+//
+// The bound holds for each kind of call as well as for the whole service. A retried call repeats the calls
+// that it makes itself, at other services; if the kind that makes most of them took the whole service's
+// share, a much larger share of the calls at those services would be repeats.
+class RetryBudget
+{
+public:
+    RetryBudget(double share, double reserve);
+
+    // Commands.
+
+    void recordFirstAttempt(Instant now, std::uint64_t kind = 0);
+    // Takes one retry from the budget; returns false if there is none.
+    bool tryAcquireRetry(Instant now, std::uint64_t kind = 0);
+
+    // Sets this node's part of a reserve that several nodes share; it changes with their number.
+    void setReserve(double reserve) { this->reserve = reserve; }
+
+private:
+    void refill(Instant now);
+    AttemptWindow *obtainKind(std::uint64_t kind);
 
     double share;
     double reserve;
@@ -63,7 +84,8 @@
     std::optional<Instant> refilledAt;
     // Bounds the retries of every window as well: tokens saved up in one window and spent in the next, on top
     // of what that one earns, would double the share of retries for a while.
-    std::array<Slice, sliceCount> slices;
+    AttemptWindow all;
+    std::unordered_map<std::uint64_t, AttemptWindow> kinds; // Bounded; see obtainKind().
 };
 
 // Delay after which a hedged second attempt is sent. If one of many upstreams is slow, or an answer is lost,
--- a/Services/Node/Callers/ForwardedCall.cpp
+++ b/Services/Node/Callers/ForwardedCall.cpp
@@ -160,7 +160,7 @@
     const Instant now = SteadyClock::now();
     const std::lock_guard guard(this->service->mutex);
     if (this->attempts.empty())
-        this->service->retries.recordFirstAttempt(now);
+        this->service->retries.recordFirstAttempt(now, this->request.kind);
     LoadBalancer &loadBalancer = this->service->loadBalancer;
     const auto place = [&] {
         return loadBalancer.pick(now, service->upstreams, this->plan.callClass, tried, this->request.kind,
@@ -290,7 +290,7 @@
     bool withinBudget = false;
     {
         const std::lock_guard guard(this->service->mutex);
-        withinBudget = this->service->retries.tryAcquireRetry(now);
+        withinBudget = this->service->retries.tryAcquireRetry(now, this->request.kind);
     }
     if (withinBudget)
         return this->placeAndSend();
@@ -444,7 +444,7 @@
         bool allowed = false;
         {
             const std::lock_guard guard(self->service->mutex);
-            allowed = self->service->retries.tryAcquireRetry(SteadyClock::now());
+            allowed = self->service->retries.tryAcquireRetry(SteadyClock::now(), self->request.kind);
         }
         if (allowed)
             self->placeAndSend();
--- a/Tests/LibDecide/TestRetry.cpp
+++ b/Tests/LibDecide/TestRetry.cpp
@@ -70,6 +70,38 @@
     }
 }
 
+// A kind of call that fails while all others succeed must not take their retries: each of its retries repeats
+// the calls that it makes at other services.
+Test(retry, oneKindKeepsToItsOwnShare)
+{
+    constexpr std::uint64_t failingKind = 1;
+    RetryBudget budget(0.1, 5);
+    Instant now{};
+    int retries = 0;
+    for (int call = 0; call < 10'000; ++call) {
+        now += 1ms;
+        const std::uint64_t kind = call % 2 == 0 ? failingKind : 2;
+        budget.recordFirstAttempt(now, kind);
+        retries += kind == failingKind && budget.tryAcquireRetry(now, kind) ? 1 : 0;
+    }
+    cr_assert_leq(retries, 5'000 / 10 + 5);
+    cr_assert_geq(retries, 5'000 / 10 - 5);
+}
+
+// A caller that sends many kinds must not exhaust a node's memory, nor escape the service's share.
+Test(retry, manyKindsShareTheBudget)
+{
+    RetryBudget budget(0.1, 5);
+    Instant now{};
+    int retries = 0;
+    for (std::uint64_t call = 0; call < 10'000; ++call) {
+        now += 1ms;
+        budget.recordFirstAttempt(now, call);
+        retries += budget.tryAcquireRetry(now, call) ? 1 : 0;
+    }
+    cr_assert_leq(retries, 10'000 / 10 + 5);
+}
+
 Test(retry, hedgesOnlySlowCalls)
 {
     HedgeDelay hedge;
