LibMembership: Add versions of upstreams, bulletins to all nodes and reports to one

Cause: roll-outs need three things of the gossip: which version an upstream runs, a small state that all nodes agree on, and figures that go to a few nodes only. A notice is 19 bytes of numbers and cannot name a version. Change: a member record has a version. A report is one datagram of at most 900 bytes to one member. The protocol version is 4.

--- a/Libraries/LibMembership/Datagram.cpp
+++ b/Libraries/LibMembership/Datagram.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::uint8_t protocolVersion = 3;
+constexpr std::uint8_t protocolVersion = 4;
 
 using Writer = MemoryOutputArchive;
 using Reader = MemoryInputArchive;
@@ -32,6 +32,23 @@
     archive(cereal::binary_data(text.data(), length));
 }
 
+void transferPayload(Writer &archive, const std::string &payload, std::size_t maximumBytes)
+{
+    const auto length = static_cast<std::uint16_t>(std::min(payload.size(), maximumBytes));
+    archive(length);
+    archive(cereal::binary_data(payload.data(), length));
+}
+
+void transferPayload(Reader &archive, std::string &payload, std::size_t maximumBytes)
+{
+    std::uint16_t length = 0;
+    archive(length);
+    if (length > maximumBytes)
+        throw cereal::Exception("payload exceeds the length limit");
+    payload.resize(length);
+    archive(cereal::binary_data(payload.data(), length));
+}
+
 template <typename Enum>
 void transferEnum(Writer &archive, const Enum &value, Enum)
 {
@@ -69,6 +86,14 @@
     archive(notice.subject, notice.source, notice.state, notice.timeToLiveSeconds);
 }
 
+template <typename Archive, typename AnyBulletin>
+void transferBulletin(Archive &archive, AnyBulletin &bulletin)
+{
+    transferText(archive, bulletin.topic);
+    archive(bulletin.sequence, bulletin.state, bulletin.timeToLiveSeconds);
+    transferPayload(archive, bulletin.payload, maximumBulletinBytes);
+}
+
 std::string_view hostOf(std::string_view address)
 {
     return address.substr(0, address.rfind(':'));
@@ -96,12 +121,34 @@
         throw cereal::Exception("address exceeds the length limit");
 }
 
+// Marks in the byte of the state that a version follows, so that upstreams without one cost nothing.
+constexpr std::uint8_t versionFlag = 0x80;
+
+bool transferState(Writer &archive, const Member &member)
+{
+    const bool hasVersion = !member.version.empty();
+    archive(
+        static_cast<std::uint8_t>(static_cast<std::uint8_t>(member.state) | (hasVersion ? versionFlag : 0)));
+    return hasVersion;
+}
+
+bool transferState(Reader &archive, Member &member)
+{
+    std::uint8_t raw = 0;
+    archive(raw);
+    const std::uint8_t state = raw & ~versionFlag;
+    if (state > static_cast<std::uint8_t>(MemberState::Left))
+        throw cereal::Exception("enum value is out of range");
+    member.state = static_cast<MemberState>(state);
+    return (raw & versionFlag) != 0;
+}
+
 template <typename Archive, typename AnyMember>
 void transferMember(Archive &archive, AnyMember &member)
 {
     transferText(archive, member.id);
     archive(member.incarnation, member.slots);
-    transferEnum(archive, member.state, MemberState::Left);
+    const bool hasVersion = transferState(archive, member);
     transferEnum(archive, member.upstream, UpstreamState::Gone);
     transferText(archive, member.region);
     transferText(archive, member.zone);
@@ -111,6 +158,8 @@
     transferAddress(archive, member.controlAddress, member.gossipAddress);
     archive(member.linkMbps);
     transferText(archive, member.cluster);
+    if (hasVersion)
+        transferText(archive, member.version);
 }
 
 template <typename Item, typename Transfer>
@@ -131,11 +180,22 @@
         transfer(archive, items.emplace_back());
 }
 
+// Fields that few datagrams have follow at the end, so that the others do not pay for them.
+bool hasRareFields(const Writer &, const Datagram &datagram)
+{
+    return !datagram.bulletins.empty() || !datagram.report.empty();
+}
+
+bool hasRareFields(const Reader &archive, const Datagram &)
+{
+    return archive.remaining() > 0;
+}
+
 template <typename Archive, typename AnyDatagram>
 void transferDatagram(Archive &archive, AnyDatagram &datagram)
 {
     const auto transferInteger = [](auto &any, auto &value) { any(value); };
-    transferEnum(archive, datagram.kind, DatagramKind::SyncRequest);
+    transferEnum(archive, datagram.kind, DatagramKind::Report);
     archive(datagram.sequence);
     transferText(archive, datagram.sender);
     archive(datagram.senderIncarnation, datagram.heldVersion);
@@ -150,6 +210,11 @@
     transferList(archive, datagram.updates, [](auto &any, auto &update) { transferUpdate(any, update); });
     transferList(archive, datagram.members, [](auto &any, auto &member) { transferMember(any, member); });
     transferList(archive, datagram.notices, [](auto &any, auto &notice) { transferNotice(any, notice); });
+    if (!hasRareFields(archive, datagram))
+        return;
+    transferList(archive, datagram.bulletins,
+                 [](auto &any, auto &bulletin) { transferBulletin(any, bulletin); });
+    transferPayload(archive, datagram.report, maximumReportBytes);
 }
 
 } // namespace
@@ -172,7 +237,15 @@
     return fixedBytes + texts + member.id.size() + member.region.size() + member.zone.size()
            + member.site.size() + member.gossipAddress.size()
            + shortAddress(member.peerAddress, member.gossipAddress).size()
-           + shortAddress(member.controlAddress, member.gossipAddress).size() + member.cluster.size();
+           + shortAddress(member.controlAddress, member.gossipAddress).size() + member.cluster.size()
+           + (member.version.empty() ? 0 : 1 + member.version.size());
+}
+
+std::size_t encodedSize(const Bulletin &bulletin)
+{
+    // Sequence, state, time to live and the lengths of both texts.
+    constexpr std::size_t fixedBytes = 8 + 1 + 2 + 1 + 2;
+    return fixedBytes + bulletin.topic.size() + bulletin.payload.size();
 }
 
 Result<Datagram> decodeDatagram(std::string_view bytes, const std::string &peer)
--- a/Libraries/LibMembership/Datagram.h
+++ b/Libraries/LibMembership/Datagram.h
@@ -29,9 +29,10 @@
     SyncDigest,  // One hash for each bucket of the sender's member table.
     SyncEntries, // Ids, incarnations and states of the members in the buckets that differ.
     SyncRequest, // Asks for the records listed in `wanted`.
+    Report,      // A payload for the receiver alone.
 };
 
-inline constexpr EnumNames<DatagramKind, 8> datagramKindNames{{
+inline constexpr EnumNames<DatagramKind, 9> datagramKindNames{{
     {DatagramKind::Ping, "ping"},
     {DatagramKind::Ack, "ack"},
     {DatagramKind::PingRequest, "ping_request"},
@@ -40,6 +41,7 @@
     {DatagramKind::SyncDigest, "sync_digest"},
     {DatagramKind::SyncEntries, "sync_entries"},
     {DatagramKind::SyncRequest, "sync_request"},
+    {DatagramKind::Report, "report"},
 }};
 
 // Number and content digest of an accepted configuration version.
@@ -87,6 +89,22 @@
     bool operator==(const Notice &) const = default;
 };
 
+// A small text that is broadcast to every node; this library does not interpret its payload. For the same
+// topic, one with a higher sequence, or with the same and a higher state, replaces another.
+struct Bulletin
+{
+    std::string topic;
+    std::uint64_t sequence = 0;
+    std::uint8_t state = 0;
+    std::uint16_t timeToLiveSeconds = 0;
+    std::string payload; // At most `maximumBulletinBytes`.
+
+    bool operator==(const Bulletin &) const = default;
+};
+
+inline constexpr std::size_t maximumBulletinBytes = 300;
+inline constexpr std::size_t maximumReportBytes = 900;
+
 // One message. Fields that its kind does not use stay empty; an empty list or text costs one byte.
 struct Datagram
 {
@@ -106,12 +124,15 @@
     std::vector<MemberUpdate> updates;
     std::vector<Member> members;
     std::vector<Notice> notices;
+    std::vector<Bulletin> bulletins;
+    std::string report; // Set in reports only.
 };
 
 std::string encodeDatagram(const Datagram &datagram);
 
 // Encoded sizes of list items, in bytes.
 std::size_t encodedSize(const Member &member);
+std::size_t encodedSize(const Bulletin &bulletin);
 inline constexpr std::size_t encodedUpdateSize = 24;
 inline constexpr std::size_t encodedEntrySize = 17;
 inline constexpr std::size_t encodedNoticeSize = 19;
--- a/Libraries/LibMembership/Member.h
+++ b/Libraries/LibMembership/Member.h
@@ -56,6 +56,7 @@
     std::string controlAddress; // TCP, configuration pulls.
     std::uint32_t linkMbps = 0; // Bandwidth of the host's own link; 0: unknown.
     std::string cluster;        // Service of the node's upstream; empty without an upstream.
+    std::string version{};      // Of the upstream's software; empty if it states none.
     UpstreamState upstream = UpstreamState::None;
     std::uint32_t slots = 0;
     std::uint64_t configurationVersion = 0; // Version that the node holds.
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -38,8 +38,9 @@
 std::uint32_t hashStaticFields(const Member &member)
 {
     std::string text;
-    for (const std::string *field : {&member.region, &member.zone, &member.site, &member.gossipAddress,
-                                     &member.peerAddress, &member.controlAddress, &member.cluster})
+    for (const std::string *field :
+         {&member.region, &member.zone, &member.site, &member.gossipAddress, &member.peerAddress,
+          &member.controlAddress, &member.cluster, &member.version})
         appendField(text, *field);
     appendField(text, std::to_string(member.linkMbps));
     return static_cast<std::uint32_t>(XXH3_64bits(text.data(), text.size()));
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -100,6 +100,7 @@
     }
     if (this->noticeTable.expire(now))
         this->notifyNoticesChanged();
+    this->bulletinTable.expire(now);
     if (now >= this->nextTombstoneRemoval) {
         this->nextTombstoneRemoval = now + std::chrono::minutes(1);
         this->counts.removedTombstones +=
@@ -150,6 +151,7 @@
     this->heardFromPeer = true;
     this->applyChanges(now, from, datagram);
     this->mergeNotices(now, datagram.notices);
+    this->mergeBulletins(now, datagram.bulletins, true);
     this->noteSender(now, from, datagram);
     switch (datagram.kind) {
     case DatagramKind::Ping:
@@ -175,6 +177,10 @@
     case DatagramKind::SyncRequest:
         this->handleSyncRequest(now, from, datagram);
         break;
+    case DatagramKind::Report:
+        if (this->hooks.reportReceived)
+            this->hooks.reportReceived(datagram.sender, datagram.report);
+        break;
     }
 }
 
@@ -333,6 +339,34 @@
         this->hooks.noticesChanged(this->notices());
 }
 
+void Membership::announce(Instant now, const Bulletin &bulletin)
+{
+    this->mergeBulletins(now, {bulletin}, false);
+}
+
+void Membership::mergeBulletins(Instant now, const std::vector<Bulletin> &bulletins, bool notify)
+{
+    for (const Bulletin &bulletin : bulletins) {
+        if (!this->bulletinTable.merge(now, bulletin))
+            continue;
+        this->nextGossip = Instant{};
+        if (notify && this->hooks.bulletinReceived)
+            this->hooks.bulletinReceived(bulletin);
+    }
+}
+
+void Membership::sendReport(const std::string &memberId, const std::string &report)
+{
+    const MemberRecord *member = this->table.find(hashId(memberId));
+    if (member == nullptr || report.size() > maximumReportBytes || !this->hasBudget(0)) {
+        ++this->counts.suppressed;
+        return;
+    }
+    Datagram datagram = this->makeDatagram(DatagramKind::Report);
+    datagram.report = report;
+    this->transmit(member->member.gossipAddress, datagram, this->isInOwnZone(member));
+}
+
 std::uint32_t Membership::transmissionLimit() const
 {
     const double members = static_cast<double>(this->table.presentCount()) + 1;
@@ -351,13 +385,15 @@
 }
 
 void Membership::setUpstream(Instant now, const std::string &cluster, UpstreamState state,
-                             std::uint32_t slots)
+                             std::uint32_t slots, const std::string &version)
 {
-    const bool same = this->own.cluster == cluster && this->own.upstream == state && this->own.slots == slots;
+    const bool same = this->own.cluster == cluster && this->own.version == version
+                      && this->own.upstream == state && this->own.slots == slots;
     if (same || this->leaving)
         return;
-    const bool fullRecord = this->own.cluster != cluster;
+    const bool fullRecord = this->own.cluster != cluster || this->own.version != version;
     this->own.cluster = cluster;
+    this->own.version = version;
     this->own.upstream = state;
     this->own.slots = slots;
     ++this->own.incarnation;
@@ -444,8 +480,12 @@
     const std::size_t availableBytes =
         std::min<std::size_t>(maximumDatagramBytes - headerBytes, static_cast<std::size_t>(spendable));
     if (availableBytes >= minimumBytes) {
-        this->noticeTable.fill(this->lastTick, datagram, availableBytes / 2, this->transmissionLimit());
-        const std::size_t remainingBytes = availableBytes - datagram.notices.size() * encodedNoticeSize;
+        const std::size_t bulletinBytes =
+            this->bulletinTable.fill(this->lastTick, datagram, availableBytes / 2, this->transmissionLimit());
+        this->noticeTable.fill(this->lastTick, datagram, (availableBytes - bulletinBytes) / 2,
+                               this->transmissionLimit());
+        const std::size_t remainingBytes =
+            availableBytes - bulletinBytes - datagram.notices.size() * encodedNoticeSize;
         if (!this->changes.empty())
             this->changes.fill(datagram, remainingBytes, this->table);
     }
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -7,6 +7,7 @@
 // so that a node that missed changes catches up. All traffic is paid from one budget of bytes per second.
 #pragma once
 
+#include <LibMembership/BulletinTable.h>
 #include <LibMembership/Dissemination.h>
 #include <LibMembership/MemberTable.h>
 #include <LibMembership/NoticeTable.h>
@@ -81,6 +82,8 @@
     // Receives all current notices after they changed.
     std::function<void(const std::vector<Notice> &)> noticesChanged;
     std::function<void(std::uint64_t era)> storeEraAdvanced;
+    std::function<void(const Bulletin &)> bulletinReceived; // A new or later one, of another node.
+    std::function<void(const std::string &sender, const std::string &report)> reportReceived;
 };
 
 struct KindCounters
@@ -93,7 +96,7 @@
 
 struct MembershipCounters
 {
-    std::array<KindCounters, 8> kinds{}; // By DatagramKind; bytes include IP and UDP headers.
+    std::array<KindCounters, 9> kinds{}; // By DatagramKind; bytes include IP and UDP headers.
     std::uint64_t malformed = 0;
     std::uint64_t suppressed = 0; // Datagrams not sent, mostly because the budget was spent.
     std::uint64_t suspicions = 0;
@@ -117,13 +120,17 @@
     // Commands.
     void tick(Instant now); // About every 100 ms.
     void receive(Instant now, const std::string &from, std::string_view bytes);
-    void setUpstream(Instant now, const std::string &cluster, UpstreamState state, std::uint32_t slots);
+    void setUpstream(Instant now, const std::string &cluster, UpstreamState state, std::uint32_t slots,
+                     const std::string &version = {});
     void setConfiguration(std::uint64_t heldVersion, const ConfigurationVersion &head);
     // Records the platform store's era and gossips it if it rose. A lower era is ignored.
     void noteStoreEra(std::uint64_t era);
     // Adds seeds and contacts those at whose address no member is known.
     void addSeeds(Instant now, const std::vector<std::string> &addresses, bool ownZone);
     void announce(Instant now, const Notice &notice); // Broadcasts it to every node.
+    void announce(Instant now, const Bulletin &bulletin);
+    // Sends a payload of at most `maximumReportBytes` to one member; it may be lost.
+    void sendReport(const std::string &memberId, const std::string &report);
     void leave(Instant now); // Announces the departure; keep calling tick() until leaveComplete().
 
     // Queries.
@@ -131,6 +138,7 @@
     const Member &self() const { return this->own; }
     const ConfigurationVersion &head() const { return this->highestHead; }
     std::vector<Notice> notices() const { return this->noticeTable.list(this->lastTick); }
+    std::vector<Bulletin> bulletins() const { return this->bulletinTable.list(this->lastTick); }
     std::uint64_t highestStoreEra() const { return this->storeEra; }
     const MembershipCounters &counters() const { return this->counts; }
     // The gossip addresses that belong to a present member; the views point into `addresses`.
@@ -180,6 +188,7 @@
     void noteHead(const ConfigurationVersion &head);
     void mergeNotices(Instant now, const std::vector<Notice> &notices);
     void notifyNoticesChanged();
+    void mergeBulletins(Instant now, const std::vector<Bulletin> &bulletins, bool notify);
     std::uint32_t transmissionLimit() const; // Of heads, store eras and notices.
     void scheduleHeadGossip();               // At the next tick.
     void publishOwn(Instant now, bool urgent, bool fullRecord);
@@ -218,6 +227,7 @@
     void handleSyncRequest(Instant now, const std::string &from, const Datagram &datagram);
     void requestRecords(Instant now, const std::string &address, const std::vector<std::uint64_t> &wanted);
     void sendNotices(const std::string &address, bool ownZone);
+    void sendBulletins(const std::string &address, bool ownZone);
     void sendRecords(const std::string &address, bool ownZone,
                      const std::vector<const MemberRecord *> &records, std::size_t maximumDatagrams);
     std::uint64_t pickPeer(bool ownZone);
@@ -242,6 +252,7 @@
     MemberTable table;
     Dissemination changes;
     NoticeTable noticeTable;
+    BulletinTable bulletinTable;
     TokenBucket budget;          // Sent bytes.
     TokenBucket crossZoneBudget; // Sent bytes to other zones.
     TokenBucket inboundBudget;   // Received bytes; only delays syncs that can wait.
--- a/Libraries/LibMembership/MembershipSync.cpp
+++ b/Libraries/LibMembership/MembershipSync.cpp
@@ -64,7 +64,8 @@
         const bool hasHead = this->highestHead.version != 0 || this->storeEraChanged;
         const bool headPending = hasHead && this->headTransmissions < transmissionLimit;
         const bool noticePending = this->noticeTable.hasPending(transmissionLimit);
-        if (this->changes.empty() && !headPending && !noticePending)
+        const bool bulletinPending = this->bulletinTable.hasPending(transmissionLimit);
+        if (this->changes.empty() && !headPending && !noticePending && !bulletinPending)
             return;
         if (!this->hasBudget(0)) {
             ++this->counts.suppressed;
@@ -203,6 +204,7 @@
     std::shuffle(otherRecords.begin(), otherRecords.end(), this->random);
     sameZoneRecords.insert(sameZoneRecords.end(), otherRecords.begin(), otherRecords.end());
     this->sendNotices(from, this->isInOwnZone(joiner));
+    this->sendBulletins(from, this->isInOwnZone(joiner));
     // If this node's own record does not fit, the receiver requests it because of the sender's incarnation.
     this->sendRecords(from, this->isInOwnZone(joiner), sameZoneRecords, joinAnswerDatagrams);
     if (joiner->member.incarnation > datagram.senderIncarnation || !isPresent(joiner->member.state)) {
@@ -252,7 +254,9 @@
 {
     if (datagram.bucketHashes.size() != bucketCount || !this->hasBudget(syncReserve))
         return;
-    this->sendNotices(from, this->isInOwnZone(this->table.find(datagram.sender)));
+    const bool ownZone = this->isInOwnZone(this->table.find(datagram.sender));
+    this->sendNotices(from, ownZone);
+    this->sendBulletins(from, ownZone);
     std::vector<std::uint8_t> differing;
     std::vector<const MemberRecord *> missing;
     const BucketHashes &hashes = this->table.bucketHashes();
@@ -375,6 +379,24 @@
     this->transmit(address, datagram, ownZone);
 }
 
+void Membership::sendBulletins(const std::string &address, bool ownZone)
+{
+    constexpr std::size_t headerBytes = 200;
+    std::vector<Bulletin> current = this->bulletins();
+    if (current.empty() || !this->hasBudget(syncReserve, ownZone))
+        return;
+    std::shuffle(current.begin(), current.end(), this->random);
+    Datagram datagram = this->makeDatagram(DatagramKind::Gossip);
+    std::size_t used = headerBytes;
+    for (Bulletin &bulletin : current) {
+        used += encodedSize(bulletin);
+        if (used > maximumDatagramBytes)
+            break;
+        datagram.bulletins.push_back(std::move(bulletin));
+    }
+    this->transmit(address, datagram, ownZone);
+}
+
 void Membership::sendRecords(const std::string &address, bool ownZone,
                              const std::vector<const MemberRecord *> &records, std::size_t maximumDatagrams)
 {
--- a/Tests/LibMembership/FakeNetwork.h
+++ b/Tests/LibMembership/FakeNetwork.h
@@ -20,7 +20,8 @@
     std::string region;
     bool running = true;
     bool paused = false;
-    std::size_t memberChanges = 0; // Calls of its memberChanged hook.
+    std::size_t memberChanges = 0;    // Calls of its memberChanged hook.
+    std::vector<std::string> reports; // Received.
 };
 
 class FakeNetwork
@@ -73,6 +74,9 @@
             this->send(index, to, bytes);
         };
         hooks.memberChanged = [this, index](const Member &) { ++this->nodes[index].memberChanges; };
+        hooks.reportReceived = [this, index](const std::string &, const std::string &report) {
+            this->nodes[index].reports.push_back(report);
+        };
         this->nodes[index].membership =
             std::make_unique<Membership>(this->settings, self, std::move(hooks), this->random());
         this->nodes[index].running = true;
