--- a/Libraries/LibObserve/Events.h
+++ b/Libraries/LibObserve/Events.h
@@ -19,7 +19,7 @@
 }};
 
 // 1000: a process's life. 2000: configuration. 3000: membership. 4000: requests. 5000: the platform.
-// 6000: the upstream beside the node. 7000: the operator's commands. 9000: emulators.
+// 6000: the upstream beside the node. 7000: the operator's commands. 8000: roll-outs. 9000: emulators.
 enum class EventId : std::uint16_t {
     ProcessStarted = 1001,
     ProcessReady = 1002,
@@ -83,6 +83,14 @@
     PublishUncertain = 7003,
     ConfigurationInvalid = 7004,
 
+    RolloutOrdered = 8001,
+    RolloutOrderRefused = 8002,
+    RolloutStageChanged = 8003,
+    RolloutDecided = 8004,
+    RolloutRecorded = 8005,
+    RolloutUnrecorded = 8006,
+    RolloutMessageRefused = 8007,
+
     EmulatorFaultsSet = 9001,
 };
 
@@ -207,6 +215,21 @@
     {EventId::ConfigurationInvalid, "configuration.invalid", LogLevel::Error,
      "A base file or overlay does not check; nothing was published."},
 
+    {EventId::RolloutOrdered, "rollout.ordered", LogLevel::Info,
+     "This node read an order to roll out a version of a service."},
+    {EventId::RolloutOrderRefused, "rollout.order_refused", LogLevel::Warning,
+     "An order could not be read; the service stays with its established version."},
+    {EventId::RolloutStageChanged, "rollout.stage_changed", LogLevel::Info,
+     "A roll-out is at this stage for this node, by its own decision or by that of another."},
+    {EventId::RolloutDecided, "rollout.decided", LogLevel::Info,
+     "This node decided how a roll-out goes on: the reason, and the figures that it was based on."},
+    {EventId::RolloutRecorded, "rollout.recorded", LogLevel::Info,
+     "The platform keeps the state of a roll-out."},
+    {EventId::RolloutUnrecorded, "rollout.unrecorded", LogLevel::Warning,
+     "The state of a roll-out could not be written; it is tried again."},
+    {EventId::RolloutMessageRefused, "rollout.message_refused", LogLevel::Warning,
+     "A peer's message about a roll-out could not be read."},
+
     {EventId::EmulatorFaultsSet, "emulator.faults_set", LogLevel::Info,
      "An emulator's faults were changed by command."},
 };
--- a/Libraries/LibRollout/RolloutPlan.cpp
+++ b/Libraries/LibRollout/RolloutPlan.cpp
@@ -34,10 +34,11 @@
 // The target must offer nearly the slots of the established version before it takes all calls.
 constexpr double requiredCapacity = 0.8;
 
-// The move needs time to spread, for the longest call to end, and to be recorded.
+// The move needs time to reach all nodes, for the longest call to end, and for the end of the calls to reach
+// the judge.
 Duration moveTime(const RolloutRecord &record, const RolloutAssessment &assessment)
 {
-    const Duration needed = 2 * spreadTime + assessment.longestRun;
+    const Duration needed = 3 * spreadTime + assessment.longestRun;
     return std::min(needed, record.order.duration / 2);
 }
 
--- a/Services/Node/Callers/ForwardedCall.cpp
+++ b/Services/Node/Callers/ForwardedCall.cpp
@@ -148,22 +148,33 @@
     if (service == nullptr)
         return false;
     this->service = service->state;
+    const Instant now = SteadyClock::now();
+    const std::lock_guard guard(this->service->mutex);
+    const bool first = this->attempts.empty();
+    if (first)
+        this->service->retries.recordFirstAttempt(now, this->request.kind);
+    // A call that failed at a version on trial is sent to the established one.
+    if (first && !service->onTrial.upstreams.empty() && this->service->trialBudget.tryAcquire()
+        && this->chooseFrom(service->onTrial, target, now)) {
+        target.lateAccepted = this->isLate(now) || service->serving.upstreams.empty();
+        return true;
+    }
+    return this->chooseFrom(service->serving, target, now);
+}
 
+// Called with the service locked.
+bool ForwardedCall::chooseFrom(const UpstreamGroup &group, Target &target, Instant now)
+{
     // The view may have changed since the last attempt, so tried candidates are looked up by id.
     std::vector<std::size_t> tried;
-    for (std::size_t index = 0; index < service->candidates.size() && !this->triedUpstreamIds.empty();
-         ++index) {
-        if (std::ranges::find(this->triedUpstreamIds, service->candidates[index].id)
+    for (std::size_t index = 0; index < group.candidates.size() && !this->triedUpstreamIds.empty(); ++index) {
+        if (std::ranges::find(this->triedUpstreamIds, group.candidates[index].id)
             != this->triedUpstreamIds.end())
             tried.push_back(index);
     }
-    const Instant now = SteadyClock::now();
-    const std::lock_guard guard(this->service->mutex);
-    if (this->attempts.empty())
-        this->service->retries.recordFirstAttempt(now, this->request.kind);
     LoadBalancer &loadBalancer = this->service->loadBalancer;
     const auto place = [&] {
-        return loadBalancer.pick(now, service->upstreams, this->plan.callClass, tried, this->request.kind,
+        return loadBalancer.pick(now, group.upstreams, this->plan.callClass, tried, this->request.kind,
                                  this->request.body.size());
     };
     const auto index = place();
@@ -172,9 +183,9 @@
     tried.push_back(*index);
     // A call that is already late cannot meet its target at any gate.
     target.lateAccepted = this->isLate(now) || !place().has_value();
-    this->service->loadBalancer.recordStart(service->upstreams[*index].id, now);
-    target.candidate = service->candidates[*index];
-    target.sameHost = service->upstreams[*index].sameHost;
+    loadBalancer.recordStart(group.upstreams[*index].id, now);
+    target.candidate = group.candidates[*index];
+    target.sameHost = group.upstreams[*index].sameHost;
     return true;
 }
 
@@ -262,6 +273,8 @@
                                                        toReportedLoad(response), this->request.kind);
     if (response.outcome == Outcome::Done && this->plan.hedged)
         this->service->hedge.observe(took);
+    if (response.reachedUpstream)
+        this->service->trialBudget.recordArrival(this->service->trialShare);
 }
 
 // Unlimited retries of failed or refused calls would double the load on the remaining upstreams, and retrying
--- a/Services/Node/Callers/ForwardedCall.h
+++ b/Services/Node/Callers/ForwardedCall.h
@@ -108,6 +108,7 @@
     bool retryAfterRefusal();
     bool retryAcceptingLateResponse();
     bool chooseTarget(Target &target);
+    bool chooseFrom(const UpstreamGroup &group, Target &target, Instant now);
     void send(std::size_t index);
     void handleAttemptResponse(std::size_t index, CallResponse response);
     void reportToLoadBalancer(const Attempt &attempt, const CallResponse &response, Instant now);
--- a/Services/Node/Callers/ServiceState.h
+++ b/Services/Node/Callers/ServiceState.h
@@ -4,6 +4,7 @@
 
 #include <LibDecide/LoadBalancer.h>
 #include <LibDecide/Retry.h>
+#include <LibRollout/ExposureBudget.h>
 
 #include <mutex>
 #include <string>
@@ -24,6 +25,8 @@
     LoadBalancer loadBalancer;
     RetryBudget retries;
     HedgeDelay hedge;
+    ExposureBudget trialBudget; // Of a version that is rolled out.
+    double trialShare = 0;      // The part of the calls that it may get; 0 without one.
 };
 
 } // namespace Sagecrank
--- a/Services/Node/Callers/UpstreamView.cpp
+++ b/Services/Node/Callers/UpstreamView.cpp
@@ -53,29 +53,44 @@
     }
 }
 
-std::unique_ptr<const UpstreamView> UpstreamViewBuilder::build(const std::vector<Member> &members)
+ServiceView &UpstreamViewBuilder::obtainService(UpstreamView &view, const std::string &cluster)
+{
+    std::unique_ptr<ServiceView> &service = view.services[cluster];
+    if (!service) {
+        std::shared_ptr<ServiceState> &state = this->states[cluster];
+        if (!state)
+            state = this->makeState();
+        service = std::make_unique<ServiceView>();
+        service->state = state;
+    }
+    return *service;
+}
+
+std::unique_ptr<const UpstreamView> UpstreamViewBuilder::build(const std::vector<Member> &members,
+                                                               const VersionTraffic &traffic)
 {
     auto view = std::make_unique<UpstreamView>();
     for (const Member &member : members) {
         const UpstreamCondition condition = conditionOfMember(member);
         if (member.cluster.empty() || !isAvailable(condition))
             continue;
-        std::unique_ptr<ServiceView> &service = view->services[member.cluster];
-        if (!service) {
-            std::shared_ptr<ServiceState> &state = this->states[member.cluster];
-            if (!state)
-                state = this->makeState();
-            service = std::make_unique<ServiceView>();
-            service->state = state;
-        }
-        service->candidates.push_back({member.id, member.peerAddress});
-        service->upstreams.push_back(
+        const UpstreamTraffic use = traffic.trafficFor ? traffic.trafficFor(member) : UpstreamTraffic::Full;
+        if (use == UpstreamTraffic::None)
+            continue;
+        ServiceView &service = this->obtainService(*view, member.cluster);
+        UpstreamGroup &group = use == UpstreamTraffic::Full ? service.serving : service.onTrial;
+        group.candidates.push_back({member.id, member.peerAddress});
+        group.upstreams.push_back(
             {{}, member.zone == this->ownZone, member.id == this->ownId, condition, member.slots});
     }
-    // The candidate vectors no longer change, so views into their ids stay valid.
     for (const auto &[cluster, service] : view->services) {
-        for (std::size_t index = 0; index < service->candidates.size(); ++index)
-            service->upstreams[index].id = service->candidates[index].id;
+        // The candidate vectors no longer change, so views into their ids stay valid.
+        for (UpstreamGroup *group : {&service->serving, &service->onTrial}) {
+            for (std::size_t index = 0; index < group->candidates.size(); ++index)
+                group->upstreams[index].id = group->candidates[index].id;
+        }
+        const std::lock_guard guard(service->state->mutex);
+        service->state->trialShare = traffic.trialShare ? traffic.trialShare(cluster) : 0;
     }
     return view;
 }
--- a/Services/Node/Callers/UpstreamView.h
+++ b/Services/Node/Callers/UpstreamView.h
@@ -14,19 +14,40 @@
 
 namespace Sagecrank {
 
+// How calls may use an upstream.
+enum class UpstreamTraffic : std::uint8_t {
+    None,
+    Trial, // Only the share of calls that a version on trial gets.
+    Full,
+};
+
 struct Candidate
 {
     std::string id;
     std::string peerAddress;
 };
 
-struct ServiceView
+// Upstreams among which a call is placed.
+struct UpstreamGroup
 {
-    std::shared_ptr<ServiceState> state;
     std::vector<Candidate> candidates;
     std::vector<UpstreamCandidate> upstreams; // Parallel to `candidates`; their ids are views into it.
 };
 
+struct ServiceView
+{
+    std::shared_ptr<ServiceState> state;
+    UpstreamGroup serving;
+    UpstreamGroup onTrial; // Of a version that is rolled out; they get only a share of the calls.
+};
+
+// How calls may use the upstreams of a service, by their versions.
+struct VersionTraffic
+{
+    std::function<UpstreamTraffic(const Member &)> trafficFor;
+    std::function<double(const std::string &cluster)> trialShare;
+};
+
 class UpstreamView
 {
 public:
@@ -45,7 +66,9 @@
     UpstreamViewBuilder(std::string ownId, std::string ownZone,
                         std::function<std::shared_ptr<ServiceState>()> makeState);
 
-    std::unique_ptr<const UpstreamView> build(const std::vector<Member> &members);
+    // Without `traffic`, every available upstream serves.
+    std::unique_ptr<const UpstreamView> build(const std::vector<Member> &members,
+                                              const VersionTraffic &traffic = {});
 
     // Sets this node's part of the retry reserve that the nodes share, for each service.
     void setRetryReserve(double reserve);
@@ -54,6 +77,8 @@
     void forgetUnused(Instant before);
 
 private:
+    ServiceView &obtainService(UpstreamView &view, const std::string &cluster);
+
     std::string ownId;
     std::string ownZone;
     std::function<std::shared_ptr<ServiceState>()> makeState;
--- a/Services/Node/Control/ControlPlane.cpp
+++ b/Services/Node/Control/ControlPlane.cpp
@@ -104,13 +104,24 @@
         this->statusTimer.cancel();
     }
 
-    void announceUpstream(const std::string &cluster, UpstreamState state, std::uint32_t slots)
+    void announceUpstream(const std::string &cluster, UpstreamState state, std::uint32_t slots,
+                          const std::string &version)
     {
-        this->gossip.membership().setUpstream(SteadyClock::now(), cluster, state, slots);
+        this->gossip.membership().setUpstream(SteadyClock::now(), cluster, state, slots, version);
     }
 
     void announce(const Notice &notice) { this->gossip.membership().announce(SteadyClock::now(), notice); }
 
+    void announce(const Bulletin &bulletin)
+    {
+        this->gossip.membership().announce(SteadyClock::now(), bulletin);
+    }
+
+    void sendReport(const std::string &memberId, const std::string &report)
+    {
+        this->gossip.membership().sendReport(memberId, report);
+    }
+
     void announceStoreEra(std::uint64_t era) { this->gossip.membership().noteStoreEra(era); }
 
     void storeRestored() { this->introducers.rewriteRow(); }
@@ -140,6 +151,8 @@
             this->scheduleViewUpdate();
         };
         made.noticesChanged = this->hooks.noticesChanged;
+        made.bulletinReceived = this->hooks.bulletinReceived;
+        made.reportReceived = this->hooks.reportReceived;
         made.headAdvanced = [this](const ConfigurationVersion &version) {
             this->follower.versionAnnounced(version);
         };
@@ -370,10 +383,11 @@
     return this->impl->start();
 }
 
-void ControlPlane::announceUpstream(const std::string &cluster, UpstreamState state, std::uint32_t slots)
+void ControlPlane::announceUpstream(const std::string &cluster, UpstreamState state, std::uint32_t slots,
+                                    const std::string &version)
 {
-    boost::asio::post(this->impl->context, [impl = this->impl.get(), cluster, state, slots] {
-        impl->announceUpstream(cluster, state, slots);
+    boost::asio::post(this->impl->context, [impl = this->impl.get(), cluster, state, slots, version] {
+        impl->announceUpstream(cluster, state, slots, version);
     });
 }
 
@@ -382,6 +396,17 @@
     boost::asio::post(this->impl->context, [impl = this->impl.get(), notice] { impl->announce(notice); });
 }
 
+void ControlPlane::announce(const Bulletin &bulletin)
+{
+    boost::asio::post(this->impl->context, [impl = this->impl.get(), bulletin] { impl->announce(bulletin); });
+}
+
+void ControlPlane::sendReport(const std::string &memberId, const std::string &report)
+{
+    boost::asio::post(this->impl->context,
+                      [impl = this->impl.get(), memberId, report] { impl->sendReport(memberId, report); });
+}
+
 void ControlPlane::announceStoreEra(std::uint64_t era)
 {
     this->impl->announceStoreEra(era);
--- a/Services/Node/Control/ControlPlane.h
+++ b/Services/Node/Control/ControlPlane.h
@@ -58,6 +58,8 @@
     std::function<void(const std::vector<Notice> &)> noticesChanged;
     // A peer announced this era of the platform's store; see StoreEra.
     std::function<void(std::uint64_t era)> storeEraReceived;
+    std::function<void(const Bulletin &)> bulletinReceived;
+    std::function<void(const std::string &sender, const std::string &report)> reportReceived;
     // A row names an introducer whose address belongs to no known member, although other members are known.
     std::function<void(const std::string &gossipAddress)> introducerUnknown;
 };
@@ -108,8 +110,11 @@
 
     // Fails when a port cannot be opened. Called before the context runs, or on its thread.
     Result<void> start();
-    void announceUpstream(const std::string &cluster, UpstreamState state, std::uint32_t slots);
+    void announceUpstream(const std::string &cluster, UpstreamState state, std::uint32_t slots,
+                          const std::string &version = {});
     void announce(const Notice &notice); // Sent to all nodes.
+    void announce(const Bulletin &bulletin);
+    void sendReport(const std::string &memberId, const std::string &report); // To one node; may be lost.
     // On the control thread. Announces the highest store era that this node knows to its peers.
     void announceStoreEra(std::uint64_t era);
     void storeRestored(); // On the control thread. The table was restored from an older copy.
--- a/Services/Node/Gate/LocalGate.cpp
+++ b/Services/Node/Gate/LocalGate.cpp
@@ -35,13 +35,15 @@
 } // namespace
 
 LocalGate::LocalGate(std::string nodeId, AdmissionHooks admission, CallHeaders headerNames, ClaimHooks claims,
-                     QuarantineHooks quarantine, HistoryRecorder &history, RequestObserver &observer)
+                     QuarantineHooks quarantine, HistoryRecorder &history, RequestObserver &observer,
+                     OutcomeHook outcomeHook)
     : nodeId(std::move(nodeId))
     , headerNames(std::move(headerNames))
     , claims(std::move(claims))
     , quarantine(std::move(quarantine))
     , history(history)
     , observer(observer)
+    , outcomeHook(std::move(outcomeHook))
     , admission(std::move(admission))
 {
 }
--- a/Services/Node/Gate/LocalGate.h
+++ b/Services/Node/Gate/LocalGate.h
@@ -36,6 +36,14 @@
 
 class GateCall;
 
+// How a call ended that ran at the upstream.
+struct UpstreamOutcome
+{
+    std::uint64_t kind = 0; // Hash of its route.
+    bool failed = false;    // An error answer, an invalid one, or none.
+    Duration runTime{};
+};
+
 // Retry delay if it is not known when the upstream will be available.
 inline constexpr Duration unreachableRetryAfter = std::chrono::seconds(1);
 
@@ -43,11 +51,13 @@
 {
 public:
     using AnswerHook = std::function<void(CallResponse)>;
+    using OutcomeHook = std::function<void(const UpstreamOutcome &)>; // May be empty.
 
     // The observer outlives the gate.
 
     LocalGate(std::string nodeId, AdmissionHooks admission, CallHeaders headerNames, ClaimHooks claims,
-              QuarantineHooks quarantine, HistoryRecorder &history, RequestObserver &observer);
+              QuarantineHooks quarantine, HistoryRecorder &history, RequestObserver &observer,
+              OutcomeHook outcomeHook = {});
 
     // Called on the request thread, where `answer` is called as well, exactly once.
     std::shared_ptr<GateCall> submit(RequestThread thread, CallRequest request, AnswerHook answer);
@@ -95,6 +105,7 @@
     void start(const std::shared_ptr<GateCall> &call);
     void upstreamAnswered(const std::shared_ptr<GateCall> &call, HttpResponse response);
     void upstreamFailed(const std::shared_ptr<GateCall> &call, const HttpFailure &failure);
+    void recordOutcome(const GateCall &call, bool failed) const;
     void recordAnswer(const GateCall &call);
     void recordFailure(const GateCall &call, const HttpFailure &failure);
     void handleUpstreamExit();
@@ -117,6 +128,7 @@
     const QuarantineHooks quarantine;
     HistoryRecorder &history;
     RequestObserver &observer;
+    const OutcomeHook outcomeHook;
 
     mutable std::mutex mutex; // Guards the members below; never held during I/O.
     const AdmissionHooks admission;
--- a/Services/Node/Gate/LocalGateUpstream.cpp
+++ b/Services/Node/Gate/LocalGateUpstream.cpp
@@ -112,7 +112,9 @@
 {
     if (this->provesNotRun(response))
         return this->handleProvenNotRun(call, response);
-    if (!this->isValidAnswer(response)) {
+    const bool valid = this->isValidAnswer(response);
+    this->recordOutcome(*call, !valid || response.status >= 500);
+    if (!valid) {
         this->freeSlot(call, CallOutcome::Failed);
         if (call->claimed)
             this->claims.leaveUnknown(call->claimKey, call->request.attemptId);
@@ -148,6 +150,8 @@
 void LocalGate::upstreamFailed(const std::shared_ptr<GateCall> &call, const HttpFailure &failure)
 {
     this->recordFailure(*call, failure);
+    if (failure.mayHaveBeenSent && !call->cancelled)
+        this->recordOutcome(*call, true);
     this->freeSlot(call, call->cancelled ? CallOutcome::Cancelled : CallOutcome::Failed);
     if (!failure.mayHaveBeenSent) {
         call->sent = false;
@@ -160,6 +164,12 @@
                         deadlinePassed ? statusGatewayTimeout : statusBadGateway, unreachableRetryAfter);
 }
 
+void LocalGate::recordOutcome(const GateCall &call, bool failed) const
+{
+    if (this->outcomeHook)
+        this->outcomeHook({call.request.kind, failed, SteadyClock::now() - call.startedAt});
+}
+
 void LocalGate::recordAnswer(const GateCall &call)
 {
     {
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -98,10 +98,13 @@
                                                             makeRandom());
                   })
     , adapter(makeAdapter(this->control, this->settings))
+    , rollouts({this->settings.id, this->settings.rollout.exposureShare}, this->adapter.rollouts,
+               this->rolloutHooks(), this->log)
     , claims(this->control, this->adapter.table)
     , quarantine(this->quarantineHooks())
     , gate(this->settings.id, makeAdmission(this->settings), this->adapter.headers, this->claims.hooks(),
-           this->quarantine.requestHooks(), this->history, this->observer)
+           this->quarantine.requestHooks(), this->history, this->observer,
+           [this](const UpstreamOutcome &outcome) { this->rollouts.recordOutcome(outcome); })
     , bodies(bodyGrantSettings(this->settings))
     , presence(this->presenceHooks(), this->settings.platform.announcementLifetime)
     , record(this->control, this->adapter.table, this->settings.id, this->recordHooks())
@@ -149,6 +152,7 @@
     for (const auto &worker : this->workers)
         TRY_VOID(worker->listen());
     this->watchStoreEra();
+    this->rollouts.start();
     TRY_VOID(this->plane.start());
     for (const auto &worker : this->workers)
         worker->start();
@@ -236,6 +240,12 @@
     hooks.sourceRecovered = [this](const SourceRecovery &recovery) {
         this->nodeLog.sourceRecovered(recovery);
     };
+    hooks.bulletinReceived = [this](const Bulletin &bulletin) {
+        this->rollouts.bulletinReceived(SteadyClock::now(), bulletin);
+    };
+    hooks.reportReceived = [this](const std::string &sender, const std::string &report) {
+        this->rollouts.reportReceived(SteadyClock::now(), sender, report);
+    };
     hooks.noticesChanged = [this](const std::vector<Notice> &notices) {
         this->quarantine.update(SteadyClock::now(), notices);
         for (const Notice &notice : notices) {
@@ -290,12 +300,37 @@
 
 void Node::membersChanged(const std::vector<Member> &members)
 {
-    this->view.replace(this->viewBuilder.build(members));
+    this->members = members;
+    this->rollouts.membersChanged(members);
+    this->rebuildView();
     if (this->settings.requests.sharedRetryReserve > 0)
         this->viewBuilder.setRetryReserve(
             retryBudgetShare(this->settings.requests.sharedRetryReserve, members));
 }
 
+void Node::rebuildView()
+{
+    VersionTraffic traffic;
+    traffic.trafficFor = [this](const Member &member) { return this->rollouts.trafficFor(member); };
+    traffic.trialShare = [this](const std::string &cluster) { return this->rollouts.trialShare(cluster); };
+    this->view.replace(this->viewBuilder.build(this->members, traffic));
+}
+
+RolloutHooks Node::rolloutHooks()
+{
+    RolloutHooks hooks;
+    hooks.now = [] { return SteadyClock::now(); };
+    hooks.announce = [this](const Bulletin &bulletin) { this->plane.announce(bulletin); };
+    hooks.sendReport = [this](const std::string &memberId, const std::string &report) {
+        this->plane.sendReport(memberId, report);
+    };
+    hooks.versionsChanged = [this] { this->rebuildView(); };
+    hooks.useUpstream = [this](UpstreamUse use) { this->presence.setUse(use); };
+    hooks.upstream = [this] { return this->gate.announcement(); };
+    hooks.upstreamIdle = [this] { return this->gate.inFlight() == 0; };
+    return hooks;
+}
+
 CallerFrontendHooks Node::callerHooks()
 {
     CallerFrontendHooks hooks;
@@ -386,9 +421,9 @@
     UpstreamPresenceHooks hooks;
     hooks.announcementExpired = [this](const std::string &cluster) { this->nodeLog.upstreamSilent(cluster); };
     hooks.gate = [this](const UpstreamAnnouncement &announcement) { this->gate.announce(announcement); };
-    hooks.membership = [this](const std::string &cluster, UpstreamState state, std::uint32_t slots) {
-        this->nodeLog.upstreamChanged(cluster, state, slots);
-        this->plane.announceUpstream(cluster, state, slots);
+    hooks.membership = [this](const UpstreamAnnouncement &upstream, UpstreamState state) {
+        this->nodeLog.upstreamChanged(upstream, state);
+        this->plane.announceUpstream(upstream.cluster, state, upstream.slots, upstream.version);
         this->limitQueue();
     };
     hooks.leaving = [this](const Departure &departure) { this->record.recordDeparture(departure); };
@@ -486,6 +521,7 @@
     const Instant now = SteadyClock::now();
     this->presence.advance(now);
     this->drain.advance(now);
+    this->rollouts.advance(now);
     this->forgetUnused(now);
     // Wakes up in time for the next step of a drain: if each step came up to an interval late, the final
     // responses would be sent when the process is being killed.
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -14,6 +14,7 @@
 #include <Node/Control/ControlPlane.h>
 #include <Node/Gate/ClaimService.h>
 #include <Node/Gate/RequestQuarantine.h>
+#include <Node/Rollout/RolloutControl.h>
 #include <Node/Upstream/UpstreamPresence.h>
 #include <Node/Upstream/UpstreamRecord.h>
 
@@ -64,7 +65,9 @@
                                     std::string_view path) const;
     HttpLimits callerLimits() const;
     bool ready() const;
+    RolloutHooks rolloutHooks();
     void membersChanged(const std::vector<Member> &members);
+    void rebuildView();
     void watchSignals();
     void tick();
     void limitQueue();
@@ -85,7 +88,9 @@
     ConfigurationHolder configuration;
     RcuPointer<UpstreamView> view;
     UpstreamViewBuilder viewBuilder; // Only used on the control thread.
+    std::vector<Member> members;     // The same.
     NodeAdapter adapter;
+    RolloutControl rollouts;
     ClaimService claims;
     RequestQuarantine quarantine;
     LocalGate gate;
--- a/Services/Node/NodeAdapter.h
+++ b/Services/Node/NodeAdapter.h
@@ -7,6 +7,7 @@
 #include <Node/Admin/AdminFrontend.h>
 
 #include <LibPlatform/PlatformClient.h>
+#include <LibRollout/RolloutPort.h>
 #include <LibSource/StoreEra.h>
 #include <LibSource/VersionSource.h>
 
@@ -22,6 +23,7 @@
     CallHeaders headers;
     TablePort table;
     VersionSource versions;
+    RolloutPort rollouts; // Without functions: there are no orders.
     std::function<PlatformCounters()> counters;
     std::shared_ptr<StoreEra> era; // Null if the store of the platform is never restored from an older copy.
     // Handles requests on the announcement and probe ports. Needed only if these ports are configured.
--- a/Services/Node/NodeLog.cpp
+++ b/Services/Node/NodeLog.cpp
@@ -153,9 +153,11 @@
     this->log.write(EventId::UpstreamSilent, {{"cluster", cluster}});
 }
 
-void NodeLog::upstreamChanged(const std::string &cluster, UpstreamState state, std::uint32_t slots)
+void NodeLog::upstreamChanged(const UpstreamAnnouncement &upstream, UpstreamState state)
 {
-    this->log.write(eventOf(state), {{"cluster", cluster}, {"slots", slots}});
+    this->log.write(
+        eventOf(state),
+        {{"cluster", upstream.cluster}, {"slots", upstream.slots}, {"version", upstream.version}});
 }
 
 void NodeLog::requestQuarantined(RequestFingerprint request)
--- a/Services/Node/NodeLog.h
+++ b/Services/Node/NodeLog.h
@@ -37,7 +37,7 @@
     void departurePersisted(const Departure &departure);
     void upstreamRecordFailed(const Error &error);
     void upstreamSilent(const std::string &cluster);
-    void upstreamChanged(const std::string &cluster, UpstreamState state, std::uint32_t slots);
+    void upstreamChanged(const UpstreamAnnouncement &upstream, UpstreamState state);
     void requestQuarantined(RequestFingerprint request);
     void requestReleased(RequestFingerprint request);
 
--- a/Services/Node/NodeSettings.cpp
+++ b/Services/Node/NodeSettings.cpp
@@ -203,6 +203,9 @@
         this->readPlatform(settings.platform);
         this->readRequests(settings.requests);
         this->readDrain(settings.drain);
+        this->section("rollout", [&](SettingsTable &table) {
+            table.readShare("exposure_share", settings.rollout.exposureShare);
+        });
         this->section("gossip", [&](SettingsTable &table) { table.readAddresses("seeds", settings.seeds); });
         this->section("history", [&](SettingsTable &table) { table.readFlag("enabled", settings.history); });
         this->section(
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -112,6 +112,13 @@
         bool operator==(const Drain &) const = default;
     } drain;
 
+    struct Rollout
+    {
+        double exposureShare = 0.1; // Of a service's calls, that a version on trial may get at most.
+
+        bool operator==(const Rollout &) const = default;
+    } rollout;
+
     bool history = false;
     std::string logLevel = "info";
 
--- a/Services/Node/Upstream/UpstreamAnnouncement.h
+++ b/Services/Node/Upstream/UpstreamAnnouncement.h
@@ -20,6 +20,7 @@
     std::string instance{};
     std::uint64_t startedAt = 0; // Of the instance, in Unix milliseconds by its own clock; 0 if unknown.
     std::uint64_t sequence = 0;  // Increases with each announcement of one instance; 0 if unknown.
+    std::string version{};       // Of its software; empty if it states none.
 };
 
 } // namespace Sagecrank
--- a/Services/Node/Upstream/UpstreamPresence.cpp
+++ b/Services/Node/Upstream/UpstreamPresence.cpp
@@ -46,13 +46,13 @@
 // one instance the higher sequence number; an instance that announced that it is gone does not return.
 bool UpstreamPresence::isStale(const UpstreamAnnouncement &announcement) const
 {
-    if (this->lastState == UpstreamState::None || announcement.instance.empty())
+    if (this->announcedState == UpstreamState::None || announcement.instance.empty())
         return false;
     if (announcement.startedAt != this->last.startedAt)
         return announcement.startedAt < this->last.startedAt;
     if (announcement.instance != this->last.instance)
         return false;
-    if (this->lastState == UpstreamState::Gone && this->announcedGone)
+    if (this->announcedState == UpstreamState::Gone && this->announcedGone)
         return true;
     return announcement.sequence < this->last.sequence;
 }
@@ -89,12 +89,12 @@
         this->hooks.leaving(departureOf(announcement));
     this->announcedGone = state == UpstreamState::Gone;
     this->renewedAt = now;
-    this->publish(announcement, this->draining && takesCalls(state) ? UpstreamState::Draining : state);
+    this->publish(announcement, state);
 }
 
 bool UpstreamPresence::holdBack(const UpstreamAnnouncement &announcement, UpstreamState state)
 {
-    if (!this->awaitsPersistedState || !takesCalls(state) || this->lastState != UpstreamState::None
+    if (!this->awaitsPersistedState || !takesCalls(state) || this->announcedState != UpstreamState::None
         || announcement.instance.empty())
         return false;
     if (this->held && departureOf(this->held->announcement) == departureOf(announcement)
@@ -121,9 +121,9 @@
     std::optional<HeldAnnouncement> restored = std::exchange(this->held, std::nullopt);
     if (upstream.serving && (!restored || restored->announcement.startedAt < upstream.serving->startedAt))
         restored = HeldAnnouncement{*upstream.serving, UpstreamState::Ready};
-    if (takesCalls(this->lastState) && this->hasDeparted(now, this->last))
+    if (takesCalls(this->announcedState) && this->hasDeparted(now, this->last))
         this->publish(this->last, UpstreamState::Draining);
-    else if (restored && this->lastState == UpstreamState::None
+    else if (restored && this->announcedState == UpstreamState::None
              && !this->hasDeparted(now, restored->announcement))
         this->apply(now, restored->announcement, restored->state);
 }
@@ -131,9 +131,10 @@
 AnnouncementResult UpstreamPresence::left(Instant now, const std::string &instance)
 {
     const std::lock_guard guard(this->mutex);
-    if (this->lastState == UpstreamState::None && this->held && this->held->announcement.instance == instance)
+    if (this->announcedState == UpstreamState::None && this->held
+        && this->held->announcement.instance == instance)
         this->last = this->held->announcement;
-    else if (this->lastState == UpstreamState::None)
+    else if (this->announcedState == UpstreamState::None)
         return this->unknownInstanceLeft(now, instance);
     else if (instance != this->last.instance)
         return AnnouncementResult::Stale;
@@ -156,7 +157,8 @@
 void UpstreamPresence::advance(Instant now)
 {
     const std::lock_guard guard(this->mutex);
-    const bool present = this->lastState != UpstreamState::None && this->lastState != UpstreamState::Gone;
+    const bool present =
+        this->announcedState != UpstreamState::None && this->announcedState != UpstreamState::Gone;
     if (!present || now - this->renewedAt <= this->lifetime)
         return;
     this->hooks.announcementExpired(this->last.cluster);
@@ -167,8 +169,25 @@
 {
     const std::lock_guard guard(this->mutex);
     this->draining = true;
-    if (takesCalls(this->lastState))
-        this->publish(this->last, UpstreamState::Draining);
+    if (takesCalls(this->announcedState))
+        this->publish(this->last, this->announcedState);
+}
+
+void UpstreamPresence::setUse(UpstreamUse use)
+{
+    const std::lock_guard guard(this->mutex);
+    this->use = use;
+    if (takesCalls(this->announcedState))
+        this->publish(this->last, this->announcedState);
+}
+
+UpstreamState UpstreamPresence::effectiveState(UpstreamState announced) const
+{
+    if (!takesCalls(announced))
+        return announced;
+    if (this->use == UpstreamUse::Finished)
+        return UpstreamState::Gone;
+    return this->draining || this->use == UpstreamUse::Finishing ? UpstreamState::Draining : announced;
 }
 
 UpstreamState UpstreamPresence::state() const
@@ -180,21 +199,25 @@
 bool UpstreamPresence::isLeaving() const
 {
     const std::lock_guard guard(this->mutex);
-    const bool unknownDeparted = this->lastState == UpstreamState::None && this->departedUnknown;
-    return unknownDeparted || this->lastState == UpstreamState::Draining
-           || this->lastState == UpstreamState::Gone;
+    const bool unknownDeparted = this->announcedState == UpstreamState::None && this->departedUnknown;
+    const bool drained = this->draining && takesCalls(this->announcedState);
+    return unknownDeparted || drained || this->announcedState == UpstreamState::Draining
+           || this->announcedState == UpstreamState::Gone;
 }
 
-void UpstreamPresence::publish(const UpstreamAnnouncement &announcement, UpstreamState state)
+void UpstreamPresence::publish(const UpstreamAnnouncement &announcement, UpstreamState announced)
 {
+    const UpstreamState state = this->effectiveState(announced);
     const bool changed = state != this->lastState || announcement.cluster != this->last.cluster
+                         || announcement.version != this->last.version
                          || announcement.slots != this->last.slots;
     this->last = announcement;
     this->last.condition = conditionOf(state);
+    this->announcedState = announced;
     this->lastState = state;
     this->hooks.gate(this->last);
     if (changed)
-        this->hooks.membership(this->last.cluster, state, this->last.slots);
+        this->hooks.membership(this->last, state);
 }
 
 } // namespace Sagecrank
--- a/Services/Node/Upstream/UpstreamPresence.h
+++ b/Services/Node/Upstream/UpstreamPresence.h
@@ -27,6 +27,13 @@
 // The condition of an upstream, as its callers see it, in the announced state.
 UpstreamCondition conditionOf(UpstreamState state);
 
+// How far the upstream is used during the roll-out of another version.
+enum class UpstreamUse : std::uint8_t {
+    Serving,
+    Finishing, // Gets no new calls.
+    Finished,  // Gets no new calls and runs none.
+};
+
 enum class AnnouncementResult : std::uint8_t {
     Accepted,
     Stale, // From an earlier instance, or older than an announcement already accepted.
@@ -55,9 +62,8 @@
 {
     // The upstream stopped announcing itself.
     std::function<void(const std::string &cluster)> announcementExpired;
-    std::function<void(const UpstreamAnnouncement &)> gate; // On every announcement.
-    std::function<void(const std::string &cluster, UpstreamState state, std::uint32_t slots)>
-        membership; // Only on changes.
+    std::function<void(const UpstreamAnnouncement &)> gate;                      // On every announcement.
+    std::function<void(const UpstreamAnnouncement &, UpstreamState)> membership; // Only on changes.
     // On every announcement of an instance that drains or is gone, before it is confirmed. May be empty.
     std::function<void(const Departure &)> leaving = {};
     // On every announcement of an instance that takes calls. May be empty.
@@ -82,6 +88,8 @@
     void persistedStateLoaded(Instant now, const PersistedUpstream &upstream);
     void drain(); // The node leaves, so the upstream drains whatever it announces.
 
+    void setUse(UpstreamUse use);
+
     UpstreamState state() const;
     bool isLeaving() const; // Draining or gone, by its own announcement or because the node drains.
 
@@ -94,7 +102,8 @@
 
     AnnouncementResult unknownInstanceLeft(Instant now, const std::string &instance);
     void apply(Instant now, const UpstreamAnnouncement &announcement, UpstreamState state);
-    void publish(const UpstreamAnnouncement &announcement, UpstreamState state);
+    void publish(const UpstreamAnnouncement &announcement, UpstreamState announced);
+    UpstreamState effectiveState(UpstreamState announced) const;
     bool hasDeparted(Instant now, const UpstreamAnnouncement &announcement) const;
     bool holdBack(const UpstreamAnnouncement &announcement, UpstreamState state);
     bool isStale(const UpstreamAnnouncement &announcement) const;
@@ -103,7 +112,9 @@
     const Duration lifetime; // How long an announcement is valid without renewal.
     mutable std::mutex mutex;
     UpstreamAnnouncement last;
-    UpstreamState lastState = UpstreamState::None;
+    UpstreamState lastState = UpstreamState::None; // As published.
+    UpstreamState announcedState = UpstreamState::None;
+    UpstreamUse use = UpstreamUse::Serving;
     Instant renewedAt;
     bool announcedGone = false; // The last instance announced that it is gone.
     bool draining = false;      // Never reset.
--- a/Services/Node/Upstream/UpstreamRecord.cpp
+++ b/Services/Node/Upstream/UpstreamRecord.cpp
@@ -16,6 +16,7 @@
 constexpr const char *clusterAttribute = "cluster";
 constexpr const char *addressAttribute = "address";
 constexpr const char *slotsAttribute = "slots";
+constexpr const char *versionAttribute = "version";
 constexpr const char *requestsAttribute = "requests";
 
 RowKey keyOf(const std::string &node, const char *row)
@@ -35,7 +36,8 @@
              {startedAttribute, announcement.startedAt},
              {clusterAttribute, announcement.cluster},
              {addressAttribute, announcement.address},
-             {slotsAttribute, std::uint64_t{announcement.slots}}}};
+             {slotsAttribute, std::uint64_t{announcement.slots}},
+             {versionAttribute, announcement.version}}};
 }
 
 // Malformed rows are ignored.
@@ -60,6 +62,8 @@
     announcement.cluster = *cluster;
     announcement.address = *address;
     announcement.slots = static_cast<std::uint32_t>(*slots);
+    if (const std::string *version = row.text(versionAttribute))
+        announcement.version = *version;
     announcement.instance = instance->instance;
     announcement.startedAt = instance->startedAt;
     return announcement;
--- a/Services/RowsEmulator/RowStore.cpp
+++ b/Services/RowsEmulator/RowStore.cpp
@@ -25,13 +25,26 @@
     return *write.expectedRevision == (current.row.removed ? 0 : current.row.revision);
 }
 
+std::vector<QualifiedRow> RowStore::brokenConditions(const RowWrite &write) const
+{
+    std::vector<QualifiedRow> broken;
+    const QualifiedRow written = this->currentRow({write.table, write.part, write.key});
+    if (!conditionHolds(write, written))
+        broken.push_back(written);
+    for (const Platform::RowCondition &condition : write.conditions) {
+        const QualifiedRow row = this->currentRow({condition.table, condition.part, condition.key});
+        if (condition.revision != (row.row.removed ? 0 : row.row.revision))
+            broken.push_back(row);
+    }
+    return broken;
+}
+
 std::optional<std::vector<QualifiedRow>> RowStore::apply(const std::vector<RowWrite> &writes)
 {
     std::vector<QualifiedRow> conflicts;
     for (const RowWrite &write : writes) {
-        const QualifiedRow current = this->currentRow({write.table, write.part, write.key});
-        if (!conditionHolds(write, current))
-            conflicts.push_back(current);
+        const std::vector<QualifiedRow> broken = this->brokenConditions(write);
+        conflicts.insert(conflicts.end(), broken.begin(), broken.end());
     }
     if (!conflicts.empty())
         return conflicts;
--- a/Services/RowsEmulator/RowStore.h
+++ b/Services/RowsEmulator/RowStore.h
@@ -47,6 +47,7 @@
 
     Platform::QualifiedRow currentRow(const RowKey &rowKey) const;
     static bool conditionHolds(const Platform::RowWrite &write, const Platform::QualifiedRow &current);
+    std::vector<Platform::QualifiedRow> brokenConditions(const Platform::RowWrite &write) const;
 
     std::map<RowKey, Platform::StoredRow> table;
     std::deque<Change> history; // In ascending order of revision.
--- a/Tests/Node/TestNodeDrain.cpp
+++ b/Tests/Node/TestNodeDrain.cpp
@@ -32,9 +32,7 @@
     UpstreamPresence presence{
         {[this](const std::string &cluster) { this->expired.push_back(cluster); },
          [this](const UpstreamAnnouncement &announcement) { this->gate.push_back(announcement.condition); },
-         [this](const std::string &, UpstreamState state, std::uint32_t) {
-             this->published.push_back(state);
-         }}};
+         [this](const UpstreamAnnouncement &, UpstreamState state) { this->published.push_back(state); }}};
     std::vector<std::string> expired;
     std::vector<UpstreamCondition> gate;
     std::vector<UpstreamState> published;
@@ -193,6 +191,26 @@
     cr_assert(fixture.published.back() == UpstreamState::Ready);
 }
 
+// Another version takes over this upstream's calls. Its announcements, which go on, must not reopen the gate;
+// if the other version turns out bad, it must serve again.
+Test(upstreamPresence, versionThatIsReplacedTakesNoCalls)
+{
+    PresenceFixture fixture;
+    fixture.presence.announced(fixture.start, fixture.booking, UpstreamState::Ready);
+    fixture.presence.setUse(UpstreamUse::Finishing);
+    fixture.presence.announced(fixture.start + Milliseconds(500), fixture.booking, UpstreamState::Ready);
+    cr_assert(fixture.gate.back() == UpstreamCondition::Draining);
+    cr_assert(!fixture.presence.isLeaving());
+    fixture.presence.setUse(UpstreamUse::Finished);
+    fixture.presence.announced(fixture.start + Milliseconds(900), fixture.booking, UpstreamState::Ready);
+    fixture.presence.advance(fixture.start + Milliseconds(1000));
+    cr_assert(fixture.gate.back() == UpstreamCondition::NotReady);
+    fixture.presence.setUse(UpstreamUse::Serving);
+    cr_assert(fixture.published
+              == std::vector({UpstreamState::Ready, UpstreamState::Draining, UpstreamState::Gone,
+                              UpstreamState::Ready}));
+}
+
 // The node drains while its upstream keeps announcing that it is ready. Accepting that would attract new
 // calls to a host that is about to leave.
 Test(upstreamPresence, drainOverridesAnnouncements)
--- a/Tests/Node/TestUpstreamRecord.cpp
+++ b/Tests/Node/TestUpstreamRecord.cpp
@@ -109,7 +109,7 @@
     std::vector<CrashRecord> loadedCrashes;
     UpstreamPresence presence{
         {[](const std::string &) {}, [](const UpstreamAnnouncement &) {},
-         [](const std::string &, UpstreamState, std::uint32_t) {},
+         [](const UpstreamAnnouncement &, UpstreamState) {},
          [this](const Departure &departure) { this->record.recordDeparture(departure); },
          [this](const UpstreamAnnouncement &upstream) { this->record.recordServing(upstream); }}};
     UpstreamRecord record;
--- a/Tests/Platform/TestHostileInput.cpp
+++ b/Tests/Platform/TestHostileInput.cpp
@@ -59,7 +59,7 @@
 {
     InputMutator mutator(row);
     UpstreamPresence presence({[](const std::string &) {}, [](const UpstreamAnnouncement &) {},
-                               [](const std::string &, UpstreamState, std::uint32_t) {}});
+                               [](const UpstreamAnnouncement &, UpstreamState) {}});
     for (std::size_t round = 0; round < InputMutator::scaledRounds(3000); ++round) {
         const auto decoded = Platform::decodeCheckIn(mutator.mutate(validCheckIn), "i-1");
         if (!decoded)
--- a/Tests/Platform/TestInstanceApi.cpp
+++ b/Tests/Platform/TestInstanceApi.cpp
@@ -51,7 +51,7 @@
     UpstreamPresence presence{
         {[](const std::string &) {},
          [this](const UpstreamAnnouncement &announcement) { this->instance = announcement.instance; },
-         [](const std::string &, UpstreamState, std::uint32_t) {}}};
+         [](const UpstreamAnnouncement &, UpstreamState) {}}};
 };
 
 struct InvalidRow
--- a/Utilities/NodeBench/Main.cpp
+++ b/Utilities/NodeBench/Main.cpp
@@ -114,10 +114,10 @@
     LoadBalancer &loadBalancer = service->state->loadBalancer;
     const Instant now = SteadyClock::now();
     const auto call = [&] {
-        const auto index = loadBalancer.pick(now, service->upstreams, CallClass::Interactive, {});
-        loadBalancer.recordStart(service->upstreams[*index].id, now);
-        loadBalancer.recordEnd(service->upstreams[*index].id, now, CallClass::Interactive, Milliseconds(1),
-                               AttemptOutcome::Succeeded);
+        const auto index = loadBalancer.pick(now, service->serving.upstreams, CallClass::Interactive, {});
+        loadBalancer.recordStart(service->serving.upstreams[*index].id, now);
+        loadBalancer.recordEnd(service->serving.upstreams[*index].id, now, CallClass::Interactive,
+                               Milliseconds(1), AttemptOutcome::Succeeded);
     };
     report("placing one call among " + std::to_string(candidates), medianNanoseconds(9, 20000, call), "ns");
 }
