Node: Decide on versions without copies when the view of upstreams is rebuilt

Cause: the view is rebuilt up to 20 times a second, and for each member a rule with three texts was made; the node also kept its members twice (2 MB each at 6,500). Change: services without a roll-out are decided by one comparison; the roll-out control holds the members for both uses, and upstreams are passed to the book as views. Its time was not measured.

--- a/Libraries/LibRollout/RolloutBook.cpp
+++ b/Libraries/LibRollout/RolloutBook.cpp
@@ -99,13 +99,13 @@
 
 void RolloutBook::observeUpstreams(const std::vector<VersionedUpstream> &upstreams)
 {
-    std::map<std::string, VersionCounts> clusters;
+    std::map<std::string_view, VersionCounts> clusters;
     for (const VersionedUpstream &upstream : upstreams) {
         if (upstream.available)
             ++clusters[upstream.cluster][upstream.version];
     }
     for (const auto &[cluster, counts] : clusters)
-        this->updateEstablished(cluster, counts);
+        this->updateEstablished(std::string(cluster), counts);
 }
 
 // The established version stays while one of its upstreams is available. Otherwise it is the one with the
@@ -117,20 +117,20 @@
     const auto serving = this->established.find(cluster);
     if (serving != this->established.end() && (underWay || counts.contains(serving->second)))
         return;
-    const std::string *best = nullptr;
+    std::string_view best;
     std::size_t most = 0;
     for (const auto &[version, count] : counts) {
         const bool isTarget = underWay && version == rollout->second.order.target;
         if (!isTarget && count > most) {
-            best = &version;
+            best = version;
             most = count;
         }
     }
-    if (best == nullptr)
+    if (most == 0)
         return;
-    this->established[cluster] = *best;
+    this->established[cluster] = best;
     if (underWay && rollout->second.established.empty())
-        rollout->second.established = *best;
+        rollout->second.established = best;
 }
 
 bool RolloutBook::forgetEnded(Instant before)
@@ -152,12 +152,17 @@
     return known == this->rollouts.end() ? nullptr : &known->second;
 }
 
+const std::string *RolloutBook::establishedVersion(const std::string &cluster) const
+{
+    const auto serving = this->established.find(cluster);
+    return serving == this->established.end() ? nullptr : &serving->second;
+}
+
 VersionRule RolloutBook::rule(const std::string &cluster) const
 {
     VersionRule rule;
-    const auto serving = this->established.find(cluster);
-    if (serving != this->established.end())
-        rule.established = serving->second;
+    if (const std::string *version = this->establishedVersion(cluster))
+        rule.established = *version;
     if (const RolloutRecord *record = this->find(cluster)) {
         rule.target = record->order.target;
         rule.stage = record->stage;
--- a/Libraries/LibRollout/RolloutBook.h
+++ b/Libraries/LibRollout/RolloutBook.h
@@ -11,16 +11,17 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace Sagecrank {
 
-// An upstream as membership describes it.
+// An upstream as membership describes it; the texts are views into that.
 struct VersionedUpstream
 {
-    std::string cluster;
-    std::string version;
+    std::string_view cluster;
+    std::string_view version;
     bool available = false; // Takes calls.
 };
 
@@ -57,10 +58,11 @@
     // Queries.
     const RolloutRecord *find(const std::string &cluster) const;
     const std::map<std::string, RolloutRecord> &records() const { return this->rollouts; }
+    const std::string *establishedVersion(const std::string &cluster) const; // Null if unknown.
     VersionRule rule(const std::string &cluster) const;
 
 private:
-    using VersionCounts = std::map<std::string, std::size_t>; // Available upstreams by version.
+    using VersionCounts = std::map<std::string_view, std::size_t>; // Available upstreams by version.
 
     void updateEstablished(const std::string &cluster, const VersionCounts &counts);
 
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -300,7 +300,6 @@
 
 void Node::membersChanged(const std::vector<Member> &members)
 {
-    this->members = members;
     this->rollouts.membersChanged(members);
     this->rebuildView();
     if (this->settings.requests.sharedRetryReserve > 0)
@@ -313,7 +312,7 @@
     VersionTraffic traffic;
     traffic.trafficFor = [this](const Member &member) { return this->rollouts.trafficFor(member); };
     traffic.trialShare = [this](const std::string &cluster) { return this->rollouts.trialShare(cluster); };
-    this->view.replace(this->viewBuilder.build(this->members, traffic));
+    this->view.replace(this->viewBuilder.build(this->rollouts.knownMembers(), traffic));
 }
 
 RolloutHooks Node::rolloutHooks()
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -88,7 +88,6 @@
     ConfigurationHolder configuration;
     RcuPointer<UpstreamView> view;
     UpstreamViewBuilder viewBuilder; // Only used on the control thread.
-    std::vector<Member> members;     // The same.
     NodeAdapter adapter;
     RolloutControl rollouts;
     ClaimService claims;
--- a/Services/Node/Rollout/RolloutControl.cpp
+++ b/Services/Node/Rollout/RolloutControl.cpp
@@ -147,8 +147,15 @@
     selected.judges = selectForRole(record.order, RolloutRole::Judge, alive, judgesPerRollout);
 }
 
+// Called for each member whenever the view of the upstreams is rebuilt, so services without a roll-out are
+// decided without copies.
 UpstreamTraffic RolloutControl::trafficFor(const Member &member) const
 {
+    if (this->book.find(member.cluster) == nullptr) {
+        const std::string *established = this->book.establishedVersion(member.cluster);
+        const bool serves = established == nullptr || *established == member.version;
+        return serves ? UpstreamTraffic::Full : UpstreamTraffic::None;
+    }
     const VersionRule rule = this->book.rule(member.cluster);
     if (rule.serves(member.version))
         return UpstreamTraffic::Full;
@@ -241,8 +248,9 @@
 void RolloutControl::observeOwnUpstream(Instant now)
 {
     const RolloutRecord *record = this->book.find(this->own.cluster);
-    this->observing = record != nullptr && this->takesPart(*record);
-    if (!this->observing || now < this->nextReportAt)
+    const bool takesPart = record != nullptr && this->takesPart(*record);
+    this->observing = takesPart;
+    if (!takesPart || now < this->nextReportAt)
         return;
     this->nextReportAt = now + reportInterval;
     const UpstreamReport report = this->makeReport(*record);
--- a/Services/Node/Rollout/RolloutControl.h
+++ b/Services/Node/Rollout/RolloutControl.h
@@ -62,6 +62,7 @@
     void recordOutcome(const UpstreamOutcome &outcome);
 
     // Queries.
+    const std::vector<Member> &knownMembers() const { return this->members; }
     UpstreamTraffic trafficFor(const Member &member) const;
     double trialShare(const std::string &cluster) const; // 0 without a version on trial.
 
--- a/Services/RowsEmulator/RowStore.h
+++ b/Services/RowsEmulator/RowStore.h
@@ -4,12 +4,12 @@
 
 #include <platform/RowsProtocol.h>
 
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace Sagecrank {
@@ -35,7 +35,11 @@
         std::string part;
         std::string key;
 
-        auto operator<=>(const RowKey &) const = default;
+        bool operator<(const RowKey &other) const
+        {
+            return std::tie(this->table, this->part, this->key)
+                   < std::tie(other.table, other.part, other.key);
+        }
     };
 
     struct Change
