Ctl: Start, watch and abort roll-outs in the project's own table

Cause: roll-outs could be ordered on the users' platform only. Announcements to the admin port may state a version, and the upstream emulator can.

--- a/Services/Node/Admin/AdminFrontend.cpp
+++ b/Services/Node/Admin/AdminFrontend.cpp
@@ -14,6 +14,7 @@
 constexpr std::string_view jsonType = "application/json";
 constexpr std::string_view textType = "text/plain";
 constexpr std::int64_t maximumSlots = 100000;
+constexpr std::size_t maximumVersionLength = 64; // What a gossip message holds.
 
 struct ParsedAnnouncement
 {
@@ -56,6 +57,10 @@
     if (slots == nullptr || !slots->is_int64() || slots->as_int64() < 1 || slots->as_int64() > maximumSlots)
         return invalidAnnouncement("slots must be a whole number from 1 to 100000");
     result.announcement.slots = static_cast<std::uint32_t>(slots->as_int64());
+    if (object.contains("version"))
+        result.announcement.version = TRY(textField(object, "version"));
+    if (result.announcement.version.size() > maximumVersionLength)
+        return invalidAnnouncement("version must have at most 64 characters");
     return result;
 }
 
--- a/Services/UpstreamEmulator/Announcer.cpp
+++ b/Services/UpstreamEmulator/Announcer.cpp
@@ -49,6 +49,8 @@
     body["cluster"] = this->settings.cluster;
     body["address"] = this->settings.address;
     body["slots"] = this->settings.slots;
+    if (!this->settings.version.empty())
+        body["version"] = this->settings.version;
     body["state"] = std::string(upstreamStateNames.name(state));
     HttpRequest request;
     request.method = "POST";
--- a/Services/UpstreamEmulator/Announcer.h
+++ b/Services/UpstreamEmulator/Announcer.h
@@ -23,6 +23,7 @@
     std::string cluster;
     std::string address; // Address at which the node reaches this upstream.
     std::uint32_t slots = 6;
+    std::string version; // Of its software; empty: it states none.
     Milliseconds interval{1000};
     // Builds the request for a platform with its own check-in protocol; if unset, POST /v1/upstream is used.
     std::function<HttpRequest(UpstreamState)> makeRequest;
--- a/Services/UpstreamEmulator/Main.cpp
+++ b/Services/UpstreamEmulator/Main.cpp
@@ -180,6 +180,7 @@
     announcement.address = settings.announce.address;
     announcement.slots = settings.announce.slots;
     announcement.instance = settings.instance;
+    announcement.version = settings.announce.version;
     announcement.startedAt =
         static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now).count());
     return [announcement](UpstreamState state) mutable {
@@ -203,6 +204,8 @@
         "admin address of the node beside it; none: no announcement");
     add("instance", options::value(&settings.instance),
         "name of this start; with it, node-admin is where the node takes check-ins of the users' platform");
+    add("software-version", options::value(&settings.announce.version),
+        "version that it announces; none unless given");
     add("slots", options::value(&settings.work.slots)->default_value(6), "calls that run at one time");
     add("queue", options::value(&settings.work.maximumWaiting)->default_value(64),
         "calls that wait inside; one more is shed");
--- a/Utilities/Ctl/Arguments.cpp
+++ b/Utilities/Ctl/Arguments.cpp
@@ -22,12 +22,16 @@
   diff      --from V [--to V]                          two versions; without --to, against the one in force
   status    [--node ADMIN_ADDRESS...]                  version in force, and what each node holds
   history   [--limit N]                                accepted versions, newest first
+  rollout status                                       orders to roll out a version, and how they ended
 
 Commands, which change what is in force:
   publish   --base FILE --overlays PATH... --expect VERSION|current --operator NAME
   rollback  --to VERSION --operator NAME [--expect VERSION|current]
             a new, higher version with the content of an older one
   drain     --node ADMIN_ADDRESS                       no new work to the upstream beside this node
+  rollout start --service S --target VERSION --duration-ms N --operator NAME
+            move a service's calls to upstreams of another version, and back if they turn out bad
+  rollout abort --service S --operator NAME            go back to the established version
 
 )";
 
@@ -35,6 +39,7 @@
 struct RawArguments
 {
     std::string action;
+    std::string verb; // The second word of actions that have one.
     std::string expect;
     std::string platform;
     std::string table;
@@ -42,6 +47,7 @@
     std::string from;
     std::string to;
     std::int64_t timeoutMs = 2000;
+    std::int64_t durationMs = 0;
 };
 
 options::options_description makeOptions(Arguments &arguments, RawArguments &raw)
@@ -49,6 +55,7 @@
     options::options_description description("Options");
     auto add = description.add_options();
     add("action", options::value(&raw.action)->required(), "one of the actions above; comes first");
+    add("verb", options::value(&raw.verb), "second word of the action, if it has one");
     add("base", options::value(&arguments.base), "base file (TOML)");
     add("overlays", options::value(&arguments.overlays)->multitoken(),
         "overlay files, or folders whose *.toml files are overlays");
@@ -57,6 +64,9 @@
         "version that the files were made from; another in force is a conflict. \"current\" takes the one "
         "read at the start");
     add("operator", options::value(&arguments.operatorName), "who publishes; stands in the history");
+    add("service", options::value(&arguments.service), "service of a roll-out");
+    add("target", options::value(&arguments.target), "version of its software to roll out");
+    add("duration-ms", options::value(&raw.durationMs), "time in which a roll-out must end");
     add("from", options::value(&raw.from), "older version");
     add("to", options::value(&raw.to), "newer version (diff), or the one to go back to (rollback)");
     add("limit", options::value(&arguments.limit)->default_value(arguments.limit), "rows of history");
@@ -122,8 +132,19 @@
         if (arguments.nodes.size() != 1)
             return missingArgument("one --node");
         break;
+    case Action::RolloutStart:
+        if (arguments.target.empty() || arguments.duration <= Milliseconds(0))
+            return missingArgument("--target and --duration-ms");
+        [[fallthrough]];
+    case Action::RolloutAbort:
+        if (arguments.service.empty())
+            return missingArgument("--service");
+        if (arguments.operatorName.empty())
+            return missingArgument("--operator");
+        break;
     case Action::Status:
     case Action::History:
+    case Action::RolloutStatus:
         break;
     }
     return success();
@@ -131,9 +152,10 @@
 
 Result<void> convertAndCheck(Arguments &arguments, const RawArguments &raw)
 {
-    const auto action = actionNames.value(raw.action);
+    const std::string words = raw.verb.empty() ? raw.action : raw.action + " " + raw.verb;
+    const auto action = actionNames.value(words);
     if (!action)
-        return makeError(ErrorKind::InvalidInput, "read arguments", "", "no such action: " + raw.action);
+        return makeError(ErrorKind::InvalidInput, "read arguments", "", "no such action: " + words);
     arguments.action = *action;
     if (raw.expect != "current")
         arguments.expected = TRY(parseVersion("expect", raw.expect));
@@ -144,6 +166,7 @@
                          "--timeout-ms is outside 1 to 600000");
     arguments.platform.table = raw.table.empty() ? raw.platform : raw.table;
     arguments.platform.objects = raw.objects.empty() ? raw.platform : raw.objects;
+    arguments.duration = Milliseconds(raw.durationMs);
     arguments.platform.requestTimeout = Milliseconds(raw.timeoutMs);
     return checkRequired(arguments, raw);
 }
@@ -158,6 +181,7 @@
     line.usage = usageText + exitCodeHelp();
     line.options.add(makeOptions(arguments, raw));
     line.positional.add("action", 1);
+    line.positional.add("verb", 1);
     options::variables_map map;
     if (const auto exitCode = readCommandLine(line, count, values, map))
         return *exitCode == exitSuccess ? ExitCode::Success : ExitCode::Usage;
--- a/Utilities/Ctl/Arguments.h
+++ b/Utilities/Ctl/Arguments.h
@@ -12,10 +12,22 @@
 
 namespace Sagecrank {
 
-// Validate to History are read-only; Publish, Rollback and Drain change the configuration in force or a node.
-enum class Action : std::uint8_t { Validate, Render, Diff, Status, History, Publish, Rollback, Drain };
+// Validate to RolloutStatus are read-only; the others change the configuration in force, a node or a service.
+enum class Action : std::uint8_t {
+    Validate,
+    Render,
+    Diff,
+    Status,
+    History,
+    RolloutStatus,
+    Publish,
+    Rollback,
+    Drain,
+    RolloutStart,
+    RolloutAbort,
+};
 
-inline constexpr EnumNames<Action, 8> actionNames{{
+inline constexpr EnumNames<Action, 11> actionNames{{
     {Action::Validate, "validate"},
     {Action::Render, "render"},
     {Action::Diff, "diff"},
@@ -24,6 +36,9 @@
     {Action::Publish, "publish"},
     {Action::Rollback, "rollback"},
     {Action::Drain, "drain"},
+    {Action::RolloutStatus, "rollout status"},
+    {Action::RolloutStart, "rollout start"},
+    {Action::RolloutAbort, "rollout abort"},
 }};
 
 struct Arguments
@@ -40,6 +55,9 @@
     std::optional<std::uint64_t> to;       // For diff and rollback.
     std::uint32_t limit = 20;              // For history.
     std::string operatorName;
+    std::string service;      // For roll-outs.
+    std::string target;       // Version to roll out.
+    Milliseconds duration{0}; // Of a roll-out.
     PlatformClientSettings platform;
 };
 
--- a/Utilities/Ctl/Commands.cpp
+++ b/Utilities/Ctl/Commands.cpp
@@ -5,6 +5,7 @@
 #include <LibHistory/HistoryRecorder.h>
 #include <LibObserve/EventLog.h>
 #include <LibSource/Publisher.h>
+#include <LibSource/TableRollouts.h>
 
 #include <chrono>
 #include <cstdio>
@@ -100,6 +101,39 @@
     return reportResult(arguments, printer, result);
 }
 
+namespace {
+
+ExitCode reportRollout(const Printer &printer, const Result<RolloutRow> &written)
+{
+    if (!written) {
+        printer.error(written.error());
+        return exitCodeOf(written.error());
+    }
+    printer.rollouts({written.value()});
+    return ExitCode::Success;
+}
+
+} // namespace
+
+ExitCode startRollout(const Arguments &arguments, const Printer &printer)
+{
+    BlockingClient client(arguments.platform);
+    const RolloutOrders orders(client.table());
+    const RolloutOrder order{arguments.service, arguments.target, arguments.duration, 0};
+    return reportRollout(printer, client.wait<Result<RolloutRow>>([&](const RolloutRowCallback &callback) {
+        orders.start(order, arguments.operatorName, callback);
+    }));
+}
+
+ExitCode abortRollout(const Arguments &arguments, const Printer &printer)
+{
+    BlockingClient client(arguments.platform);
+    const RolloutOrders orders(client.table());
+    return reportRollout(printer, client.wait<Result<RolloutRow>>([&](const RolloutRowCallback &callback) {
+        orders.abort(arguments.service, arguments.operatorName, callback);
+    }));
+}
+
 ExitCode drain(const Arguments &arguments, const Printer &printer)
 {
     BlockingClient client(arguments.platform);
--- a/Utilities/Ctl/Commands.h
+++ b/Utilities/Ctl/Commands.h
@@ -9,5 +9,7 @@
 ExitCode publish(const Arguments &arguments, const Printer &printer);
 ExitCode rollback(const Arguments &arguments, const Printer &printer);
 ExitCode drain(const Arguments &arguments, const Printer &printer);
+ExitCode startRollout(const Arguments &arguments, const Printer &printer);
+ExitCode abortRollout(const Arguments &arguments, const Printer &printer);
 
 } // namespace Sagecrank
--- a/Utilities/Ctl/Main.cpp
+++ b/Utilities/Ctl/Main.cpp
@@ -23,12 +23,18 @@
         return status(arguments, printer);
     case Action::History:
         return history(arguments, printer);
+    case Action::RolloutStatus:
+        return rolloutStatus(arguments, printer);
     case Action::Publish:
         return publish(arguments, printer);
     case Action::Rollback:
         return rollback(arguments, printer);
     case Action::Drain:
         return drain(arguments, printer);
+    case Action::RolloutStart:
+        return startRollout(arguments, printer);
+    case Action::RolloutAbort:
+        return abortRollout(arguments, printer);
     }
     return ExitCode::Internal;
 }
--- a/Utilities/Ctl/Print.cpp
+++ b/Utilities/Ctl/Print.cpp
@@ -295,6 +295,26 @@
     this->out << object << "\n";
 }
 
+void Printer::rollouts(const std::vector<RolloutRow> &rows) const
+{
+    json::array array;
+    for (const RolloutRow &row : rows) {
+        const std::string_view state = rolloutOrderStateNames.name(row.state);
+        const std::int64_t duration = wholeMilliseconds(row.order.duration);
+        array.push_back(json::object{{"service", row.order.cluster},
+                                     {"target", row.order.target},
+                                     {"order", row.order.sequence},
+                                     {"state", state},
+                                     {"duration_ms", duration},
+                                     {"operator", row.operatorName}});
+        if (!this->json)
+            this->out << row.order.cluster << " to " << row.order.target << ": " << state << ", order "
+                      << row.order.sequence << " for " << duration << " ms by " << row.operatorName << "\n";
+    }
+    if (this->json)
+        this->out << json::object{{"rollouts", array}} << "\n";
+}
+
 void Printer::drainStarted(const std::string &node, const std::string &response) const
 {
     if (this->json)
--- a/Utilities/Ctl/Print.h
+++ b/Utilities/Ctl/Print.h
@@ -5,6 +5,7 @@
 #include <Ctl/Content.h>
 #include <LibConfig/SourceFiles.h>
 #include <LibSource/Head.h>
+#include <LibSource/TableRollouts.h>
 
 #include <ostream>
 #include <string>
@@ -36,6 +37,7 @@
     void status(const Head &head, const std::vector<NodeStatus> &nodes) const;
     void history(const std::vector<HistoryEntry> &entries) const;
     void publishResult(const PublishResult &result) const;
+    void rollouts(const std::vector<RolloutRow> &rows) const;
     void drainStarted(const std::string &node, const std::string &response) const;
 
 private:
--- a/Utilities/Ctl/Queries.cpp
+++ b/Utilities/Ctl/Queries.cpp
@@ -116,6 +116,18 @@
     return allResponded ? ExitCode::Success : ExitCode::Unavailable;
 }
 
+ExitCode rolloutStatus(const Arguments &arguments, const Printer &printer)
+{
+    BlockingClient client(arguments.platform);
+    const RolloutOrders orders(client.table());
+    const auto rollouts = client.readWithRetries<std::vector<RolloutRow>>(
+        [&](auto callback) { orders.list(std::move(callback)); });
+    if (!rollouts)
+        return printError(printer, rollouts.error());
+    printer.rollouts(rollouts.value());
+    return ExitCode::Success;
+}
+
 ExitCode history(const Arguments &arguments, const Printer &printer)
 {
     BlockingClient client(arguments.platform);
--- a/Utilities/Ctl/Queries.h
+++ b/Utilities/Ctl/Queries.h
@@ -10,6 +10,7 @@
 ExitCode render(const Arguments &arguments, const Printer &printer);
 ExitCode diff(const Arguments &arguments, const Printer &printer);
 ExitCode status(const Arguments &arguments, const Printer &printer);
+ExitCode rolloutStatus(const Arguments &arguments, const Printer &printer);
 ExitCode history(const Arguments &arguments, const Printer &printer);
 
 } // namespace Sagecrank
