Node: Open gates that a roll-out closed once its record is forgotten

Cause: read once more: a node looked at its gate only while records were held, so a host whose upstream was rolled back kept its gate closed for good when the record was dropped. And a node that learned of a completed roll-out from a peer alone chose the established version by count after it had forgotten the record. Change: the use of the upstream is brought up to date until it serves again; a completed record that is merged sets the established version.

--- a/Libraries/LibRollout/RolloutBook.cpp
+++ b/Libraries/LibRollout/RolloutBook.cpp
@@ -70,6 +70,8 @@
         const auto serving = this->established.find(record.order.cluster);
         if (record.established.empty() && serving != this->established.end())
             record.established = serving->second;
+        if (record.stage == RolloutStage::Completed)
+            this->established[record.order.cluster] = record.order.target;
         this->rollouts.insert_or_assign(record.order.cluster, record);
         return true;
     }
--- a/Services/Node/Rollout/RolloutControl.cpp
+++ b/Services/Node/Rollout/RolloutControl.cpp
@@ -297,7 +297,8 @@
 
 void RolloutControl::advance(Instant now)
 {
-    if (this->book.records().empty())
+    // A gate that was closed for a roll-out is opened again once its record is forgotten.
+    if (this->book.records().empty() && this->use == UpstreamUse::Serving)
         return;
     this->refreshOwnUpstream();
     this->updateUpstreamUse(now);
--- a/Tests/LibRollout/TestRolloutBook.cpp
+++ b/Tests/LibRollout/TestRolloutBook.cpp
@@ -138,6 +138,17 @@
     }
 }
 
+// A node that starts after a roll-out learns of it from another node and forgets it later.
+Test(rolloutBook, completedTargetStaysEstablished)
+{
+    RolloutBook book;
+    book.merge(start, makeRecord(7, RolloutStage::Completed));
+    book.forgetEnded(start + std::chrono::seconds(1));
+    book.observeUpstreams(upstreamsOf(3, 1));
+    cr_assert(book.rule("booking").serves("v2"));
+    cr_assert(!book.rule("booking").serves("v1"));
+}
+
 // The row of an order stays in the store and is read again by nodes that start.
 Test(rolloutBook, forgottenOrderIsNotTakenUpAgain)
 {
--- a/Tests/Node/TestRolloutControl.cpp
+++ b/Tests/Node/TestRolloutControl.cpp
@@ -335,6 +335,23 @@
         cr_assert(mesh.trafficTo("v2", index) == UpstreamTraffic::None);
 }
 
+// A host whose upstream was rolled back gets one of the established version. Its gate must not stay closed
+// when the roll-out is forgotten, and the bad version must stay without calls.
+Test(rolloutControl, gateOpensWhenTheRollOutIsForgotten)
+{
+    FakeMesh mesh(6, 6);
+    mesh.order(7);
+    mesh.play(std::chrono::seconds(4), 5);
+    cr_assert(mesh.store.end == RolloutStage::RolledBack);
+    mesh.nodes[11]->upstream.version = "v1";
+    mesh.play(Milliseconds(200), 0);
+    cr_assert(mesh.nodes[11]->use == UpstreamUse::Serving);
+    mesh.play(std::chrono::seconds(61), 0);
+    for (const auto &node : mesh.nodes)
+        cr_assert(node->use == UpstreamUse::Serving);
+    cr_assert(mesh.trafficTo("v2", 3) == UpstreamTraffic::None);
+}
+
 // An order that cannot be read changes nothing.
 Test(rolloutControl, invalidOrderIsIgnored)
 {
