LibRollout: Compare the sums of both versions for services with few calls

Change: the target is bad, too, if all of its upstreams but the one with the most failures together fail 5% and two standard deviations more than the established version.

--- a/Libraries/LibRollout/RolloutJudge.cpp
+++ b/Libraries/LibRollout/RolloutJudge.cpp
@@ -50,6 +50,11 @@
 // upstreams of the established version.
 constexpr double requiredDeviations = 2.5;
 
+// Calls of the target that are enough to compare sums, and the standard deviations by which they must differ
+// beyond `additionalFailureShare`.
+constexpr double minimumPooledCalls = 40;
+constexpr double pooledDeviations = 2;
+
 double increase(double evidence, double by)
 {
     return std::clamp(evidence + by, 0.0, maximumEvidence);
@@ -156,6 +161,34 @@
     return std::max(0.0, highest - ignoredEvidence);
 }
 
+// Leaves out the target's upstream with the most failures, so that a single sick one does not decide.
+bool RolloutJudge::failsTogether(const RolloutAssessment &assessment) const
+{
+    double worstFailures = -1;
+    double worstCalls = 0;
+    for (const auto &[id, source] : this->sources) {
+        double calls = 0;
+        double failures = 0;
+        for (const auto &[kind, figures] : source.last) {
+            calls += figures.calls;
+            failures += figures.failures;
+        }
+        if (this->isTarget(source) && failures > worstFailures) {
+            worstFailures = failures;
+            worstCalls = calls;
+        }
+    }
+    const double calls = assessment.targetCalls - worstCalls;
+    if (assessment.targetSources < 2 || calls < minimumPooledCalls
+        || assessment.establishedCalls < minimumPooledCalls)
+        return false;
+    const double share = (assessment.targetFailures - worstFailures) / calls;
+    const double usual = std::max(minimumFailureShare, static_cast<double>(assessment.establishedFailures)
+                                                           / assessment.establishedCalls);
+    const double deviation = std::sqrt(usual * (1 - usual) / calls);
+    return share > usual + additionalFailureShare + pooledDeviations * deviation;
+}
+
 RolloutAssessment RolloutJudge::assess(std::size_t targetUpstreams) const
 {
     namespace accumulators = boost::accumulators;
@@ -186,6 +219,8 @@
     const double variance = compared * accumulators::variance(establishedWeights)
                             * (1 + compared / static_cast<double>(establishedSources));
     assessment.threshold = std::max(assessment.threshold, requiredDeviations * std::sqrt(variance));
+    if (this->failsTogether(assessment))
+        assessment.score = std::max(assessment.score, assessment.threshold);
     return assessment;
 }
 
--- a/Libraries/LibRollout/RolloutJudge.h
+++ b/Libraries/LibRollout/RolloutJudge.h
@@ -7,6 +7,9 @@
 // The evidence of one upstream is limited, so that a single sick one does not decide. The evidence that
 // upstreams of the established version collect meanwhile is subtracted, and the more it varies among them the
 // more is required, so that a fault that hits some upstreams of both versions does not decide either.
+//
+// A service with few upstreams or calls gathers little evidence at each of them. So the target is bad, too,
+// if all of its upstreams but the worst together fail clearly more than those of the established version.
 #pragma once
 
 #include <LibRollout/UpstreamReport.h>
@@ -94,6 +97,7 @@
     static void collect(Evidence &evidence, const Baseline &baseline, const Increment &increment);
     static double weightOf(const Source &source);
     bool isTarget(const Source &source) const { return source.version == this->target; }
+    bool failsTogether(const RolloutAssessment &assessment) const;
 
     const std::string target;              // All other versions count as established.
     std::map<std::string, Source> sources; // By node.
--- a/Tests/LibRollout/TestRolloutModel.cpp
+++ b/Tests/LibRollout/TestRolloutModel.cpp
@@ -23,6 +23,7 @@
     {"every call fails", 40, 1600, Badness::Errors, 1.0, false},
     {"half of the calls fail", 40, 1600, Badness::Errors, 0.5, true},
     {"half of the calls of a small service fail", 6, 100, Badness::Errors, 0.5, false},
+    {"half of the calls of a small service fail, with noise", 6, 100, Badness::Errors, 0.5, true},
     {"a fifth fails", 40, 1600, Badness::Errors, 0.2, false},
     {"eight times slower", 40, 1600, Badness::Slow, 0.5, true},
     {"fails under load only", 40, 1600, Badness::UnderLoad, 0.5, true},
