--- a/Libraries/LibDecide/TargetGate.h
+++ b/Libraries/LibDecide/TargetGate.h
@@ -123,8 +123,8 @@
     UpstreamCondition state = UpstreamCondition::NotReady;
     // The announced slots. They are not lowered when the upstream sheds: the gate itself holds every slot, so
     // a shed call means that the upstream is faulty and not that it is full. With fewer slots after each
-    // shed, a faulty upstream that sheds half of its calls with slots free would run at a tenth of its
-    // capacity (47 in place of 227 calls a second at one that shed 55%).
+    // shed, a faulty upstream that sheds half of its calls with slots free would run at a small part of its
+    // capacity.
     std::uint32_t slots;
     Ticket nextTicket = 1;
     std::vector<RunningCall> runningCalls; // No call starts above the slots; a lower number cuts none off.
--- a/Services/Node/DerivedSettings.cpp
+++ b/Services/Node/DerivedSettings.cpp
@@ -13,18 +13,16 @@
 // Queue limit until the settings of the service are known, some milliseconds after its upstream is.
 constexpr std::uint32_t initialQueueLimit = 64;
 
-// With 13 to 15 upstreams of a service in a zone, some three times as fast as others, and half of the slots
-// in use, comparing only two often selects from two slow ones while fast ones are idle: 2,079 of 35,000 calls
-// were late, compared with 1,779 when four are compared.
+// Among many upstreams of unlike speed, comparing only two often selects from two slow ones while fast ones
+// are idle.
 constexpr std::size_t choicesInZone = 4;
 
 // A store of rows supports long polling, so polling it often costs little. Nodes have no seeds there, so the
 // introducers' rows are read at once.
 //
-// If every node of a fleet of 78 watched the store, 25 changes within 5 s would cause 2,000 calls. So three
-// nodes in each zone watch it and see each change within `pauseBetweenWatches`; the others learn of it by
-// gossip. With three, a zone still has a watcher while one is restarted and another is cut off from the
-// store.
+// If every node watched the store, each change would cost a call of each. So three nodes in each zone watch
+// it and see each change within `pauseBetweenWatches`; the others learn of it by gossip. With three, a zone
+// still has a watcher while one is restarted and another is cut off from the store.
 void configureForRowsStore(ControlSettings &control)
 {
     constexpr std::uint32_t watchersPerZone = 3;
@@ -56,10 +54,9 @@
     control.follower.pull.platformDelay = Milliseconds(1000);
     control.follower.pull.platformDelayPerRank = Milliseconds(20);
     control.introducers.initialDelay = Milliseconds(10);
-    // After a power loss all nodes may start within 200 ms. With a backoff of 300 ms the zones would find
-    // each other only after 0.7 to 1.0 s, and all calls to services in other zones would be refused
-    // meanwhile. The longest backoff is how long a node without peers stays isolated once the store is
-    // available again.
+    // After a power loss all nodes may start at once. Until the zones have found each other, all calls to
+    // services in other zones are refused. The longest backoff is how long a node without peers stays
+    // isolated once the store is available again.
     control.introducers.isolatedBackoff = Milliseconds(60);
     control.introducers.maximumIsolatedBackoff = Milliseconds(1500);
 }
