Tests: Share what end-to-end tests need to start a mesh

Cause: TestRollout repeated the platform, the configuration and the nodes of TestDrain. Change: mesh_test.py has them once; a node of TestDrain has the default of two threads, as it had by its settings.

--- a/Tests/EndToEnd/TestDrain.py
+++ b/Tests/EndToEnd/TestDrain.py
@@ -2,21 +2,14 @@
 
 import http.server
 import json
-import os
-import random
 import socket
-import subprocess
-import sys
-import tempfile
 import threading
 import time
 import unittest
 
-sys.path.insert(0, "Meta/prove")
-from processes import choose_ports, get, post_json
+from mesh_test import WAIT, MeshTest
+from processes import post_json
 
-BIN = sys.argv.pop(1)
-WAIT = 20.0  # Seconds for what must happen.
 LINGER_MS = 1000
 # No callers are left and nothing runs: a node that waits for nothing else has ended by then.
 AFTER_LINGER = 2.5
@@ -24,6 +17,14 @@
 SMALL_BUFFER = 65536
 LONG = "/slots/long"
 
+SETTINGS = f"""[requests]
+peer_silence_ms = 60000
+maximum_timeout_ms = 60000
+[drain]
+linger_ms = {LINGER_MS}
+maximum_ms = 30000
+"""
+
 CONFIGURATION = """[mesh]
 name = "drain"
 [cluster.booking]
@@ -117,29 +118,11 @@
     return answer
 
 
-def await_condition(condition, what):
-    until = time.monotonic() + WAIT
-    while time.monotonic() < until:
-        try:
-            if condition():
-                return
-        except OSError:
-            pass
-        time.sleep(0.02)
-    raise AssertionError(f"{what} did not come")
-
+class DrainTest(MeshTest):
+    CONFIGURATION = CONFIGURATION
 
-class DrainTest(unittest.TestCase):
     def setUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.folder = folder.name
-        base = choose_ports(random.Random(), 40)
-        self.ports = iter(range(base, base + 40))
-        self.platform = self.address()
-        self.run_program("sagecrank-platform-emulator", "--listen", self.platform)
-        await_condition(lambda: get(self.platform, "/emulator/counters")[0] == 200, "the platform")
-        self.publish()
+        super().setUp()
         upstream = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Upstream)
         upstream.daemon_threads = True
         self.upstream = f"127.0.0.1:{upstream.server_port}"
@@ -147,68 +130,20 @@
         self.addCleanup(upstream.server_close)
         self.addCleanup(upstream.shutdown)
 
-    def address(self):
-        return f"127.0.0.1:{next(self.ports)}"
-
-    def run_program(self, name, *arguments):
-        process = subprocess.Popen([f"{BIN}/{name}", *arguments], stdout=subprocess.DEVNULL,
-                                   stderr=subprocess.DEVNULL)
-        self.addCleanup(process.wait, WAIT)
-        self.addCleanup(process.kill)
-        return process
-
-    def publish(self):
-        base = os.path.join(self.folder, "base.toml")
-        overlays = os.path.join(self.folder, "overlays")
-        os.mkdir(overlays)
-        with open(base, "w") as file:
-            file.write(CONFIGURATION)
-        with open(os.path.join(overlays, "zone.toml"), "w") as file:
-            file.write('site = "zone"\n')
-        subprocess.run([f"{BIN}/sagecrankctl", "publish", "--platform", self.platform, "--base", base, "--overlays",
-                        overlays, "--expect", "current", "--operator", "test"], check=True, capture_output=True)
-
-    def start_node(self, name, seeds, peers=None, advertised=None):
-        """Returns the process and its addresses."""
-        addresses = {role: self.address() for role in ("callers", "gossip", "control", "admin")}
-        addresses["peers"] = peers or self.address()
-        listen = "\n".join(f'{role} = "{address}"' for role, address in addresses.items())
-        path = os.path.join(self.folder, f"{name}.toml")
-        with open(path, "w") as file:
-            file.write(f"""[node]
-id = "{name}"
-region = "loopback"
-zone = "zone"
-site = "zone"
-threads = 2
-[listen]
-{listen}
-[advertise]
-peers = "{advertised or addresses["peers"]}"
-[platform]
-table = "{self.platform}"
-objects = "{self.platform}"
-[gossip]
-seeds = {json.dumps(seeds)}
-[requests]
-peer_silence_ms = 60000
-maximum_timeout_ms = 60000
-[drain]
-linger_ms = {LINGER_MS}
-maximum_ms = 30000
-""")
-        return self.run_program("sagecrank-node", "--settings", path), addresses
+    def start_draining_node(self, name, seeds, peers=None, advertised=None):
+        advertise = f'[advertise]\npeers = "{advertised}"\n' if advertised else ""
+        return self.start_node(name, seeds, advertise + SETTINGS, peers)
 
     def announce_upstream(self, node):
         announcement = json.dumps({"cluster": "booking", "address": self.upstream, "state": "ready", "slots": 4})
-        await_condition(lambda: post_json(node["admin"], "/v1/upstream", announcement)[0] == 200, "the admin port")
+        self.await_condition(lambda: post_json(node["admin"], "/v1/upstream", announcement)[0] == 200, "the admin port")
 
     def await_route(self, node):
         """Waits until the node places calls."""
         def served():
             with ask(node["callers"], "/slots") as caller:
                 return read_answer(caller).startswith(b"HTTP/1.1 200 ")
-        await_condition(served, "the route and the upstream")
+        self.await_condition(served, "the route and the upstream")
 
     def assert_whole(self, answer):
         head, _, body = answer.partition(b"\r\n\r\n")
@@ -216,7 +151,7 @@
         self.assertEqual(len(body), BODY)
 
     def test_a_caller_that_reads_slowly_gets_its_whole_answer(self):
-        ending, node = self.start_node("ending", [])
+        ending, node = self.start_draining_node("ending", [])
         self.announce_upstream(node)
         self.await_route(node)
         with ask(node["callers"], LONG) as caller:
@@ -230,13 +165,13 @@
         peers = self.address()
         path = Path(peers)
         self.addCleanup(path.listener.close)
-        ending, near = self.start_node("ending", [], peers, path.address)
-        _, far = self.start_node("calling", [near["gossip"]])
+        ending, near = self.start_draining_node("ending", [], peers, path.address)
+        _, far = self.start_draining_node("calling", [near["gossip"]])
         self.announce_upstream(near)
         self.await_route(far)
         path.hold()
         with ask(far["callers"], LONG) as caller:
-            await_condition(lambda: path.held, "the answer")
+            self.await_condition(lambda: path.held, "the answer")
             ending.terminate()
             time.sleep(LINGER_MS / 1000 + AFTER_LINGER)
             path.go()
--- a/Tests/EndToEnd/TestRollout.py
+++ b/Tests/EndToEnd/TestRollout.py
@@ -3,26 +3,23 @@
 import http.client
 import http.server
 import json
-import os
-import random
-import subprocess
-import sys
-import tempfile
 import threading
 import time
 import unittest
 
-sys.path.insert(0, "Meta/prove")
-from processes import choose_ports, get, post_json
+from mesh_test import WAIT, MeshTest
+from processes import post_json
 
-BIN = sys.argv.pop(1)
-WAIT = 20.0  # Seconds for what must happen.
 HOSTS_PER_VERSION = 3
 CALLERS = 8
 PAUSE = 0.03  # Between the calls of one caller.
 DURATION_MS = 20000
 EXPOSURE_SHARE = 0.1
 
+SETTINGS = f"""[rollout]
+exposure_share = {EXPOSURE_SHARE}
+"""
+
 CONFIGURATION = """[mesh]
 name = "rollout"
 [cluster.booking]
@@ -104,84 +101,19 @@
         connection.close()
 
 
-class RolloutTest(unittest.TestCase):
+class RolloutTest(MeshTest):
+    CONFIGURATION = CONFIGURATION
+
     def setUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.folder = folder.name
-        base = choose_ports(random.Random(), 60)
-        self.ports = iter(range(base, base + 60))
-        self.platform = self.address()
-        self.run_program("sagecrank-platform-emulator", "--listen", self.platform)
-        self.await_condition(lambda: get(self.platform, "/emulator/counters")[0] == 200, "the platform")
-        self.publish()
-        self.seed = None
-
-    def address(self):
-        return f"127.0.0.1:{next(self.ports)}"
-
-    def await_condition(self, condition, what, seconds=WAIT):
-        until = time.monotonic() + seconds
-        while time.monotonic() < until:
-            try:
-                if condition():
-                    return
-            except OSError:
-                pass
-            time.sleep(0.05)
-        raise AssertionError(f"{what} did not come")
-
-    def run_program(self, name, *arguments):
-        process = subprocess.Popen([f"{BIN}/{name}", *arguments], stdout=subprocess.DEVNULL,
-                                   stderr=subprocess.DEVNULL)
-        self.addCleanup(process.wait, WAIT)
-        self.addCleanup(process.kill)
-
-    def control(self, *arguments):
-        done = subprocess.run([f"{BIN}/sagecrankctl", *arguments, "--platform", self.platform, "--json"],
-                              capture_output=True, text=True)
-        self.assertEqual(done.returncode, 0, done.stderr + done.stdout)
-        return json.loads(done.stdout)
-
-    def publish(self):
-        base = os.path.join(self.folder, "base.toml")
-        overlays = os.path.join(self.folder, "overlays")
-        os.mkdir(overlays)
-        with open(base, "w") as file:
-            file.write(CONFIGURATION)
-        with open(os.path.join(overlays, "zone.toml"), "w") as file:
-            file.write('site = "zone"\n')
-        self.control("publish", "--base", base, "--overlays", overlays, "--expect", "current", "--operator", "test")
-
-    def start_node(self, name):
-        addresses = {role: self.address() for role in ("callers", "peers", "gossip", "control", "admin")}
-        self.seed = self.seed or addresses["gossip"]
-        listen = "\n".join(f'{role} = "{address}"' for role, address in addresses.items())
-        path = os.path.join(self.folder, f"{name}.toml")
-        with open(path, "w") as file:
-            file.write(f"""[node]
-id = "{name}"
-region = "loopback"
-zone = "zone"
-site = "zone"
-[listen]
-{listen}
-[platform]
-table = "{self.platform}"
-objects = "{self.platform}"
-[gossip]
-seeds = ["{self.seed}"]
-[rollout]
-exposure_share = {EXPOSURE_SHARE}
-""")
-        self.run_program("sagecrank-node", "--settings", path)
-        return addresses
+        super().setUp()
+        self.seeds = []
 
     def start_hosts(self, version, fails=False):
         upstreams = []
         nodes = []
         for index in range(HOSTS_PER_VERSION):
-            node = self.start_node(f"{version}-{index}")
+            _, node = self.start_node(f"{version}-{index}", self.seeds, SETTINGS)
+            self.seeds = self.seeds or [node["gossip"]]
             upstream = Upstream(version, fails)
             self.addCleanup(upstream.stop)
             upstream.announce(node["admin"])
