Node: Log the limit that an upstream names, and that it leaves

The lines of a call at the gate said nothing of what the upstream stated about itself, so that two of the incident's hypotheses (nothing reads the limit, or each node keeps it for itself) look the same in them. 4013 now has the limit and the leaving of the answer, 6012 each change of the limit, 6013 a limit that is no number, and a gauge tells whether the upstream is limited.

Nothing is decided by it yet.

--- a/Libraries/LibObserve/Events.h
+++ b/Libraries/LibObserve/Events.h
@@ -77,6 +77,8 @@
     UpstreamRecalled = 6009,
     UpstreamUnrecorded = 6010,
     UpstreamCrashed = 6011,
+    UpstreamLimitChanged = 6012,
+    UpstreamLimitMalformed = 6013,
 
     PublishAccepted = 7001,
     PublishRefused = 7002,
@@ -205,6 +207,10 @@
 
     {EventId::UpstreamCrashed, "upstream.crashed", LogLevel::Warning,
      "The upstream beside this node ended while it ran calls; all nodes are told which."},
+    {EventId::UpstreamLimitChanged, "upstream.limit_changed", LogLevel::Info,
+     "The upstream beside this node named another limit on its calls per second, or names none any more."},
+    {EventId::UpstreamLimitMalformed, "upstream.limit_malformed", LogLevel::Warning,
+     "An answer of the upstream names a limit that is no number of calls; the limit stays as it was."},
 
     {EventId::PublishAccepted, "publish.accepted", LogLevel::Info,
      "A version was accepted: the head row names it."},
--- a/Services/Node/CallHeaders.h
+++ b/Services/Node/CallHeaders.h
@@ -22,6 +22,8 @@
     std::string notRun = "Sagecrank-Outcome"; // With the value below: the upstream did not run the call.
     std::string notRunValue = "not-run";      // Empty: any value of the header.
     std::string proof; // A success without this header did not come from the upstream itself.
+    std::string upstreamLimit = "Sagecrank-Upstream-Limit"; // Calls per second that it takes from all nodes.
+    std::string upstreamLeaving = "Sagecrank-Upstream-Leaving"; // "1": it ends soon.
 
     // Responses to callers.
     std::string outcome = "Sagecrank-Outcome";
--- a/Services/Node/Gate/GateCall.h
+++ b/Services/Node/Gate/GateCall.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "LocalGate.h"
+#include "UpstreamSignals.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -76,9 +77,10 @@
     std::string claimKey; // Empty without an idempotency key.
     Ticket ticket = 0;
     GateCallStage stage = GateCallStage::Claiming;
-    bool claimed = false;   // This attempt holds the claim of its key.
-    bool sent = false;      // Some of it may have been sent to the upstream.
-    bool cancelled = false; // The caller gave up, so the call must not start.
+    bool claimed = false;    // This attempt holds the claim of its key.
+    bool sent = false;       // Some of it may have been sent to the upstream.
+    bool cancelled = false;  // The caller gave up, so the call must not start.
+    UpstreamSignals signals; // Of the upstream's answer.
     HttpClient::Handle sending;
     boost::asio::steady_timer waitTimer; // Runs while the call is queued.
     Span gateSpan;
--- a/Services/Node/Gate/LocalGate.cpp
+++ b/Services/Node/Gate/LocalGate.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace Sagecrank {
 
@@ -371,11 +372,11 @@
     response.callId = call->request.callId;
     if (call->sent) {
         const bool broke = response.reason == reasonBroken;
-        this->observer.gateEnded({call->request.callerCallId, call->upstreamInstance,
-                                  outcomeNames.name(response.outcome), response.reason, response.status,
-                                  call->startedAt - call->arrivedAt, SteadyClock::now() - call->startedAt,
-                                  response.freeSlots, response.queued,
-                                  broke ? fingerprintsOf(call->request).front() : 0});
+        this->observer.gateEnded(
+            {call->request.callerCallId, call->upstreamInstance, outcomeNames.name(response.outcome),
+             response.reason, response.status, call->startedAt - call->arrivedAt,
+             SteadyClock::now() - call->startedAt, response.freeSlots, response.queued,
+             broke ? fingerprintsOf(call->request).front() : 0, call->signals.limit, call->signals.leaving});
     }
     closeStepSpan(*call);
     call->gateSpan.field("outcome", outcomeNames.name(response.outcome));
@@ -432,13 +433,18 @@
 {
     std::vector<GateAction> actions;
     bool replaced = false;
+    bool wasLimited = false;
     {
         const std::lock_guard guard(this->mutex);
         replaced = this->current.instance != announcement.instance
                    || this->current.startedAt != announcement.startedAt;
         this->current = announcement;
+        if (replaced)
+            wasLimited = std::exchange(this->namedLimit, NamedLimit()).callsPerSecond().has_value();
         this->admission.setState(SteadyClock::now(), announcement.condition, announcement.slots, actions);
     }
+    if (wasLimited)
+        this->observer.upstreamLimitChanged(announcement.instance, std::nullopt);
     if (replaced)
         this->handleUpstreamExit();
     this->applyActions(std::move(actions));
--- a/Services/Node/Gate/LocalGate.h
+++ b/Services/Node/Gate/LocalGate.h
@@ -10,6 +10,7 @@
 
 #include <LibDecide/Admission.h>
 #include <LibDecide/CrashQuarantine.h>
+#include <LibDecide/NamedLimit.h>
 #include <LibHistory/HistoryRecorder.h>
 #include <LibNet/HttpClient.h>
 #include <LibWire/PeerMessages.h>
@@ -105,6 +106,7 @@
     void start(const std::shared_ptr<GateCall> &call);
     void upstreamAnswered(const std::shared_ptr<GateCall> &call, HttpResponse response);
     void upstreamFailed(const std::shared_ptr<GateCall> &call, const HttpFailure &failure);
+    void readSignals(GateCall &call, const HttpResponse &response);
     void recordOutcome(const GateCall &call, bool failed) const;
     void recordAnswer(const GateCall &call);
     void recordFailure(const GateCall &call, const HttpFailure &failure);
@@ -134,6 +136,7 @@
     const AdmissionHooks admission;
     UpstreamAnnouncement current;
     CrashDetector crashDetector;
+    NamedLimit namedLimit;                                             // Of the current instance.
     bool upstreamCheckUnderWay = false;                                // After a broken connection.
     std::unordered_map<Ticket, std::shared_ptr<GateCall>> queuedCalls; // Exactly the queued tickets.
 
--- a/Services/Node/Gate/LocalGateUpstream.cpp
+++ b/Services/Node/Gate/LocalGateUpstream.cpp
@@ -95,6 +95,8 @@
 void LocalGate::handleProvenNotRun(const std::shared_ptr<GateCall> &call, const HttpResponse &response)
 {
     this->observer.upstreamShed(call->request.callerCallId, call->request.cluster, response.status);
+    if (response.status != statusMisdirected)
+        this->readSignals(*call, response);
     this->freeSlot(call, CallOutcome::Shed);
     if (response.status != statusMisdirected)
         return this->refuse(call, reasonShed, retryAfterOf(response));
@@ -113,6 +115,8 @@
     if (this->provesNotRun(response))
         return this->handleProvenNotRun(call, response);
     const bool valid = this->isValidAnswer(response);
+    if (valid)
+        this->readSignals(*call, response);
     this->recordOutcome(*call, !valid || response.status >= 500);
     if (!valid) {
         this->freeSlot(call, CallOutcome::Failed);
@@ -164,6 +168,24 @@
                         deadlinePassed ? statusGatewayTimeout : statusBadGateway, unreachableRetryAfter);
 }
 
+void LocalGate::readSignals(GateCall &call, const HttpResponse &response)
+{
+    call.signals = readUpstreamSignals(response.headers, this->headerNames);
+    bool changed = false;
+    std::optional<double> limit;
+    {
+        const std::lock_guard guard(this->mutex);
+        if (call.upstreamInstance != this->current.instance)
+            return;
+        changed = this->namedLimit.recordAnswer(call.startedAt, SteadyClock::now(), call.signals.limit);
+        limit = this->namedLimit.callsPerSecond();
+    }
+    if (changed)
+        this->observer.upstreamLimitChanged(call.upstreamInstance, limit);
+    if (call.signals.limit.kind == LimitStatementKind::Malformed)
+        this->observer.upstreamLimitMalformed(call.upstreamInstance);
+}
+
 void LocalGate::recordOutcome(const GateCall &call, bool failed) const
 {
     if (this->outcomeHook)
--- a/Services/Node/RequestObserver.cpp
+++ b/Services/Node/RequestObserver.cpp
@@ -1,6 +1,8 @@
 // Records the events of calls as spans, metrics and log events.
 #include "RequestObserver.h"
 
+#include <charconv>
+
 namespace Sagecrank {
 
 namespace {
@@ -13,6 +15,21 @@
     return count > 0 ? static_cast<std::uint64_t>(count) : 0;
 }
 
+// Empty if there is no limit.
+std::string limitText(std::optional<double> callsPerSecond)
+{
+    if (!callsPerSecond)
+        return {};
+    std::array<char, 32> text{}; // Longer than the shortest form of any double.
+    const auto written = std::to_chars(text.data(), text.data() + text.size(), *callsPerSecond);
+    return {text.data(), written.ptr};
+}
+
+std::string limitText(const LimitStatement &statement)
+{
+    return statement.kind == LimitStatementKind::Named ? limitText(statement.callsPerSecond) : std::string();
+}
+
 } // namespace
 
 RequestObserver::RequestObserver(EventLog &log, Metrics &metrics, SpanRing &ring)
@@ -97,7 +114,9 @@
                                             {"ran_ms", wholeMilliseconds(summary.ran)},
                                             {"free_slots", summary.freeSlots},
                                             {"queued", summary.queued},
-                                            {"request", summary.fingerprint}});
+                                            {"request", summary.fingerprint},
+                                            {"limit_per_s", limitText(summary.limit)},
+                                            {"leaving", summary.leaving}});
 }
 
 // Refusals are rare and have few distinct reasons, so the counter can be looked up by name.
@@ -146,6 +165,19 @@
         .add();
 }
 
+void RequestObserver::upstreamLimitChanged(std::string_view instance, std::optional<double> callsPerSecond)
+{
+    this->log.write(EventId::UpstreamLimitChanged,
+                    {{"instance", instance}, {"limit_per_s", limitText(callsPerSecond)}});
+    this->metrics.gauge("sagecrank_upstream_limited", "1 while the upstream names a limit on its calls.")
+        .set(callsPerSecond ? 1 : 0);
+}
+
+void RequestObserver::upstreamLimitMalformed(std::string_view instance)
+{
+    this->log.write(EventId::UpstreamLimitMalformed, {{"instance", instance}});
+}
+
 void RequestObserver::requestInvalid(std::string_view reason)
 {
     this->log.write(EventId::CallerRequestInvalid, {{"reason", reason}});
--- a/Services/Node/RequestObserver.h
+++ b/Services/Node/RequestObserver.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <LibConfig/Model.h>
+#include <LibDecide/NamedLimit.h>
 #include <LibObserve/EventLog.h>
 #include <LibObserve/Metrics.h>
 #include <LibObserve/Spans.h>
@@ -58,6 +59,9 @@
     std::uint32_t queued = 0;
     // Identifies the request when it is repeated; 0 unless its connection to the upstream broke.
     std::uint64_t fingerprint = 0;
+    // What the upstream stated about itself in its answer.
+    LimitStatement limit;
+    bool leaving = false;
 };
 
 class RequestObserver
@@ -85,6 +89,9 @@
     void retryDenied(std::string_view callId, const std::string &cluster); // The retry budget was exhausted.
     void upstreamShed(std::string_view callId, const std::string &cluster, std::uint32_t status);
     void upstreamCrashed(std::size_t requests); // `requests`: how many were running.
+    // Nothing if the upstream names no limit any more.
+    void upstreamLimitChanged(std::string_view instance, std::optional<double> callsPerSecond);
+    void upstreamLimitMalformed(std::string_view instance);
     void requestInvalid(std::string_view reason);
     void peerLost(const std::string &peer, const Error &reason);
     void peerFrameInvalid(const std::string &peer, const Error &reason);
