--- a/Tests/Node/GateFixture.h
+++ b/Tests/Node/GateFixture.h
@@ -18,14 +18,15 @@
 class GateFixture
 {
 public:
-    GateFixture()
+    explicit GateFixture(AdmissionHooks admission = makeAdmissionHooks(std::make_shared<Gate>(GateSettings{
+                             1, 64, 7})))
         : upstream(this->context, HttpServerSettings{},
                    [this](HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
                        this->receivedRequests.push_back(request);
                        this->exchanges.push_back(std::move(exchange));
                    })
-        , gate("gate", makeAdmissionHooks(std::make_shared<Gate>(GateSettings{1, 64, 7})), CallHeaders{},
-               this->claimHooks(), this->quarantineHooks(), this->history, this->observer)
+        , gate("gate", std::move(admission), CallHeaders{}, this->claimHooks(), this->quarantineHooks(),
+               this->history, this->observer)
     {
         cr_assert(this->upstream.listen("127.0.0.1:0").has_value());
         this->announce(1, UpstreamCondition::Ready);
