LibDecide, Node: Keep to the limit that an upstream names

What callers saw: nothing at first.

Cause: the gate beside an upstream admits by slots, deadlines and targets. What the upstream states in its answers passed through it to the caller unread.

The gate is the only way to the upstream, so the limit is kept there, for the calls of all nodes together. NamedLimit follows what answers state: a call that was sent after the limit was last named, and whose answer names none, ends it. StartLimit is a token bucket that both admission rules ask before a call starts. Calls that wait for it keep their rank; those that cannot be served in time are refused at once, with the time at which the limit has room as their retry time, and the expected wait that goes out with each answer moves callers to other upstreams.

--- a/Libraries/LibDecide/Admission.h
+++ b/Libraries/LibDecide/Admission.h
@@ -101,10 +101,12 @@
     std::function<void(Instant, std::vector<GateAction> &)> advance;
     std::function<void(Instant, UpstreamCondition, std::uint32_t, std::vector<GateAction> &)> setState;
     std::function<void(std::uint32_t)> setMaximumQueue;
+    std::function<void(Instant, std::optional<double>, std::vector<GateAction> &)> setStartLimit;
     // Queries.
     std::function<bool(Instant, const CallAttributes &)> wouldAdmit;
     std::function<std::optional<Instant>()> nextDeadline;
-    std::function<std::uint32_t()> freeSlots;
+    std::function<std::optional<Instant>(Instant)> nextStart;
+    std::function<std::uint32_t(Instant)> freeSlots;
     std::function<std::uint32_t()> queued;
     std::function<std::uint32_t()> running;
     std::function<UpstreamCondition()> condition;
@@ -133,11 +135,16 @@
         policy->setState(now, condition, slots, actions);
     };
     hooks.setMaximumQueue = [policy](std::uint32_t maximumQueue) { policy->setMaximumQueue(maximumQueue); };
+    hooks.setStartLimit = [policy](Instant now, std::optional<double> callsPerSecond,
+                                   std::vector<GateAction> &actions) {
+        policy->setStartLimit(now, callsPerSecond, actions);
+    };
     hooks.wouldAdmit = [policy](Instant now, const CallAttributes &attributes) {
         return policy->wouldAdmit(now, attributes);
     };
     hooks.nextDeadline = [policy] { return policy->nextDeadline(); };
-    hooks.freeSlots = [policy] { return policy->freeSlots(); };
+    hooks.nextStart = [policy](Instant now) { return policy->nextStart(now); };
+    hooks.freeSlots = [policy](Instant now) { return policy->freeSlots(now); };
     hooks.queued = [policy] { return policy->queued(); };
     hooks.running = [policy] { return policy->running(); };
     hooks.condition = [policy] { return policy->condition(); };
--- a/Libraries/LibDecide/Gate.cpp
+++ b/Libraries/LibDecide/Gate.cpp
@@ -50,6 +50,7 @@
 Gate::Gate(GateSettings settings)
     : settings(settings)
     , limit(settings.slots)
+    , startLimit(settings.startBurst)
     , jitterState(settings.jitterSeed)
 {
 }
@@ -141,6 +142,12 @@
     this->settings.maximumQueue = maximumQueue;
 }
 
+void Gate::setStartLimit(Instant now, std::optional<double> callsPerSecond, std::vector<GateAction> &actions)
+{
+    this->startLimit.setRate(now, callsPerSecond);
+    this->startQueuedCalls(now, actions);
+}
+
 bool Gate::wouldAdmit(Instant now, const CallAttributes &attributes) const
 {
     return this->refusal(now, attributes) == RefusalReason::None;
@@ -159,13 +166,18 @@
     return static_cast<std::uint32_t>(total);
 }
 
-std::uint32_t Gate::freeSlots() const
+std::uint32_t Gate::unusedSlots() const
 {
     if (!this->acceptsCalls() || this->running() >= this->limit.value())
         return 0;
     return this->limit.value() - this->running();
 }
 
+std::uint32_t Gate::freeSlots(Instant now) const
+{
+    return std::min(this->unusedSlots(), this->startLimit.available(now));
+}
+
 bool Gate::isIdle() const
 {
     return this->running() == 0 && this->queued() == 0;
@@ -181,13 +193,19 @@
     return this->runTimes.mean(callClass);
 }
 
-// The lower of two bounds. By precedence: the queued calls of its own and of higher classes run first, in the
-// share of the slots that the higher classes have left recently. By guarantee: its own class runs at least at
-// the rate of its guaranteed share.
 Duration Gate::expectedWait(Instant now, CallClass callClass) const
 {
     if (this->mayStartNow(now, callClass))
         return Duration::zero();
+    return std::max(this->expectedWaitForSlot(now, callClass),
+                    this->expectedWaitForStartLimit(now, callClass));
+}
+
+// The lower of two bounds. By precedence: the queued calls of its own and of higher classes run first, in the
+// share of the slots that the higher classes have left recently. By guarantee: its own class runs at least at
+// the rate of its guaranteed share.
+Duration Gate::expectedWaitForSlot(Instant now, CallClass callClass) const
+{
     const double slots = std::max(1U, this->limit.value());
     const double own =
         toSeconds(this->runTimes.mean(callClass)) * static_cast<double>(this->queueOf(callClass).size() + 1);
@@ -203,6 +221,35 @@
     return fromSeconds(std::min(boundByPrecedence, boundByGuarantee));
 }
 
+// The same two bounds for the starts that the limit allows. While it holds calls back, the slots in use are
+// those that it allows to be used.
+Duration Gate::expectedWaitForStartLimit(Instant now, CallClass callClass) const
+{
+    if (!this->startLimit.isSet())
+        return Duration::zero();
+    const auto startsOfClass = static_cast<std::uint32_t>(this->queueOf(callClass).size() + 1);
+    const auto starts = startsOfClass + static_cast<std::uint32_t>(this->callsAheadOf(callClass));
+    const double slotsInUse = this->shares.slotsInUse(now);
+    const double remainingShare =
+        slotsInUse > 0 ? this->shares.remainingShare(now, callClass, slotsInUse) : 1;
+    const double boundByPrecedence = toSeconds(this->startLimit.timeUntil(now, starts)) / remainingShare;
+    const double boundByGuarantee =
+        toSeconds(this->startLimit.timeUntil(now, startsOfClass)) / SlotShares::guaranteedShare(callClass);
+    return fromSeconds(std::min(boundByPrecedence, boundByGuarantee));
+}
+
+// Queued calls of higher classes.
+std::size_t Gate::callsAheadOf(CallClass callClass) const
+{
+    std::size_t calls = 0;
+    for (const CallClass other : classPriorityOrder) {
+        if (other >= callClass)
+            break;
+        calls += this->queueOf(other).size();
+    }
+    return calls;
+}
+
 std::optional<Instant> Gate::nextDeadline() const
 {
     std::optional<Instant> next;
@@ -214,6 +261,13 @@
     return next;
 }
 
+std::optional<Instant> Gate::nextStart(Instant now) const
+{
+    if (this->queued() == 0 || this->unusedSlots() == 0 || this->startLimit.available(now) > 0)
+        return std::nullopt;
+    return now + this->startLimit.timeUntil(now, 1);
+}
+
 std::deque<Gate::QueuedCall> &Gate::queueOf(CallClass callClass)
 {
     return this->queues[indexOf(callClass)];
@@ -246,13 +300,13 @@
     const std::uint32_t batchRunning = this->runningOf(CallClass::Batch);
     if (batchRunning == 0)
         return true;
-    const bool leavesReserve = this->freeSlots() > this->limit.value() / slotsPerReservedSlot;
+    const bool leavesReserve = this->unusedSlots() > this->limit.value() / slotsPerReservedSlot;
     return leavesReserve && batchRunning < this->limit.value() / slotsPerBatchSlot;
 }
 
 bool Gate::mayStartNow(Instant now, CallClass callClass) const
 {
-    if (this->freeSlots() == 0)
+    if (this->freeSlots(now) == 0)
         return false;
     if (callClass == CallClass::Batch && !this->mayStartBatch(now))
         return false;
@@ -307,7 +361,8 @@
 {
     if (reason == RefusalReason::Draining || reason == RefusalReason::NotReady)
         return this->jittered(unavailableRetryAfter);
-    const Duration interval = this->runTimes.mean(callClass) / std::max(1U, this->limit.value());
+    const Duration intervalOfSlots = this->runTimes.mean(callClass) / std::max(1U, this->limit.value());
+    const Duration interval = std::max(intervalOfSlots, this->startLimit.interval());
     const Instant queueServedAt = now + this->expectedWait(now, callClass);
     this->nextRetryAt = std::max(this->nextRetryAt, queueServedAt) + interval;
     this->nextRetryAt = std::min(this->nextRetryAt, now + maximumRetryAfter);
@@ -326,6 +381,7 @@
 {
     const Duration chargedSlotTime = this->runTimes.mean(callClass);
     this->shares.charge(now, callClass, chargedSlotTime);
+    this->startLimit.recordStart(now);
     this->runningCalls.push_back(RunningCall{ticket, callClass, now, chargedSlotTime});
     if (this->running() >= this->limit.value())
         this->lastSaturatedAt = now;
@@ -350,7 +406,7 @@
 
 void Gate::startQueuedCalls(Instant now, std::vector<GateAction> &actions)
 {
-    while (this->freeSlots() > 0) {
+    while (this->freeSlots(now) > 0) {
         const std::optional<CallClass> callClass = this->nextClass(now);
         if (!callClass)
             return;
--- a/Libraries/LibDecide/Gate.h
+++ b/Libraries/LibDecide/Gate.h
@@ -7,6 +7,7 @@
 #include <LibDecide/ConcurrencyLimit.h>
 #include <LibDecide/RunTimes.h>
 #include <LibDecide/SlotShares.h>
+#include <LibDecide/StartLimit.h>
 
 #include <array>
 #include <cstddef>
@@ -23,6 +24,7 @@
     std::uint32_t maximumQueue = 256; // Bounds memory; deadlines usually keep the queue shorter.
     // Different for each gate, so that retries of callers refused by different gates do not synchronise.
     std::uint64_t jitterSeed = 1;
+    Duration startBurst = defaultStartBurst;
 };
 
 // Not thread-safe. A new gate is NotReady until setState() is called. Every ticket that offer() returns ends
@@ -52,6 +54,9 @@
     // Applies to new calls; queued calls stay.
     void setMaximumQueue(std::uint32_t maximumQueue);
 
+    // Limits how many calls start per second, whatever slots are free; nothing lifts the limit.
+    void setStartLimit(Instant now, std::optional<double> callsPerSecond, std::vector<GateAction> &actions);
+
     // Queries.
 
     // Whether offer() would admit or queue the call now, without doing so. Asked before an idempotency key is
@@ -59,7 +64,7 @@
     bool wouldAdmit(Instant now, const CallAttributes &attributes) const;
     std::uint32_t running() const;
     std::uint32_t queued() const;
-    std::uint32_t freeSlots() const;
+    std::uint32_t freeSlots(Instant now) const; // As many calls may start now.
     bool isIdle() const;
     UpstreamCondition condition() const;
     Duration expectedRunTime(CallClass callClass) const;
@@ -69,6 +74,8 @@
         return this->expectedWait(now, attributes.callClass);
     }
     std::optional<Instant> nextDeadline() const; // When advance() must be called next.
+    // When advance() can start a queued call that only the start limit holds back.
+    std::optional<Instant> nextStart(Instant now) const;
 
 private:
     static constexpr std::size_t classCount = 3;
@@ -90,9 +97,13 @@
     std::deque<QueuedCall> &queueOf(CallClass callClass);
     const std::deque<QueuedCall> &queueOf(CallClass callClass) const;
     bool acceptsCalls() const;
+    std::uint32_t unusedSlots() const;
     std::uint32_t runningOf(CallClass callClass) const;
     bool mayStartBatch(Instant now) const;
     bool mayStartNow(Instant now, CallClass callClass) const;
+    Duration expectedWaitForSlot(Instant now, CallClass callClass) const;
+    Duration expectedWaitForStartLimit(Instant now, CallClass callClass) const;
+    std::size_t callsAheadOf(CallClass callClass) const;
     bool meetsDeadline(Instant now, const CallAttributes &attributes, Duration wait) const;
     RefusalReason refusal(Instant now, const CallAttributes &attributes) const;
     GateDecision refuse(Instant now, CallClass callClass, RefusalReason reason);
@@ -107,6 +118,7 @@
     GateSettings settings;
     UpstreamCondition state = UpstreamCondition::NotReady;
     ConcurrencyLimit limit;
+    StartLimit startLimit;
     RunTimes runTimes;
     Ticket nextTicket = 1;
     // No call starts above the limit; lowering the limit cuts none off.
--- a/Libraries/LibDecide/SlotShares.cpp
+++ b/Libraries/LibDecide/SlotShares.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstddef>
+#include <numeric>
 
 namespace Sagecrank {
 
@@ -66,6 +67,12 @@
     return std::max(minimumShare, remaining);
 }
 
+double SlotShares::slotsInUse(Instant now) const
+{
+    const double total = std::accumulate(this->used.begin(), this->used.end(), 0.0);
+    return this->decayFactor(now) * total / decaySeconds;
+}
+
 double SlotShares::decayFactor(Instant now) const
 {
     return std::exp(-std::chrono::duration<double>(now - this->decayedAt).count() / decaySeconds);
--- a/Libraries/LibDecide/SlotShares.h
+++ b/Libraries/LibDecide/SlotShares.h
@@ -31,6 +31,8 @@
     static double guaranteedShare(CallClass callClass);
     // The share of the slots that classes of higher precedence have recently left to this one.
     double remainingShare(Instant now, CallClass callClass, double slots) const;
+    // The mean number of slots that all classes have recently used.
+    double slotsInUse(Instant now) const;
 
 private:
     double decayFactor(Instant now) const;
--- a/Libraries/LibDecide/TargetGate.cpp
+++ b/Libraries/LibDecide/TargetGate.cpp
@@ -12,6 +12,7 @@
 TargetGate::TargetGate(TargetGateSettings settings)
     : settings(settings)
     , slots(settings.slots)
+    , startLimit(settings.startBurst)
     , jitterState(settings.jitterSeed)
 {
 }
@@ -89,18 +90,37 @@
     this->settings.maximumQueue = maximumQueue;
 }
 
+void TargetGate::setStartLimit(Instant now, std::optional<double> callsPerSecond,
+                               std::vector<GateAction> &actions)
+{
+    this->startLimit.setRate(now, callsPerSecond);
+    this->startQueuedCalls(now, actions);
+}
+
 bool TargetGate::wouldAdmit(Instant now, const CallAttributes &attributes) const
 {
     return this->refusal(now, attributes) == RefusalReason::None;
 }
 
-std::uint32_t TargetGate::freeSlots() const
+std::uint32_t TargetGate::unusedSlots() const
 {
     if (!this->acceptsCalls() || this->running() >= this->slots)
         return 0;
     return this->slots - this->running();
 }
 
+std::uint32_t TargetGate::freeSlots(Instant now) const
+{
+    return std::min(this->unusedSlots(), this->startLimit.available(now));
+}
+
+std::optional<Instant> TargetGate::nextStart(Instant now) const
+{
+    if (this->queuedCalls.empty() || this->unusedSlots() == 0 || this->startLimit.available(now) > 0)
+        return std::nullopt;
+    return now + this->startLimit.timeUntil(now, 1);
+}
+
 std::optional<Instant> TargetGate::nextDeadline() const
 {
     std::optional<Instant> next;
@@ -170,7 +190,8 @@
 {
     if (reason == RefusalReason::Draining || reason == RefusalReason::NotReady)
         return this->jittered(unavailableRetryAfter);
-    const Duration interval = this->meanRunTime(now, attributes) / std::max(1U, this->slots);
+    const Duration intervalOfSlots = this->meanRunTime(now, attributes) / std::max(1U, this->slots);
+    const Duration interval = std::max(intervalOfSlots, this->startLimit.interval());
     const Instant queueServedAt = now + this->expectedWait(now, attributes);
     this->nextRetryAt = std::max(this->nextRetryAt, queueServedAt) + interval;
     this->nextRetryAt = std::min(this->nextRetryAt, now + maximumRetryAfter);
@@ -189,13 +210,14 @@
 {
     KindStatistics &kind = this->obtainKind(now, attributes);
     kind.started += 1;
+    this->startLimit.recordStart(now);
     this->runningCalls.push_back(RunningCall{ticket, attributes.kind, now});
 }
 
 void TargetGate::startQueuedCalls(Instant now, std::vector<GateAction> &actions)
 {
     this->refuseUnservable(now, actions);
-    while (this->freeSlots() > 0) {
+    while (this->freeSlots(now) > 0) {
         std::optional<std::size_t> bestIndex;
         Rank bestRank;
         for (std::size_t index = 0; index < this->queuedCalls.size(); ++index) {
--- a/Libraries/LibDecide/TargetGate.h
+++ b/Libraries/LibDecide/TargetGate.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <LibDecide/Admission.h>
+#include <LibDecide/StartLimit.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -24,6 +25,7 @@
     std::uint32_t maximumQueue = 256;
     // Different for each gate, so that retries of callers refused by different gates do not synchronise.
     std::uint64_t jitterSeed = 1;
+    Duration startBurst = defaultStartBurst;
 };
 
 // Not thread-safe. A new gate is NotReady until setState() is called. Every ticket that offer() returns ends
@@ -41,14 +43,16 @@
     void setState(Instant now, UpstreamCondition condition, std::uint32_t slots,
                   std::vector<GateAction> &actions);
     void setMaximumQueue(std::uint32_t maximumQueue);
+    void setStartLimit(Instant now, std::optional<double> callsPerSecond, std::vector<GateAction> &actions);
 
-    // Queries.
+    // Queries, as in Gate.
     bool wouldAdmit(Instant now, const CallAttributes &attributes) const;
     std::uint32_t running() const { return static_cast<std::uint32_t>(this->runningCalls.size()); }
     std::uint32_t queued() const { return static_cast<std::uint32_t>(this->queuedCalls.size()); }
-    std::uint32_t freeSlots() const;
+    std::uint32_t freeSlots(Instant now) const;
     UpstreamCondition condition() const { return this->state; }
     std::optional<Instant> nextDeadline() const; // When advance() must be called next.
+    std::optional<Instant> nextStart(Instant now) const;
     // Time until a slot would be free for such a call if it came now.
     Duration expectedWait(Instant now, const CallAttributes &attributes) const;
 
@@ -91,6 +95,7 @@
     };
 
     bool acceptsCalls() const;
+    std::uint32_t unusedSlots() const;
     const KindStatistics *findKind(std::uint64_t kind) const;
     KindStatistics &obtainKind(Instant now, const CallAttributes &attributes);
     void decay(KindStatistics &kind, Instant now) const;
@@ -103,6 +108,7 @@
     bool isStarved(std::uint64_t kind) const;
     bool isLongRunning(Instant now, const CallAttributes &attributes) const;
     std::uint32_t slotsForLongCalls(Instant now, const CallAttributes &attributes) const;
+    double recentStarts(Instant now, const KindStatistics &kind) const;
     double recentSlotUse(Instant now, const KindStatistics &kind) const;
     bool fitsLongCallLimit(Instant now, const CallAttributes &attributes) const;
     bool mayStartNow(Instant now, const CallAttributes &attributes) const;
@@ -126,6 +132,7 @@
     // shed, a faulty upstream that sheds half of its calls with slots free would run at a small part of its
     // capacity.
     std::uint32_t slots;
+    StartLimit startLimit;
     Ticket nextTicket = 1;
     std::vector<RunningCall> runningCalls; // No call starts above the slots; a lower number cuts none off.
     std::vector<QueuedCall> queuedCalls;   // In order of arrival.
--- a/Libraries/LibDecide/TargetGateRank.cpp
+++ b/Libraries/LibDecide/TargetGateRank.cpp
@@ -177,17 +177,23 @@
     return longCallsRunning < static_cast<std::ptrdiff_t>(this->slotsForLongCalls(now, attributes));
 }
 
-// The mean number of slots that calls of the kind recently used. Started calls are counted, because a call
-// that several gates refuse is offered to each of them.
-double TargetGate::recentSlotUse(Instant now, const KindStatistics &kind) const
+// Calls of the kind that started per second. Started calls are counted, because a call that several gates
+// refuse is offered to each of them.
+double TargetGate::recentStarts(Instant now, const KindStatistics &kind) const
 {
-    return kind.mean * kind.started * std::exp(-toSeconds(now - kind.decayedAt) / countWindowSeconds)
+    return kind.started * std::exp(-toSeconds(now - kind.decayedAt) / countWindowSeconds)
            / countWindowSeconds;
 }
 
+// The mean number of slots that calls of the kind recently used.
+double TargetGate::recentSlotUse(Instant now, const KindStatistics &kind) const
+{
+    return kind.mean * this->recentStarts(now, kind);
+}
+
 bool TargetGate::mayStartNow(Instant now, const CallAttributes &attributes) const
 {
-    if (this->freeSlots() == 0 || !this->fitsLongCallLimit(now, attributes))
+    if (this->freeSlots(now) == 0 || !this->fitsLongCallLimit(now, attributes))
         return false;
     const Rank own = this->rankOf(now, attributes, this->nextTicket);
     return std::none_of(this->queuedCalls.begin(), this->queuedCalls.end(), [&](const QueuedCall &call) {
@@ -196,8 +202,9 @@
     });
 }
 
-// The share of the recent slot time used by kinds that rank before the call. For a long call, the slots that
-// quick kinds use are already deducted from its slots.
+// The share of the recent slot time used by kinds that rank before the call, or their share of the starts
+// that the start limit allows if that is more. For a long call, the slots that quick kinds use are already
+// deducted from its slots.
 double TargetGate::shareOfHigherRanks(Instant now, const CallAttributes &attributes, const Rank &rank) const
 {
     if (rank.starved)
@@ -205,15 +212,21 @@
     const bool longRunning = this->isLongRunning(now, attributes);
     const double runTime = toSeconds(this->meanRunTime(now, attributes));
     double load = 0;
+    double startsPerSecond = 0;
     for (const auto &[id, kind] : this->kinds) {
         const bool ranksAhead =
             rank.late || kind.priority < rank.priority
             || (kind.priority == rank.priority && now + kind.startByOffset < rank.startBy);
-        if (ranksAhead && !(longRunning && kind.mean * longRunFactor <= runTime))
+        if (!ranksAhead)
+            continue;
+        startsPerSecond += this->recentStarts(now, kind);
+        if (!(longRunning && kind.mean * longRunFactor <= runTime))
             load += this->recentSlotUse(now, kind);
     }
     const double slots = longRunning ? this->slotsForLongCalls(now, attributes) : std::max(1U, this->slots);
-    return std::min(maximumShareAhead, load / slots);
+    const double shareOfLimit =
+        this->startLimit.isSet() ? startsPerSecond / this->startLimit.callsPerSecond() : 0;
+    return std::min(maximumShareAhead, std::max(load / slots, shareOfLimit));
 }
 
 // Whether calls that can meet their targets leave almost no slots for late ones.
@@ -237,7 +250,7 @@
 // Simulates the slots as they become free and are taken by the queued calls in rank order. Calls of higher
 // rank that arrive meanwhile go first as well, so the wait is stretched by the share of the slots that such
 // calls used recently. Long calls wait only for each other, in the slots for long calls; however many are
-// queued, they take no other slots.
+// queued, they take no other slots. Every call waits for the start limit.
 //
 // If all queued long calls were counted in the wait of quick ones, four in ten quick calls would be refused
 // in a case where 16 calls of 160 ms are queued ahead of calls of 10 ms that have five of six slots, although
@@ -268,17 +281,23 @@
         std::max({slots - std::min(slots, slotsOfLongCalls), slotFreeAfter.size(), std::size_t{1}}), 0.0);
     const auto later = [](double left, double right) { return left > right; };
     std::make_heap(slotFreeAfter.begin(), slotFreeAfter.end(), later);
+    std::uint32_t callsAhead = 0;
     for (const QueuedCall &call : this->queuedCalls) {
+        if (!ranksBefore(this->rankOf(now, call.attributes, call.ticket), own))
+            continue;
+        ++callsAhead;
         const double runTimeOfQueued = toSeconds(this->meanRunTime(now, call.attributes));
         const bool usesOtherSlots = (longRunning && runTimeOfQueued * longRunFactor <= runTime)
                                     || (longCallsTakeSlots && runTimeOfQueued > longRunFactor * runTime);
-        if (usesOtherSlots || !ranksBefore(this->rankOf(now, call.attributes, call.ticket), own))
+        if (usesOtherSlots)
             continue;
         std::pop_heap(slotFreeAfter.begin(), slotFreeAfter.end(), later);
         slotFreeAfter.back() += runTimeOfQueued;
         std::push_heap(slotFreeAfter.begin(), slotFreeAfter.end(), later);
     }
-    return fromSeconds(slotFreeAfter.front() / (1.0 - this->shareOfHigherRanks(now, attributes, own)));
+    const double waitForStart = toSeconds(this->startLimit.timeUntil(now, callsAhead + 1));
+    return fromSeconds(std::max(slotFreeAfter.front(), waitForStart)
+                       / (1.0 - this->shareOfHigherRanks(now, attributes, own)));
 }
 
 } // namespace Sagecrank
--- a/Services/Node/Gate/LocalGate.cpp
+++ b/Services/Node/Gate/LocalGate.cpp
@@ -224,6 +224,7 @@
         return this->start(call);
     this->openStepSpan(*call, SpanName::Queue);
     this->scheduleQueueCheck(call);
+    this->scheduleNextStart(call->thread);
 }
 
 // Refuses a queued call as soon as it can no longer be answered in time, and not only at its deadline.
@@ -244,6 +245,30 @@
     });
 }
 
+// Wakes the gate when the start limit admits the next queued call, since no other event does.
+void LocalGate::scheduleNextStart(RequestThread thread)
+{
+    Instant at;
+    {
+        const std::lock_guard guard(this->mutex);
+        const std::optional<Instant> next = this->admission.nextStart(SteadyClock::now());
+        if (!next || this->nextStartScheduled)
+            return;
+        this->nextStartScheduled = true;
+        at = *next;
+    }
+    const auto timer = std::make_shared<boost::asio::steady_timer>(thread.context, at);
+    // The handler keeps the timer alive.
+    timer->async_wait([this, timer, thread](const boost::system::error_code &) {
+        {
+            const std::lock_guard guard(this->mutex);
+            this->nextStartScheduled = false;
+        }
+        this->advance();
+        this->scheduleNextStart(thread);
+    });
+}
+
 // A decision on one thread may start or refuse calls of other threads; each call goes on in its own thread.
 void LocalGate::applyActions(std::vector<GateAction> actions)
 {
@@ -306,6 +331,7 @@
         this->admission.finish(SteadyClock::now(), call->ticket, outcome, actions);
     }
     this->applyActions(std::move(actions));
+    this->scheduleNextStart(call->thread);
 }
 
 void LocalGate::refuse(const std::shared_ptr<GateCall> &call, std::string_view reason, Duration retryAfter)
@@ -353,10 +379,10 @@
     call->waitTimer.cancel();
     {
         const std::lock_guard guard(this->mutex);
-        response.freeSlots = this->admission.freeSlots();
+        const Instant now = SteadyClock::now();
+        response.freeSlots = this->admission.freeSlots(now);
         response.queued = this->admission.queued();
         response.draining = this->admission.condition() == UpstreamCondition::Draining;
-        const Instant now = SteadyClock::now();
         response.expectedWaitMicroseconds =
             nonNegativeMicroseconds(this->admission.expectedWait(now, call->attributesIfArrivedAt(now)));
     }
@@ -441,6 +467,8 @@
         this->current = announcement;
         if (replaced)
             wasLimited = std::exchange(this->namedLimit, NamedLimit()).callsPerSecond().has_value();
+        if (wasLimited)
+            this->admission.setStartLimit(SteadyClock::now(), std::nullopt, actions);
         this->admission.setState(SteadyClock::now(), announcement.condition, announcement.slots, actions);
     }
     if (wasLimited)
--- a/Services/Node/Gate/LocalGate.h
+++ b/Services/Node/Gate/LocalGate.h
@@ -102,11 +102,12 @@
     void openStepSpan(GateCall &call, SpanName name);
     static void closeStepSpan(GateCall &call);
     void scheduleQueueCheck(const std::shared_ptr<GateCall> &call);
+    void scheduleNextStart(RequestThread thread);
     void advance();
     void start(const std::shared_ptr<GateCall> &call);
     void upstreamAnswered(const std::shared_ptr<GateCall> &call, HttpResponse response);
     void upstreamFailed(const std::shared_ptr<GateCall> &call, const HttpFailure &failure);
-    void readSignals(GateCall &call, const HttpResponse &response);
+    void readSignals(GateCall &call, const HttpResponse &response, bool isRefusal);
     void recordOutcome(const GateCall &call, bool failed) const;
     void recordAnswer(const GateCall &call);
     void recordFailure(const GateCall &call, const HttpFailure &failure);
@@ -138,6 +139,7 @@
     CrashDetector crashDetector;
     NamedLimit namedLimit;                                             // Of the current instance.
     bool upstreamCheckUnderWay = false;                                // After a broken connection.
+    bool nextStartScheduled = false;                                   // By a timer.
     std::unordered_map<Ticket, std::shared_ptr<GateCall>> queuedCalls; // Exactly the queued tickets.
 
     std::atomic<std::uint32_t> callCount = 0;
--- a/Services/Node/Gate/LocalGateUpstream.cpp
+++ b/Services/Node/Gate/LocalGateUpstream.cpp
@@ -96,7 +96,7 @@
 {
     this->observer.upstreamShed(call->request.callerCallId, call->request.cluster, response.status);
     if (response.status != statusMisdirected)
-        this->readSignals(*call, response);
+        this->readSignals(*call, response, true);
     this->freeSlot(call, CallOutcome::Shed);
     if (response.status != statusMisdirected)
         return this->refuse(call, reasonShed, retryAfterOf(response));
@@ -116,7 +116,7 @@
         return this->handleProvenNotRun(call, response);
     const bool valid = this->isValidAnswer(response);
     if (valid)
-        this->readSignals(*call, response);
+        this->readSignals(*call, response, false);
     this->recordOutcome(*call, !valid || response.status >= 500);
     if (!valid) {
         this->freeSlot(call, CallOutcome::Failed);
@@ -168,18 +168,25 @@
                         deadlinePassed ? statusGatewayTimeout : statusBadGateway, unreachableRetryAfter);
 }
 
-void LocalGate::readSignals(GateCall &call, const HttpResponse &response)
+// A refusal that names no limit does not end one: it may come from a part of the upstream that knows of none.
+void LocalGate::readSignals(GateCall &call, const HttpResponse &response, bool isRefusal)
 {
     call.signals = readUpstreamSignals(response.headers, this->headerNames);
+    const bool countsForLimit = !isRefusal || call.signals.limit.kind != LimitStatementKind::None;
     bool changed = false;
     std::optional<double> limit;
+    std::vector<GateAction> actions;
     {
         const std::lock_guard guard(this->mutex);
         if (call.upstreamInstance != this->current.instance)
             return;
-        changed = this->namedLimit.recordAnswer(call.startedAt, SteadyClock::now(), call.signals.limit);
+        const Instant now = SteadyClock::now();
+        changed = countsForLimit && this->namedLimit.recordAnswer(call.startedAt, now, call.signals.limit);
         limit = this->namedLimit.callsPerSecond();
+        if (changed)
+            this->admission.setStartLimit(now, limit, actions);
     }
+    this->applyActions(std::move(actions));
     if (changed)
         this->observer.upstreamLimitChanged(call.upstreamInstance, limit);
     if (call.signals.limit.kind == LimitStatementKind::Malformed)
--- a/Tests/LibDecide/TestGate.cpp
+++ b/Tests/LibDecide/TestGate.cpp
@@ -190,7 +190,7 @@
         started += decision.verdict == GateVerdict::Start ? 1 : 0;
     }
     cr_assert_eq(started, 3U);
-    cr_assert_eq(gate.freeSlots(), 3U);
+    cr_assert_eq(gate.freeSlots(begin + 2ms), 3U);
 }
 
 // An upstream starts to drain with running and queued calls. The queued ones are refused at once, the running
--- a/Tests/LibDecide/TestOutcomes.cpp
+++ b/Tests/LibDecide/TestOutcomes.cpp
@@ -27,6 +27,7 @@
 // burst, saturation: demand exceeds capacity, so excess calls are refused at once and retried. slow,
 // fails-fast, sheds, cold-start, drain, silent: one upstream misbehaves (half of them in cold-start).
 // all-shed, all-slow: all upstreams misbehave; calls that wait when they turn slow are refused late.
+// named-limit, all-name-limits: one upstream or all ask for fewer calls; the same holds for calls that wait.
 const OutcomeRow outcomeRows[] = {
     {"steady", {0.999, 0.999, 0.999}, {0.999, 0.999, 0.999}, false},
     {"burst", {0.85, 0.95, 0.95}, {0.995, 0.995, 0.99}, true},
@@ -41,6 +42,8 @@
     {"cold-start", {0.99, 0.99, 0.98}, {0.995, 0.995, 0.99}, true},
     {"drain", {0.995, 0.995, 0.99}, {0.999, 0.999, 0.999}, false},
     {"silent", {0.985, 0.98, 0.95}, {0.995, 0.98, 0.99}, true},
+    {"named-limit", {0.995, 0.995, 0.99}, {0.999, 0.995, 0.99}, false},
+    {"all-name-limits", {0.85, 0.85, 0.5}, {0.995, 0.98, 0.99}, false, 0.003},
 };
 
 constexpr std::uint64_t seed = 11;
@@ -78,6 +81,7 @@
         cr_assert_eq(outcome.ranAfterRefusal, 0U);
         cr_assert_eq(outcome.ranTwice, 0U);
         cr_assert_eq(outcome.overSlots, 0U);
+        cr_assert_eq(outcome.overNamedLimit, 0U);
         cr_assert_eq(outcome.unanswered, 0U);
         cr_assert_eq(outcome.interruptedByDrain, 0U);
         cr_assert_eq(outcome.sentToDraining, 0U);
--- a/Utilities/PolicyBench/FakeUpstream.cpp
+++ b/Utilities/PolicyBench/FakeUpstream.cpp
@@ -17,12 +17,14 @@
 } // namespace
 
 FakeUpstream::FakeUpstream(Timeline &timeline, Outcome &outcome, std::function<GateHooks()> makeGate,
-                           std::uint32_t slots, std::function<void(UpstreamCondition)> announce)
+                           std::uint32_t slots, Duration meanRunTime,
+                           std::function<void(UpstreamCondition)> announce)
     : timeline(timeline)
     , outcome(outcome)
     , makeGate(std::move(makeGate))
     , gate(this->makeGate())
     , slots(slots)
+    , meanRunTime(meanRunTime)
     , capacity(slots)
     , announce(std::move(announce))
 {
@@ -88,9 +90,41 @@
             this->setCondition(UpstreamCondition::Ready);
         });
         return;
+    case FaultKind::NamesLimit:
+        this->timeline.at(from, [this, fault] {
+            const double served = this->slots / std::chrono::duration<double>(this->meanRunTime).count();
+            this->setNamedLimit(fault.factor * served);
+        });
+        this->timeline.at(until, [this] { this->setNamedLimit(std::nullopt); });
+        return;
     }
 }
 
+void FakeUpstream::setNamedLimit(std::optional<double> callsPerSecond)
+{
+    this->namedLimit = callsPerSecond;
+    this->recentStarts.clear();
+    if (!this->gate.setStartLimit)
+        return;
+    std::vector<GateAction> actions;
+    this->gate.setStartLimit(this->timeline.now(), callsPerSecond, actions);
+    this->apply(actions);
+}
+
+void FakeUpstream::countAgainstNamedLimit()
+{
+    constexpr double allowedFactor = 1.5;
+    constexpr double allowedExtra = 5;
+    if (!this->namedLimit)
+        return;
+    const Instant now = this->timeline.now();
+    this->recentStarts.push_back(now);
+    while (now - this->recentStarts.front() > 1s)
+        this->recentStarts.pop_front();
+    const double allowed = allowedFactor * *this->namedLimit + allowedExtra;
+    this->outcome.overNamedLimit += static_cast<double>(this->recentStarts.size()) > allowed ? 1 : 0;
+}
+
 void FakeUpstream::receive(const std::shared_ptr<UpstreamAttempt> &attempt)
 {
     if (this->silent)
@@ -149,6 +183,7 @@
 {
     Call &call = *attempt->call;
     call.runs += 1;
+    this->countAgainstNamedLimit();
     this->outcome.ranAfterRefusal += attempt->refused ? 1 : 0;
     this->active[ticket] = Active{attempt, this->timeline.now()};
     this->outcome.overSlots += this->active.size() > this->slots ? 1 : 0;
@@ -216,7 +251,7 @@
     Response response;
     response.kind = kind;
     response.retryAfter = retryAfter;
-    response.freeSlots = this->gate.freeSlots();
+    response.freeSlots = this->gate.freeSlots(this->timeline.now());
     response.queued = this->gate.queued();
     response.draining = this->condition == UpstreamCondition::Draining;
     response.hasReportedLoad = true;
@@ -225,7 +260,9 @@
 
 void FakeUpstream::scheduleGateDeadline()
 {
-    const std::optional<Instant> next = this->gate.nextDeadline();
+    std::optional<Instant> next = this->gate.nextDeadline();
+    if (const auto start = this->gate.nextStart ? this->gate.nextStart(this->timeline.now()) : std::nullopt)
+        next = std::min(next.value_or(Instant::max()), *start);
     if (!next || (this->scheduledDeadline && *this->scheduledDeadline <= *next))
         return;
     this->scheduledDeadline = *next;
--- a/Utilities/PolicyBench/FakeUpstream.h
+++ b/Utilities/PolicyBench/FakeUpstream.h
@@ -7,6 +7,7 @@
 #include <PolicyBench/Scenario.h>
 #include <PolicyBench/Timeline.h>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -18,7 +19,7 @@
 {
 public:
     FakeUpstream(Timeline &timeline, Outcome &outcome, std::function<GateHooks()> makeGate,
-                 std::uint32_t slots, std::function<void(UpstreamCondition)> announce);
+                 std::uint32_t slots, Duration meanRunTime, std::function<void(UpstreamCondition)> announce);
 
     void start();
     void schedule(const Fault &fault);
@@ -40,6 +41,8 @@
     void respond(const std::shared_ptr<UpstreamAttempt> &attempt, ResponseKind kind, Duration retryAfter);
     void scheduleGateDeadline();
     void crash();
+    void setNamedLimit(std::optional<double> callsPerSecond);
+    void countAgainstNamedLimit();
     double slowdown() const;
     void recordBusyTime(const Active &active);
 
@@ -48,6 +51,7 @@
     std::function<GateHooks()> makeGate;
     GateHooks gate;
     std::uint32_t slots;
+    Duration meanRunTime;
     std::uint32_t capacity; // Calls that it runs at once before it sheds load.
     std::function<void(UpstreamCondition)> announce;
     UpstreamCondition condition = UpstreamCondition::NotReady;
@@ -55,6 +59,8 @@
     bool silent = false;
     double slowFactor = 1;
     std::optional<Fault> warmupFault;
+    std::optional<double> namedLimit; // Calls per second.
+    std::deque<Instant> recentStarts; // Of the last second under the named limit.
     std::optional<Instant> noCallsExpectedAfter;
     std::map<Ticket, std::shared_ptr<UpstreamAttempt>> waiting;
     std::map<Ticket, Active> active;
--- a/Utilities/PolicyBench/Fleet.cpp
+++ b/Utilities/PolicyBench/Fleet.cpp
@@ -57,8 +57,9 @@
             host.service = service;
             host.zone = static_cast<std::uint32_t>(index) % this->shape.zones;
             host.id = "host-" + std::to_string(index);
-            host.upstream = std::make_unique<FakeUpstream>(this->timeline, this->outcome, makeGate,
-                                                           this->shape.slots, announce);
+            host.upstream =
+                std::make_unique<FakeUpstream>(this->timeline, this->outcome, makeGate, this->shape.slots,
+                                               this->scenario.meanRunTime(), announce);
             host.node = std::make_unique<FakeNode>(this->timeline, policy, seed * 2003 + index, services);
             host.connections = std::make_unique<CallerConnections>(this->timeline, this->shape.connections);
             for (const Fault &fault : this->scenario.faults) {
--- a/Utilities/PolicyBench/Outcome.cpp
+++ b/Utilities/PolicyBench/Outcome.cpp
@@ -33,6 +33,7 @@
     this->ranAfterRefusal += other.ranAfterRefusal;
     this->ranTwice += other.ranTwice;
     this->overSlots += other.overSlots;
+    this->overNamedLimit += other.overNamedLimit;
     this->unanswered += other.unanswered;
     this->interruptedByDrain += other.interruptedByDrain;
     this->sentToDraining += other.sentToDraining;
@@ -41,7 +42,7 @@
 
 std::uint64_t Outcome::violations() const
 {
-    return this->ranAfterRefusal + this->ranTwice + this->overSlots + this->unanswered
+    return this->ranAfterRefusal + this->ranTwice + this->overSlots + this->overNamedLimit + this->unanswered
            + this->interruptedByDrain + this->sentToDraining + this->refusedWithoutRetryAfter;
 }
 
--- a/Utilities/PolicyBench/Outcome.h
+++ b/Utilities/PolicyBench/Outcome.h
@@ -35,6 +35,7 @@
     std::uint64_t ranAfterRefusal = 0;
     std::uint64_t ranTwice = 0;                 // Non-idempotent attempts that ran more than once.
     std::uint64_t overSlots = 0;                // Starts above the announced slots.
+    std::uint64_t overNamedLimit = 0;           // Starts above what the users' rule LIMIT allows.
     std::uint64_t unanswered = 0;               // Attempts without a final response.
     std::uint64_t interruptedByDrain = 0;       // Calls still queued or running at the end of a drain.
     std::uint64_t sentToDraining = 0;           // Calls sent to a draining upstream after the membership lag.
--- a/Utilities/PolicyBench/Policy.cpp
+++ b/Utilities/PolicyBench/Policy.cpp
@@ -86,11 +86,20 @@
     hooks.setState = [gate](Instant, UpstreamCondition condition, std::uint32_t slots,
                             std::vector<GateAction> &actions) { gate->setState(condition, slots, actions); };
     hooks.nextDeadline = [] { return std::optional<Instant>(); };
-    hooks.freeSlots = [gate] { return gate->free(); };
+    hooks.freeSlots = [gate](Instant) { return gate->free(); };
     hooks.queued = [gate] { return gate->queued(); };
     return hooks;
 }
 
+GateHooks sagecrankGateWithStartBurst(std::uint64_t seed, Duration burst)
+{
+    GateSettings settings;
+    settings.slots = 0;
+    settings.jitterSeed = seed;
+    settings.startBurst = burst;
+    return makeAdmissionHooks(std::make_shared<Gate>(settings));
+}
+
 GateHooks sagecrankGateWithQueue(std::uint64_t seed, std::uint32_t maximumQueue)
 {
     return makeAdmissionHooks(std::make_shared<Gate>(GateSettings{0, maximumQueue, seed}));
@@ -241,6 +250,27 @@
     return hooks;
 }
 
+// Refuses a call that would have to wait for the start limit.
+GateHooks withoutWaitForLimit(std::uint64_t seed)
+{
+    GateHooks hooks = sagecrankGate(seed);
+    const auto limited = std::make_shared<bool>(false);
+    const auto setStartLimit = hooks.setStartLimit;
+    hooks.setStartLimit = [setStartLimit, limited](Instant now, std::optional<double> callsPerSecond,
+                                                   std::vector<GateAction> &actions) {
+        *limited = callsPerSecond.has_value();
+        setStartLimit(now, callsPerSecond, actions);
+    };
+    const auto offer = hooks.offer;
+    hooks.offer = [offer, limited, freeSlots = hooks.freeSlots](Instant now, const CallAttributes &attributes,
+                                                                std::vector<GateAction> &actions) {
+        if (*limited && freeSlots(now) == 0)
+            return GateDecision{GateVerdict::Refuse, 0, RefusalReason::QueueFull, 50ms};
+        return offer(now, attributes, actions);
+    };
+    return hooks;
+}
+
 Policy ablation(std::string name, std::function<GateHooks(std::uint64_t)> makeGate)
 {
     Policy policy = sagecrankPolicy();
@@ -308,6 +338,12 @@
     for (const std::uint32_t length : {64U, 96U, 128U})
         policies.push_back(ablationWithQueue(length));
 
+    policies.push_back(
+        ablation("limit-burst-1", [](std::uint64_t seed) { return sagecrankGateWithStartBurst(seed, 0ms); }));
+    policies.push_back(
+        ablation("limit-burst-1s", [](std::uint64_t seed) { return sagecrankGateWithStartBurst(seed, 1s); }));
+    policies.push_back(ablation("limit-refuses", withoutWaitForLimit));
+
     Policy hedged = sagecrankPolicy();
     hedged.name = "hedges";
     hedged.hedgesCalls = true;
--- a/Utilities/PolicyBench/Scenario.cpp
+++ b/Utilities/PolicyBench/Scenario.cpp
@@ -79,8 +79,24 @@
     return scenario;
 }
 
+// Every server names a limit, together a fifth below the demand.
+Scenario makeAllNameLimits(const FleetShape &fleet)
+{
+    Scenario scenario = makeScenario("all-name-limits", 0.6);
+    addFaultToAllServers(scenario, fleet, FaultKind::NamesLimit, 1500ms, 4500ms, 0.48);
+    return scenario;
+}
+
 } // namespace
 
+Duration Scenario::meanRunTime() const
+{
+    double seconds = 0;
+    for (const ClassLoad &load : this->classes)
+        seconds += load.share * std::chrono::duration<double>(load.runTime).count();
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 std::vector<FleetShape> currentFleets()
 {
     return {
@@ -123,6 +139,8 @@
     scenarios.push_back(makeColdStart(fleet));
     scenarios.push_back(makeFaultScenario("drain", 0.6, FaultKind::Drains, 1, fleet));
     scenarios.push_back(makeFaultScenario("silent", 0.5, FaultKind::Silent, 1, fleet));
+    scenarios.push_back(makeFaultScenario("named-limit", 0.6, FaultKind::NamesLimit, 0.4, fleet));
+    scenarios.push_back(makeAllNameLimits(fleet));
     return scenarios;
 }
 
--- a/Utilities/PolicyBench/Scenario.h
+++ b/Utilities/PolicyBench/Scenario.h
@@ -31,12 +31,13 @@
 };
 
 enum class FaultKind : std::uint8_t {
-    Slow,      // Run times are multiplied by the factor.
-    FailsFast, // Calls fail at once while the upstream reports ready.
-    Sheds,     // Sheds load above the factor's share of its announced slots.
-    Restarts,  // Down for 500 ms, then slower by the factor until it is warm.
-    Drains,    // Accepts no new calls and stops at the end of the fault.
-    Silent,    // Its host fails silently: no responses and no connection errors.
+    Slow,       // Run times are multiplied by the factor.
+    FailsFast,  // Calls fail at once while the upstream reports ready.
+    Sheds,      // Sheds load above the factor's share of its announced slots.
+    Restarts,   // Down for 500 ms, then slower by the factor until it is warm.
+    Drains,     // Accepts no new calls and stops at the end of the fault.
+    Silent,     // Its host fails silently: no responses and no connection errors.
+    NamesLimit, // Asks for no more calls per second than the factor's share of what its slots serve.
 };
 
 struct Fault
@@ -62,6 +63,8 @@
     std::vector<Fault> faults;
     Duration duration = std::chrono::seconds(6);
     Duration membershipLag = std::chrono::milliseconds(800); // Delay until all nodes learn a new condition.
+
+    Duration meanRunTime() const; // On a healthy upstream.
 };
 
 std::vector<FleetShape> currentFleets();
