Node: Send nothing new to an upstream whose answers say that it leaves

What callers see: a request that runs at an upstream which is about to end, and is cut off with it.

The gate passed the upstream's statement on to the caller unread; only the upstream's announcements ended its calls, which may be seconds late or, for some upstreams, never come.

The gate takes the upstream for draining from that answer on, and keeps it so whatever the same instance announces later. The statement goes the way of an announced departure: the record that the next process of the node reads, and the membership, by which all nodes stop. An instance that takes over the address begins anew.

--- a/Services/Node/Gate/LocalGate.cpp
+++ b/Services/Node/Gate/LocalGate.cpp
@@ -37,14 +37,14 @@
 
 LocalGate::LocalGate(std::string nodeId, AdmissionHooks admission, CallHeaders headerNames, ClaimHooks claims,
                      QuarantineHooks quarantine, HistoryRecorder &history, RequestObserver &observer,
-                     OutcomeHook outcomeHook)
+                     UpstreamHooks upstreamHooks)
     : nodeId(std::move(nodeId))
     , headerNames(std::move(headerNames))
     , claims(std::move(claims))
     , quarantine(std::move(quarantine))
     , history(history)
     , observer(observer)
-    , outcomeHook(std::move(outcomeHook))
+    , upstreamHooks(std::move(upstreamHooks))
     , admission(std::move(admission))
 {
 }
@@ -469,7 +469,11 @@
             wasLimited = std::exchange(this->namedLimit, NamedLimit()).callsPerSecond().has_value();
         if (wasLimited)
             this->admission.setStartLimit(SteadyClock::now(), std::nullopt, actions);
-        this->admission.setState(SteadyClock::now(), announcement.condition, announcement.slots, actions);
+        // Instances without a name cannot be told apart, so the latest statement holds.
+        if (replaced || announcement.instance.empty())
+            this->isLeaving = false;
+        this->admission.setState(SteadyClock::now(), this->conditionFor(announcement), announcement.slots,
+                                 actions);
     }
     if (wasLimited)
         this->observer.upstreamLimitChanged(announcement.instance, std::nullopt);
@@ -478,6 +482,14 @@
     this->applyActions(std::move(actions));
 }
 
+// A delayed announcement does not bring back an instance that leaves.
+UpstreamCondition LocalGate::conditionFor(const UpstreamAnnouncement &announcement) const
+{
+    const bool takesCalls = announcement.condition == UpstreamCondition::Warming
+                            || announcement.condition == UpstreamCondition::Ready;
+    return this->isLeaving && takesCalls ? UpstreamCondition::Draining : announcement.condition;
+}
+
 void LocalGate::setMaximumQueue(std::uint32_t maximumQueue)
 {
     const std::lock_guard guard(this->mutex);
--- a/Services/Node/Gate/LocalGate.h
+++ b/Services/Node/Gate/LocalGate.h
@@ -45,6 +45,15 @@
     Duration runTime{};
 };
 
+// What the gate learns about its upstream from the upstream's answers. Any of them may be empty. Called on
+// the request thread.
+struct UpstreamHooks
+{
+    std::function<void(const UpstreamOutcome &)> callEnded;
+    // The instance states in an answer that it leaves. Called once for each instance.
+    std::function<void(const std::string &instance)> leaving;
+};
+
 // Retry delay if it is not known when the upstream will be available.
 inline constexpr Duration unreachableRetryAfter = std::chrono::seconds(1);
 
@@ -52,13 +61,12 @@
 {
 public:
     using AnswerHook = std::function<void(CallResponse)>;
-    using OutcomeHook = std::function<void(const UpstreamOutcome &)>; // May be empty.
 
     // The observer outlives the gate.
 
     LocalGate(std::string nodeId, AdmissionHooks admission, CallHeaders headerNames, ClaimHooks claims,
               QuarantineHooks quarantine, HistoryRecorder &history, RequestObserver &observer,
-              OutcomeHook outcomeHook = {});
+              UpstreamHooks upstreamHooks = {});
 
     // Called on the request thread, where `answer` is called as well, exactly once.
     std::shared_ptr<GateCall> submit(RequestThread thread, CallRequest request, AnswerHook answer);
@@ -107,6 +115,7 @@
     void start(const std::shared_ptr<GateCall> &call);
     void upstreamAnswered(const std::shared_ptr<GateCall> &call, HttpResponse response);
     void upstreamFailed(const std::shared_ptr<GateCall> &call, const HttpFailure &failure);
+    UpstreamCondition conditionFor(const UpstreamAnnouncement &announcement) const;
     void readSignals(GateCall &call, const HttpResponse &response, bool isRefusal);
     void recordOutcome(const GateCall &call, bool failed) const;
     void recordAnswer(const GateCall &call);
@@ -131,15 +140,16 @@
     const QuarantineHooks quarantine;
     HistoryRecorder &history;
     RequestObserver &observer;
-    const OutcomeHook outcomeHook;
+    const UpstreamHooks upstreamHooks;
 
     mutable std::mutex mutex; // Guards the members below; never held during I/O.
     const AdmissionHooks admission;
     UpstreamAnnouncement current;
     CrashDetector crashDetector;
-    NamedLimit namedLimit;                                             // Of the current instance.
-    bool upstreamCheckUnderWay = false;                                // After a broken connection.
-    bool nextStartScheduled = false;                                   // By a timer.
+    NamedLimit namedLimit;              // Of the current instance.
+    bool isLeaving = false;             // The current instance stated in an answer that it leaves.
+    bool upstreamCheckUnderWay = false; // After a broken connection.
+    bool nextStartScheduled = false;    // By a timer.
     std::unordered_map<Ticket, std::shared_ptr<GateCall>> queuedCalls; // Exactly the queued tickets.
 
     std::atomic<std::uint32_t> callCount = 0;
--- a/Services/Node/Gate/LocalGateUpstream.cpp
+++ b/Services/Node/Gate/LocalGateUpstream.cpp
@@ -174,6 +174,7 @@
     call.signals = readUpstreamSignals(response.headers, this->headerNames);
     const bool countsForLimit = !isRefusal || call.signals.limit.kind != LimitStatementKind::None;
     bool changed = false;
+    bool beginsToLeave = false;
     std::optional<double> limit;
     std::vector<GateAction> actions;
     {
@@ -185,8 +186,15 @@
         limit = this->namedLimit.callsPerSecond();
         if (changed)
             this->admission.setStartLimit(now, limit, actions);
+        beginsToLeave = call.signals.leaving && !this->isLeaving;
+        if (beginsToLeave) {
+            this->isLeaving = true;
+            this->admission.setState(now, this->conditionFor(this->current), this->current.slots, actions);
+        }
     }
     this->applyActions(std::move(actions));
+    if (beginsToLeave && this->upstreamHooks.leaving)
+        this->upstreamHooks.leaving(call.upstreamInstance);
     if (changed)
         this->observer.upstreamLimitChanged(call.upstreamInstance, limit);
     if (call.signals.limit.kind == LimitStatementKind::Malformed)
@@ -195,8 +203,8 @@
 
 void LocalGate::recordOutcome(const GateCall &call, bool failed) const
 {
-    if (this->outcomeHook)
-        this->outcomeHook({call.request.kind, failed, SteadyClock::now() - call.startedAt});
+    if (this->upstreamHooks.callEnded)
+        this->upstreamHooks.callEnded({call.request.kind, failed, SteadyClock::now() - call.startedAt});
 }
 
 void LocalGate::recordAnswer(const GateCall &call)
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -103,8 +103,7 @@
     , claims(this->control, this->adapter.table)
     , quarantine(this->quarantineHooks())
     , gate(this->settings.id, makeAdmission(this->settings), this->adapter.headers, this->claims.hooks(),
-           this->quarantine.requestHooks(), this->history, this->observer,
-           [this](const UpstreamOutcome &outcome) { this->rollouts.recordOutcome(outcome); })
+           this->quarantine.requestHooks(), this->history, this->observer, this->upstreamHooks())
     , bodies(bodyGrantSettings(this->settings))
     , presence(this->presenceHooks(), this->settings.platform.announcementLifetime)
     , record(this->control, this->adapter.table, this->settings.id, this->recordHooks())
@@ -415,6 +414,18 @@
     };
 }
 
+UpstreamHooks Node::upstreamHooks()
+{
+    UpstreamHooks hooks;
+    hooks.callEnded = [this](const UpstreamOutcome &outcome) { this->rollouts.recordOutcome(outcome); };
+    // The record of departures is used on the control thread only.
+    hooks.leaving = [this](const std::string &instance) {
+        boost::asio::post(this->control,
+                          [this, instance] { this->presence.leavingStated(SteadyClock::now(), instance); });
+    };
+    return hooks;
+}
+
 UpstreamPresenceHooks Node::presenceHooks()
 {
     UpstreamPresenceHooks hooks;
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -58,6 +58,7 @@
                  const std::shared_ptr<HttpExchange> &exchange);
     HttpHandler adminHandler();
     HttpHandler adapterHandler();
+    UpstreamHooks upstreamHooks();
     UpstreamPresenceHooks presenceHooks();
     UpstreamRecordHooks recordHooks();
     void watchStoreEra();
--- a/Services/Node/Upstream/UpstreamPresence.cpp
+++ b/Services/Node/Upstream/UpstreamPresence.cpp
@@ -72,6 +72,8 @@
 
 bool UpstreamPresence::hasDeparted(Instant now, const UpstreamAnnouncement &announcement) const
 {
+    if (this->statedLeaving == announcement.instance)
+        return true;
     if (this->departedUnknown == announcement.instance && now < this->nameRejectedUntil)
         return true;
     if (!this->departed || this->departed->instance != announcement.instance)
@@ -154,6 +156,16 @@
     return AnnouncementResult::Accepted;
 }
 
+void UpstreamPresence::leavingStated(Instant now, const std::string &instance)
+{
+    const std::lock_guard guard(this->mutex);
+    if (instance != this->last.instance || !takesCalls(this->announcedState))
+        return;
+    if (!instance.empty())
+        this->statedLeaving = instance;
+    this->apply(now, UpstreamAnnouncement(this->last), UpstreamState::Draining);
+}
+
 void UpstreamPresence::advance(Instant now)
 {
     const std::lock_guard guard(this->mutex);
--- a/Services/Node/Upstream/UpstreamPresence.h
+++ b/Services/Node/Upstream/UpstreamPresence.h
@@ -79,6 +79,8 @@
     AnnouncementResult announced(Instant now, UpstreamAnnouncement announcement, UpstreamState state);
     // The named instance leaves. Its start time is not known.
     AnnouncementResult left(Instant now, const std::string &instance);
+    // The named instance stated in an answer that it leaves. Nothing that it announces brings it back.
+    void leavingStated(Instant now, const std::string &instance);
     void advance(Instant now); // Detects missing announcements.
 
     // From now on a first "ready" is held back until `persistedStateLoaded` is called, or until the same
@@ -122,6 +124,7 @@
     std::optional<HeldAnnouncement> held;       // Set only while `awaitsPersistedState`.
     std::optional<Departure> departed;          // From the persisted state.
     std::optional<std::string> departedUnknown; // Instance that left before it was known to this process.
+    std::optional<std::string> statedLeaving;   // Instance that stated in an answer that it leaves.
     Instant nameRejectedUntil; // End of `departedNameTimeout` for a departure without a start time.
 };
 
--- a/Tests/Node/TestUpstreamLimit.cpp
+++ b/Tests/Node/TestUpstreamLimit.cpp
@@ -39,11 +39,12 @@
         this->announce(1, UpstreamCondition::Ready);
     }
 
-    void announce(std::uint64_t sequence, UpstreamCondition condition)
+    void announce(std::uint64_t sequence, UpstreamCondition condition, const char *instance = "i-1",
+                  std::uint64_t startedAt = 1)
     {
         UpstreamAnnouncement announcement{"booking", this->fixture.upstream.address(), slots, condition};
-        announcement.instance = "i-1";
-        announcement.startedAt = 1;
+        announcement.instance = instance;
+        announcement.startedAt = startedAt;
         announcement.sequence = sequence;
         this->fixture.gate.announce(announcement);
     }
@@ -55,6 +56,8 @@
             this->step();
     }
 
+    void answerWith(std::vector<Header> changed) { this->headers = std::move(changed); }
+
     std::size_t received() const { return this->fixture.receivedRequests.size(); }
 
     GateFixture fixture;
@@ -117,3 +120,18 @@
     upstream.runFor(Milliseconds(200));
     cr_assert(upstream.received() == before, "%s: %zu more", row.name, upstream.received() - before);
 }
+
+// Guards against a limit or a departure that outlives the instance that stated it.
+TABLE_TEST(upstreamLimit, nextInstanceBeginsAnew, admissionRows)
+{
+    const CallHeaders names;
+    BusyUpstream upstream(row.make(), {{names.upstreamLimit, "1"}, {names.upstreamLeaving, "1"}});
+    upstream.runFor(Milliseconds(50));
+    cr_assert(upstream.fixture.gate.announcement().instance == "i-1");
+    upstream.answerWith({});
+    const std::size_t before = upstream.received();
+    upstream.announce(1, UpstreamCondition::Ready, "i-2", 2);
+    upstream.runFor(Milliseconds(500));
+    cr_assert(upstream.received() > before + 2 * slots, "%s: %zu more", row.name,
+              upstream.received() - before);
+}
--- a/Tests/Node/TestUpstreamRecord.cpp
+++ b/Tests/Node/TestUpstreamRecord.cpp
@@ -220,6 +220,39 @@
     cr_assert(next.presence.state() == UpstreamState::None);
 }
 
+// Guards against a delayed "ready" that brings back an instance whose answers say that it leaves, in the same
+// process of the node and in the next.
+Test(upstreamRecord, leavingStatedInAnAnswerIsFinal)
+{
+    FakeTable table;
+    {
+        Process killed(table);
+        killed.announce(UpstreamState::Ready, 1);
+        killed.presence.leavingStated(killed.now, "i-1");
+        cr_assert(killed.presence.state() == UpstreamState::Draining);
+        killed.now += std::chrono::minutes(1);
+        killed.announce(UpstreamState::Ready, 2);
+        cr_assert(killed.presence.state() == UpstreamState::Draining);
+    }
+    Process next(table);
+    next.announce(UpstreamState::Ready, 3);
+    cr_assert(next.presence.state() == UpstreamState::None);
+    next.announce(UpstreamState::Ready, 1, 200, "i-2");
+    cr_assert(next.presence.state() == UpstreamState::Ready);
+}
+
+// A late answer of an earlier instance does not concern the present one.
+Test(upstreamRecord, leavingStatedByAnEarlierInstanceIsIgnored)
+{
+    FakeTable table;
+    Process node(table);
+    node.announce(UpstreamState::Ready, 1, 100, "i-1");
+    node.announce(UpstreamState::Ready, 1, 200, "i-2");
+    node.presence.leavingStated(node.now, "i-1");
+    cr_assert(node.presence.state() == UpstreamState::Ready);
+    cr_assert(table.writes == 0);
+}
+
 // A departure is confirmed only once the row is written: a node that is killed before has promised nothing.
 Test(upstreamRecord, confirmsOnlyAfterTheRowIsWritten)
 {
