--- a/Libraries/LibHistory/Checkers.cpp
+++ b/Libraries/LibHistory/Checkers.cpp
@@ -23,6 +23,7 @@
     {Invariant::AtMostOnce, checkAtMostOnce},
     {Invariant::LeavingGetsNoWork, checkLeavingGetsNoWork},
     {Invariant::ShutdownCutsNothing, checkShutdownCutsNothing},
+    {Invariant::NamedLimitKept, checkNamedLimitKept},
     {Invariant::AcceptedInForce, checkAcceptedInForce},
 };
 
--- a/Libraries/LibHistory/Checkers.h
+++ b/Libraries/LibHistory/Checkers.h
@@ -23,10 +23,11 @@
     AtMostOnce,          // Non-idempotent work runs at most once.
     LeavingGetsNoWork,   // A draining upstream receives no new work after a few seconds.
     ShutdownCutsNothing, // A graceful shutdown aborts no request in flight.
+    NamedLimitKept,      // An upstream that names a limit on its calls gets no more than it allows.
     AcceptedInForce,     // An accepted version is in force on every node in time and never reverts.
 };
 
-inline constexpr EnumNames<Invariant, 9> invariantNames{{
+inline constexpr EnumNames<Invariant, 10> invariantNames{{
     {Invariant::VersionNeverBack, "version-never-back"},
     {Invariant::NoDanglingRoute, "no-dangling-route"},
     {Invariant::WholeVersions, "whole-versions"},
@@ -35,6 +36,7 @@
     {Invariant::AtMostOnce, "at-most-once"},
     {Invariant::LeavingGetsNoWork, "leaving-gets-no-work"},
     {Invariant::ShutdownCutsNothing, "shutdown-cuts-nothing"},
+    {Invariant::NamedLimitKept, "named-limit-kept"},
     {Invariant::AcceptedInForce, "accepted-in-force"},
 }};
 
@@ -43,6 +45,12 @@
     // How long an upstream may still receive work after it announced that it drains. The announcement takes
     // time to propagate; the invariant allows "a few seconds".
     std::chrono::nanoseconds drain = std::chrono::seconds(3);
+    // Time from the naming of a limit until it must be kept, and the length of each span in which it is.
+    std::chrono::nanoseconds limitSettle = std::chrono::seconds(3);
+    std::chrono::nanoseconds limitSpan = std::chrono::seconds(4);
+    // What an upstream may get in such a span: a multiple of what its limit allows, and some calls more.
+    double limitFactor = 1.5;
+    double limitExtra = 5;
     // Time from acceptance until a version must be in force on every node that is up and reachable.
     std::chrono::nanoseconds convergence = std::chrono::seconds(7);
     // How long a request thread may still use a snapshot that another thread has just replaced.
@@ -74,6 +82,7 @@
 CheckResult checkAtMostOnce(const History &history, const CheckLimits &limits);
 CheckResult checkLeavingGetsNoWork(const History &history, const CheckLimits &limits);
 CheckResult checkShutdownCutsNothing(const History &history, const CheckLimits &limits);
+CheckResult checkNamedLimitKept(const History &history, const CheckLimits &limits);
 CheckResult checkAcceptedInForce(const History &history, const CheckLimits &limits);
 
 // Runs the checker of one invariant.
--- a/Libraries/LibHistory/HistoryEvents.h
+++ b/Libraries/LibHistory/HistoryEvents.h
@@ -29,6 +29,7 @@
     UpstreamBegan,
     UpstreamEnded,
     UpstreamDraining,
+    UpstreamLimited,
     NodePlaced,
     NodeOffered,
     NodeSwapped,
@@ -41,7 +42,7 @@
     FaultEnded,
 };
 
-inline constexpr EnumNames<HistoryEventKind, 21> historyEventKindNames{{
+inline constexpr EnumNames<HistoryEventKind, 22> historyEventKindNames{{
     {HistoryEventKind::ProcessStarted, "process.started"},
     {HistoryEventKind::CallerSent, "caller.sent"},
     {HistoryEventKind::CallerAnswered, "caller.answered"},
@@ -53,6 +54,7 @@
     {HistoryEventKind::UpstreamBegan, "upstream.began"},
     {HistoryEventKind::UpstreamEnded, "upstream.ended"},
     {HistoryEventKind::UpstreamDraining, "upstream.draining"},
+    {HistoryEventKind::UpstreamLimited, "upstream.limited"},
     {HistoryEventKind::NodePlaced, "node.placed"},
     {HistoryEventKind::NodeOffered, "node.offered"},
     {HistoryEventKind::NodeSwapped, "node.swapped"},
@@ -260,6 +262,15 @@
     }
 };
 
+// Written by the upstream when it names another limit in its answers from now on.
+struct UpstreamLimited
+{
+    static constexpr HistoryEventKind kind = HistoryEventKind::UpstreamLimited;
+    std::uint64_t callsPerSecond = 0; // Zero when it names none any more.
+
+    static void visitFields(auto &self, auto &&visit) { visit("calls_per_s", self.callsPerSecond); }
+};
+
 // A node selected the member whose upstream is to run the attempt.
 struct NodePlaced
 {
@@ -434,8 +445,8 @@
 
 using HistoryEvent =
     std::variant<ProcessStarted, CallerSent, CallerAnswered, CallerLost, GateAdmitted, GateStarted,
-                 GateFinished, GateRefused, UpstreamBegan, UpstreamEnded, UpstreamDraining, NodePlaced,
-                 NodeOffered, NodeSwapped, NodeMember, PublishAccepted, PublishRefused, ProcessLaunched,
-                 ProcessExited, FaultBegan, FaultEnded>;
+                 GateFinished, GateRefused, UpstreamBegan, UpstreamEnded, UpstreamDraining, UpstreamLimited,
+                 NodePlaced, NodeOffered, NodeSwapped, NodeMember, PublishAccepted, PublishRefused,
+                 ProcessLaunched, ProcessExited, FaultBegan, FaultEnded>;
 
 } // namespace Sagecrank
--- a/Meta/prove/faults.py
+++ b/Meta/prove/faults.py
@@ -327,6 +327,27 @@
                     double_late_share=0.1)
 
 
+@fault
+def named_limit(this_round):
+    """An upstream asks in its answers for few calls, for long enough that the limit must be kept meanwhile."""
+    with this_round.upstream_seat() as seat:
+        this_round.fleet.upstream_faults(seat, named_limit=this_round.random.choice([2, 5]))
+        this_round.pause(8.0, 10.0)
+        this_round.fleet.upstream_faults(seat)
+    this_round.pause(0.5, 1.0)
+
+
+@fault
+def leaves_quietly(this_round):
+    """An upstream leaves and says so in its answers only."""
+    with this_round.upstream_seat() as seat:
+        this_round.fleet.upstream_faults(seat, silent=True)
+        _drain_upstream(seat)
+        this_round.pause(0.1, 0.6)
+        this_round.fleet.launch_upstream(seat)
+    this_round.pause(0.5, 1.0)
+
+
 @fault
 def cold(this_round):
     """An upstream is replaced by one that starts cold."""
--- a/Meta/prove/prove.py
+++ b/Meta/prove/prove.py
@@ -31,6 +31,7 @@
     ("caller-cut", "platform-down"), ("platform-silent", "kill-node"), ("drain-node", "platform-lost"),
     ("drain-node", "drain"), ("peers-silent", "platform-lost"), ("peers-silent", "kill-node"),
     ("kill-node", "platform-down"), ("herd", "platform-cut"), ("peers-late", "pause-node"), ("peers-cut", "shed"), ("peers-hole", "kill-upstream"),
+    ("named-limit", "kill-node"), ("named-limit", "answers-broken"), ("leaves-quietly", "kill-node"),
 ]
 
 
@@ -43,15 +44,20 @@
 
 # The soak draws so many faults for a seed, each of which may come more than once, in series and overlapping.
 SOAK_FAULTS = (2, 5)
-# Drawn after the others and one for a seed, so that what a seed drew before they were there stays as it was.
+# Drawn after the others, one of each row for a seed, so that what a seed drew before they were there stays as it
+# was.
 LATER_FAULTS = ("zone-lost", "answers-broken")
+LATEST_FAULTS = ("named-limit", "leaves-quietly")
+
+# Promises that only runs with a certain fault can judge.
+JUDGED_WITH = {"named-limit-kept": "named-limit"}
 
 
 def soak_scenario(seed):
     source = random.Random(f"{seed}/soak")
-    disturbing = [name for name in faults.FAULTS if name != "none" and name not in LATER_FAULTS]
+    disturbing = [name for name in faults.FAULTS if name != "none" and name not in LATER_FAULTS + LATEST_FAULTS]
     drawn = source.choices(disturbing, k=source.randint(*SOAK_FAULTS))
-    return "+".join([*drawn, source.choice(LATER_FAULTS)])
+    return "+".join([*drawn, source.choice(LATER_FAULTS), source.choice(LATEST_FAULTS)])
 
 
 def parse_arguments():
@@ -205,6 +211,8 @@
         broken = []
         for row in verdict["promises"]:
             name = row["promise"]
+            if JUDGED_WITH.get(name, scenario) not in scenario:
+                continue
             self.judged[name] = self.judged.get(name, 0) + row["judged"]
             self.broken[name] = self.broken.get(name, 0) + len(row["violations"])
             if row["violations"]:
--- a/Services/UpstreamEmulator/Main.cpp
+++ b/Services/UpstreamEmulator/Main.cpp
@@ -130,9 +130,10 @@
             this->drain.begin(SteadyClock::now());
             this->log.write(EventId::ProcessDraining, {});
             this->service.beginDrain();
-            this->announcer.announce(this->settings.announceGoneFirst ? UpstreamState::Gone
-                                                                      : UpstreamState::Draining,
-                                     [](std::optional<std::uint64_t>) {});
+            if (!this->service.suppressesAnnouncements())
+                this->announcer.announce(this->settings.announceGoneFirst ? UpstreamState::Gone
+                                                                          : UpstreamState::Draining,
+                                         [](std::optional<std::uint64_t>) {});
             this->awaitSignal();
         });
     }
--- a/Services/UpstreamEmulator/UpstreamFaults.cpp
+++ b/Services/UpstreamEmulator/UpstreamFaults.cpp
@@ -31,6 +31,7 @@
 {
     constexpr double slowest = 1'000'000;
     constexpr double maximumLag = 600'000;
+    constexpr double maximumNamedLimit = 1'000'000;
     if (key == "slow_factor")
         return readNumber(value, 0, slowest, result.slowFactor);
     if (const auto callFault = callFaultShareKeys.value(key))
@@ -39,6 +40,12 @@
         return readFlag(value, result.misleadingHealth);
     if (key == "silent")
         return readFlag(value, result.silent);
+    if (key == "named_limit") {
+        double callsPerSecond = 0;
+        const bool good = readNumber(value, 0, maximumNamedLimit, callsPerSecond);
+        result.namedLimit = static_cast<std::uint32_t>(callsPerSecond);
+        return good;
+    }
     if (key == "health_lag_ms") {
         double milliseconds = 0;
         const bool good = readNumber(value, 0, maximumLag, milliseconds);
--- a/Services/UpstreamEmulator/UpstreamFaults.h
+++ b/Services/UpstreamEmulator/UpstreamFaults.h
@@ -49,7 +49,8 @@
         shares{};                  // Shares of calls, indexed by CallFault; meant to sum to at most 1.
     bool misleadingHealth = false; // Health and announcements always report ready and idle.
     Milliseconds healthLag{0};     // Health and announcements report the state from this long ago.
-    bool silent = false;           // No announcements.
+    bool silent = false;           // No announcements, not even of a drain.
+    std::uint32_t namedLimit = 0;  // Calls per second that all answers ask for; 0: they name no limit.
     std::uint64_t seed = 1;
 };
 
--- a/Services/UpstreamEmulator/WorkService.cpp
+++ b/Services/UpstreamEmulator/WorkService.cpp
@@ -121,7 +121,9 @@
 {
     ++this->service.shed;
     this->ended = true;
-    this->exchange->respond(shedResponse(why));
+    HttpResponse response = shedResponse(why);
+    this->service.addStatements(response);
+    this->exchange->respond(std::move(response));
 }
 
 void WorkService::Call::start()
@@ -219,9 +221,9 @@
     if (!response)
         return;
     if (this->callFault == CallFault::Dropped)
-        this->exchange->drop();
-    else
-        this->exchange->respond(std::move(*response));
+        return this->exchange->drop();
+    this->service.addStatements(*response);
+    this->exchange->respond(std::move(*response));
 }
 
 WorkService::WorkService(WorkSettings settings, HistoryRecorder &history, Now now, FaultsSet faultsSet)
@@ -282,12 +284,33 @@
     const Result<UpstreamFaultSettings> requested = parseUpstreamFaultSettings(request.body);
     if (!requested)
         return exchange.respond(makeResponse(400, "text/plain", requested.error().describe() + "\n"));
+    this->setFaults(requested.value());
+    this->faultsSet(request.body);
+    exchange.respond(makeResponse(200, "application/json", "{}"));
+}
+
+void WorkService::setFaults(const UpstreamFaultSettings &settings)
+{
+    bool limitChanges = false;
     {
         const std::lock_guard guard(this->lock);
-        this->faults.set(requested.value());
+        limitChanges = this->faults.settings().namedLimit != settings.namedLimit;
     }
-    this->faultsSet(request.body);
-    exchange.respond(makeResponse(200, "application/json", "{}"));
+    if (limitChanges)
+        this->history.record([&] { return UpstreamLimited{settings.namedLimit}; });
+    const std::lock_guard guard(this->lock);
+    this->faults.set(settings);
+}
+
+// What every answer states about the upstream.
+void WorkService::addStatements(HttpResponse &response) const
+{
+    const std::lock_guard guard(this->lock);
+    const std::uint32_t limit = this->faults.settings().namedLimit;
+    if (limit > 0)
+        response.headers.push_back({"Sagecrank-Upstream-Limit", std::to_string(limit)});
+    if (this->state == UpstreamState::Draining)
+        response.headers.push_back({"Sagecrank-Upstream-Leaving", "1"});
 }
 
 UpstreamReport WorkService::report() const
@@ -324,7 +347,7 @@
     if (!this->faults.drawEarlyRefusal())
         return std::nullopt;
     ++this->shed;
-    return shedResponse("refused before the body was in");
+    return shedResponse("refused before the body was in"); // Says nothing about limits or leaving.
 }
 
 bool WorkService::suppressesAnnouncements() const
--- a/Services/UpstreamEmulator/WorkService.h
+++ b/Services/UpstreamEmulator/WorkService.h
@@ -73,6 +73,8 @@
 
     void handleControlRequest(const HttpRequest &request, HttpExchange &exchange);
     void startNext();
+    void addStatements(HttpResponse &response) const;
+    void setFaults(const UpstreamFaultSettings &settings);
     std::string countersJson() const;
 
     WorkSettings settings;
--- a/Tests/Emulators/TestUpstream.cpp
+++ b/Tests/Emulators/TestUpstream.cpp
@@ -187,6 +187,28 @@
     cr_assert(upstream.service.report().running == 0);
 }
 
+Test(workService, answersStateTheLimitAndThatItLeaves)
+{
+    UpstreamFixture upstream(1, 0);
+    const auto header = [&](const char *name) {
+        const auto call = upstream.call();
+        upstream.poll();
+        return std::string(findHeader(call->response->headers, name));
+    };
+    cr_assert(header("Sagecrank-Upstream-Limit").empty());
+    upstream.setFaults(R"({"named_limit":20})");
+    cr_assert(header("Sagecrank-Upstream-Limit") == "20");
+    cr_assert(upstream.events("upstream.limited") == 1);
+    upstream.setFaults(R"({"named_limit":20,"shed_share":1})");
+    cr_assert(header("Sagecrank-Upstream-Limit") == "20", "refusals state it too");
+    cr_assert(upstream.events("upstream.limited") == 1, "the limit has not changed");
+    upstream.setFaults("{}");
+    cr_assert(header("Sagecrank-Upstream-Limit").empty());
+    cr_assert(header("Sagecrank-Upstream-Leaving").empty());
+    upstream.service.beginDrain();
+    cr_assert(header("Sagecrank-Upstream-Leaving") == "1");
+}
+
 Test(workService, abandonedWaitingCallNeverStarts)
 {
     UpstreamFixture upstream(1, 4);
--- a/Tests/EndToEnd/TestProof.py
+++ b/Tests/EndToEnd/TestProof.py
@@ -27,6 +27,12 @@
         print(result.stdout)
         self.assertEqual(result.returncode, 0, result.stderr)
 
+    def test_upstreams_that_ask_for_less_and_leave(self):
+        """What upstreams state in their answers only: a limit on their calls, and that they leave."""
+        result = self.prove("named-limit+named-limit+leaves-quietly")
+        print(result.stdout)
+        self.assertEqual(result.returncode, 0, result.stderr)
+
     def test_soak(self):
         """Faults of all kinds in series and overlapping, as a seed draws them."""
         result = self.prove("soak", seed=30, seconds=8)
--- a/Tests/LibHistory/HistoryFixture.cpp
+++ b/Tests/LibHistory/HistoryFixture.cpp
@@ -34,6 +34,7 @@
         for (int call = 0; call < calls; ++call)
             this->call(call, 5'000 + this->pick(8'000) + (call % 2 == 0 ? 0 : 11'000));
         this->drain();
+        addEvent(this->history, limitTime, "u-b1", UpstreamLimited{namedLimit});
         this->addCompletedCall("late", 30'000, "a1", "b1", true, "");
         addEvent(this->history, historyMilliseconds, "driver", FaultEnded{"none", "none"});
         sortHistory(this->history);
--- a/Tests/LibHistory/HistoryFixture.h
+++ b/Tests/LibHistory/HistoryFixture.h
@@ -13,6 +13,10 @@
 
 inline constexpr std::uint64_t millisecond = 1'000'000;
 
+// The upstream of b1 names this limit on its calls per second from this time (in milliseconds) on.
+inline constexpr std::uint64_t limitTime = 25'000;
+inline constexpr std::uint64_t namedLimit = 20;
+
 // Generates a run with two upstreams, three nodes and three versions. One node is killed and restarted, one
 // upstream is drained with a call in flight, and the calls cover every outcome.
 History makeValidHistory(std::uint64_t seed);
--- a/Tests/LibHistory/TestCheckers.cpp
+++ b/Tests/LibHistory/TestCheckers.cpp
@@ -98,7 +98,29 @@
     addEvent(history, at, "u-b1", again);
 }
 
+// Makes the upstream of b1 begin so many calls, spread over the time.
+void beginCalls(History &history, std::uint64_t calls, std::uint64_t from, std::uint64_t until)
+{
+    for (std::uint64_t number = 0; number < calls; ++number) {
+        const std::string call = "burst" + std::to_string(number);
+        addEvent(history, from + number * (until - from) / calls, "u-b1",
+                 UpstreamBegan{call, call + ".1", "", ""});
+    }
+}
+
 const HistoryChange violatingChanges[] = {
+    {"more calls than the limit allows", Invariant::NamedLimitKept,
+     [](History &history, Random &random) {
+         const std::uint64_t from = limitTime + 3'000 + random() % 4'000;
+         beginCalls(history, 126, from, from + 3'900);
+     }},
+    {"a burst of calls under the limit", Invariant::NamedLimitKept,
+     [](History &history, Random &) { beginCalls(history, 126, 31'000, 31'100); }},
+    {"calls of a limit that was lowered", Invariant::NamedLimitKept,
+     [](History &history, Random &) {
+         addEvent(history, 27'000, "u-b1", UpstreamLimited{2});
+         beginCalls(history, 18, 31'000, 34'000);
+     }},
     {"a swap to an older version", Invariant::VersionNeverBack,
      [](History &history, Random &random) {
          auto &swap = eventOf<NodeSwapped>(pickReplacingSwap(history, random));
@@ -345,11 +367,21 @@
 const Invariant invariants[] = {
     Invariant::VersionNeverBack,  Invariant::NoDanglingRoute,     Invariant::WholeVersions,
     Invariant::OwnWholeAnswer,    Invariant::NotRunNeverRan,      Invariant::AtMostOnce,
-    Invariant::LeavingGetsNoWork, Invariant::ShutdownCutsNothing, Invariant::AcceptedInForce,
+    Invariant::LeavingGetsNoWork, Invariant::ShutdownCutsNothing, Invariant::NamedLimitKept,
+    Invariant::AcceptedInForce,
 };
 
 // Changes that do not violate the invariant.
 const HistoryChange allowedChanges[] = {
+    {"as many calls as the limit allows", Invariant::NamedLimitKept,
+     [](History &history, Random &) { beginCalls(history, 124, 31'000, 34'900); }},
+    {"calls while a limit settles", Invariant::NamedLimitKept,
+     [](History &history, Random &) { beginCalls(history, 500, limitTime, limitTime + 2'900); }},
+    {"calls after the limit has ended", Invariant::NamedLimitKept,
+     [](History &history, Random &) {
+         addEvent(history, 31'000, "u-b1", UpstreamLimited{0});
+         beginCalls(history, 500, 31'010, 33'000);
+     }},
     {"a call that the platform's outage leaves unknown", Invariant::OwnWholeAnswer,
      [](History &history, Random &random) {
          eventOf<CallerAnswered>(pickDoneResponse(history, random, false)).outcome = "unknown";
