Node: Tell a new start of an upstream from the one that stated its departure

A departure that answers state was remembered by the instance's name alone, so a later start under the same name would have been refused for good. It is now known by name and start time, like an announced one.

--- a/Services/Node/Gate/LocalGateUpstream.cpp
+++ b/Services/Node/Gate/LocalGateUpstream.cpp
@@ -168,7 +168,8 @@
                         deadlinePassed ? statusGatewayTimeout : statusBadGateway, unreachableRetryAfter);
 }
 
-// A refusal that names no limit does not end one: it may come from a part of the upstream that knows of none.
+// Called before the slot of the call is freed, so that the next call starts under what the answer states. A
+// refusal that names no limit does not end one: it may come from a part of the upstream that knows of none.
 void LocalGate::readSignals(GateCall &call, const HttpResponse &response, bool isRefusal)
 {
     call.signals = readUpstreamSignals(response.headers, this->headerNames);
--- a/Services/Node/Upstream/UpstreamPresence.cpp
+++ b/Services/Node/Upstream/UpstreamPresence.cpp
@@ -72,7 +72,7 @@
 
 bool UpstreamPresence::hasDeparted(Instant now, const UpstreamAnnouncement &announcement) const
 {
-    if (this->statedLeaving == announcement.instance)
+    if (this->statedLeaving == departureOf(announcement))
         return true;
     if (this->departedUnknown == announcement.instance && now < this->nameRejectedUntil)
         return true;
@@ -162,7 +162,7 @@
     if (instance != this->last.instance || !takesCalls(this->announcedState))
         return;
     if (!instance.empty())
-        this->statedLeaving = instance;
+        this->statedLeaving = departureOf(this->last);
     this->apply(now, UpstreamAnnouncement(this->last), UpstreamState::Draining);
 }
 
--- a/Services/Node/Upstream/UpstreamPresence.h
+++ b/Services/Node/Upstream/UpstreamPresence.h
@@ -124,7 +124,7 @@
     std::optional<HeldAnnouncement> held;       // Set only while `awaitsPersistedState`.
     std::optional<Departure> departed;          // From the persisted state.
     std::optional<std::string> departedUnknown; // Instance that left before it was known to this process.
-    std::optional<std::string> statedLeaving;   // Instance that stated in an answer that it leaves.
+    std::optional<Departure> statedLeaving;     // Instance that stated in an answer that it leaves.
     Instant nameRejectedUntil; // End of `departedNameTimeout` for a departure without a start time.
 };
 
--- a/Tests/Node/TestUpstreamLimit.cpp
+++ b/Tests/Node/TestUpstreamLimit.cpp
@@ -132,6 +132,7 @@
     const std::size_t before = upstream.received();
     upstream.announce(1, UpstreamCondition::Ready, "i-2", 2);
     upstream.runFor(Milliseconds(500));
-    cr_assert(upstream.received() > before + 2 * slots, "%s: %zu more", row.name,
+    constexpr std::size_t twiceTheSlots = std::size_t{2} * slots;
+    cr_assert(upstream.received() > before + twiceTheSlots, "%s: %zu more", row.name,
               upstream.received() - before);
 }
