--- a/Tests/Control/TestControlPlane.cpp
+++ b/Tests/Control/TestControlPlane.cpp
@@ -7,6 +7,7 @@
 #include <LibSource/Head.h>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
 
 #include <criterion/criterion.h>
@@ -102,12 +103,21 @@
     std::map<std::string, decltype(encodeSection({}))> stored;
 };
 
-// A port that is free now. The kernel returns another one for each call, so a collision is unlikely.
+// A port that is free now for TCP and for UDP, since gossip uses UDP. The kernel returns another one for each
+// call, so a collision is unlikely.
 std::string freeAddress()
 {
     boost::asio::io_context context;
-    boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    const auto loopback = boost::asio::ip::make_address("127.0.0.1");
+    while (true) {
+        const boost::asio::ip::tcp::acceptor acceptor(context, {loopback, 0});
+        const std::uint16_t port = acceptor.local_endpoint().port();
+        boost::asio::ip::udp::socket socket(context, boost::asio::ip::udp::v4());
+        boost::system::error_code error;
+        socket.bind({loopback, port}, error);
+        if (!error)
+            return "127.0.0.1:" + std::to_string(port);
+    }
 }
 
 struct TestNode
