LibConfig, LibSource, Ctl: Hold client accounts in the configuration

Nothing read accounts, so keys could be neither checked nor revoked. A site now has accounts with digests of their keys, a priority and an allowance, and routes may be public. Files, checks, objects in the store, deltas and sagecrankctl know them; sites without accounts keep their bytes and digests.

--- a/Libraries/LibConfig/Archive.h
+++ b/Libraries/LibConfig/Archive.h
@@ -67,6 +67,9 @@
     archive(value.high, value.low);
 }
 
+inline constexpr std::uint8_t hedgedFlag = 1;
+inline constexpr std::uint8_t publicFlag = 2;
+
 template <typename Archive>
 void route(Archive &archive, Route &value)
 {
@@ -76,13 +79,18 @@
     text(archive, value.prefix);
     list(archive, value.methods, [&](std::string &method) { text(archive, method); });
     auto target = static_cast<std::uint32_t>(value.targetLatency.count());
+    // One byte, which used to hold only `hedged`.
+    auto flags =
+        static_cast<std::uint8_t>((value.hedged ? hedgedFlag : 0) | (value.isPublic ? publicFlag : 0));
     text(archive, value.host);
-    archive(callClass, value.idempotent, timeout, value.maximumRetries, value.hedged, value.priority, target);
+    archive(callClass, value.idempotent, timeout, value.maximumRetries, flags, value.priority, target);
     list(archive, value.split, [&](WeightedCluster &part) {
         text(archive, part.cluster);
         archive(part.weight);
     });
     value.callClass = static_cast<CallClass>(callClass);
+    value.hedged = (flags & hedgedFlag) != 0;
+    value.isPublic = (flags & publicFlag) != 0;
     value.timeout = Milliseconds(timeout);
     value.targetLatency = Milliseconds(target);
 }
@@ -105,6 +113,21 @@
     value.idleTimeout = Milliseconds(idleTimeout);
 }
 
+template <typename Archive>
+void account(Archive &archive, Account &value)
+{
+    text(archive, value.name);
+    list(archive, value.keys,
+         [&](KeyDigest &key) { archive(cereal::binary_data(key.bytes.data(), key.bytes.size())); });
+    archive(value.priority, value.ratePerSecond, value.burst);
+}
+
+template <typename Archive>
+void accounts(Archive &archive, std::vector<Account> &values)
+{
+    list(archive, values, [&](Account &each) { account(archive, each); });
+}
+
 template <typename Archive>
 void reference(Archive &archive, SectionReference &value)
 {
--- a/Libraries/LibConfig/Assemble.cpp
+++ b/Libraries/LibConfig/Assemble.cpp
@@ -23,11 +23,27 @@
         }
         configuration.sections.push_back(std::move(section).assume_value());
     }
+    if (manifest.accounts != Digest{}) {
+        const auto found = bytes.find(manifest.accounts);
+        if (found == bytes.end())
+            return makeError(ErrorKind::NotFound, "assemble site", manifest.site,
+                             "accounts " + toHex(manifest.accounts) + " are missing");
+        configuration.accounts = TRY(decodeAccounts(found->second, manifest.accounts));
+    }
     configuration.manifest = std::move(manifest);
     TRY_VOID(checkSite(configuration));
     return configuration;
 }
 
+void setAccounts(SiteConfiguration &configuration, std::vector<Account> accounts)
+{
+    std::sort(accounts.begin(), accounts.end(),
+              [](const Account &first, const Account &second) { return first.name < second.name; });
+    configuration.accounts = std::move(accounts);
+    configuration.manifest.keysRequired = true;
+    configuration.manifest.accounts = accountsDigest(configuration.accounts);
+}
+
 SiteConfiguration makeSiteConfiguration(std::uint64_t version, std::string site,
                                         std::vector<Section> sections)
 {
@@ -48,6 +64,8 @@
     SectionBytes bytes;
     for (std::size_t i = 0; i < configuration.sections.size(); ++i)
         bytes.emplace(configuration.manifest.sections[i].digest, encodeSection(configuration.sections[i]));
+    if (!configuration.accounts.empty())
+        bytes.emplace(configuration.manifest.accounts, encodeAccounts(configuration.accounts));
     return bytes;
 }
 
--- a/Libraries/LibConfig/Assemble.h
+++ b/Libraries/LibConfig/Assemble.h
@@ -1,4 +1,5 @@
-// Builds one site's configuration out of its manifest and the bytes of its sections, and cuts one into them.
+// Builds one site's configuration out of its manifest and the bytes of its sections and accounts, and cuts
+// one into them.
 #pragma once
 
 #include <LibConfig/Encoding.h>
@@ -19,7 +20,10 @@
 SiteConfiguration makeSiteConfiguration(std::uint64_t version, std::string site,
                                         std::vector<Section> sections);
 
-// The sections of a version by digest, as they are stored and spread.
+// Sorts the accounts, gives them their digest and makes the site require keys.
+void setAccounts(SiteConfiguration &configuration, std::vector<Account> accounts);
+
+// The sections and the list of accounts of a version by digest, as they are stored and spread.
 SectionBytes sectionBytes(const SiteConfiguration &configuration);
 
 } // namespace Sagecrank
--- a/Libraries/LibConfig/Check.cpp
+++ b/Libraries/LibConfig/Check.cpp
@@ -80,8 +80,46 @@
     return success();
 }
 
+// The name travels in a header, so it must be one visible word.
+bool isAccountName(std::string_view name)
+{
+    return !name.empty() && name.size() <= maximumAccountNameLength
+           && std::all_of(name.begin(), name.end(), [](char letter) { return letter > ' ' && letter < 127; });
+}
+
+Result<void> checkAccounts(const SiteConfiguration &configuration)
+{
+    const std::vector<Account> &accounts = configuration.accounts;
+    if (accountsDigest(accounts) != configuration.manifest.accounts)
+        return invalid(configuration.manifest.site, "the digest of the accounts differs from the manifest's");
+    if (!accounts.empty() && !configuration.manifest.keysRequired)
+        return invalid(configuration.manifest.site, "has accounts but requires no keys");
+    std::set<KeyDigest> keys;
+    for (std::size_t i = 0; i < accounts.size(); ++i) {
+        TRY_VOID(checkAccount(accounts[i]));
+        if (i > 0 && accounts[i - 1].name >= accounts[i].name)
+            return invalid(accounts[i].name, "accounts are not sorted, or one is named twice");
+        for (const KeyDigest &key : accounts[i].keys) {
+            if (!keys.insert(key).second)
+                return invalid(accounts[i].name, "has a key twice, or the key of another account");
+        }
+    }
+    return success();
+}
+
 } // namespace
 
+Result<void> checkAccount(const Account &account)
+{
+    if (!isAccountName(account.name))
+        return invalid(account.name.substr(0, maximumAccountNameLength),
+                       "an account name is 1 to 200 visible ASCII characters");
+    const auto isRate = [](double value) { return value >= 0 && value <= maximumAccountRate; };
+    if (!isRate(account.ratePerSecond) || !isRate(account.burst))
+        return invalid(account.name, "the rate or the burst is outside 0 to 1000000000");
+    return success();
+}
+
 std::string_view normalisedPrefix(std::string_view prefix)
 {
     while (prefix.ends_with('/'))
@@ -122,6 +160,7 @@
 {
     TRY_VOID(checkReferences(configuration));
     TRY_VOID(checkUnique(configuration));
+    TRY_VOID(checkAccounts(configuration));
     return checkSplits(configuration);
 }
 
--- a/Libraries/LibConfig/Check.h
+++ b/Libraries/LibConfig/Check.h
@@ -21,6 +21,10 @@
 inline constexpr std::uint32_t maximumHeaderBytes = 512 * 1024;
 inline constexpr std::uint32_t maximumBodyBytes = 16 * 1024 * 1024;
 
+// Of accounts. A name travels with each call of the account.
+inline constexpr std::size_t maximumAccountNameLength = 200;
+inline constexpr double maximumAccountRate = 1e9;
+
 // The prefix without a trailing slash; two routes whose normalised prefixes are equal match the same paths.
 std::string_view normalisedPrefix(std::string_view prefix);
 
@@ -31,7 +35,11 @@
 // One route by itself; the message says which field is wrong.
 Result<void> checkRoute(const Route &route);
 
-// A whole site: references sorted, unique and matching their sections, routes unique by name and by match.
+// One account by itself.
+Result<void> checkAccount(const Account &account);
+
+// A whole site: references sorted, unique and matching their sections, routes unique by name and by match,
+// accounts unique by name and by key.
 Result<void> checkSite(const SiteConfiguration &configuration);
 
 } // namespace Sagecrank
--- a/Libraries/LibConfig/Delta.cpp
+++ b/Libraries/LibConfig/Delta.cpp
@@ -52,6 +52,13 @@
     list(archive, value.runs, [&](RouteRun &run) { routeRun(archive, run); });
 }
 
+template <typename Archive>
+void accountChanges(Archive &archive, SiteDelta &value)
+{
+    accounts(archive, value.changedAccounts);
+    list(archive, value.removedAccounts, [&](std::string &name) { text(archive, name); });
+}
+
 template <typename Archive>
 void siteDelta(Archive &archive, SiteDelta &value)
 {
@@ -124,6 +131,54 @@
 
 } // namespace
 
+namespace {
+
+std::map<std::string_view, const Account *> byName(const std::vector<Account> &accounts)
+{
+    std::map<std::string_view, const Account *> found;
+    for (const Account &account : accounts)
+        found.emplace(account.name, &account);
+    return found;
+}
+
+void addAccountChanges(const SiteConfiguration &from, const SiteConfiguration &to, SiteDelta &delta)
+{
+    delta.keysRequired = to.manifest.keysRequired;
+    if (from.manifest.accounts == to.manifest.accounts)
+        return;
+    const auto before = byName(from.accounts);
+    const auto after = byName(to.accounts);
+    for (const Account &account : to.accounts) {
+        const auto found = before.find(account.name);
+        if (found == before.end() || *found->second != account)
+            delta.changedAccounts.push_back(account);
+    }
+    for (const Account &account : from.accounts) {
+        if (!after.contains(account.name))
+            delta.removedAccounts.push_back(account.name);
+    }
+}
+
+void applyAccountChanges(const SiteConfiguration &held, const SiteDelta &delta, SiteConfiguration &next)
+{
+    if (!delta.keysRequired)
+        return;
+    std::map<std::string, Account> accounts;
+    for (const Account &account : held.accounts)
+        accounts.emplace(account.name, account);
+    for (const std::string &name : delta.removedAccounts)
+        accounts.erase(name);
+    for (const Account &account : delta.changedAccounts)
+        accounts.insert_or_assign(account.name, account);
+    std::vector<Account> all;
+    all.reserve(accounts.size());
+    for (auto &entry : accounts)
+        all.push_back(std::move(entry.second));
+    setAccounts(next, std::move(all));
+}
+
+} // namespace
+
 SiteDelta makeDelta(const SiteConfiguration &from, const SiteConfiguration &to)
 {
     SiteDelta delta;
@@ -145,6 +200,7 @@
         if (findReference(to.manifest, had.cluster) == nullptr)
             delta.removed.push_back(had.cluster);
     }
+    addAccountChanges(from, to, delta);
     return delta;
 }
 
@@ -174,6 +230,7 @@
         ordered.push_back(std::move(entry.second));
     SiteConfiguration next = makeSiteConfiguration(delta.version, delta.site, std::move(ordered));
     next.manifest.limits = delta.limits;
+    applyAccountChanges(held, delta, next);
     if (siteDigest(next.manifest) != delta.result)
         return makeError(ErrorKind::InvalidInput, applyStep, delta.site,
                          "the result is not the published version");
@@ -184,13 +241,22 @@
 ObjectBytes encodeDelta(const SiteDelta &delta)
 {
     SiteDelta copy = delta;
-    return writeBytes([&](auto &archive) { siteDelta(archive, copy); });
+    return writeBytes([&](auto &archive) {
+        siteDelta(archive, copy);
+        if (copy.keysRequired)
+            accountChanges(archive, copy);
+    });
 }
 
 Result<SiteDelta> decodeDelta(std::span<const std::byte> bytes)
 {
     SiteDelta delta;
-    TRY_VOID(readBytes(bytes, "decode delta", [&](auto &archive) { siteDelta(archive, delta); }));
+    TRY_VOID(readBytes(bytes, "decode delta", [&](auto &archive, const SpanBuffer &rest) {
+        siteDelta(archive, delta);
+        delta.keysRequired = !rest.atEnd();
+        if (delta.keysRequired)
+            accountChanges(archive, delta);
+    }));
     return delta;
 }
 
--- a/Libraries/LibConfig/Delta.h
+++ b/Libraries/LibConfig/Delta.h
@@ -1,6 +1,6 @@
-// What changed between two versions of one site: the routes to take in, the sections that are new and the
-// services to drop. A node that holds the base builds the next version from it, and the digest of the whole
-// section list proves that the result is the published one and no mixture.
+// What changed between two versions of one site: the routes to take in, the sections that are new, the
+// services to drop, and the accounts that changed. A node that holds the base builds the next version from
+// it, and the digest of the whole section list proves that the result is the published one and no mixture.
 //
 // Load: 20 changes of one route each within 7 s, 100 nodes. Harm of sending a changed section whole: 125 KB
 // for each change and node, which on links of 5 Mbit/s made a quarter of the calls between two nodes wait 43
@@ -44,6 +44,10 @@
     std::vector<ObjectBytes> added; // Encoded sections that the base has not.
     std::vector<SectionPatch> patched;
     std::vector<std::string> removed; // Clusters that are no longer there.
+    // Absent where the result requires no keys.
+    bool keysRequired = false;
+    std::vector<Account> changedAccounts; // New ones too.
+    std::vector<std::string> removedAccounts;
 
     bool operator==(const SiteDelta &) const = default;
 };
--- a/Libraries/LibConfig/Encoding.cpp
+++ b/Libraries/LibConfig/Encoding.cpp
@@ -67,11 +67,19 @@
     SiteManifest copy = site;
     return writeBytes([&](auto &archive) {
         list(archive, copy.sections, [&](SectionReference &each) { reference(archive, each); });
-        if (copy.limits != CallerLimits{})
+        if (copy.limits != CallerLimits{} || copy.keysRequired)
             limits(archive, copy.limits);
+        if (copy.keysRequired)
+            digest(archive, copy.accounts);
     });
 }
 
+ObjectBytes encodeAccounts(const std::vector<Account> &values)
+{
+    std::vector<Account> copy = values;
+    return writeBytes([&](auto &archive) { accounts(archive, copy); });
+}
+
 ObjectBytes encodeVersionManifest(const VersionManifest &manifest)
 {
     VersionManifest copy = manifest;
@@ -94,10 +102,21 @@
         list(archive, value.sections, [&](SectionReference &each) { reference(archive, each); });
         if (!rest.atEnd())
             limits(archive, value.limits);
+        value.keysRequired = !rest.atEnd();
+        if (value.keysRequired)
+            digest(archive, value.accounts);
     }));
     return value;
 }
 
+Result<std::vector<Account>> decodeAccounts(std::span<const std::byte> bytes, const Digest &expected)
+{
+    TRY_VOID(checkDigest(bytes, expected, "decode accounts"));
+    std::vector<Account> values;
+    TRY_VOID(readBytes(bytes, "decode accounts", [&](auto &archive) { accounts(archive, values); }));
+    return values;
+}
+
 Result<VersionManifest> decodeVersionManifest(std::span<const std::byte> bytes, const Digest &expected)
 {
     TRY_VOID(checkDigest(bytes, expected, "decode version manifest"));
@@ -112,6 +131,11 @@
     return digestOf(encodeSection(value));
 }
 
+Digest accountsDigest(const std::vector<Account> &values)
+{
+    return values.empty() ? Digest{} : digestOf(encodeAccounts(values));
+}
+
 Digest siteDigest(const SiteManifest &site)
 {
     return digestOf(encodeSite(site));
@@ -127,6 +151,11 @@
     return "site/" + toHex(digest);
 }
 
+std::string accountsObjectName(const Digest &digest)
+{
+    return "accounts/" + toHex(digest);
+}
+
 std::string manifestObjectName(std::uint64_t version, std::string_view publishId)
 {
     return "manifest/" + std::to_string(version) + "-" + std::string(publishId);
--- a/Libraries/LibConfig/Encoding.h
+++ b/Libraries/LibConfig/Encoding.h
@@ -29,23 +29,27 @@
 
 // A value that a 16-bit length cannot hold is refused before this point by checkSection.
 ObjectBytes encodeSection(const Section &section);
-// Of a site only what its digest stands for: its sections and limits, not its version and name. Limits that
-// are not stated take no bytes.
+// Of a site only what its digest stands for: its sections, limits and accounts, not its version and name.
+// Limits and accounts that are not stated take no bytes.
 ObjectBytes encodeSite(const SiteManifest &site);
+ObjectBytes encodeAccounts(const std::vector<Account> &accounts);
 ObjectBytes encodeVersionManifest(const VersionManifest &manifest);
 
 // Each checks the digest first and refuses trailing bytes: InvalidInput says which check failed.
 Result<Section> decodeSection(std::span<const std::byte> bytes, const Digest &expected);
 // Without version and name.
 Result<SiteManifest> decodeSite(std::span<const std::byte> bytes, const Digest &expected);
+Result<std::vector<Account>> decodeAccounts(std::span<const std::byte> bytes, const Digest &expected);
 Result<VersionManifest> decodeVersionManifest(std::span<const std::byte> bytes, const Digest &expected);
 
 Digest sectionDigest(const Section &section);
+Digest accountsDigest(const std::vector<Account> &accounts); // Zero for an empty list.
 Digest siteDigest(const SiteManifest &site);
 
 // Object names in the store, as agreed with the platform's operators.
 std::string sectionObjectName(const Digest &digest);
 std::string siteObjectName(const Digest &digest);
+std::string accountsObjectName(const Digest &digest);
 std::string manifestObjectName(std::uint64_t version, std::string_view publishId);
 
 } // namespace Sagecrank
--- a/Libraries/LibConfig/Model.h
+++ b/Libraries/LibConfig/Model.h
@@ -2,6 +2,7 @@
 // sections that are named by their content, and the manifests that say which sections make up a version.
 #pragma once
 
+#include <LibConfig/Account.h>
 #include <LibCore/EnumNames.h>
 #include <LibCore/Error.h>
 #include <LibCore/Time.h>
@@ -27,19 +28,6 @@
     {CallClass::Batch, "batch"},
 }};
 
-// A 128-bit content hash. It finds damage and names content; it is no defence against a forger.
-struct Digest
-{
-    std::uint64_t high = 0;
-    std::uint64_t low = 0;
-
-    bool operator==(const Digest &) const = default;
-    bool operator<(const Digest &other) const
-    {
-        return this->high != other.high ? this->high < other.high : this->low < other.low;
-    }
-};
-
 // No upstream ever announces itself for this service. The routes of its section are matched, and their calls
 // are refused as not run.
 inline constexpr std::string_view unservedCluster = "";
@@ -67,6 +55,7 @@
     std::uint32_t priority = 1;         // Rank among the calls of one upstream; 0 goes first.
     Milliseconds targetLatency{0};      // An answer within it is worth most to the caller; 0 when not stated.
     std::vector<WeightedCluster> split; // Empty: every call goes to the section's own service.
+    bool isPublic = false;              // Callers need no key, also in a site with accounts.
 
     bool operator==(const Route &) const = default;
 };
@@ -109,6 +98,10 @@
     std::string site;
     std::vector<SectionReference> sections;
     CallerLimits limits;
+    // Routes that are not public require a key of an account. Stated apart from the accounts, because a site
+    // whose accounts are all unreadable must not become open to everyone.
+    bool keysRequired = false;
+    Digest accounts; // Of the list of accounts; zero if there are none.
 
     bool operator==(const SiteManifest &) const = default;
 };
@@ -136,6 +129,7 @@
 {
     SiteManifest manifest;
     std::vector<Section> sections; // In the manifest's order.
+    std::vector<Account> accounts; // Sorted by name, each named once.
     // What its reader did not know or could not read, and what it did instead. Stays with that reader: other
     // nodes are sent what came of it.
     std::vector<Error> doubts;
--- a/Libraries/LibConfig/Snapshot.cpp
+++ b/Libraries/LibConfig/Snapshot.cpp
@@ -32,6 +32,16 @@
             ++this->routes;
         }
     }
+    for (const Account &account : this->held->accounts) {
+        for (const KeyDigest &key : account.keys)
+            this->byKey.emplace(key, &account);
+    }
+}
+
+const Account *Snapshot::accountOf(const KeyDigest &key) const
+{
+    const auto found = this->byKey.find(key);
+    return found == this->byKey.end() ? nullptr : found->second;
 }
 
 const RouteEntry *Snapshot::match(std::string_view host, std::string_view method, std::string_view path) const
--- a/Libraries/LibConfig/Snapshot.h
+++ b/Libraries/LibConfig/Snapshot.h
@@ -41,6 +41,10 @@
 
     const Section *section(std::string_view cluster) const;
 
+    // The account that holds the key, or null. The pointer lives as long as the snapshot.
+    const Account *accountOf(const KeyDigest &key) const;
+    bool keysRequired() const { return this->held->manifest.keysRequired; }
+
     std::uint64_t version() const { return this->held->manifest.version; }
     std::size_t routeCount() const { return this->routes; }
     const SiteConfiguration &configuration() const { return *this->held; }
@@ -58,6 +62,7 @@
     // The empty host's routes serve all others.
     std::unordered_map<std::string_view, PrefixTable, CaselessHash, CaselessEqual> byHost;
     std::size_t routes = 0;
+    std::unordered_map<KeyDigest, const Account *, KeyDigestHash> byKey;
 };
 
 } // namespace Sagecrank
--- a/Libraries/LibConfig/SourceFiles.cpp
+++ b/Libraries/LibConfig/SourceFiles.cpp
@@ -52,6 +52,7 @@
         : callers(base.callers)
         , clusters(base.clusters)
         , routes(base.routes)
+        , accounts(base.accounts)
         , overlay(overlay)
         , services(services)
         , errors(errors)
@@ -64,13 +65,15 @@
             this->applyCluster(name, over);
         for (const RouteSource &over : this->overlay.routes)
             this->applyRoute(over);
+        for (const AccountSource &over : this->overlay.accounts)
+            this->applyAccount(over);
         std::map<std::string, Section> sections;
         for (const auto &[name, cluster] : this->clusters)
             sections.emplace(name, Section{name, valueOf(cluster.maximumQueue, Section{}.maximumQueue), {}});
         for (const RouteSource &route : this->routes)
             this->renderRoute(route, sections);
         this->checkMatches();
-        RenderedSite site{siteName(this->overlay), {}, this->renderCallers()};
+        RenderedSite site{siteName(this->overlay), {}, this->renderCallers(), this->renderAccounts()};
         for (auto &entry : sections)
             site.sections.push_back(std::move(entry.second));
         return site;
@@ -143,6 +146,58 @@
         overlayField(standing->targetLatency, over.targetLatency);
         overlayField(standing->split, over.split);
         overlayField(standing->required, over.required);
+        overlayField(standing->isPublic, over.isPublic);
+    }
+
+    void applyAccount(const AccountSource &over)
+    {
+        const std::string path = "account." + over.name.value;
+        const auto standing =
+            std::find_if(this->accounts.begin(), this->accounts.end(),
+                         [&](const AccountSource &account) { return account.name.value == over.name.value; });
+        if (over.remove) {
+            if (standing == this->accounts.end())
+                this->fault(over.name.place, path, "there is no such account to remove");
+            else
+                this->accounts.erase(standing);
+            return;
+        }
+        if (standing == this->accounts.end()) {
+            this->accounts.push_back(over);
+            return;
+        }
+        overlayField(standing->keys, over.keys);
+        overlayField(standing->priority, over.priority);
+        overlayField(standing->ratePerSecond, over.ratePerSecond);
+        overlayField(standing->burst, over.burst);
+    }
+
+    std::vector<Account> renderAccounts()
+    {
+        std::vector<Account> rendered;
+        std::map<KeyDigest, std::string> holders;
+        for (const AccountSource &source : this->accounts) {
+            const std::string path = "account." + source.name.value;
+            Account account;
+            account.name = source.name.value;
+            account.priority = valueOf(source.priority, defaultPriority);
+            account.ratePerSecond = valueOf(source.ratePerSecond, 0.0);
+            account.burst = valueOf(source.burst, 0.0);
+            for (const std::string &key : valueOf(source.keys, {})) {
+                account.keys.push_back(digestOfKey(key));
+                const auto [holder, isNew] = holders.emplace(account.keys.back(), account.name);
+                if (!isNew)
+                    this->fault(source.keys->place, path + ".keys",
+                                "names a key of account " + holder->second);
+            }
+            const Result<void> checked = checkAccount(account);
+            if (!checked)
+                this->fault(source.name.place, path, checked.error().message);
+            rendered.push_back(std::move(account));
+        }
+        std::sort(rendered.begin(), rendered.end(),
+                  [](const Account &first, const Account &second) { return first.name < second.name; });
+        return rendered;
     }
 
     // Whether every service that the route depends on is part of this site.
@@ -202,6 +257,7 @@
         route.priority = valueOf(source.priority, defaultPriority);
         route.targetLatency = valueOf(source.targetLatency, Milliseconds(0));
         route.split = valueOf(source.split, {});
+        route.isPublic = valueOf(source.isPublic, false);
         return route;
     }
 
@@ -246,6 +302,7 @@
     CallersSource callers;
     std::map<std::string, ClusterSource> clusters;
     std::vector<RouteSource> routes;
+    std::vector<AccountSource> accounts;
     const FileSource &overlay;
     const std::set<std::string> &services;
     std::vector<SourceError> &errors;
--- a/Libraries/LibConfig/SourceFiles.h
+++ b/Libraries/LibConfig/SourceFiles.h
@@ -1,6 +1,6 @@
 // From what operators write to checked sites: one base file and one overlay for each site, in TOML. An
-// overlay changes, adds or removes clusters and routes of its own site. Reads no files; it is given their
-// text.
+// overlay changes, adds or removes clusters, routes and accounts of its own site. Reads no files; it is given
+// their text.
 //
 // Every fault is reported with file, line and key, as many as there are, so that an operator mends a file in
 // one go. Nothing is rendered while there is a fault.
@@ -37,6 +37,7 @@
     std::string site;
     std::vector<Section> sections; // Sorted by cluster.
     CallerLimits limits = {};
+    std::vector<Account> accounts = {}; // With any, routes that are not public require a key.
 };
 
 struct RenderResult
--- a/Libraries/LibConfig/SourceModel.h
+++ b/Libraries/LibConfig/SourceModel.h
@@ -53,6 +53,7 @@
     Field<std::uint32_t> priority;
     Field<Milliseconds> targetLatency;
     Field<std::vector<WeightedCluster>> split;
+    Field<bool> isPublic;
     Field<std::vector<std::string>> required; // Services without which the route is left out.
     bool remove = false;                      // Only in overlays.
 };
@@ -66,6 +67,16 @@
     Field<Milliseconds> idleTimeout;
 };
 
+struct AccountSource
+{
+    Placed<std::string> name;
+    Field<std::vector<std::string>> keys;
+    Field<std::uint32_t> priority;
+    Field<double> ratePerSecond;
+    Field<double> burst;
+    bool remove = false; // Only in overlays.
+};
+
 struct FileSource
 {
     std::string file;
@@ -73,7 +84,8 @@
     Field<std::string> site; // Only in overlays.
     CallersSource callers;
     std::map<std::string, ClusterSource> clusters;
-    std::vector<RouteSource> routes; // Names are unique within the file.
+    std::vector<RouteSource> routes;     // Names are unique within the file.
+    std::vector<AccountSource> accounts; // Likewise.
 };
 
 enum class FileKind : std::uint8_t { Base, Overlay };
--- a/Libraries/LibConfig/SourceReader.cpp
+++ b/Libraries/LibConfig/SourceReader.cpp
@@ -24,6 +24,9 @@
     });
 }
 
+// Errors do not repeat secrets.
+enum class TextUse : std::uint8_t { Plain, Secret };
+
 // One table of the file. Each read reports a wrong type or value at the value's own line.
 class TableReader
 {
@@ -84,6 +87,19 @@
         return Placed<std::uint32_t>{static_cast<std::uint32_t>(*value), this->placeOf(*node)};
     }
 
+    Field<double> decimal(const char *key, double lowest, double highest)
+    {
+        const toml::node *node = this->table.get(key);
+        if (node == nullptr)
+            return std::nullopt;
+        const auto value = node->value<double>();
+        if (!value || !node->is_number())
+            return this->typeFault<double>(*node, key, "a number");
+        if (!(*value >= lowest && *value <= highest))
+            return this->valueFault<double>(*node, key, "is outside the allowed range");
+        return Placed<double>{*value, this->placeOf(*node)};
+    }
+
     Field<Milliseconds> duration(const char *key)
     {
         const auto value = this->number(key, 1, static_cast<std::uint32_t>(maximumTimeout.count()));
@@ -92,7 +108,7 @@
         return Placed<Milliseconds>{Milliseconds(value->value), value->place};
     }
 
-    Field<std::vector<std::string>> texts(const char *key)
+    Field<std::vector<std::string>> texts(const char *key, TextUse use = TextUse::Plain)
     {
         const toml::node *node = this->table.get(key);
         if (node == nullptr)
@@ -106,7 +122,9 @@
             if (!value)
                 return this->typeFault<std::vector<std::string>>(element, key, "a list of texts");
             if (std::find(all.value.begin(), all.value.end(), *value) != all.value.end())
-                return this->valueFault<std::vector<std::string>>(element, key, "names " + *value + " twice");
+                return this->valueFault<std::vector<std::string>>(
+                    element, key,
+                    use == TextUse::Secret ? "names a value twice" : "names " + *value + " twice");
             all.value.push_back(*value);
         }
         return all;
@@ -166,10 +184,10 @@
     {
         TableReader top = this->reader(root, "");
         if (this->kind == FileKind::Base) {
-            top.allowOnly({"mesh", "callers", "cluster", "route"});
+            top.allowOnly({"mesh", "callers", "cluster", "route", "account"});
             this->readMesh(top);
         } else {
-            top.allowOnly({"site", "callers", "cluster", "route"});
+            top.allowOnly({"site", "callers", "cluster", "route", "account"});
             this->source.site = top.text("site");
         }
         if (const toml::table *callers = top.child("callers"))
@@ -177,7 +195,15 @@
         if (const toml::table *clusters = top.child("cluster"))
             this->readClusters(*clusters);
         if (const toml::node *routes = root.get("route"))
-            this->readRoutes(top, *routes);
+            this->readEach(top, *routes, "route",
+                           [this](TableReader &reader, const Placed<std::string> &name) {
+                               this->source.routes.push_back(this->readRoute(reader, name));
+                           });
+        if (const toml::node *accounts = root.get("account"))
+            this->readEach(top, *accounts, "account",
+                           [this](TableReader &reader, const Placed<std::string> &name) {
+                               this->source.accounts.push_back(this->readAccount(reader, name));
+                           });
         return std::move(this->source);
     }
 
@@ -234,37 +260,53 @@
         }
     }
 
-    void readRoutes(TableReader &top, const toml::node &routes)
+    // Reads the tables of an array, each of which has a name that is unique within the file.
+    template <typename ReadOne>
+    void readEach(TableReader &top, const toml::node &list, const std::string &what, ReadOne readOne)
     {
-        const toml::array *array = routes.as_array();
+        const toml::array *array = list.as_array();
         if (array == nullptr || !array->is_array_of_tables()) {
-            top.fault(routes.source(), "route", "must be written as [[route]]");
+            top.fault(list.source(), what, "must be written as [[" + what + "]]");
             return;
         }
         std::set<std::string> names;
         for (const toml::node &node : *array) {
-            TableReader unnamed = this->reader(*node.as_table(), "route");
+            TableReader unnamed = this->reader(*node.as_table(), what);
             const Field<std::string> name = unnamed.text("name");
             if (!name) {
                 if (node.as_table()->get("name") == nullptr)
                     unnamed.fault(node.source(), "name", "missing");
                 continue;
             }
-            TableReader reader = this->reader(*node.as_table(), "route." + name->value);
+            TableReader reader = this->reader(*node.as_table(), what + "." + name->value);
             if (!names.insert(name->value).second)
-                reader.fault(node.source(), "name", "another route of this file has this name");
-            this->source.routes.push_back(this->readRoute(reader, *name));
+                reader.fault(node.source(), "name", "another " + what + " of this file has this name");
+            readOne(reader, *name);
         }
     }
 
+    AccountSource readAccount(TableReader &reader, const Placed<std::string> &name)
+    {
+        this->allow(reader, {"name", "keys", "priority", "rate_per_second", "burst"},
+                    {"name", "keys", "priority", "rate_per_second", "burst", "remove"});
+        AccountSource account;
+        account.name = name;
+        account.keys = reader.texts("keys", TextUse::Secret);
+        account.priority = reader.number("priority", 0, lowestPriority);
+        account.ratePerSecond = reader.decimal("rate_per_second", 0, maximumAccountRate);
+        account.burst = reader.decimal("burst", 0, maximumAccountRate);
+        account.remove = this->removal(reader);
+        return account;
+    }
+
     RouteSource readRoute(TableReader &reader, const Placed<std::string> &name)
     {
         this->allow(
             reader,
             {"name", "prefix", "methods", "cluster", "class", "idempotent", "timeout_ms", "maximum_retries",
-             "hedged", "requires", "host", "priority", "target_latency_ms", "split"},
+             "hedged", "requires", "host", "priority", "target_latency_ms", "split", "public"},
             {"name", "prefix", "methods", "cluster", "class", "idempotent", "timeout_ms", "maximum_retries",
-             "hedged", "requires", "host", "priority", "target_latency_ms", "split", "remove"});
+             "hedged", "requires", "host", "priority", "target_latency_ms", "split", "public", "remove"});
         RouteSource route;
         route.name = name;
         route.host = reader.text("host");
@@ -279,6 +321,7 @@
         route.timeout = reader.duration("timeout_ms");
         route.maximumRetries = reader.number("maximum_retries", 0, maximumRetriesLimit);
         route.hedged = reader.flag("hedged");
+        route.isPublic = reader.flag("public");
         route.required = reader.texts("requires");
         route.remove = this->removal(reader);
         return route;
--- a/Libraries/LibSource/Head.cpp
+++ b/Libraries/LibSource/Head.cpp
@@ -36,6 +36,16 @@
     return *value;
 }
 
+BytesCallback checkingDigest(const Digest &digest, const char *step, BytesCallback callback)
+{
+    return [digest, step, callback = std::move(callback)](Result<ObjectBytes> bytes) {
+        if (bytes && digestOf(bytes.assume_value()) != digest)
+            return callback(makeError(ErrorKind::InvalidInput, step, "object store",
+                                      "the bytes do not match digest " + toHex(digest)));
+        callback(std::move(bytes));
+    };
+}
+
 } // namespace
 
 RowKey headKey()
@@ -165,13 +175,13 @@
 
 void VersionReader::section(const Digest &digest, BytesCallback callback) const
 {
-    const auto finish = [digest, callback = std::move(callback)](Result<ObjectBytes> bytes) {
-        if (bytes && digestOf(bytes.assume_value()) != digest)
-            return callback(makeError(ErrorKind::InvalidInput, "read section", "object store",
-                                      "the bytes do not match digest " + toHex(digest)));
-        callback(std::move(bytes));
-    };
-    this->objects.get(sectionObjectName(digest), finish);
+    this->objects.get(sectionObjectName(digest), checkingDigest(digest, "read section", std::move(callback)));
+}
+
+void VersionReader::accounts(const Digest &digest, BytesCallback callback) const
+{
+    this->objects.get(accountsObjectName(digest),
+                      checkingDigest(digest, "read accounts", std::move(callback)));
 }
 
 } // namespace Sagecrank
--- a/Libraries/LibSource/Head.h
+++ b/Libraries/LibSource/Head.h
@@ -5,6 +5,7 @@
 #include <LibCore/Error.h>
 #include <LibSource/Ports.h>
 
+#include <chrono>
 #include <optional>
 #include <string>
 
@@ -15,6 +16,8 @@
     std::uint64_t version = 0; // Zero before the first publish.
     Digest digest;             // Of the encoded VersionManifest.
     std::string publishId;
+    // The store's steady clock when this was the newest version; only of stores that state it.
+    std::optional<std::chrono::nanoseconds> storeTime = std::nullopt;
 
     bool operator==(const Head &) const = default;
 };
@@ -69,6 +72,7 @@
 
     // Reads one section and verifies its digest.
     void section(const Digest &digest, BytesCallback callback) const;
+    void accounts(const Digest &digest, BytesCallback callback) const;
 
 private:
     ObjectPort objects;
--- a/Libraries/LibSource/Publisher.cpp
+++ b/Libraries/LibSource/Publisher.cpp
@@ -31,6 +31,8 @@
         for (RenderedSite &site : rendered) {
             this->sites.push_back(makeSiteConfiguration(0, std::move(site.site), std::move(site.sections)));
             this->sites.back().manifest.limits = site.limits;
+            if (!site.accounts.empty())
+                setAccounts(this->sites.back(), std::move(site.accounts));
             const Result<void> checked = checkSite(this->sites.back());
             if (!checked)
                 return this->fail(checked.assume_error());
@@ -173,6 +175,8 @@
             if (this->stored.count(siteObjectName(digest)) != 0)
                 continue;
             all.emplace(siteObjectName(digest), encodeSite(site.manifest));
+            if (!site.accounts.empty())
+                all.emplace(accountsObjectName(site.manifest.accounts), encodeAccounts(site.accounts));
             for (std::size_t i = 0; i < references.size(); ++i) {
                 const std::string name = sectionObjectName(references[i].digest);
                 if (this->stored.count(name) == 0)
--- a/Libraries/LibSource/TableVersionSource.cpp
+++ b/Libraries/LibSource/TableVersionSource.cpp
@@ -1,5 +1,5 @@
 // Reads a version from the table and the object store: the head, its manifest, the site's section list, and
-// the sections that the node does not have yet.
+// the sections and accounts that the node does not have yet.
 #include <LibSource/VersionSource.h>
 
 #include <LibConfig/Assemble.h>
@@ -87,7 +87,17 @@
             if (!pull->bytes.contains(reference.digest))
                 pull->missing.push_back(reference.digest);
         }
-        this->fetchSections(pull);
+        const Digest &accounts = pull->manifest.accounts;
+        if (accounts == Digest{} || pull->bytes.contains(accounts))
+            return this->fetchSections(pull);
+        ++this->counts.objectReads;
+        this->versions.accounts(accounts, [self = this->shared_from_this(), pull, accounts](auto bytes) {
+            if (!bytes)
+                return fail(*pull, bytes.assume_error());
+            self->counts.readBytes += bytes.assume_value().size();
+            pull->bytes[accounts] = std::move(bytes).assume_value();
+            self->fetchSections(pull);
+        });
     }
 
     void fetchSections(const std::shared_ptr<Pull> &pull)
--- a/Tests/Ctl/TestArguments.cpp
+++ b/Tests/Ctl/TestArguments.cpp
@@ -54,6 +54,8 @@
      std::nullopt},
     {"rollout abort without a name", {"rollout", "abort", "--service", "booking"}, ExitCode::Usage},
     {"rollout abort", {"rollout", "abort", "--service", "booking", "--operator", "anna"}, std::nullopt},
+    {"account without a verb", {"account"}, ExitCode::Usage},
+    {"account list", {"account", "list"}, std::nullopt},
     {"a verb where none belongs", {"status", "now"}, ExitCode::Usage},
     {"diff against nothing", {"diff"}, ExitCode::Usage},
     {"timeout of zero", {"status", "--timeout-ms", "0"}, ExitCode::Usage},
--- a/Utilities/Ctl/Arguments.cpp
+++ b/Utilities/Ctl/Arguments.cpp
@@ -22,6 +22,7 @@
   diff      --from V [--to V]                          two versions; without --to, against the one in force
   status    [--node ADMIN_ADDRESS...]                  version in force, and what each node holds
   history   [--limit N]                                accepted versions, newest first
+  account list [--site S]                              accounts in force: number of keys, priority, limits
   rollout status                                       orders to roll out a version, and how they ended
 
 Commands, which change what is in force:
@@ -145,6 +146,7 @@
     case Action::Status:
     case Action::History:
     case Action::RolloutStatus:
+    case Action::AccountList:
         break;
     }
     return success();
--- a/Utilities/Ctl/Arguments.h
+++ b/Utilities/Ctl/Arguments.h
@@ -12,7 +12,7 @@
 
 namespace Sagecrank {
 
-// Validate to RolloutStatus are read-only; the others change the configuration in force, a node or a service.
+// Validate to AccountList are read-only; the others change the configuration in force, a node or a service.
 enum class Action : std::uint8_t {
     Validate,
     Render,
@@ -20,6 +20,7 @@
     Status,
     History,
     RolloutStatus,
+    AccountList,
     Publish,
     Rollback,
     Drain,
@@ -27,7 +28,7 @@
     RolloutAbort,
 };
 
-inline constexpr EnumNames<Action, 11> actionNames{{
+inline constexpr EnumNames<Action, 12> actionNames{{
     {Action::Validate, "validate"},
     {Action::Render, "render"},
     {Action::Diff, "diff"},
@@ -37,6 +38,7 @@
     {Action::Rollback, "rollback"},
     {Action::Drain, "drain"},
     {Action::RolloutStatus, "rollout status"},
+    {Action::AccountList, "account list"},
     {Action::RolloutStart, "rollout start"},
     {Action::RolloutAbort, "rollout abort"},
 }};
--- a/Utilities/Ctl/Content.cpp
+++ b/Utilities/Ctl/Content.cpp
@@ -2,6 +2,7 @@
 #include <Ctl/Content.h>
 #include <LibConfig/Assemble.h>
 
+#include <cstdio>
 #include <map>
 
 namespace Sagecrank {
@@ -18,11 +19,29 @@
     return all;
 }
 
+// Enough to tell the keys of an account apart.
+std::string shortDigest(const KeyDigest &digest)
+{
+    char text[9];
+    std::snprintf(text, sizeof(text), "%02x%02x%02x%02x", digest.bytes[0], digest.bytes[1], digest.bytes[2],
+                  digest.bytes[3]);
+    return text;
+}
+
+std::string shortNumber(double number)
+{
+    char text[32];
+    std::snprintf(text, sizeof(text), "%g", number);
+    return text;
+}
+
 Lines describeSite(const RenderedSite &site)
 {
     Lines lines;
     if (const std::string limits = describeLimits(site.limits); !limits.empty())
         lines["callers"] = limits;
+    for (const Account &account : site.accounts)
+        lines["account " + account.name] = describeAccount(account);
     for (const Section &section : site.sections) {
         lines["cluster " + section.cluster] = "maximum_queue=" + std::to_string(section.maximumQueue);
         for (const Route &route : section.routes)
@@ -67,6 +86,9 @@
         sectionBytes[section.digest] = TRY(client.readWithRetries<ObjectBytes>(
             [&](auto callback) { reader.section(section.digest, std::move(callback)); }));
     }
+    if (site.accounts != Digest{} && sectionBytes.count(site.accounts) == 0)
+        sectionBytes[site.accounts] = TRY(client.readWithRetries<ObjectBytes>(
+            [&](auto callback) { reader.accounts(site.accounts, std::move(callback)); }));
     return assemble(site, sectionBytes);
 }
 
@@ -83,7 +105,8 @@
     SectionBytes sectionBytes;
     for (const VersionManifest::SiteReference &reference : manifest.sites) {
         SiteConfiguration site = TRY(readSite(client, manifest, reference.site, sectionBytes));
-        sites.push_back({reference.site, std::move(site.sections), site.manifest.limits});
+        sites.push_back(
+            {reference.site, std::move(site.sections), site.manifest.limits, std::move(site.accounts)});
     }
     return sites;
 }
@@ -133,6 +156,8 @@
     text += " priority=" + std::to_string(route.priority);
     if (route.targetLatency.count() != 0)
         text += " target_latency_ms=" + std::to_string(route.targetLatency.count());
+    if (route.isPublic)
+        text += " public=true";
     if (!route.host.empty())
         text += " host=" + route.host;
     for (const WeightedCluster &part : route.split)
@@ -140,6 +165,19 @@
     return text;
 }
 
+std::string describeAccount(const Account &account)
+{
+    // Digests tell that a key was replaced, and nothing about the key.
+    std::string text = "keys=" + std::to_string(account.keys.size());
+    for (const KeyDigest &key : account.keys)
+        text += (&key == &account.keys.front() ? " key_digests=" : ",") + shortDigest(key);
+    text += " priority=" + std::to_string(account.priority);
+    if (account.isLimited())
+        text +=
+            " rate_per_second=" + shortNumber(account.ratePerSecond) + " burst=" + shortNumber(account.burst);
+    return text;
+}
+
 std::string describeLimits(const CallerLimits &limits)
 {
     std::string text;
--- a/Utilities/Ctl/Content.h
+++ b/Utilities/Ctl/Content.h
@@ -28,7 +28,7 @@
 {
     ChangeKind kind = ChangeKind::Changed;
     std::string site;
-    std::string item;   // "site", "cluster booking" or "route reserve".
+    std::string item;   // "site", "cluster booking", "route reserve" or "account tours".
     std::string before; // Empty when added.
     std::string after;  // Empty when removed.
 
@@ -41,6 +41,8 @@
 
 // Formats a route on one line, as in Change::before and Change::after.
 std::string describeRoute(const Route &route, const std::string &cluster);
+// Formats an account without its keys, of which only short digests are shown.
+std::string describeAccount(const Account &account);
 // Formats the limits that are set; empty if none is.
 std::string describeLimits(const CallerLimits &limits);
 
--- a/Utilities/Ctl/Main.cpp
+++ b/Utilities/Ctl/Main.cpp
@@ -23,6 +23,8 @@
         return status(arguments, printer);
     case Action::History:
         return history(arguments, printer);
+    case Action::AccountList:
+        return listAccounts(arguments, printer);
     case Action::RolloutStatus:
         return rolloutStatus(arguments, printer);
     case Action::Publish:
--- a/Utilities/Ctl/Print.cpp
+++ b/Utilities/Ctl/Print.cpp
@@ -42,6 +42,7 @@
             {"priority", route.priority},
             {"target_latency_ms", route.targetLatency.count()},
             {"host", route.host},
+            {"public", route.isPublic},
             {"split", std::move(split)}};
 }
 
@@ -54,6 +55,24 @@
             {"idle_timeout_ms", limits.idleTimeout.count()}};
 }
 
+// Never the keys themselves.
+json::object accountJson(const Account &account)
+{
+    return {{"name", account.name},
+            {"keys", account.keys.size()},
+            {"priority", account.priority},
+            {"rate_per_second", account.ratePerSecond},
+            {"burst", account.burst}};
+}
+
+json::array accountsJson(const std::vector<Account> &accounts)
+{
+    json::array array;
+    for (const Account &account : accounts)
+        array.emplace_back(accountJson(account));
+    return array;
+}
+
 json::object siteJson(const RenderedSite &site)
 {
     json::array clusters;
@@ -65,7 +84,10 @@
                                            {"maximum_queue", section.maximumQueue},
                                            {"routes", std::move(routes)}});
     }
-    return {{"site", site.site}, {"callers", limitsJson(site.limits)}, {"clusters", std::move(clusters)}};
+    return {{"site", site.site},
+            {"callers", limitsJson(site.limits)},
+            {"accounts", accountsJson(site.accounts)},
+            {"clusters", std::move(clusters)}};
 }
 
 json::object historyEntryJson(const HistoryEntry &entry)
@@ -192,6 +214,8 @@
         this->out << "site " << site.site << "\n";
         if (const std::string limits = describeLimits(site.limits); !limits.empty())
             this->out << "  callers " << limits << "\n";
+        for (const Account &account : site.accounts)
+            this->out << "  account " << account.name << " " << describeAccount(account) << "\n";
         for (const Section &section : site.sections) {
             this->out << "  cluster " << section.cluster << " maximum_queue=" << section.maximumQueue << "\n";
             for (const Route &route : section.routes)
@@ -201,6 +225,21 @@
     }
 }
 
+void Printer::accounts(const std::vector<RenderedSite> &sites) const
+{
+    json::array all;
+    for (const RenderedSite &site : sites) {
+        all.emplace_back(json::object{{"site", site.site}, {"accounts", accountsJson(site.accounts)}});
+        for (const Account &account : site.accounts) {
+            if (!this->json)
+                this->out << site.site << ": account " << account.name << " " << describeAccount(account)
+                          << "\n";
+        }
+    }
+    if (this->json)
+        this->out << json::object{{"sites", std::move(all)}} << "\n";
+}
+
 void Printer::changes(const std::vector<Change> &changes) const
 {
     if (this->json) {
--- a/Utilities/Ctl/Print.h
+++ b/Utilities/Ctl/Print.h
@@ -33,6 +33,7 @@
     void faults(const std::vector<SourceError> &faults) const;
     void validated(const RenderResult &result) const;
     void sites(const std::vector<RenderedSite> &sites) const;
+    void accounts(const std::vector<RenderedSite> &sites) const;
     void changes(const std::vector<Change> &changes) const;
     void status(const Head &head, const std::vector<NodeStatus> &nodes) const;
     void history(const std::vector<HistoryEntry> &entries) const;
--- a/Utilities/Ctl/Queries.cpp
+++ b/Utilities/Ctl/Queries.cpp
@@ -128,6 +128,17 @@
     return ExitCode::Success;
 }
 
+ExitCode listAccounts(const Arguments &arguments, const Printer &printer)
+{
+    BlockingClient client(arguments.platform);
+    Result<std::vector<RenderedSite>> sites = readVersionOrCurrent(client, std::nullopt);
+    if (!sites)
+        return printError(printer, sites.error());
+    filterSites(arguments.site, sites.value());
+    printer.accounts(sites.value());
+    return ExitCode::Success;
+}
+
 ExitCode history(const Arguments &arguments, const Printer &printer)
 {
     BlockingClient client(arguments.platform);
--- a/Utilities/Ctl/Queries.h
+++ b/Utilities/Ctl/Queries.h
@@ -11,6 +11,7 @@
 ExitCode diff(const Arguments &arguments, const Printer &printer);
 ExitCode status(const Arguments &arguments, const Printer &printer);
 ExitCode rolloutStatus(const Arguments &arguments, const Printer &printer);
+ExitCode listAccounts(const Arguments &arguments, const Printer &printer);
 ExitCode history(const Arguments &arguments, const Printer &printer);
 
 } // namespace Sagecrank
