LibAccount, Node, platform: Authenticate callers and bound revocation

The caller's node now looks the key up in the configuration in force, answers 401 for an unknown one, removes the key and sets the account's name. Where the settings bound revocation, keys are accepted only while the configuration is proven to have been the newest one: by the time of the store's steady clock, which each answer states and gossip passes on.

--- a/Libraries/LibMembership/Datagram.cpp
+++ b/Libraries/LibMembership/Datagram.cpp
@@ -181,9 +181,19 @@
 }
 
 // Fields that few datagrams have follow at the end, so that the others do not pay for them.
-bool hasRareFields(const Writer &, const Datagram &datagram)
+bool hasHeadProof(const Writer &, const Datagram &datagram)
 {
-    return !datagram.bulletins.empty() || !datagram.report.empty();
+    return datagram.headProof.storeMilliseconds != 0;
+}
+
+bool hasHeadProof(const Reader &archive, const Datagram &)
+{
+    return archive.remaining() > 0;
+}
+
+bool hasRareFields(const Writer &archive, const Datagram &datagram)
+{
+    return !datagram.bulletins.empty() || !datagram.report.empty() || hasHeadProof(archive, datagram);
 }
 
 bool hasRareFields(const Reader &archive, const Datagram &)
@@ -215,6 +225,8 @@
     transferList(archive, datagram.bulletins,
                  [](auto &any, auto &bulletin) { transferBulletin(any, bulletin); });
     transferPayload(archive, datagram.report, maximumReportBytes);
+    if (hasHeadProof(archive, datagram))
+        archive(datagram.headProof.version, datagram.headProof.storeMilliseconds);
 }
 
 } // namespace
--- a/Libraries/LibMembership/Datagram.h
+++ b/Libraries/LibMembership/Datagram.h
@@ -105,6 +105,15 @@
 inline constexpr std::size_t maximumBulletinBytes = 300;
 inline constexpr std::size_t maximumReportBytes = 900;
 
+// At this time of the platform store's clock, the version was the newest one. Means the same on every node.
+struct HeadProof
+{
+    std::uint64_t version = 0;
+    std::uint64_t storeMilliseconds = 0; // Zero: no proof.
+
+    bool operator==(const HeadProof &) const = default;
+};
+
 // One message. Fields that its kind does not use stay empty; an empty list or text costs one byte.
 struct Datagram
 {
@@ -125,7 +134,8 @@
     std::vector<Member> members;
     std::vector<Notice> notices;
     std::vector<Bulletin> bulletins;
-    std::string report; // Set in reports only.
+    std::string report;  // Set in reports only.
+    HeadProof headProof; // Absent where no proofs are wanted.
 };
 
 std::string encodeDatagram(const Datagram &datagram);
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -188,6 +188,8 @@
 {
     this->noteHead(datagram.head);
     this->noteStoreEra(datagram.storeEra);
+    if (datagram.headProof.storeMilliseconds != 0 && this->hooks.headProofReceived)
+        this->hooks.headProofReceived(datagram.headProof);
     const std::uint64_t senderHash = hashId(datagram.sender);
     const MemberRecord *record = this->table.find(senderHash);
     if (record == nullptr || record->member.incarnation < datagram.senderIncarnation) {
@@ -309,6 +311,20 @@
         this->hooks.storeEraAdvanced(era);
 }
 
+void Membership::setHeadProof(const HeadProof &proof)
+{
+    this->headProof = proof;
+}
+
+// Proofs are useful for seconds. Gossiping each one would send datagrams in every round.
+bool Membership::isProofGossipDue() const
+{
+    constexpr std::uint64_t gossipedAfterMilliseconds = 400;
+    return this->headProof.storeMilliseconds != 0
+           && this->headProof.storeMilliseconds
+                  >= this->gossipedProofMilliseconds + gossipedAfterMilliseconds;
+}
+
 // A version reaches a zone of 100 nodes through several rounds of gossip and pulls. Waiting for the next
 // regular gossip round adds a tenth of a second per step, a second and a half in all.
 void Membership::scheduleHeadGossip()
@@ -467,6 +483,7 @@
     datagram.heldVersion = this->heldVersion;
     datagram.head = this->highestHead;
     datagram.storeEra = this->storeEra;
+    datagram.headProof = this->headProof;
     return datagram;
 }
 
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -82,7 +82,8 @@
     // Receives all current notices after they changed.
     std::function<void(const std::vector<Notice> &)> noticesChanged;
     std::function<void(std::uint64_t era)> storeEraAdvanced;
-    std::function<void(const Bulletin &)> bulletinReceived; // A new or later one, of another node.
+    std::function<void(const HeadProof &)> headProofReceived; // May be older than the own one.
+    std::function<void(const Bulletin &)> bulletinReceived;   // A new or later one, of another node.
     std::function<void(const std::string &sender, const std::string &report)> reportReceived;
 };
 
@@ -125,6 +126,8 @@
     void setConfiguration(std::uint64_t heldVersion, const ConfigurationVersion &head);
     // Records the platform store's era and gossips it if it rose. A lower era is ignored.
     void noteStoreEra(std::uint64_t era);
+    // Sets the proof that datagrams carry; a proof without a time stops that.
+    void setHeadProof(const HeadProof &proof);
     // Adds seeds and contacts those at whose address no member is known.
     void addSeeds(Instant now, const std::vector<std::string> &addresses, bool ownZone);
     void announce(Instant now, const Notice &notice); // Broadcasts it to every node.
@@ -191,6 +194,7 @@
     void mergeBulletins(Instant now, const std::vector<Bulletin> &bulletins, bool notify);
     std::uint32_t transmissionLimit() const; // Of heads, store eras and notices.
     void scheduleHeadGossip();               // At the next tick.
+    bool isProofGossipDue() const;
     void publishOwn(Instant now, bool urgent, bool fullRecord);
 
     // Probing (MembershipProbe.cpp).
@@ -262,6 +266,8 @@
     std::uint64_t storeEra = 0;       // Never decreases; zero: unknown.
     bool storeEraChanged = false;     // It rose after it was first known.
     std::uint64_t heldVersion = 0;
+    HeadProof headProof;
+    std::uint64_t gossipedProofMilliseconds = 0; // Time of the proof that the last proof gossip carried.
     std::uint32_t headTransmissions = 0; // Gossip datagrams since the head, the held version or the era rose.
 
     std::map<std::uint32_t, Probe> probes;                      // By sequence.
--- a/Libraries/LibMembership/MembershipSync.cpp
+++ b/Libraries/LibMembership/MembershipSync.cpp
@@ -60,12 +60,15 @@
         this->ownChangeRounds > 0 || this->drawCrossZoneTurn(this->settings.crossZoneGossipersPerZone);
     this->ownChangeRounds -= this->ownChangeRounds > 0 ? 1 : 0;
     const std::uint32_t transmissionLimit = this->transmissionLimit();
+    const bool proofDue = this->isProofGossipDue();
+    if (proofDue)
+        this->gossipedProofMilliseconds = this->headProof.storeMilliseconds;
     for (std::uint32_t i = 0; i < this->settings.gossipFanout; ++i) {
         const bool hasHead = this->highestHead.version != 0 || this->storeEraChanged;
         const bool headPending = hasHead && this->headTransmissions < transmissionLimit;
         const bool noticePending = this->noticeTable.hasPending(transmissionLimit);
         const bool bulletinPending = this->bulletinTable.hasPending(transmissionLimit);
-        if (this->changes.empty() && !headPending && !noticePending && !bulletinPending)
+        if (this->changes.empty() && !headPending && !noticePending && !bulletinPending && !proofDue)
             return;
         if (!this->hasBudget(0)) {
             ++this->counts.suppressed;
--- a/Libraries/LibObserve/Events.h
+++ b/Libraries/LibObserve/Events.h
@@ -57,6 +57,8 @@
     GateAnswered = 4013,
     RequestQuarantined = 4014,
     RequestReleased = 4015,
+    KeysInDoubt = 4016,
+    KeysAccepted = 4017,
 
     SourceLost = 5006,
     SourceRegained = 5007,
@@ -170,6 +172,10 @@
      "Upstreams crashed again and again while they ran this request; all nodes refuse it for a while."},
     {EventId::RequestReleased, "request.released", LogLevel::Info,
      "A request that was refused since it crashes upstreams may run again."},
+    {EventId::KeysInDoubt, "keys.in_doubt", LogLevel::Warning,
+     "The configuration is not proven to be recent, so calls with keys are refused for now."},
+    {EventId::KeysAccepted, "keys.accepted", LogLevel::Info,
+     "The configuration is proven to be recent again; keys are accepted."},
 
     {EventId::ClaimRefused, "claim.refused", LogLevel::Debug,
      "An idempotency key is claimed by another attempt."},
--- a/Services/Node/CallHeaders.h
+++ b/Services/Node/CallHeaders.h
@@ -17,6 +17,7 @@
     std::string trace = "traceparent";
     std::string expectedInstance; // An upstream must refuse a call that names another instance of it.
     std::string originService;    // The service on the host where the call originated.
+    std::string account = "Sagecrank-Account"; // Name of the account whose key the caller presented.
 
     // Responses of upstreams.
     std::string notRun = "Sagecrank-Outcome"; // With the value below: the upstream did not run the call.
--- a/Services/Node/Callers/CallerFrontend.cpp
+++ b/Services/Node/Callers/CallerFrontend.cpp
@@ -20,9 +20,31 @@
 // A node reads its first configuration version within a few hundred milliseconds of its start.
 constexpr std::uint32_t noConfigurationRetryAfterMilliseconds = 300;
 
+// A proof that the configuration is recent arrives several times a second.
+constexpr std::uint32_t keyInDoubtRetryAfterMilliseconds = 300;
+
 // A node whose process is replaced is available again within this time.
 constexpr std::uint32_t shutdownRetryAfterMilliseconds = 1000;
 
+constexpr std::uint32_t statusUnauthorized = 401;
+
+// The priority of an account goes before that of the route. Calls without an account rank as those of an
+// account with the default priority.
+std::uint32_t combinedPriority(const std::optional<Account> &account, std::uint32_t routePriority)
+{
+    constexpr std::uint32_t routePriorities = 1 << 16;
+    const std::uint32_t ofAccount = account ? account->priority : Account{}.priority;
+    return std::min(ofAccount, routePriorities - 1) * routePriorities
+           + std::min(routePriority, routePriorities - 1);
+}
+
+// Calls of a kind share their statistics and their priority at the gates.
+std::uint64_t kindOf(const RouteMatch &route, const std::optional<Account> &account)
+{
+    const std::uint64_t kind = std::hash<std::string>{}(route.name);
+    return account ? kind ^ std::hash<std::uint64_t>{}(account->priority + 1) * 0x9e3779b97f4a7c15 : kind;
+}
+
 bool isOneOf(std::string_view name, std::initializer_list<std::string_view> names)
 {
     return std::any_of(names.begin(), names.end(), [name](std::string_view other) {
@@ -104,7 +126,29 @@
     response.retryAfterMilliseconds = retryAfterMilliseconds;
     const std::string callId(findHeader(request.headers, this->names.callId));
     this->context.observer.requestRefused(callId, status, reason);
-    exchange.respond(this->makeHttpResponse(std::move(response), {}, callId));
+    HttpResponse answer = this->makeHttpResponse(std::move(response), {}, callId);
+    if (status == statusUnauthorized)
+        answer.headers.push_back({"WWW-Authenticate", "Bearer"});
+    exchange.respond(std::move(answer));
+}
+
+// Returns whether the request was refused.
+bool CallerFrontend::refuseUnidentified(const HttpRequest &request, HttpExchange &exchange,
+                                        KeyVerdict verdict) const
+{
+    switch (verdict) {
+    case KeyVerdict::NotRequired:
+    case KeyVerdict::Accepted:
+        return false;
+    case KeyVerdict::Missing:
+    case KeyVerdict::Unknown:
+        this->refuse(request, exchange, statusUnauthorized, keyVerdictNames.name(verdict), 0);
+        return true;
+    case KeyVerdict::InDoubt:
+        this->refuse(request, exchange, 503, keyVerdictNames.name(verdict), keyInDoubtRetryAfterMilliseconds);
+        return true;
+    }
+    return false;
 }
 
 std::optional<RouteMatch> CallerFrontend::findRoute(const HttpRequest &request) const
@@ -135,6 +179,9 @@
                             noConfigurationRetryAfterMilliseconds);
     if (!route)
         return this->refuse(request, *exchange, 404, "no_route", 0);
+    const CallerIdentity caller = this->hooks.identify(request.headers, route->isPublic);
+    if (this->refuseUnidentified(request, *exchange, caller.verdict))
+        return;
 
     CallPlan plan;
     plan.cluster = route->cluster;
@@ -153,7 +200,7 @@
     if (requested)
         plan.callerDeadline = arrived + *requested;
 
-    CallRequest call = this->makeCall(std::move(request), *route);
+    CallRequest call = this->makeCall(std::move(request), *route, caller);
     plan.firstArrived = this->firstArrived(call.kind, plan);
     if (route->targetLatency > Milliseconds(0))
         plan.target = plan.firstArrived + route->targetLatency;
@@ -203,14 +250,15 @@
     return std::min(*requested, std::max(routeTimeout, maximum));
 }
 
-CallRequest CallerFrontend::makeCall(HttpRequest request, const RouteMatch &route) const
+CallRequest CallerFrontend::makeCall(HttpRequest request, const RouteMatch &route,
+                                     const CallerIdentity &caller) const
 {
     CallRequest call;
     call.cluster = route.cluster;
     call.callClass = route.callClass;
     call.idempotent = route.idempotent;
-    call.priority = route.priority;
-    call.kind = std::hash<std::string>{}(route.name);
+    call.priority = caller.keysRequired ? combinedPriority(caller.account, route.priority) : route.priority;
+    call.kind = kindOf(route, caller.account);
     call.idempotencyKey = findHeader(request.headers, this->names.idempotencyKey);
     call.callerCallId = findHeader(request.headers, this->names.callId);
     call.traceParent = findHeader(request.headers, this->names.trace);
@@ -223,11 +271,16 @@
             || isOneOf(header.name, {this->names.callId, this->names.deadline, this->names.attempt,
                                      this->names.idempotencyKey, this->names.trace,
                                      this->names.expectedInstance, this->names.originService});
-        if (!writtenByNode)
+        // Upstreams must not learn keys, revoked ones included, and must be able to rely on the account.
+        const bool isCredential =
+            caller.keysRequired && isOneOf(header.name, {keyHeaderName, this->names.account});
+        if (!writtenByNode && !isCredential)
             call.headers.push_back(std::move(header));
     }
     if (!this->names.originService.empty())
         call.headers.push_back({this->names.originService, this->originService});
+    if (caller.account && !this->names.account.empty())
+        call.headers.push_back({this->names.account, caller.account->name});
     call.body = std::move(request.body);
     return call;
 }
--- a/Services/Node/Callers/CallerFrontend.h
+++ b/Services/Node/Callers/CallerFrontend.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "ForwardedCall.h"
+#include <Node/Accounts/CallerAccounts.h>
 #include <Node/CallHeaders.h>
 
 #include <LibNet/HttpServer.h>
@@ -25,6 +26,7 @@
     Milliseconds timeout{1000};
     Milliseconds targetLatency{0};
     std::uint32_t priority = 1;
+    bool isPublic = false;
     std::uint64_t configurationVersion = 0;
 };
 
@@ -36,6 +38,8 @@
                                             std::string_view path)>
         route;
     std::function<bool()> hasConfiguration;
+    // The account of the caller's key. Callable from every request thread.
+    std::function<CallerIdentity(const std::vector<Header> &headers, bool isPublicRoute)> identify;
     // Run once each for every valid request, which ends by its response or by the caller's disconnect.
     std::function<void()> callStarted;
     std::function<void()> callEnded;
@@ -63,7 +67,8 @@
     void refuse(const HttpRequest &request, HttpExchange &exchange, std::uint32_t status,
                 std::string_view reason, std::uint32_t retryAfterMilliseconds) const;
     Instant firstArrived(std::uint64_t kind, const CallPlan &plan) const;
-    CallRequest makeCall(HttpRequest request, const RouteMatch &route) const;
+    CallRequest makeCall(HttpRequest request, const RouteMatch &route, const CallerIdentity &caller) const;
+    bool refuseUnidentified(const HttpRequest &request, HttpExchange &exchange, KeyVerdict verdict) const;
     HttpResponse makeHttpResponse(CallResponse response, const std::string &traceParent,
                                   const std::string &callerCallId) const;
     std::string formatRetryAfter(std::uint32_t milliseconds) const;
--- a/Services/Node/Control/ControlFollower.cpp
+++ b/Services/Node/Control/ControlFollower.cpp
@@ -154,6 +154,8 @@
     this->poll.answered(now, this->poller(), read.number, found.version > known);
     const ConfigurationVersion head{found.version, found.digest.high, found.digest.low};
     this->plan.sourceReported(head, now);
+    if (found.storeTime && this->hooks.headProven)
+        this->hooks.headProven(head.version, *found.storeTime);
     if (head.version != 0)
         this->hooks.headRead(head);
 }
--- a/Services/Node/Control/ControlFollower.h
+++ b/Services/Node/Control/ControlFollower.h
@@ -52,7 +52,9 @@
 {
     std::function<Result<void>(SiteConfiguration)> offer;
     std::function<void(const ConfigurationVersion &)> headRead; // Read from the version source.
-    std::function<void(std::uint64_t version)> versionApplied;  // A version was accepted.
+    // The version was the newest one at this time of the source's steady clock.
+    std::function<void(std::uint64_t version, std::chrono::nanoseconds sourceTime)> headProven;
+    std::function<void(std::uint64_t version)> versionApplied; // A version was accepted.
     std::function<std::vector<Holder>(std::uint64_t version)> holders;
     std::function<std::vector<std::uint64_t>()> zoneVersions; // Versions held by peers in the zone.
     std::function<std::uint32_t()> rank;                      // Among the pollers of the head.
--- a/Services/Node/Control/ControlPlane.cpp
+++ b/Services/Node/Control/ControlPlane.cpp
@@ -124,6 +124,8 @@
 
     void announceStoreEra(std::uint64_t era) { this->gossip.membership().noteStoreEra(era); }
 
+    void setHeadProof(const HeadProof &proof) { this->gossip.membership().setHeadProof(proof); }
+
     void storeRestored() { this->introducers.rewriteRow(); }
 
     void leave(std::function<void()> done)
@@ -140,6 +142,7 @@
 
     boost::asio::io_context &context;
     std::atomic<bool> ready = false; // Never becomes false again.
+    std::atomic<std::uint64_t> knownHead = 0;
 
 private:
     MembershipHooks membershipHooks()
@@ -153,7 +156,9 @@
         made.noticesChanged = this->hooks.noticesChanged;
         made.bulletinReceived = this->hooks.bulletinReceived;
         made.reportReceived = this->hooks.reportReceived;
+        made.headProofReceived = this->hooks.headProofReceived;
         made.headAdvanced = [this](const ConfigurationVersion &version) {
+            this->knownHead = std::max(this->knownHead.load(), version.version);
             this->follower.versionAnnounced(version);
         };
         made.storeEraAdvanced = [this](std::uint64_t era) {
@@ -168,7 +173,9 @@
     {
         FollowerHooks made;
         made.offer = this->hooks.configurationOffered;
+        made.headProven = this->hooks.headProven;
         made.headRead = [this](const ConfigurationVersion &head) {
+            this->knownHead = std::max(this->knownHead.load(), head.version);
             this->gossip.membership().setConfiguration(this->follower.heldVersion(), head);
         };
         made.versionApplied = [this](std::uint64_t version) {
@@ -412,6 +419,16 @@
     this->impl->announceStoreEra(era);
 }
 
+void ControlPlane::setHeadProof(const HeadProof &proof)
+{
+    this->impl->setHeadProof(proof);
+}
+
+std::uint64_t ControlPlane::knownHeadVersion() const
+{
+    return this->impl->knownHead;
+}
+
 void ControlPlane::storeRestored()
 {
     this->impl->storeRestored();
--- a/Services/Node/Control/ControlPlane.h
+++ b/Services/Node/Control/ControlPlane.h
@@ -58,6 +58,9 @@
     std::function<void(const std::vector<Notice> &)> noticesChanged;
     // A peer announced this era of the platform's store; see StoreEra.
     std::function<void(std::uint64_t era)> storeEraReceived;
+    // See FollowerHooks.
+    std::function<void(std::uint64_t version, std::chrono::nanoseconds sourceTime)> headProven;
+    std::function<void(const HeadProof &)> headProofReceived; // From a peer.
     std::function<void(const Bulletin &)> bulletinReceived;
     std::function<void(const std::string &sender, const std::string &report)> reportReceived;
     // A row names an introducer whose address belongs to no known member, although other members are known.
@@ -117,6 +120,7 @@
     void sendReport(const std::string &memberId, const std::string &report); // To one node; may be lost.
     // On the control thread. Announces the highest store era that this node knows to its peers.
     void announceStoreEra(std::uint64_t era);
+    void setHeadProof(const HeadProof &proof); // On the control thread. Sent to peers from now on.
     void storeRestored(); // On the control thread. The table was restored from an older copy.
     // Announces to the mesh that this node leaves, then calls `done` on the control thread. Called
     // during a drain.
@@ -124,8 +128,9 @@
     void stop(); // On the control thread. Closes the ports.
 
     // Queries, callable from any thread.
-    bool ready() const;           // Holds a configuration and has a view of the members.
-    ControlStatus status() const; // At most one second old.
+    std::uint64_t knownHeadVersion() const; // The highest accepted version that this node has heard of.
+    bool ready() const;                     // Holds a configuration and has a view of the members.
+    ControlStatus status() const;           // At most one second old.
 
 private:
     class Impl;
--- a/Services/Node/DerivedSettings.cpp
+++ b/Services/Node/DerivedSettings.cpp
@@ -84,6 +84,12 @@
     control.seeds = settings.seeds;
     if (settings.platform.kind == PlatformKind::Rows)
         configureForRowsStore(control);
+    // Each watch that ends brings a proof of freshness. The nodes that do not watch get it by gossip up to a
+    // second later, and all need one well within the bound.
+    constexpr int watchesWithinBound = 5;
+    const Duration revocation = settings.accounts.revocation;
+    if (revocation > Duration::zero())
+        control.follower.poll.hold = std::min(control.follower.poll.hold, revocation / watchesWithinBound);
     return control;
 }
 
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -90,6 +90,7 @@
     , spans(spanCapacity)
     , observer(this->log, this->metrics, this->spans)
     , ids(this->settings.id)
+    , freshness(this->settings.accounts.revocation, bootTimeNow, this->log)
     , configuration(this->settings.site, this->holderHooks())
     , viewBuilder(this->settings.id, this->settings.zone,
                   [requests = this->settings.requests] {
@@ -107,6 +108,8 @@
     , bodies(bodyGrantSettings(this->settings))
     , presence(this->presenceHooks(), this->settings.platform.announcementLifetime)
     , record(this->control, this->adapter.table, this->settings.id, this->recordHooks())
+    , accounts({this->settings.accounts.unknownKeyProofAge}, this->configuration, this->freshness,
+               [this] { return this->plane.knownHeadVersion() > this->configuration.version(); })
     , forwarding{this->settings.id, this->gate,     this->view,           this->ids,
                  this->history,     this->observer, this->refusedCallers, this->quarantine.requestHooks()}
     , callers(this->forwarding, this->settings.requests.maximumTimeout, this->adapter.headers,
@@ -151,6 +154,7 @@
     for (const auto &worker : this->workers)
         TRY_VOID(worker->listen());
     this->watchStoreEra();
+    this->watchStoreClock();
     this->rollouts.start();
     TRY_VOID(this->plane.start());
     for (const auto &worker : this->workers)
@@ -189,6 +193,22 @@
     });
 }
 
+// The store answers on the control thread.
+void Node::watchStoreClock()
+{
+    this->metrics.gauge("sagecrank_configuration_proof_age_seconds",
+                        "Since the configuration is proven to have been the newest one; -1 without a proof.",
+                        [this] { return this->freshness.ageSeconds(); });
+    if (!this->adapter.listenToStore || !this->freshness.isBounded())
+        return;
+    this->adapter.listenToStore([this](const StoreAnswer &answer) { this->freshness.storeAnswered(answer); });
+}
+
+void Node::shareFreshness()
+{
+    this->plane.setHeadProof(this->freshness.proofForPeers());
+}
+
 HolderHooks Node::holderHooks()
 {
     HolderHooks hooks;
@@ -211,6 +231,7 @@
     };
     hooks.swapped = [this](const Snapshot &next, std::uint64_t previous) {
         this->nodeLog.configurationSwapped(next.version(), previous);
+        this->freshness.versionHeld(next.version(), next.keysRequired());
         this->limitQueue();
     };
     return hooks;
@@ -236,6 +257,14 @@
         if (this->adapter.era)
             this->adapter.era->observePeerEra(era);
     };
+    hooks.headProven = [this](std::uint64_t version, std::chrono::nanoseconds sourceTime) {
+        this->freshness.headProven(version, sourceTime);
+        this->shareFreshness();
+    };
+    hooks.headProofReceived = [this](const HeadProof &proof) {
+        this->freshness.peerProofReceived(proof);
+        this->shareFreshness();
+    };
     hooks.sourceRecovered = [this](const SourceRecovery &recovery) {
         this->nodeLog.sourceRecovered(recovery);
     };
@@ -335,6 +364,9 @@
     hooks.route = [this](std::string_view host, std::string_view method, std::string_view path) {
         return this->route(host, method, path);
     };
+    hooks.identify = [this](const std::vector<Header> &headers, bool isPublicRoute) {
+        return this->accounts.identify(headers, isPublicRoute);
+    };
     hooks.hasConfiguration = [this] { return this->configuration.version() > 0; };
     hooks.callStarted = [this] { ++this->callsForwarded; };
     hooks.callEnded = [this] { --this->callsForwarded; };
@@ -372,6 +404,7 @@
     choice.name = entry->route->name;
     choice.cluster = chooseCluster(*entry);
     choice.priority = entry->route->priority;
+    choice.isPublic = entry->route->isPublic;
     choice.targetLatency = entry->route->targetLatency;
     choice.callClass = entry->route->callClass;
     choice.idempotent = entry->route->idempotent;
@@ -532,6 +565,7 @@
     this->presence.advance(now);
     this->drain.advance(now);
     this->rollouts.advance(now);
+    this->freshness.advance();
     this->forgetUnused(now);
     // Wakes up in time for the next step of a drain: if each step came up to an interval late, the final
     // responses would be sent when the process is being killed.
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -6,6 +6,8 @@
 #include "NodeLog.h"
 #include "NodeSettings.h"
 #include "RequestObserver.h"
+#include <Node/Accounts/CallerAccounts.h>
+#include <Node/Accounts/FreshnessGuard.h>
 #include <Node/Admin/AdminFrontend.h>
 #include <Node/Admin/NodeStatus.h>
 #include <Node/Admin/SettingsReload.h>
@@ -62,6 +64,8 @@
     UpstreamPresenceHooks presenceHooks();
     UpstreamRecordHooks recordHooks();
     void watchStoreEra();
+    void watchStoreClock();
+    void shareFreshness();
     std::optional<RouteMatch> route(std::string_view host, std::string_view method,
                                     std::string_view path) const;
     HttpLimits callerLimits() const;
@@ -86,6 +90,7 @@
     RequestObserver observer;
     CallIds ids;
     boost::asio::io_context control{1}; // Runs everything but requests, on the main thread.
+    FreshnessGuard freshness;
     ConfigurationHolder configuration;
     RcuPointer<UpstreamView> view;
     UpstreamViewBuilder viewBuilder; // Only used on the control thread.
@@ -97,6 +102,7 @@
     BodyGrantQueue bodies;
     UpstreamPresence presence;
     UpstreamRecord record;
+    CallerAccounts accounts;
     RefusedCallers refusedCallers;
     ForwardingContext forwarding;
     CallerFrontend callers;
--- a/Services/Node/NodeAdapter.h
+++ b/Services/Node/NodeAdapter.h
@@ -4,6 +4,7 @@
 
 #include "CallHeaders.h"
 #include "NodeSettings.h"
+#include <Node/Accounts/FreshnessGuard.h>
 #include <Node/Admin/AdminFrontend.h>
 
 #include <LibPlatform/PlatformClient.h>
@@ -25,6 +26,8 @@
     VersionSource versions;
     RolloutPort rollouts; // Without functions: there are no orders.
     std::function<PlatformCounters()> counters;
+    // Sets the listener for answers of a store that states its time. Null if the store states none.
+    std::function<void(std::function<void(const StoreAnswer &)>)> listenToStore;
     std::shared_ptr<StoreEra> era; // Null if the store of the platform is never restored from an older copy.
     // Handles requests on the announcement and probe ports. Needed only if these ports are configured.
     std::function<HttpResponse(const HttpRequest &, const AdminHooks &)> answer;
--- a/Services/Node/NodeSettings.cpp
+++ b/Services/Node/NodeSettings.cpp
@@ -206,6 +206,10 @@
         this->section("rollout", [&](SettingsTable &table) {
             table.readShare("exposure_share", settings.rollout.exposureShare);
         });
+        this->section("accounts", [&](SettingsTable &table) {
+            table.readMilliseconds("revocation_ms", settings.accounts.revocation, 0, 3600000);
+            table.readMilliseconds("unknown_key_proof_ms", settings.accounts.unknownKeyProofAge, 0, 60000);
+        });
         this->section("gossip", [&](SettingsTable &table) { table.readAddresses("seeds", settings.seeds); });
         this->section("history", [&](SettingsTable &table) { table.readFlag("enabled", settings.history); });
         this->section(
@@ -343,6 +347,9 @@
     }
     SettingsFile file(root, path);
     NodeSettings settings = file.read();
+    // Proofs of freshness need the clock of the store, which only a store of rows states.
+    if (settings.accounts.revocation > Milliseconds(0) && settings.platform.kind != PlatformKind::Rows)
+        file.problems.push_back(path + ": accounts.revocation_ms: needs platform.kind \"rows\"");
     if (file.problems.empty())
         return settings;
     std::string message;
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -119,6 +119,15 @@
         bool operator==(const Rollout &) const = default;
     } rollout;
 
+    struct Accounts
+    {
+        Milliseconds revocation{0}; // After this a revoked key must not be accepted; 0: not bounded.
+        // How old the proof that a configuration is the newest may be to reject an unknown key for good.
+        Milliseconds unknownKeyProofAge{1250};
+
+        bool operator==(const Accounts &) const = default;
+    } accounts;
+
     bool history = false;
     std::string logLevel = "info";
 
--- a/Tests/LibMembership/TestDatagram.cpp
+++ b/Tests/LibMembership/TestDatagram.cpp
@@ -46,6 +46,7 @@
     datagram.wanted = {8, 9};
     datagram.updates = {{1, 2, 3, MemberState::Suspect, UpstreamState::Draining, 6}};
     datagram.members = {exampleMember(), exampleMember()};
+    datagram.headProof = {9, 51230};
     return datagram;
 }
 
@@ -66,7 +67,7 @@
     const Datagram &received = decoded.value();
     cr_assert(received.kind == sent.kind && received.sequence == sent.sequence);
     cr_assert(received.sender == sent.sender && received.head == sent.head
-              && received.storeEra == sent.storeEra);
+              && received.storeEra == sent.storeEra && received.headProof == sent.headProof);
     cr_assert(received.target == sent.target && received.targetAddress == sent.targetAddress);
     cr_assert(received.bucketHashes == sent.bucketHashes && received.buckets == sent.buckets);
     cr_assert(received.entries == sent.entries && received.wanted == sent.wanted);
--- a/Tests/Platform/TestConfigurationDocument.cpp
+++ b/Tests/Platform/TestConfigurationDocument.cpp
@@ -50,7 +50,8 @@
 };
 
 const KindRow kindRows[] = {
-    {"safe", true, 0}, {"unsafe", false, 0}, {"upload", false, 0}, {"once", false, 1}, {"SAFE", false, 1},
+    {"safe", true, 0},    {"download", true, 0}, {"unsafe", false, 0},
+    {"upload", false, 0}, {"once", false, 1},    {"SAFE", false, 1},
 };
 
 const InvalidRow invalidRules[] = {
@@ -151,3 +152,58 @@
     cr_assert(configuration->doubts.size() == 1);
     cr_assert(Snapshot(configuration).routeCount() == 2);
 }
+
+namespace {
+
+std::string withAccounts(const std::string &accounts)
+{
+    return replaced("\"listeners\"", "\"tenants\":" + accounts + ",\"listeners\"");
+}
+
+struct AccountsRow
+{
+    const char *what;
+    std::string accounts;
+    std::vector<std::string> names;
+    std::size_t warnings;
+};
+
+const AccountsRow accountsRows[] = {
+    {"two accounts",
+     R"([{"name":"b","apiKeys":["k1"],"priority":1,"ratePerS":385,"burst":10.5},{"name":"a","apiKeys":[]}])",
+     {"a", "b"},
+     0},
+    {"none", "[]", {}, 0},
+    {"one is no object", R"([7,{"name":"a","apiKeys":[]}])", {"a"}, 1},
+    {"one has no name", R"([{"apiKeys":["k1"]},{"name":"a","apiKeys":[]}])", {"a"}, 1},
+    {"one has no keys", R"([{"name":"b"},{"name":"a","apiKeys":[]}])", {"a"}, 1},
+    {"a key of another type", R"([{"name":"b","apiKeys":[4]},{"name":"a","apiKeys":[]}])", {"a"}, 1},
+    {"a negative rate", R"([{"name":"b","apiKeys":[],"ratePerS":-1},{"name":"a","apiKeys":[]}])", {"a"}, 1},
+    {"a name that would end its header", R"([{"name":"b\r\nX: 1","apiKeys":[]}])", {}, 1},
+    {"one name twice", R"([{"name":"a","apiKeys":["k1"]},{"name":"a","apiKeys":["k2"]}])", {"a"}, 1},
+};
+
+} // namespace
+
+// An account that cannot be read costs only itself, and its site stays closed to callers without keys.
+TABLE_TEST(configurationDocument, decodesAccounts, accountsRows)
+{
+    const auto configuration = decoded(withAccounts(row.accounts));
+    cr_assert(configuration->manifest.keysRequired, "%s", row.what);
+    cr_assert_eq(configuration->doubts.size(), row.warnings, "%s", row.what);
+    std::vector<std::string> names;
+    for (const Account &account : configuration->accounts)
+        names.push_back(account.name);
+    cr_assert(names == row.names, "%s", row.what);
+}
+
+// A key of two accounts would otherwise pass for one of them by chance.
+Test(configurationDocument, aKeyOfTwoAccountsIsAcceptedForNeither)
+{
+    const auto configuration =
+        decoded(withAccounts(R"([{"name":"a","apiKeys":["k1","k2"]},{"name":"b","apiKeys":["k1"]}])"));
+    const Snapshot snapshot(configuration);
+    cr_assert(snapshot.accountOf(digestOfKey("k1")) == nullptr);
+    cr_assert(snapshot.accountOf(digestOfKey("k2")) != nullptr);
+    cr_assert_eq(configuration->doubts.size(), 2u);
+}
