LibAccount, Node: Keep an account's calls within one allowance over all nodes

One node, the first by rendezvous hashing, now grants the tokens of an account; nodes ask it for each call, or for what they need within 200 ms. The second grants from half of the overage and slack while the first does not answer; a new first starts with an empty bucket, and the smaller side of a partition grants nothing. A call above the allowance gets 429 before it is placed, with the time at which a token is due for it.

--- a/Libraries/LibObserve/Events.h
+++ b/Libraries/LibObserve/Events.h
@@ -59,6 +59,7 @@
     RequestReleased = 4015,
     KeysInDoubt = 4016,
     KeysAccepted = 4017,
+    AllowanceMessageRefused = 4018,
 
     SourceLost = 5006,
     SourceRegained = 5007,
@@ -176,6 +177,8 @@
      "The configuration is not proven to be recent, so calls with keys are refused for now."},
     {EventId::KeysAccepted, "keys.accepted", LogLevel::Info,
      "The configuration is proven to be recent again; keys are accepted."},
+    {EventId::AllowanceMessageRefused, "allowance.message_refused", LogLevel::Warning,
+     "A datagram about the allowance of an account could not be read."},
 
     {EventId::ClaimRefused, "claim.refused", LogLevel::Debug,
      "An idempotency key is claimed by another attempt."},
--- a/Services/Node/Callers/CallerFrontend.cpp
+++ b/Services/Node/Callers/CallerFrontend.cpp
@@ -4,6 +4,8 @@
 #include <Node/CallReasons.h>
 #include <Node/HopHeaders.h>
 
+#include <boost/asio/dispatch.hpp>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -76,20 +78,33 @@
 
     void end()
     {
-        if (!this->hasEnded)
+        if (!this->ended)
             this->onEnded();
-        this->hasEnded = true;
+        this->ended = true;
     }
+    bool hasEnded() const { return this->ended; }
 
     std::weak_ptr<ForwardedCall> running; // Weak: a finished call must not live as long as its connection.
 
 private:
     std::function<void()> onEnded;
-    bool hasEnded = false;
+    bool ended = false;
 };
 
 } // namespace
 
+// A valid request of a known caller, until its call has ended.
+struct CallerFrontend::AdmittedRequest
+{
+    HttpRequest request; // Moved away when it is forwarded.
+    std::shared_ptr<HttpExchange> exchange;
+    RouteMatch route;
+    CallerIdentity caller;
+    Instant arrived;
+    std::shared_ptr<CallTracker> tracker;
+    Instant allowanceAcquiredAt{}; // Unset if the account has no allowance.
+};
+
 CallerFrontend::CallerFrontend(ForwardingContext &context, Milliseconds maximumTimeout, CallHeaders names,
                                std::string originService, CallerFrontendHooks hooks)
     : context(context)
@@ -117,7 +132,8 @@
 }
 
 void CallerFrontend::refuse(const HttpRequest &request, HttpExchange &exchange, std::uint32_t status,
-                            std::string_view reason, std::uint32_t retryAfterMilliseconds) const
+                            std::string_view reason, std::uint32_t retryAfterMilliseconds,
+                            std::string_view account) const
 {
     CallResponse response;
     response.outcome = Outcome::NotRun;
@@ -125,7 +141,7 @@
     response.reason = reason;
     response.retryAfterMilliseconds = retryAfterMilliseconds;
     const std::string callId(findHeader(request.headers, this->names.callId));
-    this->context.observer.requestRefused(callId, status, reason);
+    this->context.observer.requestRefused(callId, status, reason, account);
     HttpResponse answer = this->makeHttpResponse(std::move(response), {}, callId);
     if (status == statusUnauthorized)
         answer.headers.push_back({"WWW-Authenticate", "Bearer"});
@@ -183,49 +199,101 @@
     if (this->refuseUnidentified(request, *exchange, caller.verdict))
         return;
 
+    const auto admitted = std::make_shared<AdmittedRequest>(
+        AdmittedRequest{std::move(request), exchange, *route, caller, SteadyClock::now(),
+                        std::make_shared<CallTracker>(this->hooks.callStarted, this->hooks.callEnded)});
+    if (caller.account && caller.account->isLimited())
+        return this->acquireAllowance(worker, admitted);
+    this->forward(worker, admitted);
+}
+
+void CallerFrontend::acquireAllowance(Worker &worker, const std::shared_ptr<AdmittedRequest> &admitted) const
+{
+    admitted->exchange->onCallerDisconnected([tracker = admitted->tracker] { tracker->end(); });
+    this->hooks.acquireAllowance(
+        admitted->caller.account->name, [this, &worker, admitted](const AllowanceDecision &decision) {
+            boost::asio::dispatch(worker.ioContext(), [this, &worker, admitted, decision] {
+                this->allowanceDecided(worker, admitted, decision);
+            });
+        });
+}
+
+void CallerFrontend::allowanceDecided(Worker &worker, const std::shared_ptr<AdmittedRequest> &admitted,
+                                      const AllowanceDecision &decision) const
+{
+    constexpr std::uint32_t statusTooManyRequests = 429;
+    const std::string &account = admitted->caller.account->name;
+    const bool isGranted = decision.verdict == AllowanceVerdict::Granted;
+    admitted->allowanceAcquiredAt = SteadyClock::now();
+    if (isGranted && !admitted->tracker->hasEnded() && !worker.rejectsNewCalls())
+        return this->forward(worker, admitted);
+    if (isGranted)
+        this->hooks.releaseAllowance(account, admitted->allowanceAcquiredAt);
+    if (admitted->tracker->hasEnded())
+        return; // The caller has left.
+    const auto retryAfter =
+        static_cast<std::uint32_t>(std::chrono::ceil<Milliseconds>(decision.retryAfter).count());
+    if (isGranted)
+        this->refuse(admitted->request, *admitted->exchange, 503, reasonLeaving,
+                     shutdownRetryAfterMilliseconds);
+    else
+        this->refuse(admitted->request, *admitted->exchange,
+                     decision.verdict == AllowanceVerdict::Exceeded ? statusTooManyRequests : 503,
+                     allowanceVerdictNames.name(decision.verdict), retryAfter, account);
+    admitted->tracker->end();
+}
+
+CallPlan CallerFrontend::makePlan(const HttpRequest &request, const RouteMatch &route, Instant arrived) const
+{
     CallPlan plan;
-    plan.cluster = route->cluster;
-    plan.callClass = route->callClass;
-    plan.idempotent = route->idempotent;
-    plan.hedged = route->hedged;
-    plan.maximumRetries = route->maximumRetries;
-    plan.routeName = route->name;
-    plan.configurationVersion = route->configurationVersion;
-    const Instant arrived = SteadyClock::now();
+    plan.cluster = route.cluster;
+    plan.callClass = route.callClass;
+    plan.idempotent = route.idempotent;
+    plan.hedged = route.hedged;
+    plan.maximumRetries = route.maximumRetries;
+    plan.routeName = route.name;
+    plan.configurationVersion = route.configurationVersion;
     std::optional<Milliseconds> requested;
     if (const auto milliseconds = parseInteger(findHeader(request.headers, this->names.deadline)))
         requested = Milliseconds(*milliseconds);
     plan.arrived = arrived;
-    plan.deadline = arrived + callTimeout(requested, route->timeout, this->maximumTimeout);
+    plan.deadline = arrived + callTimeout(requested, route.timeout, this->maximumTimeout);
     if (requested)
         plan.callerDeadline = arrived + *requested;
+    return plan;
+}
 
-    CallRequest call = this->makeCall(std::move(request), *route, caller);
+void CallerFrontend::forward(Worker &worker, const std::shared_ptr<AdmittedRequest> &admitted) const
+{
+    const RouteMatch &route = admitted->route;
+    const Instant arrived = admitted->arrived;
+    CallPlan plan = this->makePlan(admitted->request, route, arrived);
+    CallRequest call = this->makeCall(std::move(admitted->request), route, admitted->caller);
     plan.firstArrived = this->firstArrived(call.kind, plan);
-    if (route->targetLatency > Milliseconds(0))
-        plan.target = plan.firstArrived + route->targetLatency;
+    if (route.targetLatency > Milliseconds(0))
+        plan.target = plan.firstArrived + route.targetLatency;
     if (call.callerCallId.empty())
         call.callerCallId = this->context.ids.next();
-    const auto tracker = std::make_shared<CallTracker>(this->hooks.callStarted, this->hooks.callEnded);
     RequestObserver &observer = this->context.observer;
     const auto span = std::make_shared<Span>(observer.openSpan(SpanName::Call, call.traceParent, arrived));
-    span->field("route", route->name);
+    span->field("route", route.name);
     call.traceParent = formatTraceParent(span->context());
     const std::string callerCallId = call.callerCallId;
     const auto forwarded = std::make_shared<ForwardedCall>(
         this->context, worker, std::move(plan), std::move(call),
-        [this, &observer, exchange, tracker, span, route = *route, callerCallId,
-         arrived](CallResponse response) {
+        [this, &observer, admitted, span, callerCallId](CallResponse response) {
             const Instant now = SteadyClock::now();
-            observer.callAnswered(route.callClass, response, now - arrived);
+            observer.callAnswered(admitted->route.callClass, response, now - admitted->arrived);
             span->field("outcome", outcomeNames.name(response.outcome));
             span->end(now);
-            exchange->respond(this->makeHttpResponse(std::move(response), formatTraceParent(span->context()),
-                                                     callerCallId));
-            tracker->end();
+            if (response.outcome == Outcome::NotRun && admitted->allowanceAcquiredAt != Instant{})
+                this->hooks.releaseAllowance(admitted->caller.account->name, admitted->allowanceAcquiredAt);
+            admitted->exchange->respond(this->makeHttpResponse(
+                std::move(response), formatTraceParent(span->context()), callerCallId));
+            admitted->tracker->end();
         });
-    tracker->running = forwarded;
-    exchange->onCallerDisconnected([tracker] {
+    admitted->tracker->running = forwarded;
+    admitted->exchange->onCallerDisconnected([tracker = admitted->tracker] {
         if (const auto self = tracker->running.lock())
             self->abandon();
         tracker->end();
--- a/Services/Node/Callers/CallerFrontend.h
+++ b/Services/Node/Callers/CallerFrontend.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "ForwardedCall.h"
+#include <LibAccount/AllowanceClient.h>
 #include <Node/Accounts/CallerAccounts.h>
 #include <Node/CallHeaders.h>
 
@@ -40,6 +41,10 @@
     std::function<bool()> hasConfiguration;
     // The account of the caller's key. Callable from every request thread.
     std::function<CallerIdentity(const std::vector<Header> &headers, bool isPublicRoute)> identify;
+    // Takes a token of the account's allowance for one call. The callback may run on any thread.
+    std::function<void(std::string_view account, AllowanceClient::Callback)> acquireAllowance;
+    // The call that a token was taken for did not run.
+    std::function<void(std::string_view account, Instant acquiredAt)> releaseAllowance;
     // Run once each for every valid request, which ends by its response or by the caller's disconnect.
     std::function<void()> callStarted;
     std::function<void()> callEnded;
@@ -62,10 +67,18 @@
     void handle(Worker &worker, HttpRequest request, std::shared_ptr<HttpExchange> exchange) const;
 
 private:
+    struct AdmittedRequest;
+
     std::optional<RouteMatch> findRoute(const HttpRequest &request) const;
     std::string_view validate(const HttpRequest &request) const;
     void refuse(const HttpRequest &request, HttpExchange &exchange, std::uint32_t status,
-                std::string_view reason, std::uint32_t retryAfterMilliseconds) const;
+                std::string_view reason, std::uint32_t retryAfterMilliseconds,
+                std::string_view account = {}) const;
+    void acquireAllowance(Worker &worker, const std::shared_ptr<AdmittedRequest> &admitted) const;
+    void allowanceDecided(Worker &worker, const std::shared_ptr<AdmittedRequest> &admitted,
+                          const AllowanceDecision &decision) const;
+    void forward(Worker &worker, const std::shared_ptr<AdmittedRequest> &admitted) const;
+    CallPlan makePlan(const HttpRequest &request, const RouteMatch &route, Instant arrived) const;
     Instant firstArrived(std::uint64_t kind, const CallPlan &plan) const;
     CallRequest makeCall(HttpRequest request, const RouteMatch &route, const CallerIdentity &caller) const;
     bool refuseUnidentified(const HttpRequest &request, HttpExchange &exchange, KeyVerdict verdict) const;
--- a/Services/Node/Control/ControlGossip.cpp
+++ b/Services/Node/Control/ControlGossip.cpp
@@ -1,6 +1,7 @@
 // Sends and receives gossip datagrams and drives the membership state machine.
 #include "ControlGossip.h"
 
+#include <LibAccount/AllowanceMessages.h>
 #include <LibNet/FramedConnection.h>
 
 #include <boost/asio/buffer.hpp>
@@ -31,9 +32,10 @@
 } // namespace
 
 ControlGossip::ControlGossip(boost::asio::io_context &context, MembershipSettings settings, Member self,
-                             MembershipHooks hooks, std::uint64_t seed)
+                             MembershipHooks hooks, DatagramHook allowanceReceived, std::uint64_t seed)
     : socket(context)
     , timer(context)
+    , allowanceReceived(std::move(allowanceReceived))
     , machine(std::move(settings), std::move(self), this->withSend(std::move(hooks)), seed)
 {
 }
@@ -80,17 +82,23 @@
         ++this->failures;
 }
 
+void ControlGossip::receive(std::string_view bytes)
+{
+    const bool isAllowance = !bytes.empty() && static_cast<std::uint8_t>(bytes.front()) == allowanceProtocol;
+    if (!isAllowance)
+        return this->machine.receive(SteadyClock::now(), describe(this->sender), bytes);
+    if (this->allowanceReceived)
+        this->allowanceReceived(describe(this->sender), bytes);
+}
+
 void ControlGossip::receiveNext()
 {
     this->socket.async_receive_from(boost::asio::buffer(this->buffer), this->sender,
                                     [this](const boost::system::error_code &error, std::size_t size) {
                                         if (!this->socket.is_open())
                                             return;
-                                        if (!error) {
-                                            const std::string_view bytes(this->buffer.data(), size);
-                                            this->machine.receive(SteadyClock::now(), describe(this->sender),
-                                                                  bytes);
-                                        }
+                                        if (!error)
+                                            this->receive({this->buffer.data(), size});
                                         this->receiveNext();
                                     });
 }
--- a/Services/Node/Control/ControlGossip.h
+++ b/Services/Node/Control/ControlGossip.h
@@ -17,13 +17,17 @@
 class ControlGossip
 {
 public:
-    // The `send` hook is replaced; the caller sets the others.
+    using DatagramHook = std::function<void(const std::string &from, std::string_view bytes)>;
+
+    // The `send` hook is replaced; the caller sets the others. `allowanceReceived` gets the datagrams of the
+    // allowances, which share the port.
     ControlGossip(boost::asio::io_context &context, MembershipSettings settings, Member self,
-                  MembershipHooks hooks, std::uint64_t seed);
+                  MembershipHooks hooks, DatagramHook allowanceReceived, std::uint64_t seed);
 
     // Commands.
     Result<void> start(const std::string &listenAddress);
     void stop();
+    void send(const std::string &address, const std::string &bytes);
     Membership &membership() { return this->machine; }
 
     // Queries.
@@ -32,12 +36,13 @@
 
 private:
     MembershipHooks withSend(MembershipHooks hooks);
-    void send(const std::string &address, const std::string &bytes);
+    void receive(std::string_view bytes);
     void receiveNext();
     void scheduleTick();
 
     boost::asio::ip::udp::socket socket;
     boost::asio::steady_timer timer;
+    const DatagramHook allowanceReceived;
     Membership machine;
     boost::asio::ip::udp::endpoint sender;
     // One byte more than the limit, so that an oversized datagram is detected rather than truncated.
--- a/Services/Node/Control/ControlPlane.cpp
+++ b/Services/Node/Control/ControlPlane.cpp
@@ -73,7 +73,7 @@
         , statusTimer(context)
         , leaveTimer(context)
         , gossip(context, makeMembershipSettings(this->settings), makeSelf(this->settings),
-                 this->membershipHooks(), std::random_device{}())
+                 this->membershipHooks(), this->hooks.allowanceReceived, std::random_device{}())
         , follower(context, this->settings.id, this->settings.site, std::move(versions),
                    this->settings.follower, this->followerHooks(), std::random_device{}())
         , server(context, std::random_device{}(),
@@ -124,6 +124,11 @@
 
     void announceStoreEra(std::uint64_t era) { this->gossip.membership().noteStoreEra(era); }
 
+    void sendDatagram(const std::string &address, const std::string &bytes)
+    {
+        this->gossip.send(address, bytes);
+    }
+
     void setHeadProof(const HeadProof &proof) { this->gossip.membership().setHeadProof(proof); }
 
     void storeRestored() { this->introducers.rewriteRow(); }
@@ -419,6 +424,11 @@
     this->impl->announceStoreEra(era);
 }
 
+void ControlPlane::sendDatagram(const std::string &gossipAddress, const std::string &bytes)
+{
+    this->impl->sendDatagram(gossipAddress, bytes);
+}
+
 void ControlPlane::setHeadProof(const HeadProof &proof)
 {
     this->impl->setHeadProof(proof);
--- a/Services/Node/Control/ControlPlane.h
+++ b/Services/Node/Control/ControlPlane.h
@@ -61,6 +61,8 @@
     // See FollowerHooks.
     std::function<void(std::uint64_t version, std::chrono::nanoseconds sourceTime)> headProven;
     std::function<void(const HeadProof &)> headProofReceived; // From a peer.
+    // A datagram about the allowance of an account.
+    std::function<void(const std::string &from, std::string_view bytes)> allowanceReceived;
     std::function<void(const Bulletin &)> bulletinReceived;
     std::function<void(const std::string &sender, const std::string &report)> reportReceived;
     // A row names an introducer whose address belongs to no known member, although other members are known.
@@ -120,6 +122,7 @@
     void sendReport(const std::string &memberId, const std::string &report); // To one node; may be lost.
     // On the control thread. Announces the highest store era that this node knows to its peers.
     void announceStoreEra(std::uint64_t era);
+    void sendDatagram(const std::string &gossipAddress, const std::string &bytes); // On the control thread.
     void setHeadProof(const HeadProof &proof); // On the control thread. Sent to peers from now on.
     void storeRestored(); // On the control thread. The table was restored from an older copy.
     // Announces to the mesh that this node leaves, then calls `done` on the control thread. Called
--- a/Services/Node/DerivedSettings.cpp
+++ b/Services/Node/DerivedSettings.cpp
@@ -109,6 +109,11 @@
     return makeAdmissionHooks(std::make_shared<Gate>(GateSettings{1, initialQueueLimit, seed}));
 }
 
+AllowanceBounds allowanceBounds(const NodeSettings::Accounts &accounts)
+{
+    return {accounts.allowanceWindow, accounts.allowanceOverage, accounts.allowanceSlack};
+}
+
 LoadBalancerSettings loadBalancerSettings(const NodeSettings::Requests &requests)
 {
     LoadBalancerSettings placing;
--- a/Services/Node/DerivedSettings.h
+++ b/Services/Node/DerivedSettings.h
@@ -5,6 +5,7 @@
 #include "NodeSettings.h"
 #include <Node/Control/ControlPlane.h>
 
+#include <LibAccount/AllowanceGranter.h>
 #include <LibDecide/Admission.h>
 #include <LibDecide/BodyGrants.h>
 #include <LibDecide/LoadBalancer.h>
@@ -14,6 +15,7 @@
 
 EventLogSettings logSettings(const NodeSettings &settings);
 ControlSettings controlSettings(const NodeSettings &settings);
+AllowanceBounds allowanceBounds(const NodeSettings::Accounts &accounts);
 LoadBalancerSettings loadBalancerSettings(const NodeSettings::Requests &requests);
 BodyGrantSettings bodyGrantSettings(const NodeSettings &settings);
 
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -110,6 +110,8 @@
     , record(this->control, this->adapter.table, this->settings.id, this->recordHooks())
     , accounts({this->settings.accounts.unknownKeyProofAge}, this->configuration, this->freshness,
                [this] { return this->plane.knownHeadVersion() > this->configuration.version(); })
+    , allowances(this->control, this->settings.id, allowanceBounds(this->settings.accounts),
+                 this->allowanceHooks(), this->log, this->metrics)
     , forwarding{this->settings.id, this->gate,     this->view,           this->ids,
                  this->history,     this->observer, this->refusedCallers, this->quarantine.requestHooks()}
     , callers(this->forwarding, this->settings.requests.maximumTimeout, this->adapter.headers,
@@ -232,6 +234,7 @@
     hooks.swapped = [this](const Snapshot &next, std::uint64_t previous) {
         this->nodeLog.configurationSwapped(next.version(), previous);
         this->freshness.versionHeld(next.version(), next.keysRequired());
+        this->allowances.accountsChanged(next.configuration().accounts);
         this->limitQueue();
     };
     return hooks;
@@ -265,6 +268,9 @@
         this->freshness.peerProofReceived(proof);
         this->shareFreshness();
     };
+    hooks.allowanceReceived = [this](const std::string &from, std::string_view bytes) {
+        this->allowances.datagramReceived(from, bytes);
+    };
     hooks.sourceRecovered = [this](const SourceRecovery &recovery) {
         this->nodeLog.sourceRecovered(recovery);
     };
@@ -329,6 +335,7 @@
 void Node::membersChanged(const std::vector<Member> &members)
 {
     this->rollouts.membersChanged(members);
+    this->allowances.membersChanged(members);
     this->rebuildView();
     if (this->settings.requests.sharedRetryReserve > 0)
         this->viewBuilder.setRetryReserve(
@@ -358,6 +365,15 @@
     return hooks;
 }
 
+AllowanceHooks Node::allowanceHooks()
+{
+    AllowanceHooks hooks;
+    hooks.send = [this](const std::string &address, const std::string &bytes) {
+        this->plane.sendDatagram(address, bytes);
+    };
+    return hooks;
+}
+
 CallerFrontendHooks Node::callerHooks()
 {
     CallerFrontendHooks hooks;
@@ -367,6 +383,12 @@
     hooks.identify = [this](const std::vector<Header> &headers, bool isPublicRoute) {
         return this->accounts.identify(headers, isPublicRoute);
     };
+    hooks.acquireAllowance = [this](std::string_view account, AllowanceClient::Callback callback) {
+        this->allowances.acquire(account, std::move(callback));
+    };
+    hooks.releaseAllowance = [this](std::string_view account, Instant acquiredAt) {
+        this->allowances.release(account, acquiredAt);
+    };
     hooks.hasConfiguration = [this] { return this->configuration.version() > 0; };
     hooks.callStarted = [this] { ++this->callsForwarded; };
     hooks.callEnded = [this] { --this->callsForwarded; };
@@ -529,6 +551,7 @@
         return;
     this->forgotUnusedAt = now;
     this->viewBuilder.forgetUnused(now - forgetInterval);
+    this->allowances.forgetUnused(now - forgetInterval);
     for (const auto &worker : this->workers)
         worker->forgetUnused(now - forgetInterval);
 }
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -6,6 +6,7 @@
 #include "NodeLog.h"
 #include "NodeSettings.h"
 #include "RequestObserver.h"
+#include <Node/Accounts/AllowanceControl.h>
 #include <Node/Accounts/CallerAccounts.h>
 #include <Node/Accounts/FreshnessGuard.h>
 #include <Node/Admin/AdminFrontend.h>
@@ -71,6 +72,7 @@
     HttpLimits callerLimits() const;
     bool ready() const;
     RolloutHooks rolloutHooks();
+    AllowanceHooks allowanceHooks();
     void membersChanged(const std::vector<Member> &members);
     void rebuildView();
     void watchSignals();
@@ -103,6 +105,7 @@
     UpstreamPresence presence;
     UpstreamRecord record;
     CallerAccounts accounts;
+    AllowanceControl allowances;
     RefusedCallers refusedCallers;
     ForwardingContext forwarding;
     CallerFrontend callers;
--- a/Services/Node/NodeSettings.cpp
+++ b/Services/Node/NodeSettings.cpp
@@ -209,6 +209,9 @@
         this->section("accounts", [&](SettingsTable &table) {
             table.readMilliseconds("revocation_ms", settings.accounts.revocation, 0, 3600000);
             table.readMilliseconds("unknown_key_proof_ms", settings.accounts.unknownKeyProofAge, 0, 60000);
+            table.readMilliseconds("allowance_window_ms", settings.accounts.allowanceWindow, 1000, 3600000);
+            table.readShare("allowance_overage", settings.accounts.allowanceOverage);
+            table.readAmount("allowance_slack", settings.accounts.allowanceSlack, 1'000'000);
         });
         this->section("gossip", [&](SettingsTable &table) { table.readAddresses("seeds", settings.seeds); });
         this->section("history", [&](SettingsTable &table) { table.readFlag("enabled", settings.history); });
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -124,6 +124,10 @@
         Milliseconds revocation{0}; // After this a revoked key must not be accepted; 0: not bounded.
         // How old the proof that a configuration is the newest may be to reject an unknown key for good.
         Milliseconds unknownKeyProofAge{1250};
+        // In any window the calls of an account may exceed its allowance by this share, and by this many.
+        Milliseconds allowanceWindow{5000};
+        double allowanceOverage = 0.1;
+        double allowanceSlack = 20;
 
         bool operator==(const Accounts &) const = default;
     } accounts;
--- a/Services/Node/RequestObserver.cpp
+++ b/Services/Node/RequestObserver.cpp
@@ -90,9 +90,14 @@
                             {"left_ms", wholeMilliseconds(summary.left)}});
 }
 
-void RequestObserver::requestRefused(std::string_view callId, std::uint32_t status, std::string_view reason)
-{
-    this->log.write(EventId::CallsRefused, {{"call", callId}, {"status", status}, {"reason", reason}});
+void RequestObserver::requestRefused(std::string_view callId, std::uint32_t status, std::string_view reason,
+                                     std::string_view account)
+{
+    if (account.empty())
+        return this->log.write(EventId::CallsRefused,
+                               {{"call", callId}, {"status", status}, {"reason", reason}});
+    this->log.write(EventId::CallsRefused,
+                    {{"call", callId}, {"status", status}, {"reason", reason}, {"account", account}});
 }
 
 void RequestObserver::callResent(std::string_view callId, std::string_view upstream)
--- a/Services/Node/RequestObserver.h
+++ b/Services/Node/RequestObserver.h
@@ -79,7 +79,9 @@
     // The caller closed its connection before the response.
     void callAbandoned(const CallSummary &summary);
     // The request was refused before placement.
-    void requestRefused(std::string_view callId, std::uint32_t status, std::string_view reason);
+    // `account`: of the caller, if it is known.
+    void requestRefused(std::string_view callId, std::uint32_t status, std::string_view reason,
+                        std::string_view account = {});
     // A call was sent again, as a retry or a hedge.
     void callResent(std::string_view callId, std::string_view upstream);
     void gateRefused(const GateRefusal &refusal);
