LibDecide, Node: Let large responses wait for the host's link, and count the wait

Routes may now be marked as having large responses (download on the users' platform). Their responses leave a host one after the other, the expected wait for the link counts in admission and in the load that gates report, and leaving the zone costs an eighth of the target at most.

--- a/Libraries/LibConfig/Archive.h
+++ b/Libraries/LibConfig/Archive.h
@@ -69,6 +69,7 @@
 
 inline constexpr std::uint8_t hedgedFlag = 1;
 inline constexpr std::uint8_t publicFlag = 2;
+inline constexpr std::uint8_t largeResponsesFlag = 4;
 
 template <typename Archive>
 void route(Archive &archive, Route &value)
@@ -80,8 +81,8 @@
     list(archive, value.methods, [&](std::string &method) { text(archive, method); });
     auto target = static_cast<std::uint32_t>(value.targetLatency.count());
     // One byte, which used to hold only `hedged`.
-    auto flags =
-        static_cast<std::uint8_t>((value.hedged ? hedgedFlag : 0) | (value.isPublic ? publicFlag : 0));
+    auto flags = static_cast<std::uint8_t>((value.hedged ? hedgedFlag : 0) | (value.isPublic ? publicFlag : 0)
+                                           | (value.largeResponses ? largeResponsesFlag : 0));
     text(archive, value.host);
     archive(callClass, value.idempotent, timeout, value.maximumRetries, flags, value.priority, target);
     list(archive, value.split, [&](WeightedCluster &part) {
@@ -91,6 +92,7 @@
     value.callClass = static_cast<CallClass>(callClass);
     value.hedged = (flags & hedgedFlag) != 0;
     value.isPublic = (flags & publicFlag) != 0;
+    value.largeResponses = (flags & largeResponsesFlag) != 0;
     value.timeout = Milliseconds(timeout);
     value.targetLatency = Milliseconds(target);
 }
--- a/Libraries/LibConfig/Model.h
+++ b/Libraries/LibConfig/Model.h
@@ -55,7 +55,9 @@
     std::uint32_t priority = 1;         // Rank among the calls of one upstream; 0 goes first.
     Milliseconds targetLatency{0};      // An answer within it is worth most to the caller; 0 when not stated.
     std::vector<WeightedCluster> split; // Empty: every call goes to the section's own service.
-    bool isPublic = false;              // Callers need no key, also in a site with accounts.
+    // Responses are large compared with what a link carries in the target latency.
+    bool largeResponses = false;
+    bool isPublic = false; // Callers need no key, also in a site with accounts.
 
     bool operator==(const Route &) const = default;
 };
--- a/Libraries/LibConfig/SourceFiles.cpp
+++ b/Libraries/LibConfig/SourceFiles.cpp
@@ -147,6 +147,7 @@
         overlayField(standing->split, over.split);
         overlayField(standing->required, over.required);
         overlayField(standing->isPublic, over.isPublic);
+        overlayField(standing->largeResponses, over.largeResponses);
     }
 
     void applyAccount(const AccountSource &over)
@@ -258,6 +259,7 @@
         route.targetLatency = valueOf(source.targetLatency, Milliseconds(0));
         route.split = valueOf(source.split, {});
         route.isPublic = valueOf(source.isPublic, false);
+        route.largeResponses = valueOf(source.largeResponses, false);
         return route;
     }
 
--- a/Libraries/LibConfig/SourceModel.h
+++ b/Libraries/LibConfig/SourceModel.h
@@ -54,6 +54,7 @@
     Field<Milliseconds> targetLatency;
     Field<std::vector<WeightedCluster>> split;
     Field<bool> isPublic;
+    Field<bool> largeResponses;
     Field<std::vector<std::string>> required; // Services without which the route is left out.
     bool remove = false;                      // Only in overlays.
 };
--- a/Libraries/LibConfig/SourceReader.cpp
+++ b/Libraries/LibConfig/SourceReader.cpp
@@ -301,12 +301,13 @@
 
     RouteSource readRoute(TableReader &reader, const Placed<std::string> &name)
     {
-        this->allow(
-            reader,
-            {"name", "prefix", "methods", "cluster", "class", "idempotent", "timeout_ms", "maximum_retries",
-             "hedged", "requires", "host", "priority", "target_latency_ms", "split", "public"},
-            {"name", "prefix", "methods", "cluster", "class", "idempotent", "timeout_ms", "maximum_retries",
-             "hedged", "requires", "host", "priority", "target_latency_ms", "split", "public", "remove"});
+        this->allow(reader,
+                    {"name", "prefix", "methods", "cluster", "class", "idempotent", "timeout_ms",
+                     "maximum_retries", "hedged", "requires", "host", "priority", "target_latency_ms",
+                     "split", "public", "large_responses"},
+                    {"name", "prefix", "methods", "cluster", "class", "idempotent", "timeout_ms",
+                     "maximum_retries", "hedged", "requires", "host", "priority", "target_latency_ms",
+                     "split", "public", "large_responses", "remove"});
         RouteSource route;
         route.name = name;
         route.host = reader.text("host");
@@ -322,6 +323,7 @@
         route.maximumRetries = reader.number("maximum_retries", 0, maximumRetriesLimit);
         route.hedged = reader.flag("hedged");
         route.isPublic = reader.flag("public");
+        route.largeResponses = reader.flag("large_responses");
         route.required = reader.texts("requires");
         route.remove = this->removal(reader);
         return route;
--- a/Libraries/LibDecide/LinkBacklog.h
+++ b/Libraries/LibDecide/LinkBacklog.h
@@ -1,5 +1,5 @@
-// Decides when large responses leave a host whose link they fill, and how long a call would wait for the link.
-// Uses no sockets or clocks; not thread-safe.
+// Decides when large responses leave a host whose link they fill, and how long a call would wait for the
+// link. Uses no sockets or clocks; not thread-safe.
 //
 // Load: responses of 90 KB that take 93% of a link of 13 Mbit/s. If each is sent when it is ready, small
 // responses, heartbeats and gossip wait behind several of them, and peers take the host for dead; if slots
--- a/Libraries/LibDecide/LoadBalancer.cpp
+++ b/Libraries/LibDecide/LoadBalancer.cpp
@@ -83,9 +83,11 @@
 
 std::optional<std::size_t> LoadBalancer::pick(Instant now, std::span<const UpstreamCandidate> candidates,
                                               CallClass callClass, std::span<const std::size_t> tried,
-                                              std::uint64_t kind, std::size_t requestBytes)
+                                              std::uint64_t kind, std::size_t requestBytes,
+                                              Duration maximumZoneCost)
 {
-    const Request request{now, candidates, callClass, tried, kind, this->zoneCost(kind, requestBytes)};
+    const double zoneCost = std::min(this->zoneCost(kind, requestBytes), toSeconds(maximumZoneCost));
+    const Request request{now, candidates, callClass, tried, kind, zoneCost};
     const auto healthy = this->pickBest(request, true);
     if (healthy || this->ejectedCount == 0)
         return healthy;
--- a/Libraries/LibDecide/LoadBalancer.h
+++ b/Libraries/LibDecide/LoadBalancer.h
@@ -82,10 +82,12 @@
     // Commands.
 
     // Returns the index of the candidate for the call, or nothing if none is usable. `tried` holds the
-    // indices that this call was already sent to. Draining and absent upstreams are never picked.
+    // indices that this call was already sent to. The bytes of the call and its answer cost at most
+    // `maximumZoneCost` if they leave the zone. Draining and absent upstreams are never picked.
     std::optional<std::size_t> pick(Instant now, std::span<const UpstreamCandidate> candidates,
                                     CallClass callClass, std::span<const std::size_t> tried,
-                                    std::uint64_t kind = 0, std::size_t requestBytes = 0);
+                                    std::uint64_t kind = 0, std::size_t requestBytes = 0,
+                                    Duration maximumZoneCost = Duration::max());
     void recordStart(std::string_view id, Instant now);
     void recordEnd(std::string_view id, Instant now, CallClass callClass, Duration latency,
                    AttemptOutcome outcome, std::uint64_t kind = 0);
--- a/Services/Node/Callers/CallerFrontend.cpp
+++ b/Services/Node/Callers/CallerFrontend.cpp
@@ -40,12 +40,9 @@
            + std::min(routePriority, routePriorities - 1);
 }
 
-// Calls of a kind share their statistics and their priority at the gates.
-std::uint64_t kindOf(const RouteMatch &route, const std::optional<Account> &account)
-{
-    const std::uint64_t kind = std::hash<std::string>{}(route.name);
-    return account ? kind ^ std::hash<std::uint64_t>{}(account->priority + 1) * 0x9e3779b97f4a7c15 : kind;
-}
+// The price of bytes between zones would keep calls with large responses in their zone however long they
+// waited there for its links.
+constexpr int zoneCostsWithinTarget = 8;
 
 bool isOneOf(std::string_view name, std::initializer_list<std::string_view> names)
 {
@@ -105,6 +102,13 @@
     Instant allowanceAcquiredAt{}; // Unset if the account has no allowance.
 };
 
+std::uint64_t kindOfCalls(const std::string &routeName, std::optional<std::uint32_t> accountPriority)
+{
+    constexpr std::uint64_t mixingFactor = 0x9e3779b97f4a7c15;
+    const std::uint64_t kind = std::hash<std::string>{}(routeName);
+    return accountPriority ? kind ^ (*accountPriority + 1) * mixingFactor : kind;
+}
+
 CallerFrontend::CallerFrontend(ForwardingContext &context, Milliseconds maximumTimeout, CallHeaders names,
                                std::string originService, CallerFrontendHooks hooks)
     : context(context)
@@ -252,6 +256,8 @@
     plan.hedged = route.hedged;
     plan.maximumRetries = route.maximumRetries;
     plan.routeName = route.name;
+    if (route.largeResponses && route.targetLatency > Milliseconds(0))
+        plan.maximumZoneCost = route.targetLatency / zoneCostsWithinTarget;
     plan.configurationVersion = route.configurationVersion;
     std::optional<Milliseconds> requested;
     if (const auto milliseconds = parseInteger(findHeader(request.headers, this->names.deadline)))
@@ -326,7 +332,8 @@
     call.callClass = route.callClass;
     call.idempotent = route.idempotent;
     call.priority = caller.keysRequired ? combinedPriority(caller.account, route.priority) : route.priority;
-    call.kind = kindOf(route, caller.account);
+    call.kind =
+        kindOfCalls(route.name, caller.account ? std::optional(caller.account->priority) : std::nullopt);
     call.idempotencyKey = findHeader(request.headers, this->names.idempotencyKey);
     call.callerCallId = findHeader(request.headers, this->names.callId);
     call.traceParent = findHeader(request.headers, this->names.trace);
--- a/Services/Node/Callers/CallerFrontend.h
+++ b/Services/Node/Callers/CallerFrontend.h
@@ -28,6 +28,7 @@
     Milliseconds targetLatency{0};
     std::uint32_t priority = 1;
     bool isPublic = false;
+    bool largeResponses = false;
     std::uint64_t configurationVersion = 0;
 };
 
@@ -55,6 +56,10 @@
 Milliseconds callTimeout(std::optional<Milliseconds> requested, Milliseconds routeTimeout,
                          Milliseconds maximum);
 
+// Identifies calls that share their statistics and their priority at the gates: those of a route, and of
+// accounts with the same priority.
+std::uint64_t kindOfCalls(const std::string &routeName, std::optional<std::uint32_t> accountPriority);
+
 class CallerFrontend
 {
 public:
--- a/Services/Node/Callers/ForwardedCall.cpp
+++ b/Services/Node/Callers/ForwardedCall.cpp
@@ -175,7 +175,7 @@
     LoadBalancer &loadBalancer = this->service->loadBalancer;
     const auto place = [&] {
         return loadBalancer.pick(now, group.upstreams, this->plan.callClass, tried, this->request.kind,
-                                 this->request.body.size());
+                                 this->request.body.size(), this->plan.maximumZoneCost);
     };
     const auto index = place();
     if (!index)
--- a/Services/Node/Callers/ForwardedCall.h
+++ b/Services/Node/Callers/ForwardedCall.h
@@ -32,6 +32,8 @@
     bool idempotent = false;
     bool hedged = false;
     std::uint32_t maximumRetries = 0;
+    // The most that leaving the zone may cost in placement.
+    Duration maximumZoneCost = Duration::max();
     std::uint64_t configurationVersion = 0;
     std::string routeName;
     Instant arrived;
--- a/Services/Node/DerivedSettings.cpp
+++ b/Services/Node/DerivedSettings.cpp
@@ -93,10 +93,15 @@
     return control;
 }
 
+double linkBytesPerSecond(const NodeSettings &settings)
+{
+    return settings.linkMbps * 1e6 / 8;
+}
+
 BodyGrantSettings bodyGrantSettings(const NodeSettings &settings)
 {
     BodyGrantSettings grants;
-    grants.bytesPerSecond = settings.linkMbps * 1e6 / 8;
+    grants.bytesPerSecond = linkBytesPerSecond(settings);
     return grants;
 }
 
--- a/Services/Node/DerivedSettings.h
+++ b/Services/Node/DerivedSettings.h
@@ -17,6 +17,7 @@
 ControlSettings controlSettings(const NodeSettings &settings);
 AllowanceBounds allowanceBounds(const NodeSettings::Accounts &accounts);
 LoadBalancerSettings loadBalancerSettings(const NodeSettings::Requests &requests);
+double linkBytesPerSecond(const NodeSettings &settings); // 0 if unknown.
 BodyGrantSettings bodyGrantSettings(const NodeSettings &settings);
 
 // Admission control for the upstream beside the node. Its jitter is seeded with the node id.
--- a/Services/Node/Gate/GateCall.h
+++ b/Services/Node/Gate/GateCall.h
@@ -43,6 +43,9 @@
     // cut off either.
     bool isCancellable() const { return this->request.idempotent && !this->hasIdempotencyKey(); }
 
+    // Links number their calls from 1.
+    bool isFromPeer() const { return this->request.callId != 0; }
+
     CallAttributes attributes() const
     {
         CallAttributes attributes;
@@ -77,6 +80,7 @@
     std::string claimKey; // Empty without an idempotency key.
     Ticket ticket = 0;
     GateCallStage stage = GateCallStage::Claiming;
+    bool usesLink = false;   // Counted as a call whose large response will cross the host's link.
     bool claimed = false;    // This attempt holds the claim of its key.
     bool sent = false;       // Some of it may have been sent to the upstream.
     bool cancelled = false;  // The caller gave up, so the call must not start.
--- a/Services/Node/Gate/LocalGate.cpp
+++ b/Services/Node/Gate/LocalGate.cpp
@@ -15,29 +15,16 @@
 namespace {
 
 constexpr std::uint32_t statusConflict = 409;
-constexpr std::uint32_t statusUnavailable = 503;
 constexpr std::uint32_t statusGatewayTimeout = 504;
 
 // Bounds how often a queued call checks the queue.
 constexpr Duration minimumQueueCheckInterval = Milliseconds(1);
 
-std::uint32_t retryMilliseconds(Duration duration)
-{
-    const auto milliseconds = std::chrono::ceil<Milliseconds>(duration).count();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(milliseconds, 1, 3600000));
-}
-
-std::uint64_t nonNegativeMicroseconds(Duration duration)
-{
-    return static_cast<std::uint64_t>(
-        std::max<std::int64_t>(0, std::chrono::duration_cast<Microseconds>(duration).count()));
-}
-
 } // namespace
 
 LocalGate::LocalGate(std::string nodeId, AdmissionHooks admission, CallHeaders headerNames, ClaimHooks claims,
                      QuarantineHooks quarantine, HistoryRecorder &history, RequestObserver &observer,
-                     UpstreamHooks upstreamHooks)
+                     UpstreamHooks upstreamHooks, double linkBytesPerSecond)
     : nodeId(std::move(nodeId))
     , headerNames(std::move(headerNames))
     , claims(std::move(claims))
@@ -46,6 +33,7 @@
     , observer(observer)
     , upstreamHooks(std::move(upstreamHooks))
     , admission(std::move(admission))
+    , link(linkBytesPerSecond)
 {
 }
 
@@ -159,32 +147,6 @@
     }
 }
 
-// An earlier attempt with this key ran. Its recorded answer is returned, and nothing runs again.
-void LocalGate::replay(const std::shared_ptr<GateCall> &call, const RecordedOutcome &outcome)
-{
-    CallResponse response;
-    response.outcome = Outcome::Done;
-    response.replayed = true;
-    response.status = outcome.status;
-    if (!outcome.contentType.empty())
-        response.headers.push_back({"Content-Type", outcome.contentType});
-    if (!outcome.bodyKept)
-        response.headers.push_back({"Sagecrank-Body", "not-kept"});
-    response.body = outcome.body;
-    this->answer(call, std::move(response));
-}
-
-void LocalGate::answerUnknown(const std::shared_ptr<GateCall> &call, std::string_view reason,
-                              std::uint32_t status, Duration retryAfter)
-{
-    CallResponse response;
-    response.outcome = Outcome::Unknown;
-    response.reason = reason;
-    response.status = status;
-    response.retryAfterMilliseconds = retryMilliseconds(retryAfter);
-    this->answer(call, std::move(response));
-}
-
 void LocalGate::openStepSpan(GateCall &call, SpanName name)
 {
     call.stepSpan.emplace(
@@ -204,7 +166,12 @@
     GateDecision decision;
     {
         const std::lock_guard guard(this->mutex);
-        decision = this->admission.offer(SteadyClock::now(), call->attributes(), actions);
+        const Instant now = SteadyClock::now();
+        decision = this->admission.offer(now, this->attributesOf(*call, now), actions);
+        call->usesLink = decision.verdict != GateVerdict::Refuse && call->isFromPeer()
+                         && this->link.isLimited(call->request.kind);
+        if (call->usesLink)
+            this->link.started(call->request.kind);
         call->ticket = decision.ticket;
         call->upstreamAddress = this->current.address;
         call->upstreamInstance = this->current.instance;
@@ -334,85 +301,6 @@
     this->scheduleNextStart(call->thread);
 }
 
-void LocalGate::refuse(const std::shared_ptr<GateCall> &call, std::string_view reason, Duration retryAfter)
-{
-    this->history.record([&] {
-        return GateRefused{call->request.callerCallId, call->request.attemptId, std::string(reason)};
-    });
-    this->logRefusal(*call, reason, retryAfter);
-    CallResponse response;
-    response.outcome = Outcome::NotRun;
-    response.reason = reason;
-    response.status = statusUnavailable;
-    response.retryAfterMilliseconds = retryMilliseconds(retryAfter);
-    response.claimHeld = call->claimed;
-    if (call->claimed)
-        this->claims.release(call->claimKey, call->request.attemptId);
-    this->answer(call, std::move(response));
-}
-
-void LocalGate::logRefusal(const GateCall &call, std::string_view reason, Duration retryAfter) const
-{
-    const Instant now = SteadyClock::now();
-    GateRefusal refusal;
-    refusal.callId = call.request.callerCallId;
-    refusal.reason = reason;
-    refusal.waited = now - call.arrivedAt;
-    refusal.left = call.deadline - now;
-    refusal.retryAfter = retryAfter;
-    refusal.priority = call.request.priority;
-    refusal.lateAccepted = call.request.lateAccepted;
-    {
-        const std::lock_guard guard(this->mutex);
-        refusal.running = this->admission.running();
-        refusal.queued = this->admission.queued();
-        refusal.condition = upstreamConditionNames.name(this->admission.condition());
-    }
-    this->observer.gateRefused(refusal);
-}
-
-void LocalGate::answer(const std::shared_ptr<GateCall> &call, CallResponse response)
-{
-    if (call->stage == GateCallStage::Ended)
-        return;
-    call->stage = GateCallStage::Ended;
-    call->waitTimer.cancel();
-    {
-        const std::lock_guard guard(this->mutex);
-        const Instant now = SteadyClock::now();
-        response.freeSlots = this->admission.freeSlots(now);
-        response.queued = this->admission.queued();
-        response.draining = this->admission.condition() == UpstreamCondition::Draining;
-        response.expectedWaitMicroseconds =
-            nonNegativeMicroseconds(this->admission.expectedWait(now, call->attributesIfArrivedAt(now)));
-    }
-    if (call->sent && response.outcome == Outcome::Done)
-        response.executionMicroseconds = nonNegativeMicroseconds(SteadyClock::now() - call->startedAt);
-    if (response.outcome != Outcome::NotRun) {
-        this->history.record([&] {
-            return GateFinished{call->request.callerCallId, call->request.attemptId,
-                                std::string(outcomeNames.name(response.outcome))};
-        });
-    }
-    response.reachedUpstream = call->sent;
-    response.callId = call->request.callId;
-    if (call->sent) {
-        const bool broke = response.reason == reasonBroken;
-        this->observer.gateEnded(
-            {call->request.callerCallId, call->upstreamInstance, outcomeNames.name(response.outcome),
-             response.reason, response.status, call->startedAt - call->arrivedAt,
-             SteadyClock::now() - call->startedAt, response.freeSlots, response.queued,
-             broke ? fingerprintsOf(call->request).front() : 0, call->signals.limit, call->signals.leaving});
-    }
-    closeStepSpan(*call);
-    call->gateSpan.field("outcome", outcomeNames.name(response.outcome));
-    call->gateSpan.end(SteadyClock::now());
-    const AnswerHook hook = std::move(call->answer);
-    hook(std::move(response));
-    // Last, because the hook has counted the answer as unsent: a shutdown must see it in one of the two.
-    --this->callCount;
-}
-
 void LocalGate::refuseIfQueued(const std::shared_ptr<GateCall> &call)
 {
     if (call->stage == GateCallStage::Queued)
--- a/Services/Node/Gate/LocalGate.h
+++ b/Services/Node/Gate/LocalGate.h
@@ -10,6 +10,7 @@
 
 #include <LibDecide/Admission.h>
 #include <LibDecide/CrashQuarantine.h>
+#include <LibDecide/LinkBacklog.h>
 #include <LibDecide/NamedLimit.h>
 #include <LibHistory/HistoryRecorder.h>
 #include <LibNet/HttpClient.h>
@@ -66,7 +67,7 @@
 
     LocalGate(std::string nodeId, AdmissionHooks admission, CallHeaders headerNames, ClaimHooks claims,
               QuarantineHooks quarantine, HistoryRecorder &history, RequestObserver &observer,
-              UpstreamHooks upstreamHooks = {});
+              UpstreamHooks upstreamHooks = {}, double linkBytesPerSecond = 0);
 
     // Called on the request thread, where `answer` is called as well, exactly once.
     std::shared_ptr<GateCall> submit(RequestThread thread, CallRequest request, AnswerHook answer);
@@ -89,8 +90,9 @@
 
     // These functions may be called from any thread.
     void announce(const UpstreamAnnouncement &announcement);
-    void refuseQueuedCalls();                         // This node is shutting down.
-    void setMaximumQueue(std::uint32_t maximumQueue); // From the configuration of the service.
+    void refuseQueuedCalls();                             // This node is shutting down.
+    void setMaximumQueue(std::uint32_t maximumQueue);     // From the configuration of the service.
+    void setLargeKinds(std::vector<std::uint64_t> kinds); // Of calls with large responses.
 
     std::uint32_t inFlight() const { return this->callCount.load(); } // Claiming, queued or running.
     std::uint32_t queued() const;
@@ -129,6 +131,11 @@
     void refuse(const std::shared_ptr<GateCall> &call, std::string_view reason, Duration retryAfter);
     void logRefusal(const GateCall &call, std::string_view reason, Duration retryAfter) const;
     void answer(const std::shared_ptr<GateCall> &call, CallResponse response);
+    CallAttributes attributesOf(const GateCall &call, Instant now) const;
+    void addLoad(const GateCall &call, CallResponse &response) const;
+    void recordAnswered(const GateCall &call, const CallResponse &response);
+    Instant sendTimeOf(GateCall &call, const CallResponse &response);
+    void sendAnswer(const std::shared_ptr<GateCall> &call, CallResponse response);
     HttpRequest upstreamRequest(const GateCall &call, Duration remaining) const;
     bool provesNotRun(const HttpResponse &response) const;
     bool isValidAnswer(const HttpResponse &response) const;
@@ -144,6 +151,7 @@
 
     mutable std::mutex mutex; // Guards the members below; never held during I/O.
     const AdmissionHooks admission;
+    LinkBacklog link;
     UpstreamAnnouncement current;
     CrashDetector crashDetector;
     NamedLimit namedLimit;              // Of the current instance.
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <csignal>
 #include <random>
+#include <set>
 
 namespace Sagecrank {
 
@@ -59,6 +60,25 @@
     return usedShare * shared / static_cast<double>(std::max(minimumNodes, present));
 }
 
+// The kinds of calls whose responses are large.
+std::vector<std::uint64_t> largeKinds(const SiteConfiguration &configuration)
+{
+    std::set<std::uint32_t> priorities;
+    for (const Account &account : configuration.accounts)
+        priorities.insert(account.priority);
+    std::vector<std::uint64_t> kinds;
+    for (const Section &section : configuration.sections) {
+        for (const Route &route : section.routes) {
+            if (!route.largeResponses)
+                continue;
+            kinds.push_back(kindOfCalls(route.name, std::nullopt));
+            for (const std::uint32_t priority : priorities)
+                kinds.push_back(kindOfCalls(route.name, priority));
+        }
+    }
+    return kinds;
+}
+
 // Draws the cluster of a split route at random for each call, so the nodes need not coordinate the shares.
 std::string chooseCluster(const RouteEntry &entry)
 {
@@ -104,7 +124,8 @@
     , claims(this->control, this->adapter.table)
     , quarantine(this->quarantineHooks())
     , gate(this->settings.id, makeAdmission(this->settings), this->adapter.headers, this->claims.hooks(),
-           this->quarantine.requestHooks(), this->history, this->observer, this->upstreamHooks())
+           this->quarantine.requestHooks(), this->history, this->observer, this->upstreamHooks(),
+           linkBytesPerSecond(this->settings))
     , bodies(bodyGrantSettings(this->settings))
     , presence(this->presenceHooks(), this->settings.platform.announcementLifetime)
     , record(this->control, this->adapter.table, this->settings.id, this->recordHooks())
@@ -235,6 +256,7 @@
         this->nodeLog.configurationSwapped(next.version(), previous);
         this->freshness.versionHeld(next.version(), next.keysRequired());
         this->allowances.accountsChanged(next.configuration().accounts);
+        this->gate.setLargeKinds(largeKinds(next.configuration()));
         this->limitQueue();
     };
     return hooks;
@@ -427,6 +449,7 @@
     choice.cluster = chooseCluster(*entry);
     choice.priority = entry->route->priority;
     choice.isPublic = entry->route->isPublic;
+    choice.largeResponses = entry->route->largeResponses;
     choice.targetLatency = entry->route->targetLatency;
     choice.callClass = entry->route->callClass;
     choice.idempotent = entry->route->idempotent;
--- a/Utilities/Ctl/Content.cpp
+++ b/Utilities/Ctl/Content.cpp
@@ -158,6 +158,8 @@
         text += " target_latency_ms=" + std::to_string(route.targetLatency.count());
     if (route.isPublic)
         text += " public=true";
+    if (route.largeResponses)
+        text += " large_responses=true";
     if (!route.host.empty())
         text += " host=" + route.host;
     for (const WeightedCluster &part : route.split)
--- a/Utilities/Ctl/Print.cpp
+++ b/Utilities/Ctl/Print.cpp
@@ -43,6 +43,7 @@
             {"target_latency_ms", route.targetLatency.count()},
             {"host", route.host},
             {"public", route.isPublic},
+            {"large_responses", route.largeResponses},
             {"split", std::move(split)}};
 }
 
