--- a/Libraries/LibAccount/AllowanceGranter.cpp
+++ b/Libraries/LibAccount/AllowanceGranter.cpp
@@ -37,7 +37,7 @@
     this->limits.clear();
     for (const Account &account : accounts) {
         if (account.isLimited())
-            this->limits[hashAccount(account.name)] = {account.ratePerSecond, account.burst};
+            this->limits[hashAccount(account.name)] = {account.callsPerSecond, account.burst};
     }
     const auto isUnknown = [this](const auto &entry) { return !this->limits.contains(entry.first); };
     std::erase_if(this->primaryBuckets, isUnknown);
@@ -66,13 +66,13 @@
 AllowanceGranter::Limit AllowanceGranter::primaryLimit(const Limit &limit) const
 {
     const double factor = 1 + primaryShareOfOverage * this->bounds.overage;
-    return {limit.ratePerSecond * factor, std::max(limit.burst, 1.0)};
+    return {limit.callsPerSecond * factor, std::max(limit.burst, 1.0)};
 }
 
 AllowanceGranter::Limit AllowanceGranter::backupLimit(const Limit &limit) const
 {
     const double window = seconds(this->bounds.window);
-    const double allowance = limit.ratePerSecond * window + limit.burst;
+    const double allowance = limit.callsPerSecond * window + limit.burst;
     const double reserve = backupShare * (allowance * this->bounds.overage + this->bounds.slack);
     // In a window a bucket grants its burst and what flows in meanwhile.
     return {reserve / 2 / window, std::max(1.0, reserve / 2)};
@@ -81,7 +81,7 @@
 void AllowanceGranter::fill(Bucket &bucket, const Limit &limit, Instant now)
 {
     const double passed = std::max(0.0, seconds(now - bucket.filledAt));
-    bucket.tokens = std::min(limit.burst, bucket.tokens + passed * limit.ratePerSecond);
+    bucket.tokens = std::min(limit.burst, bucket.tokens + passed * limit.callsPerSecond);
     bucket.filledAt = std::max(bucket.filledAt, now);
 }
 
@@ -98,7 +98,7 @@
     grant.result = GrantResult::Exhausted;
     // Callers that return at the same moment are refused again, so each gets the time of a token of its own.
     const auto interval =
-        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(refused / limit.ratePerSecond));
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(refused / limit.callsPerSecond));
     bucket.nextReturnAt = std::min(std::max(bucket.nextReturnAt, now) + interval, now + maximumRetryAfter);
     const Duration retryAfter = std::max(minimumRetryAfter, bucket.nextReturnAt - now);
     grant.retryAfterMilliseconds =
--- a/Libraries/LibAccount/AllowanceGranter.h
+++ b/Libraries/LibAccount/AllowanceGranter.h
@@ -38,7 +38,7 @@
 private:
     struct Limit
     {
-        double ratePerSecond = 0;
+        double callsPerSecond = 0;
         double burst = 0;
     };
 
--- a/Libraries/LibConfig/Account.h
+++ b/Libraries/LibConfig/Account.h
@@ -40,10 +40,10 @@
     std::vector<KeyDigest> keys;
     std::uint32_t priority = 1; // Goes before the priority of the route; 0 is the highest.
     // The allowance: calls per second and at once, over all nodes. A rate of 0 means no limit.
-    double ratePerSecond = 0;
+    double callsPerSecond = 0;
     double burst = 0;
 
-    bool isLimited() const { return this->ratePerSecond > 0; }
+    bool isLimited() const { return this->callsPerSecond > 0; }
 
     bool operator==(const Account &) const = default;
 };
--- a/Libraries/LibConfig/Archive.h
+++ b/Libraries/LibConfig/Archive.h
@@ -121,7 +121,7 @@
     text(archive, value.name);
     list(archive, value.keys,
          [&](KeyDigest &key) { archive(cereal::binary_data(key.bytes.data(), key.bytes.size())); });
-    archive(value.priority, value.ratePerSecond, value.burst);
+    archive(value.priority, value.callsPerSecond, value.burst);
 }
 
 template <typename Archive>
--- a/Libraries/LibConfig/Check.cpp
+++ b/Libraries/LibConfig/Check.cpp
@@ -115,7 +115,7 @@
         return invalid(account.name.substr(0, maximumAccountNameLength),
                        "an account name is 1 to 200 visible ASCII characters");
     const auto isRate = [](double value) { return value >= 0 && value <= maximumAccountRate; };
-    if (!isRate(account.ratePerSecond) || !isRate(account.burst))
+    if (!isRate(account.callsPerSecond) || !isRate(account.burst))
         return invalid(account.name, "the rate or the burst is outside 0 to 1000000000");
     return success();
 }
--- a/Libraries/LibConfig/SourceFiles.cpp
+++ b/Libraries/LibConfig/SourceFiles.cpp
@@ -169,7 +169,7 @@
         }
         overlayField(standing->keys, over.keys);
         overlayField(standing->priority, over.priority);
-        overlayField(standing->ratePerSecond, over.ratePerSecond);
+        overlayField(standing->callsPerSecond, over.callsPerSecond);
         overlayField(standing->burst, over.burst);
     }
 
@@ -182,7 +182,7 @@
             Account account;
             account.name = source.name.value;
             account.priority = valueOf(source.priority, defaultPriority);
-            account.ratePerSecond = valueOf(source.ratePerSecond, 0.0);
+            account.callsPerSecond = valueOf(source.callsPerSecond, 0.0);
             account.burst = valueOf(source.burst, 0.0);
             for (const std::string &key : valueOf(source.keys, {})) {
                 account.keys.push_back(digestOfKey(key));
--- a/Libraries/LibConfig/SourceModel.h
+++ b/Libraries/LibConfig/SourceModel.h
@@ -73,7 +73,7 @@
     Placed<std::string> name;
     Field<std::vector<std::string>> keys;
     Field<std::uint32_t> priority;
-    Field<double> ratePerSecond;
+    Field<double> callsPerSecond;
     Field<double> burst;
     bool remove = false; // Only in overlays.
 };
--- a/Libraries/LibConfig/SourceReader.cpp
+++ b/Libraries/LibConfig/SourceReader.cpp
@@ -293,7 +293,7 @@
         account.name = name;
         account.keys = reader.texts("keys", TextUse::Secret);
         account.priority = reader.number("priority", 0, lowestPriority);
-        account.ratePerSecond = reader.decimal("rate_per_second", 0, maximumAccountRate);
+        account.callsPerSecond = reader.decimal("rate_per_second", 0, maximumAccountRate);
         account.burst = reader.decimal("burst", 0, maximumAccountRate);
         account.remove = this->removal(reader);
         return account;
--- a/Services/Node/Accounts/CallerAccounts.cpp
+++ b/Services/Node/Accounts/CallerAccounts.cpp
@@ -71,7 +71,7 @@
         return identity;
     }
     identity.verdict = KeyVerdict::Accepted;
-    identity.account = Account{account->name, {}, account->priority, account->ratePerSecond, account->burst};
+    identity.account = Account{account->name, {}, account->priority, account->callsPerSecond, account->burst};
     return identity;
 }
 
--- a/Tests/LibConfig/TestAccounts.cpp
+++ b/Tests/LibConfig/TestAccounts.cpp
@@ -58,7 +58,7 @@
 
 const ChangeRow smallChanges[] = {
     {"a key is revoked", [](auto &accounts) { accounts[500].keys.pop_back(); }},
-    {"a rate is lowered", [](auto &accounts) { accounts[500].ratePerSecond = 1; }},
+    {"a rate is lowered", [](auto &accounts) { accounts[500].callsPerSecond = 1; }},
     {"an account more", [](auto &accounts) { accounts.push_back(sampleAccount(100000)); }},
     {"an account less", [](auto &accounts) { accounts.erase(accounts.begin() + 7); }},
 };
@@ -160,5 +160,5 @@
     const RenderedSite &site = rendered.sites.front();
     cr_assert(site.sections.front().routes.front().isPublic);
     cr_assert(site.accounts.size() == 1 && site.accounts.front().keys.front() == digestOfKey("k1"));
-    cr_assert(site.accounts.front().priority == 0 && site.accounts.front().ratePerSecond == 10.5);
+    cr_assert(site.accounts.front().priority == 0 && site.accounts.front().callsPerSecond == 10.5);
 }
--- a/Utilities/Ctl/Content.cpp
+++ b/Utilities/Ctl/Content.cpp
@@ -175,8 +175,8 @@
         text += (&key == &account.keys.front() ? " key_digests=" : ",") + shortDigest(key);
     text += " priority=" + std::to_string(account.priority);
     if (account.isLimited())
-        text +=
-            " rate_per_second=" + shortNumber(account.ratePerSecond) + " burst=" + shortNumber(account.burst);
+        text += " rate_per_second=" + shortNumber(account.callsPerSecond)
+                + " burst=" + shortNumber(account.burst);
     return text;
 }
 
--- a/Utilities/Ctl/Print.cpp
+++ b/Utilities/Ctl/Print.cpp
@@ -62,7 +62,7 @@
     return {{"name", account.name},
             {"keys", account.keys.size()},
             {"priority", account.priority},
-            {"rate_per_second", account.ratePerSecond},
+            {"rate_per_second", account.callsPerSecond},
             {"burst", account.burst}};
 }
 
--- a/Utilities/NodeBench/Main.cpp
+++ b/Utilities/NodeBench/Main.cpp
@@ -1,8 +1,11 @@
 // sagecrank-node-bench: what the steps of a node cost at a given size of the mesh, without sockets. The
 // figures feed docs/CAPACITY.md.
+#include <LibAccount/AllowancePlacement.h>
 #include <LibCommandLine/CommandLine.h>
+#include <LibConfig/Assemble.h>
 #include <LibWire/Frame.h>
 #include <LibWire/PeerMessages.h>
+#include <Node/Accounts/CallerAccounts.h>
 #include <Node/Callers/UpstreamView.h>
 
 #include <boost/program_options.hpp>
@@ -26,6 +29,7 @@
     std::size_t members = 6500;
     std::size_t services = 820;
     std::size_t zones = 25;
+    std::size_t accounts = 10000;
 };
 
 std::vector<Member> makeMembers(const MeshSize &size)
@@ -144,6 +148,45 @@
         std::cerr << "a frame did not decode\n";
 }
 
+// Identifying a caller by its key, and which node grants an account's allowance.
+void measureAccounts(const MeshSize &size)
+{
+    const std::size_t before = residentKilobytes();
+    std::vector<Account> accounts;
+    for (std::size_t index = 0; index < size.accounts; ++index) {
+        const std::string name = "account-" + std::to_string(index);
+        accounts.push_back({name, {digestOfKey("key-" + name), digestOfKey("next-" + name)}, 1, 10, 10});
+    }
+    SiteConfiguration site = makeSiteConfiguration(1, "site", {});
+    setAccounts(site, std::move(accounts));
+    ConfigurationHolder configuration("site", {});
+    if (!configuration.offer(std::move(site))) {
+        std::cerr << "the accounts do not check\n";
+        return;
+    }
+    report("accounts of a version with its snapshot, memory",
+           static_cast<double>(residentKilobytes() - before), "KB");
+    EventLog log("bench", {});
+    const FreshnessGuard freshness(Milliseconds(0), bootTimeNow, log);
+    const CallerAccounts callers({}, configuration, freshness, [] { return false; });
+    const std::vector<Header> headers = {{"Host", "a.example"}, {"Authorization", "Bearer key-account-77"}};
+    std::size_t accepted = 0;
+    report("identifying a caller by its key",
+           medianNanoseconds(9, 20000, [&] { accepted += callers.identify(headers, false).account ? 1 : 0; }),
+           "ns");
+    AllowancePlacement placement("host-100000", SteadyClock::now());
+    std::vector<PlacementMember> members;
+    for (const Member &member : makeMembers(size))
+        members.push_back({member.id, member.gossipAddress});
+    placement.setMembers(SteadyClock::now(), members);
+    AccountHash account = 0;
+    report("finding the granting node, not cached",
+           medianNanoseconds(9, 100, [&] { placement.granter(++account, GranterRole::Primary); }) / 1000,
+           "us");
+    if (accepted == 0)
+        std::cerr << "no caller was identified\n";
+}
+
 } // namespace
 
 int main(int argumentCount, char **arguments)
@@ -154,6 +197,7 @@
     auto add = line.options.add_options();
     add("members", options::value(&size.members)->default_value(size.members), "nodes of the mesh");
     add("services", options::value(&size.services)->default_value(size.services), "services");
+    add("accounts", options::value(&size.accounts)->default_value(size.accounts), "client accounts");
     add("zones", options::value(&size.zones)->default_value(size.zones), "availability zones");
     options::variables_map values;
     if (const auto exitCode = readCommandLine(line, argumentCount, arguments, values))
@@ -162,5 +206,7 @@
     for (const std::size_t candidates : {std::size_t{8}, std::size_t{64}, std::size_t{512}})
         measurePlacing(candidates);
     measureMessages();
+    const RcuThread reader;
+    measureAccounts(size);
     return exitSuccess;
 }
