--- a/Libraries/LibAccount/AllowanceClient.cpp
+++ b/Libraries/LibAccount/AllowanceClient.cpp
@@ -105,7 +105,7 @@
     this->requests.erase(grant.requestId);
     const Pending answered = *state.pending;
     state.pending.reset();
-    // Counted from when they were asked for, since a later answer may have been granted then already.
+    // The lifetime begins with the request, since the tokens may have been granted at any time after it.
     state.stock.push_back({grant.granted, answered.sentAt + tokenLifetime});
     while (!state.waiting.empty() && this->takeToken(now, state)) {
         decided.push_back({std::move(state.waiting.front()), {}});
--- a/Libraries/LibDecide/CallPriority.h
+++ b/Libraries/LibDecide/CallPriority.h
@@ -1,8 +1,7 @@
 // The priority of a call at the gates: by its account, its route, and whether a call that runs waits for it.
 //
-// Load: a service that is called by callers and by calls that run at other services, at 1.2 times its slots.
-// Of the calls that run, 8,861 of 16,351 failed because a nested call was refused, each after up to a second
-// in a slot.
+// Load: a service that is called by callers and by calls that run at other services, above its slots. A
+// nested call that is refused fails the call that waits for it, after up to a second in a slot.
 #pragma once
 
 #include <cstdint>
--- a/Tests/LibAccount/TestAllowance.cpp
+++ b/Tests/LibAccount/TestAllowance.cpp
@@ -225,10 +225,10 @@
     {
         std::deque<Datagram> due;
         std::swap(due, this->travelling);
-        for (Datagram &datagram : due) {
+        for (const Datagram &datagram : due) {
             Node &node = this->nodes[datagram.to];
             if (datagram.at > this->now)
-                this->travelling.push_back(std::move(datagram));
+                this->travelling.push_back(datagram);
             else if (!node.isUp)
                 continue;
             else if (const auto *request = std::get_if<AllowanceRequest>(&datagram.message))
