LibAccount: Set the offset of the store's clock and the local refusal once

StoreClock assigned its interval in three branches and AllowanceClient set a refusal only to take it back. Each is now set in one place; behaviour is unchanged. The header's change is a comment.

--- a/Libraries/LibAccount/AllowanceClient.cpp
+++ b/Libraries/LibAccount/AllowanceClient.cpp
@@ -113,14 +113,12 @@
     }
     if (grant.result == GrantResult::Exhausted) {
         state.retryAfter = Milliseconds(grant.retryAfterMilliseconds);
-        state.exceededUntil = now + std::min(state.retryAfter, longestLocalRefusal);
         // A backup's reserve is not the allowance, so its end does not prove that the allowance is spent.
-        const AllowanceVerdict verdict = answered.request.role == GranterRole::Primary
-                                             ? AllowanceVerdict::Exceeded
-                                             : AllowanceVerdict::Unreachable;
-        if (verdict == AllowanceVerdict::Unreachable)
-            state.exceededUntil = {};
-        return decideAll(state, {verdict, state.retryAfter}, decided);
+        const bool isSpent = answered.request.role == GranterRole::Primary;
+        state.exceededUntil = isSpent ? now + std::min(state.retryAfter, longestLocalRefusal) : Instant{};
+        return decideAll(
+            state, {isSpent ? AllowanceVerdict::Exceeded : AllowanceVerdict::Unreachable, state.retryAfter},
+            decided);
     }
     if (!state.waiting.empty())
         this->ask(now, account, state, GranterRole::Primary, decided);
--- a/Libraries/LibAccount/StoreClock.cpp
+++ b/Libraries/LibAccount/StoreClock.cpp
@@ -29,20 +29,11 @@
     const bool jumped =
         !isFirst
         && (lowest > this->highestOffset + driftTolerance || highest + driftTolerance < *this->lowestOffset);
-    if (isFirst || jumped) {
-        this->lowestOffset = lowest;
-        this->highestOffset = highest;
-        return !jumped;
-    }
     // Drift moves the true offset out of an old interval; the newer answer is then the better one.
-    if (lowest > this->highestOffset || highest < *this->lowestOffset) {
-        this->lowestOffset = lowest;
-        this->highestOffset = highest;
-        return true;
-    }
-    this->lowestOffset = std::max(*this->lowestOffset, lowest);
-    this->highestOffset = std::min(this->highestOffset, highest);
-    return true;
+    const bool overlaps = !isFirst && lowest <= this->highestOffset && highest >= *this->lowestOffset;
+    this->lowestOffset = overlaps ? std::max(*this->lowestOffset, lowest) : lowest;
+    this->highestOffset = overlaps ? std::min(this->highestOffset, highest) : highest;
+    return !jumped;
 }
 
 std::optional<BootTime> StoreClock::earliest(StoreTime time) const
--- a/Libraries/LibAccount/StoreClock.h
+++ b/Libraries/LibAccount/StoreClock.h
@@ -9,7 +9,7 @@
 namespace Sagecrank {
 
 // Time since the host booted, including the time for which it was suspended (CLOCK_BOOTTIME). A steady clock
-// stops while a host is suspended, so an age measured with it may be too low.
+// stops while a host is suspended, so an age that it gives may be too low.
 using BootTime = std::chrono::nanoseconds;
 
 BootTime bootTimeNow();
