LibMembership, Node: Spread the first reads of introducers' rows, and write fewer

Cause: when all 984 nodes of a fleet started, each read the rows at once and found none, wrote a free place (340 writes into one partition, which applies 200 a second one after another), and read again after 60 ms, also while the introducers that it had found were being contacted: 2,170 reads and 340 writes at a first start, 2,668 and 425 after a power loss of all.

Change: the first read is spread over 110 ms; of isolated nodes every second one writes in its first round; a node that found introducers of its zone leaves them 300 ms to answer before it reads again.

--- a/Libraries/LibMembership/IntroducerSchedule.cpp
+++ b/Libraries/LibMembership/IntroducerSchedule.cpp
@@ -11,6 +11,11 @@
 // gone.
 constexpr std::uint32_t roundsBeforeOverwrite = 3;
 
+// In its first round one isolated node in this many writes a free row. The rows of all zones share a
+// partition that takes 200 writes a second; when each node of a starting fleet wrote, the rows appeared
+// seconds late.
+constexpr std::uint32_t firstRoundWriters = 2;
+
 } // namespace
 
 // If nodes stopped reading once they know some members, two separately formed groups could stay apart for a
@@ -40,8 +45,17 @@
     return round;
 }
 
-IntroducerWrite IntroducerSchedule::chooseWrite(bool knowsOthers, std::uint32_t rank) const
+// A node that found introducers contacts them until they answer. Reading their rows again meanwhile doubled
+// the reads of a fleet that starts.
+Duration IntroducerSchedule::readAnswered(bool knowsOthers, bool foundOwnZone) const
+{
+    return !knowsOthers && foundOwnZone ? this->timing.contactPause : Duration::zero();
+}
+
+IntroducerWrite IntroducerSchedule::chooseWrite(bool knowsOthers, std::uint32_t rank)
 {
+    if (!knowsOthers && this->roundsStarted == 1)
+        return this->random() % firstRoundWriters == 0 ? IntroducerWrite::FreeRow : IntroducerWrite::None;
     if (!knowsOthers)
         return this->roundsStarted <= roundsBeforeOverwrite ? IntroducerWrite::FreeRow
                                                             : IntroducerWrite::AnyRow;
--- a/Services/Node/Control/ControlIntroducers.cpp
+++ b/Services/Node/Control/ControlIntroducers.cpp
@@ -43,13 +43,16 @@
     , timing(timing)
     , hooks(std::move(hooks))
     , random(seed)
-    , schedule(timing)
+    , schedule(timing, seed + 1)
 {
 }
 
 void ControlIntroducers::start()
 {
-    this->scheduleRound(this->timing.initialDelay);
+    std::uniform_real_distribution<double> share(0, 1);
+    const auto spread =
+        std::chrono::duration_cast<Duration>(this->timing.initialSpread * share(this->random));
+    this->scheduleRound(this->timing.initialDelay + spread);
 }
 
 void ControlIntroducers::stop()
@@ -161,6 +164,9 @@
     else if (round.write == IntroducerWrite::AnyRow)
         this->writeIfDue(this->pickRandom(allPlaces()));
     this->hooks.found(ownZone, true);
+    const Duration pause = this->schedule.readAnswered(this->hooks.knowsOthers(), !ownZone.empty());
+    if (pause > Duration::zero())
+        this->scheduleRound(pause);
     if (!round.contactOtherZones || otherZones.empty())
         return;
     std::vector<std::string> contacts;
--- a/Services/Node/DerivedSettings.cpp
+++ b/Services/Node/DerivedSettings.cpp
@@ -54,6 +54,9 @@
     control.follower.pull.platformDelay = Milliseconds(1000);
     control.follower.pull.platformDelayPerRank = Milliseconds(20);
     control.introducers.initialDelay = Milliseconds(10);
+    // The first rows of a fleet that starts are there after some 30 ms.
+    control.introducers.initialSpread = Milliseconds(110);
+    control.introducers.contactPause = Milliseconds(300);
     // After a power loss all nodes may start at once. Until the zones have found each other, all calls to
     // services in other zones are refused. The longest backoff is how long a node without peers stays
     // isolated once the store is available again.
--- a/Tests/LibMembership/TestIntroducerSchedule.cpp
+++ b/Tests/LibMembership/TestIntroducerSchedule.cpp
@@ -1,152 +1,14 @@
 // Nodes without seeds find each other through introducer rows in a shared table, in any start order and with
 // faults during the start.
-#include "FakeNetwork.h"
-
-#include <LibMembership/IntroducerSchedule.h>
+#include "IntroducerFleet.h"
 
 #include <Support/TableTest.h>
 
-#include <map>
-
 using namespace Sagecrank;
 using namespace Sagecrank::Testing;
 
 namespace {
 
-constexpr Duration tableReadTime = Milliseconds(4);
-
-// A fleet with an in-memory introducer table, and the read and write rounds of each node.
-class IntroducerFleet
-{
-public:
-    IntroducerFleet(FakeNetwork::Shape shape)
-        : network(shape)
-        , random(shape.seed * 7919 + 1)
-    {
-        for (std::size_t node = 0; node < shape.nodes; ++node)
-            this->rounds.emplace_back(timing);
-        this->nextRound.resize(shape.nodes);
-    }
-
-    void start(std::size_t node, std::uint64_t incarnation)
-    {
-        this->network.start(node, incarnation);
-        this->rounds[node] = IntroducerSchedule(timing);
-        this->writtenAt.erase(node);
-        this->nextRound[node] = this->network.now + timing.initialDelay;
-    }
-
-    void stop(std::size_t node) { this->network.nodes[node].running = false; }
-
-    void run(Duration time)
-    {
-        const Instant end = this->network.now + time;
-        while (this->network.now < end)
-            this->advance();
-    }
-
-    Duration runUntilConverged(Duration limit)
-    {
-        const Instant begin = this->network.now;
-        while (this->network.now - begin < limit && !this->network.converged())
-            this->advance();
-        return this->network.now - begin;
-    }
-
-    std::uint64_t draw(std::uint64_t below) { return this->random() % below; }
-
-    FakeNetwork network;
-    bool tableUnavailable = false;
-    std::uint64_t tableCalls = 0;
-
-private:
-    static constexpr IntroducerTiming timing{Milliseconds(10), Milliseconds(60), Milliseconds(1500)};
-
-    void advance()
-    {
-        this->network.run(FakeNetwork::step);
-        for (std::size_t node = 0; node < this->rounds.size(); ++node) {
-            if (this->network.running(node) && this->nextRound[node] <= this->network.now)
-                this->runRound(node);
-        }
-    }
-
-    void runRound(std::size_t node)
-    {
-        const Membership &own = *this->network.nodes[node].membership;
-        const IntroducerRound round =
-            this->rounds[node].next(own.members().presentCount() > 1, this->rankOf(node));
-        this->nextRound[node] = this->network.now + round.pause * (70 + this->draw(60)) / 100;
-        if (this->tableUnavailable)
-            return;
-        if (round.write == IntroducerWrite::RankedRow)
-            this->write(node, this->rankOf(node));
-        if (round.read)
-            this->read(node, round);
-    }
-
-    void write(std::size_t node, std::uint64_t rank)
-    {
-        // A row is renewed after half of the renewal interval.
-        if (this->writtenAt.contains(node)
-            && this->network.now - this->writtenAt[node] < introducerRenewalInterval / 2)
-            return;
-        this->writtenAt[node] = this->network.now;
-        ++this->tableCalls;
-        this->rows[this->network.zones[node]][rank] = FakeNetwork::addressOf(node);
-    }
-
-    void read(std::size_t node, const IntroducerRound &round)
-    {
-        ++this->tableCalls;
-        std::vector<std::string> ownZone;
-        std::vector<std::string> others;
-        std::vector<std::uint64_t> free;
-        for (std::uint64_t rank = 0; rank < introducersPerZone; ++rank) {
-            if (!this->rows[this->network.zones[node]].contains(rank))
-                free.push_back(rank);
-        }
-        for (const auto &[zone, ranks] : this->rows) {
-            std::vector<std::string> addresses;
-            for (const auto &[rank, address] : ranks)
-                addresses.push_back(address);
-            if (zone == this->network.zones[node])
-                ownZone = addresses;
-            else if (!addresses.empty())
-                others.push_back(addresses[this->draw(addresses.size())]);
-        }
-        const bool mayWrite =
-            round.write == IntroducerWrite::FreeRow || round.write == IntroducerWrite::AnyRow;
-        if (mayWrite && !free.empty())
-            this->write(node, free[this->draw(free.size())]);
-        else if (round.write == IntroducerWrite::AnyRow)
-            this->write(node, this->draw(introducersPerZone));
-        this->addSeeds(node, ownZone, true);
-        if (round.contactOtherZones)
-            this->addSeeds(node, others, false);
-    }
-
-    void addSeeds(std::size_t node, const std::vector<std::string> &addresses, bool ownZone)
-    {
-        this->network.nodes[node].membership->addSeeds(this->network.now + tableReadTime, addresses, ownZone);
-    }
-
-    std::uint32_t rankOf(std::size_t node) const
-    {
-        const Membership &own = *this->network.nodes[node].membership;
-        std::uint32_t rank = 0;
-        for (const std::uint64_t peer : own.members().zonePeers())
-            rank += own.members().find(peer)->member.id < own.self().id ? 1 : 0;
-        return rank;
-    }
-
-    std::vector<IntroducerSchedule> rounds;
-    std::vector<Instant> nextRound;
-    std::map<std::string, std::map<std::uint64_t, std::string>> rows; // By zone and rank.
-    std::map<std::size_t, Instant> writtenAt;                         // By node.
-    std::mt19937_64 random;
-};
-
 FakeNetwork::Shape unseeded(std::uint64_t seed)
 {
     FakeNetwork::Shape shape;
@@ -158,26 +20,6 @@
     return shape;
 }
 
-// Starts every node at a random time within the span.
-void startAll(IntroducerFleet &fleet, Milliseconds span, std::uint64_t incarnation)
-{
-    const std::size_t count = fleet.network.nodes.size();
-    std::vector<Instant> startAt;
-    for (std::size_t node = 0; node < count; ++node)
-        startAt.push_back(fleet.network.now
-                          + Milliseconds(fleet.draw(static_cast<std::uint64_t>(span.count()) + 1)));
-    for (std::size_t started = 0; started < count;) {
-        for (std::size_t node = 0; node < count; ++node) {
-            if (startAt[node] > fleet.network.now)
-                continue;
-            fleet.start(node, incarnation);
-            startAt[node] = Instant::max();
-            ++started;
-        }
-        fleet.run(FakeNetwork::step);
-    }
-}
-
 enum class Fault : std::uint8_t { None, PartitionDuringStart, TableUnavailable, Restarts, LongPartition };
 
 struct FaultRow
