LibMembership, Node: Exchange member tables over streams

Cause: a table is carried by datagrams whose budget is 6 KB a second in a mesh of any size, so the time until views are whole grows with the mesh. On the whole fleet a node knew 729 of 983 others on average (328 at least) 24 s after the start, and the changes that it gossiped, departures among them, queued behind the records of joins or were not sent.

Change: nodes run the sync protocol over a connection to the control port of a peer, without the limits of its datagrams on answers. A node that starts does so with random members of its zone until two exchanges in a row bring next to nothing; two representatives of a zone also do so with each other zone, by turns. A comparison by datagrams that finds 32 differing buckets or more asks for such an exchange. Meanwhile joins are not gossiped, syncs by datagrams rest, and an answer to a join names four partners. A node serves four exchanges at once and a quarter of its link's bytes, and sends a peer no more records than its table holds.

--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <set>
 
 namespace Sagecrank {
 
@@ -192,6 +193,12 @@
         visit(record);
 }
 
+const std::vector<std::string> &MemberTable::otherZones() const
+{
+    this->rebuildPeers();
+    return this->otherZoneNames;
+}
+
 const std::vector<std::uint64_t> &MemberTable::zonePeers() const
 {
     this->rebuildPeers();
@@ -256,6 +263,7 @@
     this->zonePeerHashes.clear();
     this->otherZonePeerHashes.clear();
     this->deadMemberHashes.clear();
+    std::set<std::string> zones;
     for (const auto &[idHash, record] : this->records) {
         if (idHash == this->ownHash)
             continue;
@@ -264,7 +272,10 @@
         else if (isPresent(record.member.state))
             (record.member.zone == this->zone ? this->zonePeerHashes : this->otherZonePeerHashes)
                 .push_back(idHash);
+        if (isPresent(record.member.state) && record.member.zone != this->zone)
+            zones.insert(record.member.zone);
     }
+    this->otherZoneNames.assign(zones.begin(), zones.end());
 }
 
 } // namespace Sagecrank
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -74,6 +74,7 @@
     const std::vector<std::uint64_t> &zonePeers() const;
     const std::vector<std::uint64_t> &otherZonePeers() const;
     const std::vector<std::uint64_t> &deadMembers() const;
+    const std::vector<std::string> &otherZones() const; // Names of the zones of otherZonePeers().
 
     const BucketHashes &bucketHashes() const { return this->hashes; }
     std::vector<const MemberRecord *> bucket(std::uint8_t index) const;
@@ -99,6 +100,7 @@
     mutable std::vector<std::uint64_t> zonePeerHashes;
     mutable std::vector<std::uint64_t> otherZonePeerHashes;
     mutable std::vector<std::uint64_t> deadMemberHashes;
+    mutable std::vector<std::string> otherZoneNames;
 };
 
 } // namespace Sagecrank
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -55,6 +55,7 @@
     , table(this->own.zone)
     , budget(this->settings.bytesPerSecond, this->settings.burstBytes, this->settings.initialBurstBytes)
     , crossZoneBudget(this->settings.crossZoneBytesPerSecond, this->settings.crossZoneBurstBytes)
+    , exchangePlan(this->settings.tableExchange, seed + 1)
     , inboundBudget(this->settings.catchUpBytesPerSecond, this->settings.burstBytes,
                     this->settings.initialBurstBytes)
     , joinBackoff(initialJoinBackoff)
@@ -79,6 +80,7 @@
         this->join(now);
     if (!this->leaving)
         this->contactUnknownSeeds(now);
+    this->exchangeTables(now);
     if (now >= this->nextGossip) {
         this->nextGossip = now + this->settings.gossipInterval;
         this->gossip(now);
@@ -212,22 +214,8 @@
 
 void Membership::applyChanges(Instant now, const std::string &from, const Datagram &datagram)
 {
-    // Records received by sync are already known to most of a large mesh. Gossiping them would take the whole
-    // budget of a node that has just joined for minutes, and other nodes get them by sync as well. In a small
-    // mesh they may come from a group unknown to its members, and gossiping them is cheap.
     const bool isSyncAnswer = datagram.kind == DatagramKind::Gossip && datagram.sequence != 0;
-    const bool isWidelyKnown = isSyncAnswer && this->table.presentCount() > smallMeshMembers;
-    for (const Member &member : datagram.members) {
-        const std::uint64_t idHash = hashId(member.id);
-        if (this->refuteIfOwn(now, idHash, member.incarnation, member.state))
-            continue;
-        const MemberRecord *previous = this->table.find(idHash);
-        const bool fullRecord = previous == nullptr || previous->staticFieldsHash != hashStaticFields(member);
-        const MergeOutcome outcome = this->table.merge(member, now);
-        this->afterMerge(now, idHash, outcome);
-        if (!isWidelyKnown)
-            this->queueChange(idHash, outcome, fullRecord);
-    }
+    this->mergeRecords(now, datagram.members, isSyncAnswer);
     std::vector<std::uint64_t> unknown;
     for (const MemberUpdate &update : datagram.updates) {
         if (this->refuteIfOwn(now, update.idHash, update.incarnation, update.state))
@@ -243,6 +231,28 @@
         this->catchUp(now);
 }
 
+// Records received by sync are already known to most of a large mesh. Gossiping them would take the whole
+// budget of a node that has just joined for minutes, and other nodes get them by sync as well. In a small
+// mesh they may come from a group unknown to its members, and gossiping them is cheap.
+void Membership::mergeRecords(Instant now, const std::vector<Member> &members, bool fromSync)
+{
+    const bool isWidelyKnown = fromSync && this->table.presentCount() > smallMeshMembers;
+    for (const Member &member : members) {
+        const std::uint64_t idHash = hashId(member.id);
+        if (this->refuteIfOwn(now, idHash, member.incarnation, member.state))
+            continue;
+        const MemberRecord *previous = this->table.find(idHash);
+        const bool isNew = previous == nullptr;
+        const bool fullRecord = isNew || previous->staticFieldsHash != hashStaticFields(member);
+        const MergeOutcome outcome = this->table.merge(member, now);
+        this->afterMerge(now, idHash, outcome);
+        // While tables are exchanged, they carry the members that are new here.
+        const bool isExchanged = isNew && this->isExchangingTables();
+        if (!isWidelyKnown && !isExchanged)
+            this->queueChange(idHash, outcome, fullRecord);
+    }
+}
+
 // A false suspicion, a pause, a partition, or a restart after the clock was set back leaves the mesh with a
 // record of this node that overrides its own. Since only the node itself raises its incarnation, going one
 // above the reported incarnation overrides that record everywhere.
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -11,6 +11,7 @@
 #include <LibMembership/Dissemination.h>
 #include <LibMembership/MemberTable.h>
 #include <LibMembership/NoticeTable.h>
+#include <LibMembership/TableExchangePlan.h>
 #include <LibMembership/TokenBucket.h>
 
 #include <array>
@@ -70,6 +71,7 @@
     // limited, so sent and received bytes together stay near 13 KB per second.
     double catchUpBytesPerSecond = 6000;
     std::vector<std::string> seeds; // Gossip addresses.
+    TableExchangeSettings tableExchange;
 };
 
 struct MembershipHooks
@@ -85,6 +87,11 @@
     std::function<void(const HeadProof &)> headProofReceived; // May be older than the own one.
     std::function<void(const Bulletin &)> bulletinReceived;   // A new or later one, of another node.
     std::function<void(const std::string &sender, const std::string &report)> reportReceived;
+    // Exchanges tables with this member over a stream; tableExchangeEnded() must follow. See TableStream.
+    // Without this hook, tables are compared by datagrams alone.
+    std::function<void(const Member &partner)> exchangeTables;
+    // Rank of this node among those of its zone that may represent it; needed with `exchangeTables`.
+    std::function<std::uint32_t()> zoneRank;
 };
 
 struct KindCounters
@@ -110,6 +117,18 @@
     std::uint64_t receivedBytes() const;
 };
 
+// The answer to one datagram of a table exchange.
+struct TableAnswer
+{
+    std::vector<std::string> datagrams;
+    std::size_t recordsSent = 0;
+    std::size_t recordsReceived = 0;
+};
+
+// Differences of more records than this take datagrams many rounds, so the tables are exchanged over a
+// stream.
+inline constexpr std::size_t largeTableDifference = 32;
+
 class Membership
 {
 public:
@@ -134,6 +153,11 @@
     void announce(Instant now, const Bulletin &bulletin);
     // Sends a payload of at most `maximumReportBytes` to one member; it may be lost.
     void sendReport(const std::string &memberId, const std::string &report);
+    // Table exchanges over streams; see TableStream.
+    std::string openTableExchange(); // Returns the datagram that opens one.
+    // Error: InvalidInput unless it is a datagram of the sync protocol.
+    Result<TableAnswer> receiveStreamed(Instant now, std::string_view bytes);
+    void tableExchangeEnded(Instant now, bool succeeded, std::size_t records);
     void leave(Instant now); // Announces the departure; keep calling tick() until leaveComplete().
 
     // Queries.
@@ -148,6 +172,8 @@
     std::unordered_set<std::string_view> membersAt(const std::vector<std::string> &addresses) const;
     // A peer was heard from, or there are no seeds, or none of them answered several join attempts.
     bool hasView() const;
+    // The table holds about all nodes of the own zone that its peers know.
+    bool knowsZone() const;
     bool leaveComplete() const { return this->leaving && this->leaveRounds == 0; }
     std::uint32_t healthScore() const { return this->health; }
     Duration suspicionTime() const;
@@ -184,6 +210,7 @@
     void handle(Instant now, const std::string &from, const Datagram &datagram);
     void noteSender(Instant now, const std::string &from, const Datagram &datagram);
     void applyChanges(Instant now, const std::string &from, const Datagram &datagram);
+    void mergeRecords(Instant now, const std::vector<Member> &members, bool fromSync);
     // Returns whether the record is this node's own; refutes it if it contradicts the local one.
     bool refuteIfOwn(Instant now, std::uint64_t idHash, std::uint64_t incarnation, MemberState state);
     void afterMerge(Instant now, std::uint64_t idHash, MergeOutcome outcome);
@@ -216,6 +243,21 @@
     void resumeAfterPause(Instant now);
     void raiseHealthScore(std::uint32_t by);
 
+    // Table exchanges (MembershipExchange.cpp).
+    struct TableDifference
+    {
+        std::vector<std::uint64_t> wanted; // Id hashes.
+        std::vector<const MemberRecord *> offered;
+    };
+    void exchangeTables(Instant now); // Begins one if it is due.
+    std::uint64_t pickExchangePartner(const TableExchangeStep &step);
+    bool isExchangingTables() const; // With its zone, until its table is about as complete as theirs.
+    bool isLargeDifference(std::size_t records) const;
+    void answerStreamedDigest(const Datagram &digest, TableAnswer &answer);
+    void answerStreamedEntries(Instant now, const Datagram &entries, TableAnswer &answer);
+    std::vector<const MemberRecord *> recordsOf(const std::vector<std::uint64_t> &idHashes) const;
+    void addRecords(TableAnswer &answer, const std::vector<const MemberRecord *> &records) const;
+
     // Gossip, joining and sync (MembershipSync.cpp).
     void gossip(Instant now);
     void join(Instant now);
@@ -229,11 +271,15 @@
     void handleSyncDigest(Instant now, const std::string &from, const Datagram &datagram);
     void handleSyncEntries(Instant now, const std::string &from, const Datagram &datagram);
     void handleSyncRequest(Instant now, const std::string &from, const Datagram &datagram);
+    // Refutes what contradicts this node's own record.
+    TableDifference compareEntries(Instant now, const Datagram &datagram);
     void requestRecords(Instant now, const std::string &address, const std::vector<std::uint64_t> &wanted);
     void sendNotices(const std::string &address, bool ownZone);
     void sendBulletins(const std::string &address, bool ownZone);
     void sendRecords(const std::string &address, bool ownZone,
                      const std::vector<const MemberRecord *> &records, std::size_t maximumDatagrams);
+    // Fills one datagram with records from `next` on, and advances it.
+    Datagram fillRecords(const std::vector<const MemberRecord *> &records, std::size_t &next) const;
     std::uint64_t pickPeer(bool ownZone);
     std::uint64_t nextSyncPeer();
     bool drawCrossZoneTurn(double nodesPerZone); // Random at each call.
@@ -259,7 +305,8 @@
     BulletinTable bulletinTable;
     TokenBucket budget;          // Sent bytes.
     TokenBucket crossZoneBudget; // Sent bytes to other zones.
-    TokenBucket inboundBudget;   // Received bytes; only delays syncs that can wait.
+    TableExchangePlan exchangePlan;
+    TokenBucket inboundBudget; // Received bytes; only delays syncs that can wait.
     MembershipCounters counts;
 
     ConfigurationVersion highestHead; // Never decreases.
--- a/Libraries/LibMembership/MembershipSync.cpp
+++ b/Libraries/LibMembership/MembershipSync.cpp
@@ -17,6 +17,9 @@
 constexpr Duration minimumSeedBackoffLimit = Milliseconds(1500);
 constexpr Duration maximumSeedBackoffLimit = Milliseconds(30000);
 constexpr Duration knownSeedCheckInterval = Milliseconds(1000);
+// A joining node that exchanges tables needs only some partners. When 200 nodes of a zone start together,
+// longer answers use up the budget of the introducers.
+constexpr std::size_t joinAnswerPartners = 4;
 constexpr std::size_t joinAnswerDatagrams = 8; // A third of a zone of 260 nodes in 1,200-byte datagrams.
 constexpr std::size_t syncAnswerDatagrams = 4;
 constexpr std::uint32_t catchUpRoundsAfterChange = 4;
@@ -208,6 +211,8 @@
     sameZoneRecords.insert(sameZoneRecords.end(), otherRecords.begin(), otherRecords.end());
     this->sendNotices(from, this->isInOwnZone(joiner));
     this->sendBulletins(from, this->isInOwnZone(joiner));
+    if (this->hooks.exchangeTables)
+        sameZoneRecords.resize(std::min(sameZoneRecords.size(), joinAnswerPartners));
     // If this node's own record does not fit, the receiver requests it because of the sender's incarnation.
     this->sendRecords(from, this->isInOwnZone(joiner), sameZoneRecords, joinAnswerDatagrams);
     if (joiner->member.incarnation > datagram.senderIncarnation || !isPresent(joiner->member.state)) {
@@ -225,6 +230,8 @@
 
 void Membership::startSync(Instant /*now*/)
 {
+    if (this->isExchangingTables())
+        return;
     if (!this->hasBudget(syncReserve)) {
         ++this->counts.suppressed;
         return;
@@ -267,6 +274,10 @@
         if (hashes[i] != datagram.bucketHashes[i])
             differing.push_back(static_cast<std::uint8_t>(i));
     }
+    // Each differing bucket holds at least one such record. Entries of no bucket tell the sender to ask for
+    // an exchange.
+    if (this->isLargeDifference(differing.size()))
+        return this->transmit(from, this->makeDatagram(DatagramKind::SyncEntries, datagram.sequence));
     std::shuffle(differing.begin(), differing.end(), this->random);
     Datagram reply = this->makeDatagram(DatagramKind::SyncEntries, datagram.sequence);
     constexpr std::size_t headerBytes = 200;
@@ -302,10 +313,22 @@
 }
 
 void Membership::handleSyncEntries(Instant now, const std::string &from, const Datagram &datagram)
+{
+    const TableDifference difference = this->compareEntries(now, datagram);
+    const std::size_t records = difference.wanted.size() + difference.offered.size();
+    if (datagram.buckets.empty() || this->isLargeDifference(records))
+        return this->exchangePlan.require(now, hashId(datagram.sender));
+    this->requestRecords(now, from, difference.wanted);
+    this->sendRecords(from, this->isInOwnZone(this->table.find(datagram.sender)), difference.offered,
+                      syncAnswerDatagrams);
+    if (records > 0)
+        this->catchUp(now);
+}
+
+Membership::TableDifference Membership::compareEntries(Instant now, const Datagram &datagram)
 {
     std::unordered_map<std::uint64_t, const SyncEntry *> remoteEntries;
-    std::vector<std::uint64_t> wanted;
-    std::vector<const MemberRecord *> offered;
+    TableDifference difference;
     for (const SyncEntry &entry : datagram.entries) {
         remoteEntries[entry.idHash] = &entry;
         if (this->refuteIfOwn(now, entry.idHash, entry.incarnation, entry.state))
@@ -317,7 +340,7 @@
             && (entry.incarnation > record->member.incarnation
                 || (entry.incarnation == record->member.incarnation && entry.state > record->member.state));
         if (unknown || newer)
-            wanted.push_back(entry.idHash);
+            difference.wanted.push_back(entry.idHash);
     }
     for (const std::uint8_t index : datagram.buckets) {
         for (const MemberRecord *record : this->table.bucket(index)) {
@@ -328,26 +351,16 @@
                                    || (record->member.incarnation == found->second->incarnation
                                        && record->member.state > found->second->state));
             if (unknown || newer)
-                offered.push_back(record);
+                difference.offered.push_back(record);
         }
     }
-    this->requestRecords(now, from, wanted);
-    this->sendRecords(from, this->isInOwnZone(this->table.find(datagram.sender)), offered,
-                      syncAnswerDatagrams);
-    if (!wanted.empty() || !offered.empty())
-        this->catchUp(now);
+    return difference;
 }
 
 void Membership::handleSyncRequest(Instant /*now*/, const std::string &from, const Datagram &datagram)
 {
-    std::vector<const MemberRecord *> records;
-    for (const std::uint64_t idHash : datagram.wanted) {
-        const MemberRecord *record = this->table.find(idHash);
-        if (record != nullptr)
-            records.push_back(record);
-    }
-    this->sendRecords(from, this->isInOwnZone(this->table.find(datagram.sender)), records,
-                      syncAnswerDatagrams);
+    this->sendRecords(from, this->isInOwnZone(this->table.find(datagram.sender)),
+                      this->recordsOf(datagram.wanted), syncAnswerDatagrams);
 }
 
 void Membership::requestRecords(Instant now, const std::string &address,
@@ -403,26 +416,31 @@
 void Membership::sendRecords(const std::string &address, bool ownZone,
                              const std::vector<const MemberRecord *> &records, std::size_t maximumDatagrams)
 {
-    constexpr std::size_t headerBytes = 200;
     std::size_t next = 0;
     for (std::size_t sent = 0; sent < maximumDatagrams && next < records.size(); ++sent) {
         if (!this->hasBudget(syncReserve, ownZone)) {
             ++this->counts.suppressed;
             return;
         }
-        // A nonzero sequence marks a sync answer, which makes the receiver catch up.
-        Datagram answer = this->makeDatagram(DatagramKind::Gossip, 1);
-        std::size_t used = headerBytes;
-        while (next < records.size()) {
-            const std::size_t size = encodedSize(records[next]->member);
-            if (used + size > maximumDatagramBytes)
-                break;
-            used += size;
-            answer.members.push_back(records[next]->member);
-            ++next;
-        }
-        this->transmit(address, answer, ownZone);
+        this->transmit(address, this->fillRecords(records, next), ownZone);
+    }
+}
+
+// A nonzero sequence marks a sync answer, which makes the receiver catch up.
+Datagram Membership::fillRecords(const std::vector<const MemberRecord *> &records, std::size_t &next) const
+{
+    constexpr std::size_t headerBytes = 200;
+    Datagram answer = this->makeDatagram(DatagramKind::Gossip, 1);
+    std::size_t used = headerBytes;
+    while (next < records.size()) {
+        const std::size_t size = encodedSize(records[next]->member);
+        if (used + size > maximumDatagramBytes)
+            break;
+        used += size;
+        answer.members.push_back(records[next]->member);
+        ++next;
     }
+    return answer;
 }
 
 } // namespace Sagecrank
--- a/Libraries/LibObserve/Events.h
+++ b/Libraries/LibObserve/Events.h
@@ -42,6 +42,8 @@
     MemberDead = 3003,
     MemberLeft = 3004,
     MemberUnmet = 3005,
+    TableExchanged = 3006,
+    TableExchangeFailed = 3007,
 
     PeerLost = 4002,
     PeerSilent = 4003,
@@ -146,6 +148,10 @@
     {EventId::MemberLeft, "member.left", LogLevel::Info, "A node said goodbye."},
     {EventId::MemberUnmet, "member.unmet", LogLevel::Info,
      "A row in the table names a node that no member is known at; it is greeted until it answers."},
+    {EventId::TableExchanged, "member.table_exchanged", LogLevel::Info,
+     "This node and a peer gave each other the member records that one of them lacked."},
+    {EventId::TableExchangeFailed, "member.table_exchange_failed", LogLevel::Info,
+     "An exchange of member tables did not complete; another follows, with another peer."},
 
     {EventId::PeerLost, "peer.lost", LogLevel::Warning, "A connection to a peer node broke."},
     {EventId::PeerSilent, "peer.silent", LogLevel::Warning,
--- a/Libraries/LibWire/Frame.h
+++ b/Libraries/LibWire/Frame.h
@@ -27,6 +27,7 @@
     // Configuration pulls, on the control port.
     PullRequest = 32,
     PullResponse,
+    TableBatch, // Part of an exchange of member tables, on the control port.
 };
 
 // The maximum body size of a call or its response. The configured limit of a site cannot exceed it.
--- a/Services/Node/Control/ControlPlane.cpp
+++ b/Services/Node/Control/ControlPlane.cpp
@@ -3,6 +3,7 @@
 
 #include "ControlGossip.h"
 #include "ControlServer.h"
+#include "TableExchangeClient.h"
 
 #include <LibSpread/Rendezvous.h>
 
@@ -76,7 +77,7 @@
                  this->membershipHooks(), this->hooks.allowanceReceived, std::random_device{}())
         , follower(context, this->settings.id, this->settings.site, std::move(versions),
                    this->settings.follower, this->followerHooks(), std::random_device{}())
-        , server(context, std::random_device{}(),
+        , server(context, this->gossip.membership(), this->settings.linkMbps, std::random_device{}(),
                  [this](const PullRequest &request) { return this->follower.serve(request); })
         , introducers(context, this->settings.zone, this->settings.gossipAddress, std::move(table),
                       this->settings.introducers, this->introducerHooks(), std::random_device{}())
@@ -171,6 +172,8 @@
                 this->hooks.storeEraReceived(era);
         };
         made.heldVersionAdvanced = [this](const Member &) { this->follower.pullIfNeeded(); };
+        made.exchangeTables = [this](const Member &partner) { this->exchangeTablesWith(partner); };
+        made.zoneRank = [this] { return this->rankInZone("tables"); };
         return made;
     }
 
@@ -204,7 +207,7 @@
     IntroducerHooks introducerHooks()
     {
         IntroducerHooks made;
-        made.rank = [this] { return this->introducerRank(); };
+        made.rank = [this] { return this->rankInZone("introducer"); };
         made.knowsOthers = [this] { return this->knowsPeers(); };
         made.found = [this](const std::vector<std::string> &addresses, bool ownZone) {
             Membership &membership = this->gossip.membership();
@@ -220,6 +223,24 @@
         return made;
     }
 
+    void exchangeTablesWith(const Member &partner)
+    {
+        ++this->tableExchanges;
+        exchangeTables(this->context, partner.controlAddress, this->gossip.membership(),
+                       [this, partner](const Result<std::size_t> &records) {
+                           this->tableExchangeEnded(partner, records);
+                       });
+    }
+
+    void tableExchangeEnded(const Member &partner, const Result<std::size_t> &records)
+    {
+        this->tableExchangeFailures += records ? 0 : 1;
+        this->gossip.membership().tableExchangeEnded(SteadyClock::now(), records.has_value(),
+                                                     records ? records.value() : 0);
+        if (this->hooks.tableExchanged)
+            this->hooks.tableExchanged(partner, records);
+    }
+
     bool knowsPeers() const { return this->gossip.membership().members().presentCount() > 1; }
 
     // Calls `visit` for each other node in the zone that is alive.
@@ -239,11 +260,11 @@
         return std::string(role) + "#" + this->settings.zone;
     }
 
-    std::uint32_t introducerRank() const
+    std::uint32_t rankInZone(std::string_view role) const
     {
         std::vector<std::string_view> others;
         this->forEachZonePeer([&](const Member &member) { others.push_back(member.id); });
-        return rendezvousRank(this->zoneRole("introducer"), this->settings.id, others);
+        return rendezvousRank(this->zoneRole(role), this->settings.id, others);
     }
 
     std::uint32_t headPollRank() const
@@ -364,6 +385,11 @@
         status.pullsRefused = server.refused;
         status.pullBytesServed = server.servedBytes;
         status.malformedRequests = server.malformed;
+        status.tableExchanges = this->tableExchanges;
+        status.tableExchangeFailures = this->tableExchangeFailures;
+        status.tablesServed = server.tablesServed;
+        status.tablesRefused = server.tablesRefused;
+        status.tableBytesSent = server.tableBytesSent;
         return status;
     }
 
@@ -373,6 +399,8 @@
     boost::asio::steady_timer statusTimer;
     boost::asio::steady_timer leaveTimer;
     bool viewPending = false;
+    std::uint64_t tableExchanges = 0; // Begun by this node.
+    std::uint64_t tableExchangeFailures = 0;
     ControlGossip gossip;
     ControlFollower follower;
     ControlServer server;
--- a/Services/Node/Control/ControlPlane.h
+++ b/Services/Node/Control/ControlPlane.h
@@ -65,6 +65,8 @@
     std::function<void(const std::string &from, std::string_view bytes)> allowanceReceived;
     std::function<void(const Bulletin &)> bulletinReceived;
     std::function<void(const std::string &sender, const std::string &report)> reportReceived;
+    // An exchange of member tables with this peer ended: the records sent and received, or why it failed.
+    std::function<void(const Member &partner, const Result<std::size_t> &records)> tableExchanged;
     // A row names an introducer whose address belongs to no known member, although other members are known.
     std::function<void(const std::string &gossipAddress)> introducerUnknown;
 };
@@ -95,6 +97,11 @@
     std::uint64_t pullsRefused = 0;
     std::uint64_t pullBytesServed = 0;
     std::uint64_t malformedRequests = 0;
+    std::uint64_t tableExchanges = 0; // Of member tables, begun by this node.
+    std::uint64_t tableExchangeFailures = 0;
+    std::uint64_t tablesServed = 0;
+    std::uint64_t tablesRefused = 0;
+    std::uint64_t tableBytesSent = 0; // While serving.
 
     std::uint64_t platformReads() const
     {
--- a/Services/Node/Control/ControlServer.cpp
+++ b/Services/Node/Control/ControlServer.cpp
@@ -1,4 +1,5 @@
-// Accepts connections, answers pull requests, and closes connections that exceed the time limit.
+// Accepts connections, answers pull requests and table exchanges, and closes connections that exceed the time
+// limit.
 #include "ControlServer.h"
 
 #include <LibCore/Time.h>
@@ -6,6 +7,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <optional>
+
 namespace Sagecrank {
 
 using boost::asio::ip::tcp;
@@ -24,7 +27,8 @@
 {
     std::shared_ptr<FramedConnection> connection;
     boost::asio::steady_timer timer;
-    bool admitted = false; // Holds a slot of PullAdmission.
+    bool admitted = false;             // Holds a slot of PullAdmission.
+    std::optional<TableStream> tables; // Holds a slot of TableAdmission.
 
     explicit Session(boost::asio::io_context &context)
         : timer(context)
@@ -32,10 +36,13 @@
     }
 };
 
-ControlServer::ControlServer(boost::asio::io_context &context, std::uint64_t seed, Serve serve)
+ControlServer::ControlServer(boost::asio::io_context &context, Membership &membership, std::uint32_t linkMbps,
+                             std::uint64_t seed, Serve serve)
     : context(context)
     , acceptor(context)
+    , membership(membership)
     , admission(maximumConcurrentPulls, seed)
+    , tableAdmission(linkMbps, seed + 1)
     , serve(std::move(serve))
 {
 }
@@ -82,25 +89,15 @@
     ++this->connections;
     FramedConnectionHooks hooks;
     hooks.onFrame = [this, session](FrameType type, std::span<const char> payload) {
-        const Result<PullRequest> request =
-            decode<PullRequest>(payload, "read pull request", session->connection->peerName());
-        if (type != FrameType::PullRequest || !request || session->admitted) {
-            ++this->counts.malformed;
-            session->connection->close(
-                makeError(ErrorKind::InvalidInput, "read pull request", "", "not a pull request"));
+        const Result<void> handled = this->handleFrame(*session, type, payload);
+        if (handled)
             return;
-        }
-        this->answer(*session, request.value());
-    };
-    hooks.onClosed = [this, session](const Error &) {
-        session->timer.cancel();
-        --this->connections;
-        if (session->admitted)
-            this->admission.end();
-        this->counts.servedBytes += session->connection->bytesSent();
+        ++this->counts.malformed;
+        session->connection->close(handled.error());
     };
+    hooks.onClosed = [this, session](const Error &) { this->endSession(*session); };
     session->connection =
-        std::make_shared<FramedConnection>(std::move(socket), maximumPullRequestSize, std::move(hooks));
+        std::make_shared<FramedConnection>(std::move(socket), maximumTableBatchBytes, std::move(hooks));
     session->timer.expires_after(connectionTimeout);
     const std::weak_ptr<FramedConnection> connection = session->connection;
     session->timer.async_wait([connection](const boost::system::error_code &error) {
@@ -112,6 +109,66 @@
     session->connection->start();
 }
 
+void ControlServer::endSession(Session &session)
+{
+    session.timer.cancel();
+    --this->connections;
+    if (session.admitted) {
+        this->admission.end();
+        this->counts.servedBytes += session.connection->bytesSent();
+    }
+    if (session.tables)
+        this->tableAdmission.end();
+}
+
+Result<void> ControlServer::handleFrame(Session &session, FrameType type, std::span<const char> payload)
+{
+    if (type == FrameType::PullRequest && !session.admitted && !session.tables)
+        return this->handlePull(session, payload);
+    if (type == FrameType::TableBatch && !session.admitted)
+        return this->handleTableBatch(session, payload);
+    return makeError(ErrorKind::InvalidInput, "serve control port", session.connection->peerName(),
+                     "unexpected frame");
+}
+
+Result<void> ControlServer::handlePull(Session &session, std::span<const char> payload)
+{
+    const std::string &peer = session.connection->peerName();
+    if (payload.size() > maximumPullRequestSize)
+        return makeError(ErrorKind::TooLarge, "read pull request", peer, "the request is too long");
+    this->answer(session, TRY(decode<PullRequest>(payload, "read pull request", peer)));
+    return success();
+}
+
+Result<void> ControlServer::handleTableBatch(Session &session, std::span<const char> payload)
+{
+    const TableBatch part =
+        TRY(decode<TableBatch>(payload, "exchange tables", session.connection->peerName()));
+    const Instant now = SteadyClock::now();
+    if (!session.tables && !this->tableAdmission.begin(now)) {
+        ++this->counts.tablesRefused;
+        const auto wait = static_cast<std::uint32_t>(this->tableAdmission.retryAfter().count());
+        this->sendTableBatch(session, {{}, true, wait});
+        return success();
+    }
+    if (!session.tables) {
+        ++this->counts.tablesServed;
+        session.tables.emplace(this->membership);
+    }
+    const std::vector<TableBatch> answer = TRY(session.tables->receive(now, part));
+    for (const TableBatch &next : answer)
+        this->sendTableBatch(session, next);
+    return success();
+}
+
+void ControlServer::sendTableBatch(Session &session, const TableBatch &part)
+{
+    Bytes frame = encodeFrame(FrameType::TableBatch, part);
+    this->tableAdmission.sent(frame.size());
+    this->counts.tableBytesSent += frame.size();
+    session.connection->send(std::move(frame));
+}
+
 void ControlServer::answer(Session &session, const PullRequest &request)
 {
     PullResponse response;
--- a/Services/Node/NodeHooks.cpp
+++ b/Services/Node/NodeHooks.cpp
@@ -81,6 +81,9 @@
     };
     hooks.failed = [this](const Error &error) { this->nodeLog.controlFailed(error); };
     hooks.sourceFailed = [this](const SourceFailure &failure) { this->nodeLog.sourceFailed(failure); };
+    hooks.tableExchanged = [this](const Member &partner, const Result<std::size_t> &records) {
+        this->nodeLog.tableExchanged(partner, records);
+    };
     hooks.introducerUnknown = [this](const std::string &address) {
         this->nodeLog.introducerUnknown(address);
     };
--- a/Services/Node/NodeLog.cpp
+++ b/Services/Node/NodeLog.cpp
@@ -118,6 +118,18 @@
         this->loggedStates.erase(entry);
 }
 
+// Exchanges that found nothing to give are not logged.
+void NodeLog::tableExchanged(const Member &partner, const Result<std::size_t> &records)
+{
+    if (!records)
+        this->log.write(
+            EventId::TableExchangeFailed,
+            {{"peer", partner.id}, {"step", records.error().step}, {"message", records.error().message}});
+    else if (records.value() > 0)
+        this->log.write(EventId::TableExchanged,
+                        {{"peer", partner.id}, {"zone", partner.zone}, {"records", records.value()}});
+}
+
 void NodeLog::introducerUnknown(const std::string &gossipAddress)
 {
     this->log.write(EventId::MemberUnmet, {{"peer", gossipAddress}});
--- a/Services/Node/NodeLog.h
+++ b/Services/Node/NodeLog.h
@@ -31,6 +31,7 @@
     void storeRestored(const EraChange &rise);
     void storeEraDoubted(const Error &error);
     void memberChanged(const Member &member);
+    void tableExchanged(const Member &partner, const Result<std::size_t> &records);
     void introducerUnknown(const std::string &gossipAddress);
     void announcementRefused(const Error &error);
     void upstreamRecalled(const PersistedUpstream &upstream);
--- a/Tests/LibMembership/FakeNetwork.h
+++ b/Tests/LibMembership/FakeNetwork.h
@@ -2,7 +2,7 @@
 // time. All randomness comes from one seed, so runs are reproducible.
 #pragma once
 
-#include <LibMembership/Membership.h>
+#include <LibMembership/TableStream.h>
 
 #include <array>
 #include <functional>
@@ -34,7 +34,8 @@
         std::size_t regions = 1;
         std::uint64_t seed = 1;
         double loss = 0;
-        bool seeded = true; // All nodes run from the start, and the first three are the seeds of all.
+        bool seeded = true;         // All nodes run from the start, and the first three are the seeds of all.
+        bool tableExchange = false; // Nodes exchange tables over streams.
     };
 
     static constexpr Duration step = Milliseconds(50);
@@ -43,6 +44,7 @@
         : settings(std::move(settings))
         , loss(shape.loss)
         , random(shape.seed)
+        , tableExchange(shape.tableExchange)
     {
         if (shape.seeded)
             this->settings.seeds = {addressOf(0), addressOf(1), addressOf(2)};
@@ -77,6 +79,13 @@
         hooks.reportReceived = [this, index](const std::string &, const std::string &report) {
             this->nodes[index].reports.push_back(report);
         };
+        if (this->tableExchange) {
+            hooks.exchangeTables = [this, index](const Member &partner) {
+                const auto duration = std::chrono::duration_cast<Duration>(exchangeDuration);
+                this->exchanges.push_back({this->now + duration, index, indexOf(partner.gossipAddress)});
+            };
+            hooks.zoneRank = [this, index] { return this->zoneRank(index); };
+        }
         this->nodes[index].membership =
             std::make_unique<Membership>(this->settings, self, std::move(hooks), this->random());
         this->nodes[index].running = true;
@@ -135,10 +144,24 @@
     // Whether all packets from the first node to the second are dropped.
     std::function<bool(std::size_t from, std::size_t to)> cut;
     std::mt19937_64 random;
+    // Bytes of table exchanges, both ways.
+    std::uint64_t exchangedBytes = 0;
+    std::uint64_t crossZoneExchangedBytes = 0;
+    std::uint64_t exchangeCount = 0;
     // Bytes sent between zones, by DatagramKind; includes IP and UDP headers.
     std::array<std::uint64_t, 8> crossZoneBytes{};
 
 private:
+    // Four batches, with the time that a table of 1,000 members takes on a link of 10 Mbit/s.
+    static constexpr Duration exchangeDuration = Milliseconds(100);
+
+    struct Exchange
+    {
+        Instant due;
+        std::size_t from;
+        std::size_t to;
+    };
+
     struct Packet
     {
         Instant due;
@@ -155,7 +178,7 @@
 
     void send(std::size_t from, const std::string &address, const std::string &bytes)
     {
-        const std::size_t to = std::stoul(address.substr(address.rfind(':') + 1)) - 10000;
+        const std::size_t to = indexOf(address);
         if (to < this->nodes.size() && this->zones[from] != this->zones[to])
             this->crossZoneBytes[static_cast<std::size_t>(decodeDatagram(bytes, "").value().kind)] +=
                 bytes.size() + datagramOverheadBytes;
@@ -169,6 +192,69 @@
         this->packets.push({this->now + delay, ++this->order, from, to, bytes});
     }
 
+    static std::size_t indexOf(const std::string &address)
+    {
+        return std::stoul(address.substr(address.rfind(':') + 1)) - 10000;
+    }
+
+    std::uint32_t zoneRank(std::size_t index) const
+    {
+        const Membership &own = *this->nodes[index].membership;
+        std::uint32_t rank = 0;
+        for (const std::uint64_t peer : own.members().zonePeers())
+            rank += own.members().find(peer)->member.id < own.self().id ? 1 : 0;
+        return rank;
+    }
+
+    void runExchange(const Exchange &exchange)
+    {
+        FakeNode &asking = this->nodes[exchange.from];
+        FakeNode &serving = this->nodes[exchange.to];
+        if (!asking.running || !asking.membership)
+            return;
+        const bool reachable = serving.running && !serving.paused && !asking.paused
+                               && !(this->cut && this->cut(exchange.from, exchange.to));
+        if (!reachable)
+            return asking.membership->tableExchangeEnded(this->now, false, 0);
+        TableStream client(*asking.membership);
+        TableStream server(*serving.membership);
+        std::vector<TableBatch> parts{client.open()};
+        for (bool fromClient = true; !parts.empty() && !client.isComplete(); fromClient = !fromClient) {
+            std::vector<TableBatch> answers;
+            for (const TableBatch &part : parts) {
+                this->countExchanged(exchange, part);
+                const Result<std::vector<TableBatch>> received =
+                    (fromClient ? server : client).receive(this->now, part);
+                answers.insert(answers.end(), received.value().begin(), received.value().end());
+            }
+            parts = std::move(answers);
+        }
+        asking.membership->tableExchangeEnded(this->now, true, client.recordsExchanged());
+    }
+
+    void countExchanged(const Exchange &exchange, const TableBatch &part)
+    {
+        std::uint64_t bytes = 0;
+        for (const std::string &datagram : part.datagrams)
+            bytes += datagram.size();
+        this->exchangedBytes += bytes;
+        if (this->zones[exchange.from] != this->zones[exchange.to])
+            this->crossZoneExchangedBytes += bytes;
+    }
+
+    void runDueExchanges()
+    {
+        std::vector<Exchange> due;
+        std::erase_if(this->exchanges, [&](const Exchange &exchange) {
+            if (exchange.due <= this->now)
+                due.push_back(exchange);
+            return exchange.due <= this->now;
+        });
+        this->exchangeCount += due.size();
+        for (const Exchange &exchange : due)
+            this->runExchange(exchange);
+    }
+
     // Packets to a paused node wait, as in its socket buffer, until it resumes.
     void deliver(const Packet &packet)
     {
@@ -197,6 +283,7 @@
             this->deliver(packet);
         }
         this->now = end;
+        this->runDueExchanges();
         for (FakeNode &node : this->nodes) {
             if (node.running && !node.paused)
                 node.membership->tick(this->now);
@@ -206,6 +293,8 @@
     std::uint64_t order = 0;
     std::priority_queue<Packet, std::vector<Packet>, std::greater<>> packets;
     std::vector<Packet> buffered;
+    std::vector<Exchange> exchanges; // Not ended yet.
+    bool tableExchange;
 };
 
 } // namespace Sagecrank::Testing
