LibSpread, LibMembership: Read the version sooner when a whole zone starts

Cause: after a power loss of all hosts, nobody holds a version that a peer could give.

Change: a node that ranks first among the peers that it knows, none of which has named a version, reads it at once. Exchanges follow each other after 80 ms.

--- a/Libraries/LibMembership/TableExchangePlan.h
+++ b/Libraries/LibMembership/TableExchangePlan.h
@@ -22,7 +22,7 @@
 struct TableExchangeSettings
 {
     // Between two exchanges of a node that still learns or passes on records.
-    Duration roundPause = Milliseconds(150);
+    Duration roundPause = Milliseconds(80);
     // After an exchange that failed or was rejected.
     Duration retryPause = Milliseconds(250);
     // Nodes of each zone that exchange with the other zones. Two, so that the loss of one delays nothing.
--- a/Libraries/LibSpread/HeadPoll.cpp
+++ b/Libraries/LibSpread/HeadPoll.cpp
@@ -52,14 +52,18 @@
 }
 
 // The first reads of a fleet that starts come from its introducers, whose answers to joining nodes name the
-// version. The others pull it from peers; until a node knows its zone, it cannot tell whether it is a fast
-// poller.
+// version, and from nodes that rank first among the few that they know. The others pull from those; until a
+// node knows its zone, it cannot tell whether it is a fast poller.
 bool HeadPoll::leavesReadToPeers(Instant now, const HeadPoller &self)
 {
     constexpr Duration checkInterval = Milliseconds(50);
     if (!this->waitsForPeers || std::exchange(this->readsFirst, false))
         return false;
-    if (now < this->peersFirstUntil && !(self.knowsZone && this->isFast(self))) {
+    if (now < this->peersFirstUntil) {
+        // When all nodes of a zone start together, none of them has a version to give.
+        const bool isFirstWithoutVersion = self.knowsPeers && !self.knowsVersion && self.rank == 0;
+        if (isFirstWithoutVersion || (self.knowsZone && this->isFast(self)))
+            return false;
         this->nextAt = now + checkInterval;
         return true;
     }
--- a/Tests/LibSpread/TestHeadPoll.cpp
+++ b/Tests/LibSpread/TestHeadPoll.cpp
@@ -304,6 +304,7 @@
 const FirstReadRow firstReadRows[] = {
     {"a watcher of a zone that it knows", {0, true, true, false}, false, {}, Milliseconds(100)},
     {"an introducer that knows nobody", {0, false, false, false}, true, {}, Milliseconds(100)},
+    {"first of those that it knows, which have none", {0, true, false, false}, false, {}, Milliseconds(100)},
     {"no version heard of", {7, true, false, false}, false, Milliseconds(500), Milliseconds(1600)},
     {"alone in its zone", {0, true, false, true}, false, Milliseconds(500), Milliseconds(1600)},
     {"a version heard of", {7, true, true, true}, false, seconds(30), seconds(92)},
