LibMembership: Learn from a table exchange which version the partner holds

Cause: a node that had heard of a version waited for a datagram of a peer that held it, while exchanges of tables with such peers went on.

Change: datagrams in a stream name the sender's version like others do.

--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -198,10 +198,7 @@
         this->requestRecords(now, from, {senderHash});
         return;
     }
-    const std::uint64_t previousVersion = record->member.configurationVersion;
-    this->table.setHeldVersion(senderHash, datagram.heldVersion);
-    if (datagram.heldVersion > previousVersion && this->hooks.heldVersionAdvanced)
-        this->hooks.heldVersionAdvanced(record->member);
+    this->noteHeldVersion(*record, datagram.heldVersion);
     // The sender is alive but recorded as suspect or dead: tell it, since only it can refute that.
     const bool needsRefutation =
         record->member.state == MemberState::Suspect || record->member.state == MemberState::Dead;
@@ -212,6 +209,14 @@
     }
 }
 
+void Membership::noteHeldVersion(const MemberRecord &record, std::uint64_t version)
+{
+    const std::uint64_t previousVersion = record.member.configurationVersion;
+    this->table.setHeldVersion(record.idHash, version);
+    if (version > previousVersion && this->hooks.heldVersionAdvanced)
+        this->hooks.heldVersionAdvanced(record.member);
+}
+
 void Membership::applyChanges(Instant now, const std::string &from, const Datagram &datagram)
 {
     const bool isSyncAnswer = datagram.kind == DatagramKind::Gossip && datagram.sequence != 0;
--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -209,6 +209,7 @@
     // Receiving (Membership.cpp).
     void handle(Instant now, const std::string &from, const Datagram &datagram);
     void noteSender(Instant now, const std::string &from, const Datagram &datagram);
+    void noteHeldVersion(const MemberRecord &record, std::uint64_t version);
     void applyChanges(Instant now, const std::string &from, const Datagram &datagram);
     void mergeRecords(Instant now, const std::vector<Member> &members, bool fromSync);
     // Returns whether the record is this node's own; refutes it if it contradicts the local one.
--- a/Libraries/LibMembership/MembershipExchange.cpp
+++ b/Libraries/LibMembership/MembershipExchange.cpp
@@ -81,6 +81,9 @@
     this->heardFromPeer = true;
     this->noteHead(datagram.head);
     this->noteStoreEra(datagram.storeEra);
+    const MemberRecord *sender = this->table.find(datagram.sender);
+    if (sender != nullptr && sender->member.incarnation == datagram.senderIncarnation)
+        this->noteHeldVersion(*sender, datagram.heldVersion);
     switch (datagram.kind) {
     case DatagramKind::SyncDigest:
         this->answerStreamedDigest(datagram, answer);
--- a/Tests/LibMembership/TestTableExchange.cpp
+++ b/Tests/LibMembership/TestTableExchange.cpp
@@ -109,6 +109,22 @@
     cr_assert(informed >= 975, "%zu of 983 heard of it", informed);
 }
 
+// Guards against a node that knows of a version and of no peer to pull it from: the streams that it exchanges
+// tables over name the version that the partner holds, like datagrams do.
+Test(tableExchange, partnerIsKnownAsHolder)
+{
+    FakeNetwork network({2, 1, 1, 1, 0, true, false});
+    network.run(std::chrono::seconds(1));
+    Membership &holder = *network.nodes[0].membership;
+    Membership &other = *network.nodes[1].membership;
+    holder.setConfiguration(7, {7, 1, 2});
+    TableStream stream(holder);
+    TableStream serving(other);
+    cr_assert(serving.receive(network.now, stream.open()).has_value());
+    cr_assert(other.head().version == 7);
+    cr_assert(other.members().find(FakeNetwork::idOf(0))->member.configurationVersion == 7);
+}
+
 namespace {
 
 struct HostileRow
