--- a/Libraries/LibMembership/Membership.h
+++ b/Libraries/LibMembership/Membership.h
@@ -121,6 +121,7 @@
 struct TableAnswer
 {
     std::vector<std::string> datagrams;
+    std::size_t entriesSent = 0;
     std::size_t recordsSent = 0;
     std::size_t recordsReceived = 0;
 };
@@ -155,7 +156,8 @@
     void sendReport(const std::string &memberId, const std::string &report);
     // Table exchanges over streams; see TableStream.
     std::string openTableExchange(); // Returns the datagram that opens one.
-    // Error: InvalidInput unless it is a datagram of the sync protocol.
+    // Merges one datagram of a stream and answers it, whatever the budgets of datagrams hold. Error:
+    // InvalidInput unless it is a datagram of the sync protocol.
     Result<TableAnswer> receiveStreamed(Instant now, std::string_view bytes);
     void tableExchangeEnded(Instant now, bool succeeded, std::size_t records);
     void leave(Instant now); // Announces the departure; keep calling tick() until leaveComplete().
--- a/Libraries/LibMembership/MembershipExchange.cpp
+++ b/Libraries/LibMembership/MembershipExchange.cpp
@@ -2,7 +2,6 @@
 #include <LibMembership/Membership.h>
 
 #include <algorithm>
-#include <set>
 
 namespace Sagecrank {
 
@@ -134,6 +133,7 @@
         entries.buckets.push_back(index);
         for (const MemberRecord *record : bucket)
             entries.entries.push_back({record->idHash, record->member.incarnation, record->member.state});
+        answer.entriesSent += bucket.size();
     }
     if (!entries.buckets.empty())
         answer.datagrams.push_back(encodeDatagram(entries));
--- a/Libraries/LibMembership/TableStream.cpp
+++ b/Libraries/LibMembership/TableStream.cpp
@@ -1,6 +1,7 @@
 // Batches of a table exchange.
 #include <LibMembership/TableStream.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Sagecrank {
@@ -49,13 +50,14 @@
     return splitIntoParts(std::exchange(this->pending, {}));
 }
 
-// A peer that repeats its requests gets no more than this table holds.
+// A peer that repeats its digest or its requests gets no more than this table holds.
 Result<void> TableStream::receiveDatagram(Instant now, const std::string &bytes)
 {
     TableAnswer answer = TRY(this->membership.receiveStreamed(now, bytes));
     this->recordsReceived += answer.recordsReceived;
     this->recordsSent += answer.recordsSent;
-    if (this->recordsSent > this->membership.members().size())
+    this->entriesSent += answer.entriesSent;
+    if (std::max(this->recordsSent, this->entriesSent) > this->membership.members().size())
         return makeError(ErrorKind::InvalidInput, "exchange tables", "", "asks for more than a whole table");
     for (std::string &datagram : answer.datagrams)
         this->pending.push_back(std::move(datagram));
--- a/Libraries/LibMembership/TableStream.h
+++ b/Libraries/LibMembership/TableStream.h
@@ -63,6 +63,7 @@
     std::vector<std::string> pending; // Answers to the parts of the batch that is being received.
     std::size_t batchesReceived = 0;
     bool lastAnswerIsEmpty = false;
+    std::size_t entriesSent = 0; // Like the records sent, at most as many as the table holds.
     std::size_t recordsSent = 0;
     std::size_t recordsReceived = 0;
 };
--- a/Tests/LibMembership/TestTableExchange.cpp
+++ b/Tests/LibMembership/TestTableExchange.cpp
@@ -150,11 +150,21 @@
     return encodeDatagram(datagram);
 }
 
+std::string differingDigest()
+{
+    Datagram datagram;
+    datagram.kind = DatagramKind::SyncDigest;
+    datagram.sender = "n1";
+    datagram.bucketHashes.assign(bucketCount, 1);
+    return encodeDatagram(datagram);
+}
+
 const HostileRow hostileRows[] = {
     {"bytes that are no datagram", {{std::string(40, 'x')}, true, 0}},
     {"an empty datagram", {{std::string()}, true, 0}},
     {"a datagram that does not belong to a stream", {{encodedPing()}, true, 0}},
     {"a truncated datagram", {{requestOf("n0").substr(0, 60)}, true, 0}},
+    {"repeated digests", {{differingDigest(), differingDigest()}, true, 0}},
     {"repeated requests for the same record", {{requestOf("n0"), requestOf("n0")}, true, 0}},
 };
 
