Node, LibMembership: Share what the clients of the control port do alike

Cause: the client of table exchanges repeated the time limit, the connect and the result reported once of the client of pulls; the limits of datagrams stood in up to four files each, once as a bare 255; a member's zone was compared twice when the peer lists were rebuilt. Found by reading the change again.

Change: both clients use PeerRequest; the limits stand in DatagramLimits.h; each member's zone is compared once. Behaviour is the same.

--- a/Libraries/LibMembership/Dissemination.cpp
+++ b/Libraries/LibMembership/Dissemination.cpp
@@ -1,6 +1,8 @@
 // Selects the changes for the next datagram.
 #include <LibMembership/Dissemination.h>
 
+#include <LibMembership/DatagramLimits.h>
+
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -17,7 +19,6 @@
 constexpr std::uint32_t backlogTransmissions = 4;
 constexpr std::uint32_t backlogFullRecordTransmissions = 1; // A full record costs four times as much.
 constexpr std::size_t backlogThreshold = 64;
-constexpr std::size_t maximumListLength = 255; // Lists have a one-byte length.
 
 } // namespace
 
--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -269,11 +269,14 @@
             continue;
         if (record.member.state == MemberState::Dead)
             this->deadMemberHashes.push_back(idHash);
-        else if (isPresent(record.member.state))
-            (record.member.zone == this->zone ? this->zonePeerHashes : this->otherZonePeerHashes)
-                .push_back(idHash);
-        if (isPresent(record.member.state) && record.member.zone != this->zone)
-            zones.insert(record.member.zone);
+        if (!isPresent(record.member.state))
+            continue;
+        if (record.member.zone == this->zone) {
+            this->zonePeerHashes.push_back(idHash);
+            continue;
+        }
+        this->otherZonePeerHashes.push_back(idHash);
+        zones.insert(record.member.zone);
     }
     this->otherZoneNames.assign(zones.begin(), zones.end());
 }
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -1,6 +1,8 @@
 // Commands, receiving and sending of Membership.
 #include <LibMembership/Membership.h>
 
+#include <LibMembership/DatagramLimits.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -504,13 +506,12 @@
 
 void Membership::sendWithChanges(const std::string &address, bool ownZone, Datagram datagram)
 {
-    constexpr std::size_t headerBytes = 200; // More than an empty datagram with the longest possible texts.
     constexpr std::size_t minimumBytes = 200;
     const double available = this->budget.available();
     const double spendable =
         std::max(0.0, ownZone ? available : std::min(available, this->crossZoneBudget.available()));
-    const std::size_t availableBytes =
-        std::min<std::size_t>(maximumDatagramBytes - headerBytes, static_cast<std::size_t>(spendable));
+    const std::size_t availableBytes = std::min<std::size_t>(maximumDatagramBytes - reservedHeaderBytes,
+                                                             static_cast<std::size_t>(spendable));
     if (availableBytes >= minimumBytes) {
         const std::size_t bulletinBytes =
             this->bulletinTable.fill(this->lastTick, datagram, availableBytes / 2, this->transmissionLimit());
--- a/Libraries/LibMembership/MembershipExchange.cpp
+++ b/Libraries/LibMembership/MembershipExchange.cpp
@@ -1,18 +1,12 @@
 // Table exchanges of Membership: the datagrams of the sync protocol, answered without the limits of UDP.
 #include <LibMembership/Membership.h>
 
+#include <LibMembership/DatagramLimits.h>
+
 #include <algorithm>
 
 namespace Sagecrank {
 
-namespace {
-
-constexpr std::size_t maximumListLength = 255; // Lists have a one-byte length.
-constexpr std::size_t headerBytes = 200;       // More than an empty datagram with the longest texts.
-constexpr std::size_t maximumWanted = 100;
-
-} // namespace
-
 std::string Membership::openTableExchange()
 {
     return encodeDatagram(this->makeSyncDigest());
@@ -111,7 +105,7 @@
         return;
     std::vector<const MemberRecord *> missing;
     Datagram entries = this->makeDatagram(DatagramKind::SyncEntries, digest.sequence);
-    std::size_t used = headerBytes;
+    std::size_t used = reservedHeaderBytes;
     for (std::size_t i = 0; i < bucketCount; ++i) {
         if (this->table.bucketHashes()[i] == digest.bucketHashes[i])
             continue;
@@ -127,7 +121,7 @@
             || entries.entries.size() + bucket.size() > maximumListLength) {
             answer.datagrams.push_back(encodeDatagram(entries));
             entries = this->makeDatagram(DatagramKind::SyncEntries, digest.sequence);
-            used = headerBytes;
+            used = reservedHeaderBytes;
         }
         used += size;
         entries.buckets.push_back(index);
--- a/Libraries/LibMembership/MembershipSync.cpp
+++ b/Libraries/LibMembership/MembershipSync.cpp
@@ -1,6 +1,8 @@
 // Gossip, joining and anti-entropy sync of Membership.
 #include <LibMembership/Membership.h>
 
+#include <LibMembership/DatagramLimits.h>
+
 #include <algorithm>
 
 namespace Sagecrank {
@@ -27,7 +29,6 @@
 // would get those at its next regular sync, and views would be complete only after 11 s. Ten seconds of
 // faster syncs cost 13 KB.
 constexpr std::uint32_t catchUpRoundsAfterJoin = 12;
-constexpr std::size_t maximumWanted = 100;
 constexpr Duration recordRequestInterval = Milliseconds(1000);
 // Share of the budget that syncs leave to probes and changes.
 constexpr double syncReserve = 0.3;
@@ -280,8 +281,7 @@
         return this->transmit(from, this->makeDatagram(DatagramKind::SyncEntries, datagram.sequence));
     std::shuffle(differing.begin(), differing.end(), this->random);
     Datagram reply = this->makeDatagram(DatagramKind::SyncEntries, datagram.sequence);
-    constexpr std::size_t headerBytes = 200;
-    std::size_t used = headerBytes;
+    std::size_t used = reservedHeaderBytes;
     for (const std::uint8_t index : differing) {
         const std::vector<const MemberRecord *> bucket = this->table.bucket(index);
         // The sender's bucket is empty: sending the records at once saves a round trip.
@@ -293,7 +293,7 @@
             continue;
         }
         const std::size_t size = bucket.size() * encodedEntrySize + 1;
-        if (used + size > maximumDatagramBytes || reply.entries.size() + bucket.size() > 255)
+        if (used + size > maximumDatagramBytes || reply.entries.size() + bucket.size() > maximumListLength)
             continue;
         used += size;
         reply.buckets.push_back(index);
@@ -397,13 +397,12 @@
 
 void Membership::sendBulletins(const std::string &address, bool ownZone)
 {
-    constexpr std::size_t headerBytes = 200;
     std::vector<Bulletin> current = this->bulletins();
     if (current.empty() || !this->hasBudget(syncReserve, ownZone))
         return;
     std::shuffle(current.begin(), current.end(), this->random);
     Datagram datagram = this->makeDatagram(DatagramKind::Gossip);
-    std::size_t used = headerBytes;
+    std::size_t used = reservedHeaderBytes;
     for (Bulletin &bulletin : current) {
         used += encodedSize(bulletin);
         if (used > maximumDatagramBytes)
@@ -429,9 +428,8 @@
 // A nonzero sequence marks a sync answer, which makes the receiver catch up.
 Datagram Membership::fillRecords(const std::vector<const MemberRecord *> &records, std::size_t &next) const
 {
-    constexpr std::size_t headerBytes = 200;
     Datagram answer = this->makeDatagram(DatagramKind::Gossip, 1);
-    std::size_t used = headerBytes;
+    std::size_t used = reservedHeaderBytes;
     while (next < records.size()) {
         const std::size_t size = encodedSize(records[next]->member);
         if (used + size > maximumDatagramBytes)
--- a/Services/Node/Control/ControlClient.cpp
+++ b/Services/Node/Control/ControlClient.cpp
@@ -1,38 +1,14 @@
 // Pulls a configuration over a connection of its own: one request, one response.
 #include "ControlClient.h"
 
-#include <LibNet/FramedConnection.h>
-
-#include <boost/asio/steady_timer.hpp>
+#include "PeerRequest.h"
 
 namespace Sagecrank {
 
 namespace {
 
-struct Pull
-{
-    std::shared_ptr<FramedConnection> connection;
-    boost::asio::steady_timer timer;
-    std::function<void(Result<PullResult>)> done; // Empty once called.
-
-    explicit Pull(boost::asio::io_context &context)
-        : timer(context)
-    {
-    }
-
-    void finish(Result<PullResult> result)
-    {
-        if (!this->done)
-            return;
-        const auto callback = std::move(this->done);
-        this->done = nullptr;
-        this->timer.cancel();
-        callback(std::move(result));
-    }
-};
+using Pull = PeerRequest<PullResult>;
 
-// A peer may stop responding without closing the connection. The timer then ends the pull, so that the node
-// tries another peer instead of waiting forever with an outdated configuration.
 void sendRequest(const std::shared_ptr<Pull> &pull, boost::asio::ip::tcp::socket socket,
                  const PullRequest &request)
 {
@@ -63,23 +39,10 @@
 {
     auto pull = std::make_shared<Pull>(context);
     pull->done = std::move(done);
-    pull->timer.expires_after(pullTimeout);
-    pull->timer.async_wait([pull, address](const boost::system::error_code &error) {
-        if (error)
-            return;
-        pull->finish(makeError(ErrorKind::Timeout, "pull configuration", address, "no answer in time"));
-        if (pull->connection)
-            pull->connection->close(
-                makeError(ErrorKind::Timeout, "pull configuration", "", "no answer in time"));
-    });
-    connectFramed(context, address, pullTimeout,
-                  [pull, request](Result<boost::asio::ip::tcp::socket> socket) {
-                      if (!pull->done)
-                          return;
-                      if (!socket)
-                          return pull->finish(std::move(socket).assume_error());
-                      sendRequest(pull, std::move(socket).assume_value(), request);
-                  });
+    startPeerRequest(context, pull, address, "pull configuration", {pullTimeout, pullTimeout},
+                     [pull, request](boost::asio::ip::tcp::socket socket) {
+                         sendRequest(pull, std::move(socket), request);
+                     });
 }
 
 } // namespace Sagecrank
--- a/Services/Node/Control/TableExchangeClient.cpp
+++ b/Services/Node/Control/TableExchangeClient.cpp
@@ -1,37 +1,22 @@
 // Sends and receives the batches of one table exchange.
 #include "TableExchangeClient.h"
 
-#include <LibNet/FramedConnection.h>
-
-#include <boost/asio/steady_timer.hpp>
+#include "PeerRequest.h"
 
 namespace Sagecrank {
 
 namespace {
 
-struct Exchange
+struct Exchange : PeerRequest<std::size_t>
 {
-    std::shared_ptr<FramedConnection> connection;
-    boost::asio::steady_timer timer;
     TableStream stream;
-    std::function<void(Result<std::size_t>)> done; // Empty once called.
 
     Exchange(boost::asio::io_context &context, Membership &membership)
-        : timer(context)
+        : PeerRequest(context)
         , stream(membership)
     {
     }
 
-    void finish(Result<std::size_t> result)
-    {
-        if (!this->done)
-            return;
-        const auto callback = std::move(this->done);
-        this->done = nullptr;
-        this->timer.cancel();
-        callback(std::move(result));
-    }
-
     // Error: whatever ends the exchange without a complete answer.
     Result<void> receive(FrameType type, std::span<const char> payload)
     {
@@ -76,23 +61,9 @@
 {
     const auto exchange = std::make_shared<Exchange>(context, membership);
     exchange->done = std::move(done);
-    exchange->timer.expires_after(tableExchangeTimeout);
-    exchange->timer.async_wait([exchange, address](const boost::system::error_code &error) {
-        if (error)
-            return;
-        const Error timeout = makeError(ErrorKind::Timeout, "exchange tables", address, "no answer in time");
-        exchange->finish(timeout);
-        if (exchange->connection)
-            exchange->connection->close(timeout);
-    });
-    connectFramed(context, address, tableConnectTimeout,
-                  [exchange](Result<boost::asio::ip::tcp::socket> socket) {
-                      if (!exchange->done)
-                          return;
-                      if (!socket)
-                          return exchange->finish(std::move(socket).assume_error());
-                      begin(exchange, std::move(socket).assume_value());
-                  });
+    startPeerRequest(context, exchange, address, "exchange tables",
+                     {tableConnectTimeout, tableExchangeTimeout},
+                     [exchange](boost::asio::ip::tcp::socket socket) { begin(exchange, std::move(socket)); });
 }
 
 } // namespace Sagecrank
