LibNet, Node: Log on which connection an upstream answered

A server that runs what it rejects, a gate that reports one rejection twice and a late copy of the first rejection on the same connection all leave the same lines.

The connections of the HTTP client move to a pool of their own and are numbered; a response carries the number, its place on the connection and how many responses to other requests came before it, and 4013 states them.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -1,16 +1,12 @@
 // Implements the HTTP/1.1 client on Boost.Beast.
 #include <LibNet/FramedConnection.h>
 #include <LibNet/HttpClient.h>
-#include <LibNet/HttpWire.h>
+#include <LibNet/HttpConnectionPool.h>
 
 #include <boost/asio/post.hpp>
 
-#include <sys/socket.h>
-
 #include <algorithm>
-#include <deque>
 #include <optional>
-#include <unordered_map>
 
 namespace Sagecrank {
 
@@ -18,84 +14,20 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
-struct HttpClient::Pool
-{
-    struct IdleConnection
-    {
-        std::unique_ptr<HttpStream> stream;
-        Instant expiresAt;
-    };
-
-    Pool(boost::asio::io_context &context, HttpClientSettings settings)
-        : context(context)
-        , settings(settings)
-    {
-    }
-
-    std::unique_ptr<HttpStream> acquire(const std::string &address);
-    bool hasUsable(const std::string &address) const;
-    void release(const std::string &address, std::unique_ptr<HttpStream> stream, Duration idleTimeout);
-
-    boost::asio::io_context &context;
-    HttpClientSettings settings;
-    std::unordered_map<std::string, std::deque<IdleConnection>> idle; // Newest at the back.
-};
-
 namespace {
 
 // Responses to other requests that are skipped before the connection is closed.
-constexpr int maximumStaleResponses = 3;
+constexpr std::uint32_t maximumStaleResponses = 3;
 
 // Covers two round trips and a delayed timer on a busy host.
 constexpr Duration idleExpiryMargin = Milliseconds(1000);
 
-// The server may close an idle connection at any time. A connection that has been closed, or that holds
-// unsolicited bytes, is not reused: a request sent on it would needlessly end with an unknown outcome.
-bool isUsable(HttpStream &stream)
-{
-    char byte = 0;
-    const ssize_t size = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 } // namespace
 
-std::unique_ptr<HttpStream> HttpClient::Pool::acquire(const std::string &address)
-{
-    const auto found = this->idle.find(address);
-    if (found == this->idle.end())
-        return nullptr;
-    const Instant now = SteadyClock::now();
-    while (!found->second.empty()) {
-        IdleConnection connection = std::move(found->second.back());
-        found->second.pop_back();
-        if (connection.expiresAt > now && isUsable(*connection.stream))
-            return std::move(connection.stream);
-    }
-    return nullptr;
-}
-
-bool HttpClient::Pool::hasUsable(const std::string &address) const
-{
-    const auto found = this->idle.find(address);
-    return found != this->idle.end()
-           && std::ranges::any_of(
-               found->second, [](const IdleConnection &connection) { return isUsable(*connection.stream); });
-}
-
-void HttpClient::Pool::release(const std::string &address, std::unique_ptr<HttpStream> stream,
-                               Duration idleTimeout)
-{
-    std::deque<IdleConnection> &connections = this->idle[address];
-    if (connections.size() >= this->settings.maximumIdleConnections)
-        connections.pop_front();
-    connections.push_back({std::move(stream), SteadyClock::now() + idleTimeout});
-}
-
 class HttpClientCall : public std::enable_shared_from_this<HttpClientCall>
 {
 public:
-    HttpClientCall(std::shared_ptr<HttpClient::Pool> pool, std::string address, HttpRequest request,
+    HttpClientCall(std::shared_ptr<HttpConnectionPool> pool, std::string address, HttpRequest request,
                    const std::string &correlationHeader, HttpClient::ResponseCallback done)
         : pool(std::move(pool))
         , address(std::move(address))
@@ -118,39 +50,41 @@
     void start(Duration timeout, ConnectionReuse connection)
     {
         if (connection == ConnectionReuse::Allowed)
-            this->stream = this->pool->acquire(this->address);
-        if (this->stream) {
-            this->stream->expires_after(timeout);
+            this->connection = this->pool->acquire(this->address);
+        if (this->connection) {
+            this->connection->stream.expires_after(timeout);
             return this->write();
         }
         const Result<tcp::endpoint> endpoint = parseTcpEndpoint(this->address);
         if (!endpoint)
             return this->failAsync(endpoint.error());
-        this->stream = std::make_unique<HttpStream>(this->pool->context);
-        this->stream->expires_after(timeout);
-        this->stream->async_connect(endpoint.value(),
-                                    [self = this->shared_from_this()](const beast::error_code &error) {
-                                        if (error)
-                                            return self->fail("connect", error);
-                                        beast::error_code ignored;
-                                        self->stream->socket().set_option(tcp::no_delay(true), ignored);
-                                        self->write();
-                                    });
+        this->connection = this->pool->makeConnection();
+        HttpStream &stream = this->connection->stream;
+        stream.expires_after(timeout);
+        stream.async_connect(endpoint.value(),
+                             [self = this->shared_from_this()](const beast::error_code &error) {
+                                 if (error)
+                                     return self->fail("connect", error);
+                                 beast::error_code ignored;
+                                 self->connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+                                 self->write();
+                             });
     }
 
     // Closing the connection notifies the server; the pending operation then fails and runs the callback.
     void cancel()
     {
-        if (this->stream && this->done)
-            this->stream->close();
+        if (this->connection && this->done)
+            this->connection->stream.close();
     }
 
 private:
     void write()
     {
         this->sent = true;
+        this->connection->recordRequest();
         this->header = headerBytes(this->message);
-        writeMessage(*this->stream, this->header, this->message,
+        writeMessage(this->connection->stream, this->header, this->message,
                      [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
                          if (error == beast::error::timeout || error == boost::asio::error::operation_aborted)
                              return self->fail("send request", error);
@@ -168,7 +102,7 @@
         this->parser->body_limit(this->pool->settings.maximumBodyBytes);
         if (this->message.method() == http::verb::head)
             this->parser->skip(true);
-        http::async_read(*this->stream, this->buffer, *this->parser,
+        http::async_read(this->connection->stream, this->buffer, *this->parser,
                          [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
                              if (error && self->writeError)
                                  return self->fail("send request", self->writeError);
@@ -194,9 +128,11 @@
         for (const auto &field : message)
             response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
         response.body = std::move(message.body());
-        this->stream->expires_never();
+        response.receivedOn = {this->connection->number, this->connection->requestCount(),
+                               this->staleResponses};
+        this->connection->stream.expires_never();
         if (message.keep_alive() && !endsWithConnection && this->buffer.size() == 0 && !this->writeError)
-            this->pool->release(this->address, std::move(this->stream), this->idleTimeoutFor(message));
+            this->pool->release(this->address, std::move(this->connection), this->idleTimeoutFor(message));
         const HttpClient::ResponseCallback callback = std::move(this->done);
         this->done = nullptr;
         callback(nullptr, std::move(response));
@@ -245,21 +181,21 @@
             return;
         const HttpClient::ResponseCallback callback = std::move(this->done);
         this->done = nullptr;
-        if (this->stream)
-            this->stream->close();
+        if (this->connection)
+            this->connection->stream.close();
         const HttpFailure failure{error, this->sent};
         callback(&failure, {});
     }
 
-    std::shared_ptr<HttpClient::Pool> pool;
+    std::shared_ptr<HttpConnectionPool> pool;
     std::string address;
     std::string correlationHeader;
     std::string correlationValue; // Empty when responses are not checked.
-    int staleResponses = 0;
+    std::uint32_t staleResponses = 0;
     HttpClient::ResponseCallback done; // Empty once it has been called.
     http::request<http::string_body> message;
     std::string header; // Of the message; alive while it is written.
-    std::unique_ptr<HttpStream> stream;
+    std::unique_ptr<HttpConnection> connection;
     beast::flat_buffer buffer;
     std::optional<http::response_parser<http::string_body>> parser;
     bool sent = false; // Set before the first byte may be sent.
@@ -273,7 +209,7 @@
 }
 
 HttpClient::HttpClient(boost::asio::io_context &context, HttpClientSettings settings)
-    : pool(std::make_shared<Pool>(context, settings))
+    : pool(std::make_shared<HttpConnectionPool>(context, settings))
 {
 }
 
@@ -297,19 +233,19 @@
         const Reachability found = reachable ? Reachability::Reachable : Reachability::Unknown;
         return boost::asio::post(this->pool->context, [done = std::move(done), found] { done(found); });
     }
-    auto stream =
-        std::make_shared<std::unique_ptr<HttpStream>>(std::make_unique<HttpStream>(this->pool->context));
-    HttpStream &connecting = **stream;
-    connecting.expires_after(timeout);
-    connecting.async_connect(endpoint.value(), [pool = this->pool, address, stream,
-                                                done = std::move(done)](const beast::error_code &error) {
+    auto connection = std::make_shared<std::unique_ptr<HttpConnection>>(this->pool->makeConnection());
+    HttpStream &stream = (*connection)->stream;
+    stream.expires_after(timeout);
+    stream.async_connect(endpoint.value(), [pool = this->pool, address, connection,
+                                            done = std::move(done)](const beast::error_code &error) {
         if (error)
             return done(error == boost::asio::error::connection_refused ? Reachability::Refused
                                                                         : Reachability::Unknown);
+        HttpStream &connected = (*connection)->stream;
         beast::error_code ignored;
-        (*stream)->socket().set_option(tcp::no_delay(true), ignored);
-        (*stream)->expires_never();
-        pool->release(address, std::move(*stream), pool->settings.idleTimeout);
+        connected.socket().set_option(tcp::no_delay(true), ignored);
+        connected.expires_never();
+        pool->release(address, std::move(*connection), pool->settings.idleTimeout);
         done(Reachability::Reachable);
     });
 }
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -48,6 +48,7 @@
 };
 
 class HttpClientCall;
+class HttpConnectionPool;
 
 class HttpClient
 {
@@ -87,10 +88,8 @@
     // callback runs once, on the io_context.
     void checkReachable(const std::string &address, Duration timeout, std::function<void(Reachability)> done);
 
-    struct Pool; // Defined in the .cpp file.
-
 private:
-    std::shared_ptr<Pool> pool;
+    std::shared_ptr<HttpConnectionPool> pool;
 };
 
 } // namespace Sagecrank
--- a/Libraries/LibNet/HttpMessages.h
+++ b/Libraries/LibNet/HttpMessages.h
@@ -25,11 +25,20 @@
     std::string body;
 };
 
+// The connection on which a client received a response.
+struct ConnectionUse
+{
+    std::uint64_t connection = 0;     // Numbers the connections of a client from 1.
+    std::uint32_t requests = 0;       // Sent on it until then, with this one.
+    std::uint32_t staleResponses = 0; // To other requests, skipped before this response.
+};
+
 struct HttpResponse
 {
     std::uint32_t status = 200;
     std::vector<Header> headers;
     std::string body;
+    ConnectionUse receivedOn; // Not set by servers.
 };
 
 HttpResponse makeResponse(std::uint32_t status, std::string_view contentType, std::string body);
--- a/Services/Node/Gate/GateCall.h
+++ b/Services/Node/Gate/GateCall.h
@@ -80,11 +80,12 @@
     std::string claimKey; // Empty without an idempotency key.
     Ticket ticket = 0;
     GateCallStage stage = GateCallStage::Claiming;
-    bool usesLink = false;   // Counted as a call whose large response will cross the host's link.
-    bool claimed = false;    // This attempt holds the claim of its key.
-    bool sent = false;       // Some of it may have been sent to the upstream.
-    bool cancelled = false;  // The caller gave up, so the call must not start.
-    UpstreamSignals signals; // Of the upstream's answer.
+    bool usesLink = false;    // Counted as a call whose large response will cross the host's link.
+    bool claimed = false;     // This attempt holds the claim of its key.
+    bool sent = false;        // Some of it may have been sent to the upstream.
+    bool cancelled = false;   // The caller gave up, so the call must not start.
+    UpstreamSignals signals;  // Of the upstream's answer.
+    ConnectionUse answeredOn; // Of the upstream's answer.
     HttpClient::Handle sending;
     boost::asio::steady_timer waitTimer; // Runs while the call is queued.
     Span gateSpan;
--- a/Services/Node/Gate/LocalGateAnswer.cpp
+++ b/Services/Node/Gate/LocalGateAnswer.cpp
@@ -161,11 +161,12 @@
     if (!call.sent)
         return;
     const bool broke = response.reason == reasonBroken;
-    this->observer.gateEnded(
-        {call.request.callerCallId, call.upstreamInstance, outcomeNames.name(response.outcome),
-         response.reason, response.status, call.startedAt - call.arrivedAt,
-         SteadyClock::now() - call.startedAt, response.freeSlots, response.queued,
-         broke ? fingerprintsOf(call.request).front() : 0, call.signals.limit, call.signals.leaving});
+    this->observer.gateEnded({call.request.callerCallId, call.upstreamInstance,
+                              outcomeNames.name(response.outcome), response.reason, response.status,
+                              call.startedAt - call.arrivedAt, SteadyClock::now() - call.startedAt,
+                              response.freeSlots, response.queued,
+                              broke ? fingerprintsOf(call.request).front() : 0, call.signals.limit,
+                              call.signals.leaving, call.answeredOn});
 }
 
 // A call with a large response has less time for its slot by what its response will wait for the link.
--- a/Services/Node/Gate/LocalGateUpstream.cpp
+++ b/Services/Node/Gate/LocalGateUpstream.cpp
@@ -112,6 +112,7 @@
 
 void LocalGate::upstreamAnswered(const std::shared_ptr<GateCall> &call, HttpResponse response)
 {
+    call->answeredOn = response.receivedOn;
     if (this->provesNotRun(response))
         return this->handleProvenNotRun(call, response);
     const bool valid = this->isValidAnswer(response);
--- a/Services/Node/RequestObserver.cpp
+++ b/Services/Node/RequestObserver.cpp
@@ -121,7 +121,10 @@
                                             {"queued", summary.queued},
                                             {"request", summary.fingerprint},
                                             {"limit_per_s", limitText(summary.limit)},
-                                            {"leaving", summary.leaving}});
+                                            {"leaving", summary.leaving},
+                                            {"connection", summary.answeredOn.connection},
+                                            {"nth_on_connection", summary.answeredOn.requests},
+                                            {"stale_skipped", summary.answeredOn.staleResponses}});
 }
 
 // Refusals are rare and have few distinct reasons, so the counter can be looked up by name.
--- a/Services/Node/RequestObserver.h
+++ b/Services/Node/RequestObserver.h
@@ -3,6 +3,7 @@
 
 #include <LibConfig/Model.h>
 #include <LibDecide/NamedLimit.h>
+#include <LibNet/HttpMessages.h>
 #include <LibObserve/EventLog.h>
 #include <LibObserve/Metrics.h>
 #include <LibObserve/Spans.h>
@@ -62,6 +63,7 @@
     // What the upstream stated about itself in its answer.
     LimitStatement limit;
     bool leaving = false;
+    ConnectionUse answeredOn; // The connection to the upstream; unset if the upstream did not answer.
 };
 
 class RequestObserver
