LibNet: Never send one correlation value twice on a connection

Cause: a call that its upstream has rejected can come back to it, on the connection on which it was rejected. The upstream may send the rejection a second time there. The client told late copies by the call's id, which both attempts share, so the copy passed for the response to the second attempt.

Fix: the pool records the correlation values that a connection has carried and does not reuse it for one of them. The response to a request is then told from copies of all earlier responses on its connection, whatever the call, its kind or the node's reason to send it again. A connection is replaced after 1,000 requests, which bounds the record without forgetting a value.

The emulator learns to repeat rejections (shed_double_late_share).

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -50,7 +50,7 @@
     void start(Duration timeout, ConnectionReuse connection)
     {
         if (connection == ConnectionReuse::Allowed)
-            this->connection = this->pool->acquire(this->address);
+            this->connection = this->pool->acquire(this->address, this->correlationValue);
         if (this->connection) {
             this->connection->stream.expires_after(timeout);
             return this->write();
@@ -82,7 +82,7 @@
     void write()
     {
         this->sent = true;
-        this->connection->recordRequest();
+        this->connection->recordRequest(this->correlationValue);
         this->header = headerBytes(this->message);
         writeMessage(this->connection->stream, this->header, this->message,
                      [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -35,7 +35,9 @@
 {
     Duration timeout{}; // Covers connecting, sending and receiving the response.
     // A request header that the server echoes in its response. A response with another value belongs to an
-    // earlier request on the same connection and is skipped. Empty disables the check.
+    // earlier request on the same connection and is skipped. A request does not use a connection that has
+    // carried one with the same value, since responses to the two could not be told apart. Empty disables
+    // both.
     std::string correlationHeader;
     ConnectionReuse connectionReuse = ConnectionReuse::Allowed;
 };
--- a/Libraries/LibNet/HttpConnectionPool.cpp
+++ b/Libraries/LibNet/HttpConnectionPool.cpp
@@ -5,9 +5,34 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <functional>
 
 namespace Sagecrank {
 
+namespace {
+
+// Bounds the memory of a connection. One that has carried as many requests is closed after its response, so
+// that the list of their correlation values is always complete.
+constexpr std::size_t maximumRequestsPerConnection = 1000;
+
+} // namespace
+
+bool HttpConnection::mayCarry(std::string_view correlationValue) const
+{
+    if (this->carriedValues.size() >= maximumRequestsPerConnection)
+        return false;
+    const std::size_t hash = std::hash<std::string_view>{}(correlationValue);
+    return correlationValue.empty()
+           || std::ranges::find(this->carriedValues, hash) == this->carriedValues.end();
+}
+
+void HttpConnection::recordRequest(std::string_view correlationValue)
+{
+    ++this->requests;
+    if (!correlationValue.empty())
+        this->carriedValues.push_back(std::hash<std::string_view>{}(correlationValue));
+}
+
 bool HttpConnection::isQuiet()
 {
     char byte = 0;
@@ -15,18 +40,23 @@
     return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-std::unique_ptr<HttpConnection> HttpConnectionPool::acquire(const std::string &address)
+std::unique_ptr<HttpConnection> HttpConnectionPool::acquire(const std::string &address,
+                                                            std::string_view correlationValue)
 {
     const auto found = this->idle.find(address);
     if (found == this->idle.end())
         return nullptr;
     std::deque<IdleConnection> &connections = found->second;
     const Instant now = SteadyClock::now();
-    while (!connections.empty()) {
-        IdleConnection newest = std::move(connections.back());
-        connections.pop_back();
-        if (newest.isUsable(now))
-            return std::move(newest.connection);
+    for (std::size_t index = connections.size(); index-- > 0;) {
+        IdleConnection &candidate = connections[index];
+        const bool usable = candidate.isUsable(now);
+        if (usable && !candidate.connection->mayCarry(correlationValue))
+            continue;
+        std::unique_ptr<HttpConnection> connection = std::move(candidate.connection);
+        connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(index));
+        if (usable)
+            return connection;
     }
     return nullptr;
 }
@@ -39,6 +69,8 @@
 void HttpConnectionPool::release(const std::string &address, std::unique_ptr<HttpConnection> connection,
                                  Duration idleTimeout)
 {
+    if (!connection->mayCarry({}))
+        return;
     std::deque<IdleConnection> &connections = this->idle[address];
     if (connections.size() >= this->settings.maximumIdleConnections)
         connections.pop_front();
--- a/Libraries/LibNet/HttpConnectionPool.h
+++ b/Libraries/LibNet/HttpConnectionPool.h
@@ -5,15 +5,22 @@
 #include <LibNet/HttpClient.h>
 #include <LibNet/HttpWire.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace Sagecrank {
 
-// A connection to a server.
+// A connection to a server, with the correlation values of the requests that it has carried.
+//
+// A server may send any of its responses a second time, later, on the same connection. The correlation value
+// tells such a copy from the response to another request, but not from the response to the same request sent
+// again. So a connection never carries two requests with one value.
 class HttpConnection
 {
 public:
@@ -23,7 +30,9 @@
     {
     }
 
-    void recordRequest() { ++this->requests; }
+    // An empty value is not checked and may be carried any number of times.
+    bool mayCarry(std::string_view correlationValue) const;
+    void recordRequest(std::string_view correlationValue);
 
     // False if the server has closed the connection or has sent bytes that nobody asked for: a request sent
     // on it would needlessly end with an unknown outcome.
@@ -36,6 +45,8 @@
 
 private:
     std::uint32_t requests = 0;
+    // Hashes, without duplicates. A collision costs a new connection.
+    std::vector<std::size_t> carriedValues;
 };
 
 // Used on the one thread of its io_context.
@@ -48,8 +59,8 @@
     {
     }
 
-    // Returns the most recently used idle connection, or null.
-    std::unique_ptr<HttpConnection> acquire(const std::string &address);
+    // Returns the most recently used idle connection that may carry a request with this value, or null.
+    std::unique_ptr<HttpConnection> acquire(const std::string &address, std::string_view correlationValue);
     std::unique_ptr<HttpConnection> makeConnection();
     void release(const std::string &address, std::unique_ptr<HttpConnection> connection,
                  Duration idleTimeout);
--- a/Services/UpstreamEmulator/Answer.cpp
+++ b/Services/UpstreamEmulator/Answer.cpp
@@ -98,6 +98,7 @@
     case CallFault::Duplicated:
         return {answer + answer, false, {}};
     case CallFault::DuplicatedLate:
+    case CallFault::ShedDuplicatedLate:
         return {answer, false, answer};
     default:
         return {std::move(answer), false, {}};
--- a/Services/UpstreamEmulator/UpstreamFaults.h
+++ b/Services/UpstreamEmulator/UpstreamFaults.h
@@ -16,20 +16,21 @@
 // The fault injected into one call.
 enum class CallFault : std::uint8_t {
     None,
-    Shed,           // Shed even if slots are free.
-    Failed,         // Starts and fails with 500 immediately.
-    Hung,           // Starts and never ends.
-    Dropped,        // Runs, then the connection closes without a response.
-    Truncated,      // Runs, and the connection closes in the middle of the response.
-    Malformed,      // Runs, and bytes are sent that are not an HTTP response.
-    Unframed,       // Runs; the response has no Content-Length and ends when the connection closes.
-    Duplicated,     // Runs, and the response is sent twice.
-    DuplicatedLate, // As Duplicated, but the copy is sent where the next call's response is expected.
+    Shed,               // Shed even if slots are free.
+    Failed,             // Starts and fails with 500 immediately.
+    Hung,               // Starts and never ends.
+    Dropped,            // Runs, then the connection closes without a response.
+    Truncated,          // Runs, and the connection closes in the middle of the response.
+    Malformed,          // Runs, and bytes are sent that are not an HTTP response.
+    Unframed,           // Runs; the response has no Content-Length and ends when the connection closes.
+    Duplicated,         // Runs, and the response is sent twice.
+    DuplicatedLate,     // As Duplicated, but the copy is sent where the next call's response is expected.
+    ShedDuplicatedLate, // Shed, and the copy of that response is sent where the next one is expected.
     RefusedEarly, // Refused without running before its body arrives; applies to calls whose body comes later.
 };
 
 // The key in the fault settings that holds the share of each fault; the remaining calls get None.
-inline constexpr EnumNames<CallFault, 10> callFaultShareKeys{{
+inline constexpr EnumNames<CallFault, 11> callFaultShareKeys{{
     {CallFault::Shed, "shed_share"},
     {CallFault::Failed, "fail_share"},
     {CallFault::Hung, "hang_share"},
@@ -39,6 +40,7 @@
     {CallFault::Unframed, "unframed_share"},
     {CallFault::Duplicated, "double_share"},
     {CallFault::DuplicatedLate, "double_late_share"},
+    {CallFault::ShedDuplicatedLate, "shed_double_late_share"},
     {CallFault::RefusedEarly, "early_share"},
 }};
 
--- a/Services/UpstreamEmulator/WorkService.cpp
+++ b/Services/UpstreamEmulator/WorkService.cpp
@@ -57,6 +57,10 @@
     void postStart();
 
 private:
+    bool mustShed() const
+    {
+        return this->callFault == CallFault::Shed || this->callFault == CallFault::ShedDuplicatedLate;
+    }
     void armDeadline(Milliseconds limit);
     void shed(std::string_view why);
     void start();
@@ -87,14 +91,13 @@
     {
         const std::lock_guard guard(this->service.lock);
         this->callFault = this->service.faults.drawCallFault();
-        if (this->callFault != CallFault::Shed)
+        if (!this->mustShed())
             decision = this->service.slots.admit(this->number);
         if (decision == SlotDecision::Wait)
             this->service.waitingCalls[this->number] = this->shared_from_this();
     }
     if (decision == SlotDecision::Shed)
-        return this->shed(this->callFault == CallFault::Shed ? "shedding load"
-                                                             : "all slots and the line are full");
+        return this->shed(this->mustShed() ? "shedding load" : "all slots and the line are full");
     this->exchange->onCallerDisconnected([self = this->shared_from_this()] { self->callerDisconnected(); });
     if (limit)
         this->armDeadline(*limit);
@@ -123,6 +126,8 @@
     this->ended = true;
     HttpResponse response = shedResponse(why);
     this->service.addStatements(response);
+    if (this->callFault == CallFault::ShedDuplicatedLate)
+        addFaultHeader(response, this->callFault);
     this->exchange->respond(std::move(response));
 }
 
--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -1,5 +1,6 @@
 // The HTTP client against servers that respond early, drop connections or stop answering on them.
 #include <LibNet/HttpClient.h>
+#include <LibNet/HttpServer.h>
 
 #include <Support/TableTest.h>
 
@@ -62,21 +63,67 @@
 };
 
 CallResult sendAndWait(boost::asio::io_context &context, HttpClient &client, const std::string &address,
-                       std::string body, ConnectionReuse reuse = ConnectionReuse::Allowed)
+                       HttpRequest request, const HttpSendOptions &options)
 {
     CallResult result;
-    client.send(address, {"POST", "/", {}, std::move(body)}, {std::chrono::seconds(10), {}, reuse},
-                [&](const HttpFailure *failure, HttpResponse response) {
-                    result.failed = failure != nullptr;
-                    result.mayHaveBeenSent = failure != nullptr && failure->mayHaveBeenSent;
-                    result.response = std::move(response);
-                    context.stop();
-                });
+    client.send(address, std::move(request), options, [&](const HttpFailure *failure, HttpResponse response) {
+        result.failed = failure != nullptr;
+        result.mayHaveBeenSent = failure != nullptr && failure->mayHaveBeenSent;
+        result.response = std::move(response);
+        context.stop();
+    });
     context.restart();
     context.run_for(std::chrono::seconds(11));
     return result;
 }
 
+CallResult sendAndWait(boost::asio::io_context &context, HttpClient &client, const std::string &address,
+                       std::string body, ConnectionReuse reuse = ConnectionReuse::Allowed)
+{
+    return sendAndWait(context, client, address, {"POST", "/", {}, std::move(body)},
+                       {std::chrono::seconds(10), {}, reuse});
+}
+
+// Echoes the Id of each request and rejects the first one. A copy of that rejection follows where the next
+// response on its connection is expected.
+class RejectingServer
+{
+public:
+    explicit RejectingServer(boost::asio::io_context &context)
+        : server(context, this->settings(),
+                 [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
+                     HttpResponse response =
+                         makeResponse(this->requests++ == 0 ? 503 : 200, "text/plain", "");
+                     response.headers.push_back({"Id", std::string(findHeader(request.headers, "Id"))});
+                     exchange->respond(std::move(response));
+                 })
+    {
+        cr_assert(this->server.listen("127.0.0.1:0").has_value());
+    }
+
+    std::string address() const { return this->server.address(); }
+
+private:
+    HttpServerSettings settings()
+    {
+        HttpServerSettings settings;
+        settings.rewriteResponse = [this](const std::string &response) {
+            return RawResponse{response, false, this->requests == 1 ? response : std::string()};
+        };
+        return settings;
+    }
+
+    int requests = 0;
+    HttpServer server;
+};
+
+CallResult sendWithId(boost::asio::io_context &context, HttpClient &client, const std::string &address,
+                      const std::string &id)
+{
+    return sendAndWait(context, client, address, {"POST", "/", {{"Id", id}}, ""},
+                       {std::chrono::seconds(10), "Id", ConnectionReuse::Allowed});
+}
+
 } // namespace
 
 // A server rejects a large request by its header and closes while the body is still being sent. The client
@@ -235,3 +282,49 @@
     }
     cr_assert(connectionCount == row.connectionCount, "%d connections", connectionCount);
 }
+
+namespace {
+
+struct LateCopyRow
+{
+    const char *what;
+    const char *secondId;
+    std::uint64_t connection; // That carries the second request.
+    std::uint32_t staleResponses;
+};
+
+const LateCopyRow lateCopyRows[] = {
+    {"another request", "b", 1, 1},
+    {"the same request again", "a", 2, 0},
+};
+
+} // namespace
+
+// A server rejects request "a" and sends a late copy of the rejection where the next response is expected.
+// The next request, which the server runs, must not be reported as rejected, whether or not it is "a" again.
+TABLE_TEST(httpClient, aLateCopyOfARejectionIsNotTheResponseToTheNextRequest, lateCopyRows)
+{
+    boost::asio::io_context context;
+    RejectingServer server(context);
+    HttpClient client(context, {});
+    cr_assert(sendWithId(context, client, server.address(), "a").response.status == 503);
+    const HttpResponse next = sendWithId(context, client, server.address(), row.secondId).response;
+    cr_assert(next.status == 200, "%s: %u", row.what, next.status);
+    cr_assert(next.receivedOn.connection == row.connection, "%s", row.what);
+    cr_assert(next.receivedOn.staleResponses == row.staleResponses, "%s", row.what);
+}
+
+// A connection stays open for days. The record of the requests that it has carried must not grow without
+// bound, nor forget any of them while it is in use.
+Test(httpClient, aConnectionIsReplacedBeforeItsRecordOfRequestsGrowsTooLong)
+{
+    constexpr int requestCount = 1001;
+    boost::asio::io_context context;
+    RejectingServer server(context);
+    HttpClient client(context, {});
+    for (int request = 1; request < requestCount; ++request) {
+        const CallResult result = sendWithId(context, client, server.address(), std::to_string(request));
+        cr_assert(!result.failed && result.response.receivedOn.connection == 1);
+    }
+    cr_assert(sendWithId(context, client, server.address(), "last").response.receivedOn.connection == 2);
+}
--- a/Tests/Platform/TestFaultyServer.cpp
+++ b/Tests/Platform/TestFaultyServer.cpp
@@ -26,6 +26,7 @@
     {R"({"double_late_share":1})", Outcome::Done, 200},
     {R"({"early_share":1})", Outcome::NotRun, 503},
     {R"({"shed_share":1})", Outcome::NotRun, 503},
+    {R"({"shed_double_late_share":1})", Outcome::NotRun, 503},
     {R"({"drop_share":1})", Outcome::Unknown, 502},
 };
 
@@ -51,7 +52,7 @@
     void fault(const std::string &json)
     {
         std::optional<HttpResponse> result;
-        this->client.send(
+        this->operatorClient.send(
             this->server->address(), {"POST", "/emulator/faults", {}, json}, std::chrono::seconds(9),
             [&result](const HttpFailure *, const HttpResponse &response) { result = response; });
         this->runUntil([&result] { return result.has_value(); });
@@ -72,6 +73,7 @@
     }
 
 private:
+    HttpClient operatorClient{this->context, HttpClientSettings{}}; // Reads none of the calls' responses.
     WorkService service{WorkSettings{}, this->history, [] { return SteadyClock::now(); },
                         [](std::string_view) {}};
     std::optional<HttpServer> server;
@@ -98,3 +100,15 @@
     const CallResponse last = server.call("last");
     cr_assert(last.outcome == Outcome::Done && last.body.find("call=last\n") != std::string::npos);
 }
+
+// A server rejects a call, and the same call is sent to it again. The server sends a late copy of the
+// rejection and runs the call, so the copy must not be reported as "not run".
+Test(faultyServer, aLateCopyOfARejectionIsNotTheResponseToTheSameCallSentAgain)
+{
+    FaultyServer server;
+    server.fault(R"({"shed_double_late_share":1})");
+    cr_assert(server.call("booking").outcome == Outcome::NotRun);
+    server.fault("{}");
+    const CallResponse again = server.call("booking");
+    cr_assert(again.outcome == Outcome::Done && again.status == 200, "%u", again.status);
+}
