LibNet, Node: Take no response that names no call for a proof

A 503 or 421 without one was taken as a proof that the call has not run, although the platform's servers echo the id in every response, so that such bytes belong to no request.

A platform adapter now states whether upstreams always echo the id. If so, a response without it ends the call with an unknown outcome and closes its connection, on which the real response may still arrive.

Before: four rows of gateProof/onlyProofYieldsNotRun fail ("a proof that names no call: 503", "another start that names no call: 503", "a success that names no call: 200", "a failure that names no call: 500"). After: they pass. The fixture of that test echoes the id now, as the protocol says; no row is weaker.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -22,17 +22,25 @@
 // Covers two round trips and a delayed timer on a busy host.
 constexpr Duration idleExpiryMargin = Milliseconds(1000);
 
+// Which request a response belongs to.
+enum class ResponseMatch : std::uint8_t {
+    ThisRequest,
+    OtherRequest, // An earlier one on the same connection.
+    NoRequest,    // It states none.
+};
+
 } // namespace
 
 class HttpClientCall : public std::enable_shared_from_this<HttpClientCall>
 {
 public:
     HttpClientCall(std::shared_ptr<HttpConnectionPool> pool, std::string address, HttpRequest request,
-                   const std::string &correlationHeader, HttpClient::ResponseCallback done)
+                   const HttpSendOptions &options, HttpClient::ResponseCallback done)
         : pool(std::move(pool))
         , address(std::move(address))
-        , correlationHeader(correlationHeader)
-        , correlationValue(findHeader(request.headers, correlationHeader))
+        , correlationHeader(options.correlationHeader)
+        , correlationValue(findHeader(request.headers, options.correlationHeader))
+        , echoRequired(options.echoRequired)
         , done(std::move(done))
     {
         this->message.version(11);
@@ -108,20 +116,28 @@
                                  return self->fail("send request", self->writeError);
                              if (error)
                                  return self->fail("read response", error);
-                             self->finish();
+                             self->handleMessage();
                          });
     }
 
+    void handleMessage()
+    {
+        switch (this->matchResponse()) {
+        case ResponseMatch::ThisRequest:
+            return this->finish();
+        case ResponseMatch::OtherRequest:
+            if (++this->staleResponses <= maximumStaleResponses)
+                return this->read();
+            return this->finishWithFailure(this->readError("received only responses to other requests"));
+        case ResponseMatch::NoRequest:
+            return this->finishWithFailure(this->readError("received a response that names no request"));
+        }
+    }
+
     void finish()
     {
-        if (this->isStaleResponse() && ++this->staleResponses <= maximumStaleResponses)
-            return this->read();
-        const bool stale = this->isStaleResponse();
         const bool endsWithConnection = this->parser->need_eof();
         http::response<http::string_body> message = this->parser->release();
-        if (stale)
-            return this->finishWithFailure(makeError(ErrorKind::Timeout, "read response", this->address,
-                                                     "received only responses to other requests"));
         HttpResponse response;
         response.status = message.result_int();
         response.headers.reserve(8);
@@ -138,15 +154,23 @@
         callback(nullptr, std::move(response));
     }
 
-    // An upstream may send a response a second time, late. Without this check, the next request on the
+    // A server may send a response a second time, late. Without this check, the next request on the
     // connection would receive the response to another caller's request.
-    bool isStaleResponse() const
+    ResponseMatch matchResponse() const
     {
         if (this->correlationValue.empty())
-            return false;
+            return ResponseMatch::ThisRequest;
         const auto &message = this->parser->get();
         const auto found = message.find(this->correlationHeader);
-        return found != message.end() && std::string_view(found->value()) != this->correlationValue;
+        if (found == message.end())
+            return this->echoRequired ? ResponseMatch::NoRequest : ResponseMatch::ThisRequest;
+        const bool matches = std::string_view(found->value()) == this->correlationValue;
+        return matches ? ResponseMatch::ThisRequest : ResponseMatch::OtherRequest;
+    }
+
+    Error readError(const std::string &problem) const
+    {
+        return makeError(ErrorKind::Timeout, "read response", this->address, problem);
     }
 
     // If the server closes an idle connection while a request is in flight, the outcome of the call is
@@ -191,6 +215,7 @@
     std::string address;
     std::string correlationHeader;
     std::string correlationValue; // Empty when responses are not checked.
+    bool echoRequired;
     std::uint32_t staleResponses = 0;
     HttpClient::ResponseCallback done; // Empty once it has been called.
     http::request<http::string_body> message;
@@ -218,8 +243,8 @@
 HttpClient::Handle HttpClient::send(const std::string &address, HttpRequest request, HttpSendOptions options,
                                     ResponseCallback done)
 {
-    const auto call = std::make_shared<HttpClientCall>(this->pool, address, std::move(request),
-                                                       options.correlationHeader, std::move(done));
+    const auto call =
+        std::make_shared<HttpClientCall>(this->pool, address, std::move(request), options, std::move(done));
     call->start(options.timeout, options.connectionReuse);
     return Handle(call);
 }
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -40,6 +40,9 @@
     // both.
     std::string correlationHeader;
     ConnectionReuse connectionReuse = ConnectionReuse::Allowed;
+    // Whether the server echoes the correlation header in every response. One without it then belongs to no
+    // request, and ends the connection and the call.
+    bool echoRequired = false;
 };
 
 // The result of a connection probe.
--- a/Services/Node/CallHeaders.h
+++ b/Services/Node/CallHeaders.h
@@ -23,6 +23,7 @@
     std::string account = "Sagecrank-Account"; // Name of the account whose key the caller presented.
 
     // Responses of upstreams.
+    bool upstreamEchoesCallId = false; // In every response; one without it is not a response to the call.
     std::string notRun = "Sagecrank-Outcome"; // With the value below: the upstream did not run the call.
     std::string notRunValue = "not-run";      // Empty: any value of the header.
     std::string proof; // A success without this header did not come from the upstream itself.
--- a/Services/Node/Gate/LocalGate.cpp
+++ b/Services/Node/Gate/LocalGate.cpp
@@ -283,6 +283,7 @@
     HttpSendOptions options;
     options.timeout = remaining;
     options.correlationHeader = this->headerNames.callId;
+    options.echoRequired = this->headerNames.upstreamEchoesCallId;
     call->sent = true;
     call->sending =
         call->thread.client.send(call->upstreamAddress, this->upstreamRequest(*call, remaining), options,
--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -121,7 +121,7 @@
                       const std::string &id)
 {
     return sendAndWait(context, client, address, {"POST", "/", {{"Id", id}}, ""},
-                       {std::chrono::seconds(10), "Id", ConnectionReuse::Allowed});
+                       {std::chrono::seconds(10), "Id"});
 }
 
 } // namespace
--- a/Tests/Platform/TestGateProof.cpp
+++ b/Tests/Platform/TestGateProof.cpp
@@ -14,7 +14,8 @@
     std::uint32_t status;
     std::vector<Header> headers;
     Outcome outcome;
-    std::uint32_t callerStatus; // Returned to the caller's node.
+    std::uint32_t callerStatus;      // Returned to the caller's node.
+    const char *echoedCallId = "a1"; // In the response; null: none.
 };
 
 const Header stamp{"Server-Stamp", "s"};
@@ -33,6 +34,10 @@
      {stamp, {"Content-Encoding", "gzip"}},
      Outcome::Unknown,
      502},
+    {"a proof that names no call", 503, {{"Not-Executed", "1"}}, Outcome::Unknown, 502, nullptr},
+    {"another start that names no call", 421, {{"Instance-Id", "i-2"}}, Outcome::Unknown, 502, nullptr},
+    {"a success that names no call", 200, {stamp}, Outcome::Unknown, 502, nullptr},
+    {"a failure that names no call", 500, {stamp}, Outcome::Unknown, 502, nullptr},
 };
 
 class ProofFixture : public PlatformGate
@@ -45,6 +50,8 @@
                        HttpResponse response = makeResponse(row.status, "text/plain", "body");
                        response.headers.insert(response.headers.end(), row.headers.begin(),
                                                row.headers.end());
+                       if (row.echoedCallId != nullptr)
+                           response.headers.push_back({"Attempt-Id", row.echoedCallId});
                        exchange->respond(std::move(response));
                    })
     {
