LibNet: Read past interim responses

The caller got 502, and the connection went back to the pool while the final response was still to come; without an id, as at the store, the next request on it would get that response.

Interim responses are skipped now, at most 16 for one request. A switch of protocols (101) stays final.

Before: the three rows of httpClient/anInterimResponseIsNotTheFinalOne fail ("continue: 100", "early hints: 103", and no failure with a hundred of them). After: they pass.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -19,6 +19,9 @@
 // Responses to other requests that are skipped before the connection is closed.
 constexpr std::uint32_t maximumStaleResponses = 3;
 
+// A server that works for long may report progress with several of them.
+constexpr std::uint32_t maximumInterimResponses = 16;
+
 // Covers two round trips and a delayed timer on a busy host.
 constexpr Duration idleExpiryMargin = Milliseconds(1000);
 
@@ -27,8 +30,16 @@
     ThisRequest,
     OtherRequest, // An earlier one on the same connection.
     NoRequest,    // It states none.
+    Interim,      // 1xx: the final response follows.
 };
 
+// A switch of protocols is final: what follows on the connection is no HTTP response.
+bool isInterim(unsigned status)
+{
+    constexpr unsigned statusSwitchingProtocols = 101;
+    return status >= 100 && status < 200 && status != statusSwitchingProtocols;
+}
+
 } // namespace
 
 class HttpClientCall : public std::enable_shared_from_this<HttpClientCall>
@@ -129,6 +140,10 @@
             if (++this->staleResponses <= maximumStaleResponses)
                 return this->read();
             return this->finishWithFailure(this->readError("received only responses to other requests"));
+        case ResponseMatch::Interim:
+            if (++this->interimResponses <= maximumInterimResponses)
+                return this->read();
+            return this->finishWithFailure(this->readError("received too many interim responses"));
         case ResponseMatch::NoRequest:
             return this->finishWithFailure(this->readError("received a response that names no request"));
         }
@@ -158,9 +173,11 @@
     // connection would receive the response to another caller's request.
     ResponseMatch matchResponse() const
     {
+        const auto &message = this->parser->get();
+        if (isInterim(message.result_int()))
+            return ResponseMatch::Interim;
         if (this->correlationValue.empty())
             return ResponseMatch::ThisRequest;
-        const auto &message = this->parser->get();
         const auto found = message.find(this->correlationHeader);
         if (found == message.end())
             return this->echoRequired ? ResponseMatch::NoRequest : ResponseMatch::ThisRequest;
@@ -217,6 +234,7 @@
     std::string correlationValue; // Empty when responses are not checked.
     bool echoRequired;
     std::uint32_t staleResponses = 0;
+    std::uint32_t interimResponses = 0;
     HttpClient::ResponseCallback done; // Empty once it has been called.
     http::request<http::string_body> message;
     std::string header; // Of the message; alive while it is written.
--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -328,3 +328,43 @@
     }
     cr_assert(sendWithId(context, client, server.address(), "last").response.receivedOn.connection == 2);
 }
+
+namespace {
+
+struct InterimRow
+{
+    const char *what;
+    std::string interim;
+    int count;
+    bool failed;
+};
+
+const InterimRow interimRows[] = {
+    {"continue", "HTTP/1.1 100 Continue\r\n\r\n", 1, false},
+    {"early hints", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", 3, false},
+    {"without end", "HTTP/1.1 102 Processing\r\n\r\n", 100, true},
+};
+
+} // namespace
+
+// A server sends interim responses before the final one. The first of them must not pass for the final
+// response, which would then be taken for the response to the next request on the connection.
+TABLE_TEST(httpClient, anInterimResponseIsNotTheFinalOne, interimRows)
+{
+    ScriptedServer server([&row](tcp::acceptor &acceptor) {
+        tcp::socket socket = acceptor.accept();
+        std::string buffer;
+        readHeader(socket, buffer);
+        boost::system::error_code ignored;
+        for (int sent = 0; sent < row.count; ++sent)
+            boost::asio::write(socket, boost::asio::buffer(row.interim), ignored);
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        boost::asio::write(socket, boost::asio::buffer(earlyResponse), ignored);
+    });
+    boost::asio::io_context context;
+    HttpClient client(context, {});
+    const CallResult result = sendAndWait(context, client, server.address(), "");
+    cr_assert(result.failed == row.failed, "%s", row.what);
+    cr_assert(result.mayHaveBeenSent == row.failed, "%s", row.what);
+    cr_assert(row.failed || result.response.status == 503, "%s: %u", row.what, result.response.status);
+}
