Node: Ask only gates that refused a call for a late response

A call that no gate accepts within its latency target is offered once more to the nearest gate with a late response accepted. That gate was chosen among all that had not run the call, so also one whose upstream had rejected it, or whose host is gone.

Only a gate that refused the call itself, before its upstream was reached, is asked again now. An upstream that rejects a call is full whether or not the response may be late.

Before: both rows of forwardedCall/aRejectedCallDoesNotReturnToItsUpstream fail. After: they pass.

--- a/Services/Node/Callers/ForwardedCall.cpp
+++ b/Services/Node/Callers/ForwardedCall.cpp
@@ -41,6 +41,14 @@
            || response.reason == reasonPeerLeaving;
 }
 
+// Whether the gate may accept the call if it may be answered late. An attempt that has reached the upstream
+// counts as a retry when it is sent again, and an upstream that has rejected a call is full, late or not.
+bool mayAcceptLate(const CallResponse &response)
+{
+    return response.outcome == Outcome::NotRun && !response.reachedUpstream && !response.draining
+           && !isConnectionFailure(response) && response.reason != reasonUnreachable;
+}
+
 AttemptOutcome toPlacedEnd(const CallResponse &response)
 {
     switch (response.outcome) {
@@ -122,11 +130,11 @@
     this->send(this->attempts.size() - 1);
 }
 
-// No gate accepted the call within its latency target. Tries once more at the first gate that is not
-// draining, which is the nearest, and accepts a late response.
+// No gate accepted the call within its latency target. Tries once more at the first one that may accept it,
+// which is the nearest, and accepts a late response.
 bool ForwardedCall::retryAcceptingLateResponse()
 {
-    const auto nearest = std::ranges::find(this->attempts, false, &Attempt::gateDraining);
+    const auto nearest = std::ranges::find(this->attempts, true, &Attempt::mayAcceptLate);
     if (!this->plan.target || this->lateResponseRequested || nearest == this->attempts.end()
         || nearest->target.lateAccepted)
         return false;
@@ -235,7 +243,7 @@
     const Instant now = SteadyClock::now();
     attempt.span->field("outcome", outcomeNames.name(response.outcome));
     attempt.span->end(now);
-    attempt.gateDraining = response.draining;
+    attempt.mayAcceptLate = mayAcceptLate(response);
     this->reportToLoadBalancer(attempt, response, now);
     if (!this->callback)
         return;
--- a/Services/Node/Callers/ForwardedCall.h
+++ b/Services/Node/Callers/ForwardedCall.h
@@ -102,7 +102,7 @@
         std::shared_ptr<PeerLink> link;  // Set when it is on another host.
         std::uint64_t peerCallId = 0;    // The call's id on the link.
         std::optional<Span> span;        // Set once the attempt has been sent.
-        bool gateDraining = false;       // The gate reported that it accepts no new calls.
+        bool mayAcceptLate = false;      // The gate may accept the call if it may be answered late.
     };
 
     bool placeAndSend();
--- a/Tests/Node/FakePeer.h
+++ b/Tests/Node/FakePeer.h
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Sagecrank {
@@ -44,17 +45,22 @@
 
     void refuse(std::size_t index, bool claimHeld, bool draining = false)
     {
-        CallResponse response;
-        response.callId = this->calls[index].callId;
-        response.outcome = Outcome::NotRun;
-        response.reason = "queue_full";
-        response.status = 503;
-        response.retryAfterMilliseconds = 70;
+        CallResponse response = this->refusal(index, "queue_full");
         response.claimHeld = claimHeld;
         response.draining = draining;
         this->connections.back()->send(encodeFrame(FrameType::CallResponse, response));
     }
 
+    // The upstream has rejected the call.
+    void shed(std::size_t index)
+    {
+        CallResponse response = this->refusal(index, "upstream_shed");
+        response.reachedUpstream = true;
+        this->connections.back()->send(encodeFrame(FrameType::CallResponse, response));
+    }
+
+    void stop() { this->acceptor.close(); } // New connections are refused.
+
     void grant(std::uint64_t callId)
     {
         this->connections.back()->send(encodeFrame(FrameType::CallGrant, CallGrant{callId}));
@@ -70,6 +76,17 @@
     int withdrawals = 0;
 
 private:
+    CallResponse refusal(std::size_t index, std::string_view reason) const
+    {
+        CallResponse response;
+        response.callId = this->calls[index].callId;
+        response.outcome = Outcome::NotRun;
+        response.reason = reason;
+        response.status = 503;
+        response.retryAfterMilliseconds = 70;
+        return response;
+    }
+
     void accept()
     {
         this->acceptor.async_accept(
--- a/Tests/Node/TestForwardedCall.cpp
+++ b/Tests/Node/TestForwardedCall.cpp
@@ -402,3 +402,41 @@
     cr_assert(fixture.answer && fixture.answer->outcome == Outcome::NotRun,
               "the gate is asked for a late response only once");
 }
+
+namespace {
+
+struct RejectedRow
+{
+    const char *what;
+    bool secondGateRefuses; // Otherwise its host is gone.
+};
+
+const RejectedRow rejectedRows[] = {
+    {"the other gate refuses", true},
+    {"the other host is gone", false},
+};
+
+} // namespace
+
+// An upstream rejects a call and no other one takes it. Sending it to the first upstream again would be a
+// retry that the retry budget does not count.
+TABLE_TEST(forwardedCall, aRejectedCallDoesNotReturnToItsUpstream, rejectedRows)
+{
+    ForwardFixture fixture;
+    CallPlan plan = ForwardFixture::plan(false);
+    plan.target = SteadyClock::now() + std::chrono::seconds(20);
+    fixture.call(plan);
+    cr_assert(fixture.runUntil([&] { return fixture.callsSent() == 1; }));
+    FakePeer &first = fixture.peers[fixture.firstPeer()];
+    FakePeer &second = fixture.peers[1 - fixture.firstPeer()];
+    if (!row.secondGateRefuses)
+        second.stop();
+    first.shed(0);
+    if (row.secondGateRefuses) {
+        cr_assert(fixture.runUntil([&] { return second.calls.size() == 1; }));
+        second.refuse(0, false);
+    }
+    cr_assert(fixture.runUntil([&] { return first.calls.size() > 1 || fixture.answer; }));
+    cr_assert(first.calls.size() == 1, "%s: the upstream gets the call again", row.what);
+    cr_assert(fixture.answer && fixture.answer->outcome == Outcome::NotRun, "%s", row.what);
+}
