LibNet: Bound the bytes that a connection holds unparsed

A faulty server, or a caller, that sends a chunk extension or trailers without end filled the memory of a node: 1.0 to 2.9 GB within seconds by the issue's measurement, where a machine has 260 MB; callers of such a server got no answer at all. Cause: the parser's limits cover the header and the body. A chunk's header and the trailers are parsed only once they are complete; until then they stay in the read buffer, which had no limit, and each read scanned it anew.

The buffers of the client and of server sessions hold at most 64 KiB beyond a header. What goes beyond ends the call with an unknown outcome (client) or is answered 400 (server), and closes the connection.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -239,7 +239,7 @@
     http::request<http::string_body> message;
     std::string header; // Of the message; alive while it is written.
     std::unique_ptr<HttpConnection> connection;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{maximumUnparsedBytes};
     std::optional<http::response_parser<http::string_body>> parser;
     bool sent = false; // Set before the first byte may be sent.
     beast::error_code writeError;
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -112,6 +112,7 @@
 {
     const HttpLimits limits = this->limits();
     this->parser.emplace();
+    this->buffer.max_size(limits.headerBytes + maximumUnparsedBytes);
     this->parser->header_limit(limits.headerBytes);
     this->parser->body_limit(limits.bodyBytes);
     this->stream.expires_after(limits.headerTimeout);
--- a/Libraries/LibNet/HttpWire.h
+++ b/Libraries/LibNet/HttpWire.h
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 
 #include <array>
+#include <cstddef>
 #include <string>
 #include <utility>
 
@@ -50,4 +51,8 @@
     boost::asio::async_write(stream, buffers, std::forward<Handler>(handler));
 }
 
+// Received bytes of one message that are held until they are parsed: a chunk's header with its extensions, the
+// trailers, and what has been read ahead. The parser's limits cover the header and the body only.
+inline constexpr std::size_t maximumUnparsedBytes = 65'536;
+
 } // namespace Sagecrank
