LibNet: Check the deadline of a message after each read

A connection on which data keeps arriving outlived its time-outs: a server that sends small chunks with long extensions, or a caller that goes on sending after its request was rejected, was read for as long as it sent. Cause: the stream rearms its timer for each read. If a read completes in the turn of the loop in which the timer expires, the timer is cancelled before its handler has run, and the time-out is lost.

Messages are read in a loop that checks the deadline after each read, and the time in which input is discarded after a rejection is checked likewise.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -68,6 +68,7 @@
 
     void start(Duration timeout, ConnectionReuse connection)
     {
+        this->deadline = SteadyClock::now() + timeout;
         if (connection == ConnectionReuse::Allowed)
             this->connection = this->pool->acquire(this->address, this->correlationValue);
         if (this->connection) {
@@ -121,14 +122,14 @@
         this->parser->body_limit(this->pool->settings.maximumBodyBytes);
         if (this->message.method() == http::verb::head)
             this->parser->skip(true);
-        http::async_read(this->connection->stream, this->buffer, *this->parser,
-                         [self = this->shared_from_this()](const beast::error_code &error, std::size_t) {
-                             if (error && self->writeError)
-                                 return self->fail("send request", self->writeError);
-                             if (error)
-                                 return self->fail("read response", error);
-                             self->handleMessage();
-                         });
+        readMessage(this->connection->stream, this->buffer, *this->parser, this->deadline,
+                    [self = this->shared_from_this()](const beast::error_code &error) {
+                        if (error && self->writeError)
+                            return self->fail("send request", self->writeError);
+                        if (error)
+                            return self->fail("read response", error);
+                        self->handleMessage();
+                    });
     }
 
     void handleMessage()
@@ -233,6 +234,7 @@
     std::string correlationHeader;
     std::string correlationValue; // Empty when responses are not checked.
     bool echoRequired;
+    Instant deadline;
     std::uint32_t staleResponses = 0;
     std::uint32_t interimResponses = 0;
     HttpClient::ResponseCallback done; // Empty once it has been called.
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -158,12 +158,12 @@
 
 void HttpSession::readBodyRest()
 {
-    http::async_read(this->stream, this->buffer, *this->parser,
-                     [self = this->shared_from_this()](const ErrorCode &error, std::size_t) {
-                         if (error)
-                             return self->handleReadError(error);
-                         self->sendRawPrefix();
-                     });
+    readMessage(this->stream, this->buffer, *this->parser, SteadyClock::now() + this->limits().idleTimeout,
+                [self = this->shared_from_this()](const ErrorCode &error) {
+                    if (error)
+                        return self->handleReadError(error);
+                    self->sendRawPrefix();
+                });
 }
 
 bool HttpSession::respondedBeforeBody()
--- a/Libraries/LibNet/HttpSession.h
+++ b/Libraries/LibNet/HttpSession.h
@@ -117,7 +117,7 @@
     void lingerAndClose(); // One response counts as pending until the linger ends.
     void awaitCallerClose();
     void endLinger();
-    void discardInput();
+    void discardInput(Instant deadline);
 
     HttpStream stream;
     std::shared_ptr<HttpServer::State> server;
--- a/Libraries/LibNet/HttpSessionClosing.cpp
+++ b/Libraries/LibNet/HttpSessionClosing.cpp
@@ -50,7 +50,7 @@
     ErrorCode ignored;
     this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     this->stream.expires_after(maximumDrainTime);
-    this->discardInput();
+    this->discardInput(SteadyClock::now() + maximumDrainTime);
 }
 
 bool HttpSession::hasUnreadBytes()
@@ -93,15 +93,17 @@
     this->close();
 }
 
-void HttpSession::discardInput()
+// Checks the deadline itself, like readMessage().
+void HttpSession::discardInput(Instant deadline)
 {
     this->buffer.clear();
-    this->stream.async_read_some(this->buffer.prepare(drainBufferSize),
-                                 [self = this->shared_from_this()](const ErrorCode &error, std::size_t) {
-                                     if (error)
-                                         return self->close();
-                                     self->discardInput();
-                                 });
+    this->stream.async_read_some(
+        this->buffer.prepare(drainBufferSize),
+        [self = this->shared_from_this(), deadline](const ErrorCode &error, std::size_t) {
+            if (error || SteadyClock::now() >= deadline)
+                return self->close();
+            self->discardInput(deadline);
+        });
 }
 
 // A partially received request is still read and answered. The read of the first byte may have completed with
--- a/Libraries/LibNet/HttpWire.h
+++ b/Libraries/LibNet/HttpWire.h
@@ -2,6 +2,8 @@
 // headers add seconds of compile time.
 #pragma once
 
+#include <LibCore/Time.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -51,8 +53,30 @@
     boost::asio::async_write(stream, buffers, std::forward<Handler>(handler));
 }
 
-// Received bytes of one message that are held until they are parsed: a chunk's header with its extensions, the
-// trailers, and what has been read ahead. The parser's limits cover the header and the body only.
+// Received bytes of one message that are held until they are parsed: a chunk's header with its extensions,
+// the trailers, and what has been read ahead. The parser's limits cover the header and the body only.
 inline constexpr std::size_t maximumUnparsedBytes = 65'536;
 
+// Reads until the parser has the whole message. The deadline is checked after each read: the stream's own
+// timeout is rearmed for each, and does not fire while data keeps arriving. The stream, the buffer and the
+// parser must stay alive until the handler has run.
+template <bool isRequest, typename Handler>
+void readMessage(HttpStream &stream, boost::beast::flat_buffer &buffer,
+                 boost::beast::http::parser<isRequest, boost::beast::http::string_body> &parser,
+                 Instant deadline, Handler handler)
+{
+    parser.eager(true);
+    boost::beast::http::async_read_some(stream, buffer, parser,
+                                        [&stream, &buffer, &parser, deadline, handler = std::move(handler)](
+                                            boost::beast::error_code error, std::size_t) mutable {
+                                            if (!error && !parser.is_done()) {
+                                                if (SteadyClock::now() < deadline)
+                                                    return readMessage(stream, buffer, parser, deadline,
+                                                                       std::move(handler));
+                                                error = boost::beast::error::timeout;
+                                            }
+                                            handler(error);
+                                        });
+}
+
 } // namespace Sagecrank
--- a/Tests/LibNet/TestEndlessInput.cpp
+++ b/Tests/LibNet/TestEndlessInput.cpp
@@ -77,6 +77,8 @@
 }
 
 const std::array<EndlessRow, commonRowCount> responseRows = endlessMessages("HTTP/1.1 200 OK\r\n");
+const std::array<EndlessRow, commonRowCount> requestRows =
+    endlessMessages("POST / HTTP/1.1\r\nHost: a.example\r\n");
 
 // Parts that only responses have.
 const EndlessRow responseOnlyRows[] = {
@@ -129,3 +131,34 @@
 {
     checkThatTheResponseIsCutOff(row);
 }
+
+// A caller sends bytes without end in some part of a request. The server must reject the request or close the
+// connection, and go on serving others; its memory must not grow with what the caller sends.
+TABLE_TEST(endlessInput, aRequestWithoutEndIsCutOff, requestRows)
+{
+    boost::asio::io_context serverContext;
+    std::atomic<int> handled = 0;
+    HttpServerSettings settings;
+    settings.limits.headerTimeout = Milliseconds(500);
+    settings.limits.idleTimeout = Milliseconds(500);
+    HttpServer server(serverContext, settings,
+                      [&](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+                          ++handled;
+                          exchange->respond(makeResponse(200, "text/plain", "served"));
+                      });
+    cr_assert(server.listen("127.0.0.1:0").has_value());
+    std::thread thread([&] { serverContext.run_for(3 * sendLimit); });
+    const std::size_t before = peakMemoryKilobytes();
+    boost::asio::io_context callerContext;
+    tcp::socket caller = connectTo(callerContext, server.address());
+    const bool cutOff = sendWithoutEnd(caller, row);
+    const std::string other =
+        exchangeRaw(server.address(), "GET / HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n");
+    serverContext.stop();
+    thread.join();
+    cr_assert(cutOff, "%s: still read", row.what);
+    cr_assert(other.ends_with("served"), "%s: %s", row.what, other.c_str());
+    cr_assert(handled == 1, "%s: %d requests reached the handler", row.what, handled.load());
+    cr_assert(peakMemoryKilobytes() - before < memoryLimitKilobytes, "%s: %zu KB more", row.what,
+              peakMemoryKilobytes() - before);
+}
