LibNet: Survive messages that cannot be encoded

A TRACE request with a body ended the node that sent it to its upstream (signal 6), and its retry the next node. Cause: Beast throws for a message that it cannot encode; the client encodes in a constructor, and the exception left the handler.

- Content in TRACE and CONNECT is answered 400 by a rule for methods, among the other checks of a header.
- A request that cannot be encoded fails as not sent.
- A response that cannot be encoded (no status, content in 204, a field of over 64 KiB; from another node) is replaced by 502.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <optional>
 
 namespace Sagecrank {
@@ -52,23 +53,17 @@
         , correlationHeader(options.correlationHeader)
         , correlationValue(findHeader(request.headers, options.correlationHeader))
         , echoRequired(options.echoRequired)
+        , request(std::move(request))
         , done(std::move(done))
     {
-        this->message.version(11);
-        this->message.method_string(request.method);
-        this->message.target(request.target);
-        for (Header &header : request.headers)
-            this->message.insert(header.name, header.value);
-        if (!this->message.count(http::field::host))
-            this->message.set(http::field::host, this->address);
-        this->message.keep_alive(true);
-        this->message.body() = std::move(request.body);
-        this->message.prepare_payload();
     }
 
     void start(Duration timeout, ConnectionReuse connection)
     {
         this->deadline = SteadyClock::now() + timeout;
+        const Result<void> encoded = this->encode();
+        if (!encoded)
+            return this->failAsync(encoded.error());
         if (connection == ConnectionReuse::Allowed)
             this->connection = this->pool->acquire(this->address, this->correlationValue);
         if (this->connection) {
@@ -99,6 +94,26 @@
     }
 
 private:
+    // Beast throws for what it cannot encode, such as a field that is too long.
+    Result<void> encode()
+    {
+        try {
+            this->message.version(11);
+            this->message.method_string(this->request.method);
+            this->message.target(this->request.target);
+            for (const Header &header : this->request.headers)
+                this->message.insert(header.name, header.value);
+            if (!this->message.count(http::field::host))
+                this->message.set(http::field::host, this->address);
+            this->message.keep_alive(true);
+            this->message.body() = std::move(this->request.body);
+            this->message.prepare_payload();
+        } catch (const std::exception &problem) {
+            return makeError(ErrorKind::InvalidInput, "encode request", this->address, problem.what());
+        }
+        return success();
+    }
+
     void write()
     {
         this->sent = true;
@@ -237,9 +252,10 @@
     Instant deadline;
     std::uint32_t staleResponses = 0;
     std::uint32_t interimResponses = 0;
-    HttpClient::ResponseCallback done; // Empty once it has been called.
-    http::request<http::string_body> message;
-    std::string header; // Of the message; alive while it is written.
+    HttpRequest request;
+    HttpClient::ResponseCallback done;        // Empty once it has been called.
+    http::request<http::string_body> message; // The encoded request.
+    std::string header;                       // Of the message; alive while it is written.
     std::unique_ptr<HttpConnection> connection;
     beast::flat_buffer buffer{maximumUnparsedBytes};
     std::optional<http::response_parser<http::string_body>> parser;
--- a/Libraries/LibNet/HttpRequestChecks.h
+++ b/Libraries/LibNet/HttpRequestChecks.h
@@ -25,11 +25,28 @@
     return 0;
 }
 
-// Describes what is wrong with a header that Beast accepts; empty when it is valid. These cases allow request
-// smuggling: two parsers disagree on where a request ends or which host it is for. RFC 9112 requires 400 for
-// each of them.
+// Whether a request with this method has content: RFC 9110, sections 9.3.6 and 9.3.8. Content in GET, HEAD
+// and DELETE has no defined meaning, but is forwarded.
+inline bool mayHaveContent(boost::beast::http::verb method)
+{
+    return method != boost::beast::http::verb::connect && method != boost::beast::http::verb::trace;
+}
+
+inline bool announcesContent(const boost::beast::http::request_header<> &header)
+{
+    if (header.count(boost::beast::http::field::transfer_encoding) != 0)
+        return true;
+    const std::string_view length = header[boost::beast::http::field::content_length];
+    return length.find_first_not_of('0') != std::string_view::npos;
+}
+
+// Describes what is wrong with a header that Beast accepts; empty when it is valid. Most of these cases allow
+// request smuggling: two parsers disagree on where a request ends or which host it is for. RFC 9112 requires
+// 400 for each of them.
 inline std::string_view findHeaderError(const boost::beast::http::request_header<> &header)
 {
+    if (!mayHaveContent(header.method()) && announcesContent(header))
+        return "content in a request whose method has none";
     constexpr unsigned version11 = 11;
     const std::size_t hostCount = header.count(boost::beast::http::field::host);
     if (hostCount > 1)
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <exception>
 
 namespace Sagecrank {
 
@@ -24,6 +25,8 @@
 
 constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
+constexpr std::uint32_t statusBadGateway = 502;
+
 class SessionExchange : public HttpExchange
 {
 public:
@@ -359,14 +362,10 @@
 
 void HttpSession::writeResponse(const Exchange &exchange, HttpResponse response, bool keepAlive)
 {
-    http::response<http::string_body> &message = this->response.emplace();
-    message.version(11);
-    message.result(response.status);
-    for (const Header &header : response.headers)
-        message.insert(header.name, header.value);
-    message.keep_alive(keepAlive);
-    message.body() = std::move(response.body);
-    message.prepare_payload();
+    if (!this->encodeResponse(std::move(response), keepAlive))
+        this->encodeResponse(makeResponse(statusBadGateway, "text/plain", "the response is invalid\n"),
+                             keepAlive);
+    Response &message = *this->response;
     if (exchange.isHead)
         message.body().clear();
     this->stream.expires_after(this->limits().idleTimeout);
@@ -379,6 +378,25 @@
                  });
 }
 
+// Beast throws for what it cannot encode, such as a field that is too long or a body of a response that has
+// none. Returns false then.
+bool HttpSession::encodeResponse(HttpResponse response, bool keepAlive)
+{
+    Response &message = this->response.emplace();
+    try {
+        message.version(11);
+        message.result(response.status);
+        for (const Header &header : response.headers)
+            message.insert(header.name, header.value);
+        message.keep_alive(keepAlive);
+        message.body() = std::move(response.body);
+        message.prepare_payload();
+    } catch (const std::exception &) {
+        return false;
+    }
+    return true;
+}
+
 void HttpSession::writeRaw(bool keepAlive)
 {
     this->raw = this->server->settings.rewriteResponse(this->responseHeader + this->response->body());
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -116,6 +116,11 @@
      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
      "HTTP/1.1 400"},
     {"coding in 1.0", "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 400"},
+    {"content in TRACE", "TRACE / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc", "HTTP/1.1 400"},
+    {"chunks in TRACE",
+     "TRACE / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+     "HTTP/1.1 400"},
+    {"content in CONNECT", "CONNECT a:1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc", "HTTP/1.1 400"},
     {"large header", "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(4000, 'x') + "\r\n\r\n",
      "HTTP/1.1 431"},
     {"large body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4000\r\n\r\n" + std::string(4000, 'x'),
@@ -586,3 +591,39 @@
         ++responded;
     cr_assert(responded == handled, "%zu handled, %zu answered", handled, responded);
 }
+
+namespace {
+
+struct UnencodableResponseRow
+{
+    const char *what;
+    HttpResponse response;
+};
+
+const std::string tooLongField(70'000, 'x'); // A field's length has 16 bits in Beast.
+
+const UnencodableResponseRow unencodableResponseRows[] = {
+    {"no status", {1000, {}, "", {}}},
+    {"content in 204", {204, {}, "body", {}}},
+    {"a long field", {200, {{"X", tooLongField}}, "", {}}},
+};
+
+} // namespace
+
+// Another node or an upstream has sent a response that cannot be encoded. Its caller gets an error, and the
+// process goes on.
+TABLE_TEST(httpServer, aResponseThatCannotBeEncodedIsReplaced, unencodableResponseRows)
+{
+    boost::asio::io_context context;
+    HttpServer server(context, {},
+                      [&row](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+                          exchange->respond(row.response);
+                      });
+    cr_assert(server.listen("127.0.0.1:0").has_value());
+    std::thread thread([&context] { context.run_for(std::chrono::seconds(20)); });
+    const std::string response =
+        exchangeRaw(server.address(), "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    context.stop();
+    thread.join();
+    cr_assert(response.starts_with("HTTP/1.1 502"), "%s: %s", row.what, response.c_str());
+}
