LibNet: Accept no header fields that Beast cannot hold

A caller could end a node whose configuration allows headers above 64 KiB with one field of that length, and any node with a trailer field of that length: Beast's parser throws for it ("field value too large"), in the handler of the read.

Before: 3 of the 4 rows of httpServer/aLongFieldDoesNotEndTheProcess end the process. After: all pass.

--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -115,8 +115,7 @@
 {
     const HttpLimits limits = this->limits();
     this->parser.emplace();
-    this->buffer.max_size(limits.headerBytes + maximumUnparsedBytes);
-    this->parser->header_limit(limits.headerBytes);
+    this->parser->header_limit(std::min(limits.headerBytes, maximumParsedHeaderBytes));
     this->parser->body_limit(limits.bodyBytes);
     this->stream.expires_after(limits.headerTimeout);
     http::async_read_header(this->stream, this->buffer, *this->parser,
--- a/Libraries/LibNet/HttpSession.h
+++ b/Libraries/LibNet/HttpSession.h
@@ -122,7 +122,7 @@
 
     HttpStream stream;
     std::shared_ptr<HttpServer::State> server;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{maximumUnparsedBytes};
     std::optional<RequestParser> parser;
     std::optional<Response> response; // Alive while it is written.
     std::string responseHeader;       // Alive while it is written.
--- a/Libraries/LibNet/HttpWire.h
+++ b/Libraries/LibNet/HttpWire.h
@@ -57,6 +57,11 @@
 // the trailers, and what has been read ahead. The parser's limits cover the header and the body only.
 inline constexpr std::size_t maximumUnparsedBytes = 65'536;
 
+// Beast throws for a header field of 64 KiB or more. A header is therefore limited to less, and trailers are
+// parsed from the unparsed bytes, which hold no such field either.
+inline constexpr std::uint32_t maximumParsedHeaderBytes = 65'000;
+static_assert(maximumParsedHeaderBytes < maximumUnparsedBytes);
+
 // Reads until the parser has the whole message. The deadline is checked after each read: the stream's own
 // timeout is rearmed for each, and does not fire while data keeps arriving. The stream, the buffer and the
 // parser must stay alive until the handler has run.
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -627,3 +627,45 @@
     thread.join();
     cr_assert(response.starts_with("HTTP/1.1 502"), "%s: %s", row.what, response.c_str());
 }
+
+namespace {
+
+struct LongFieldRow
+{
+    const char *what;
+    std::string request;
+};
+
+const std::string chunkedRequest = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ";
+
+const LongFieldRow longFieldRows[] = {
+    {"header field", "GET / HTTP/1.1\r\nHost: a\r\nX: " + tooLongField + "\r\n\r\n"},
+    {"trailer field", chunkedRequest + tooLongField + "\r\n\r\n"},
+    {"trailer field of the buffer's size", chunkedRequest + std::string(65'526, 'x') + "\r\n\r\n"},
+    {"trailer field of a field's size", chunkedRequest + std::string(65'534, 'x') + "\r\n\r\n"},
+};
+
+} // namespace
+
+// The configuration allows headers above 64 KiB, and a caller sends a field of that length. The request is
+// rejected or served; the process does not end.
+TABLE_TEST(httpServer, aLongFieldDoesNotEndTheProcess, longFieldRows)
+{
+    boost::asio::io_context context;
+    HttpServerSettings settings;
+    settings.limits.headerBytes = 524'288;
+    HttpServer server(context, settings,
+                      [](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+                          exchange->respond(makeResponse(200, "text/plain", "served"));
+                      });
+    cr_assert(server.listen("127.0.0.1:0").has_value());
+    std::thread thread([&context] { context.run_for(std::chrono::seconds(20)); });
+    boost::system::error_code ignored;
+    const std::string response = exchangeRaw(server.address(), row.request, ignored);
+    const std::string other =
+        exchangeRaw(server.address(), "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    context.stop();
+    thread.join();
+    cr_assert(response.starts_with("HTTP/1.1 "), "%s", row.what);
+    cr_assert(other.ends_with("served"), "%s", row.what);
+}
