Node, LibNet: Say which part of a message was too large, and count it

A response beyond the bounds of a connection ended its call as broken off, and a request beyond them was answered without any line in the log. The gate now names it (4013, reason upstream_response_too_large; unknown, 502, a failure of the upstream like others), and each request that is rejected before it reaches its handler, on the callers' port and the node's own, writes 4005 with status and reason and counts in sagecrank_requests_invalid_total.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -221,6 +221,7 @@
 
     void fail(std::string_view operation, const beast::error_code &error)
     {
+        this->responseTooLarge = isSizeError(error);
         const bool timedOut = error == beast::error::timeout;
         const ErrorKind kind = timedOut || this->sent ? ErrorKind::Timeout : ErrorKind::Unavailable;
         this->finishWithFailure(makeError(kind, std::string(operation), this->address, error.message()));
@@ -240,7 +241,7 @@
         this->done = nullptr;
         if (this->connection)
             this->connection->stream.close();
-        const HttpFailure failure{error, this->sent};
+        const HttpFailure failure{error, this->sent, this->responseTooLarge};
         callback(&failure, {});
     }
 
@@ -261,6 +262,7 @@
     std::optional<http::response_parser<http::string_body>> parser;
     bool sent = false; // Set before the first byte may be sent.
     beast::error_code writeError;
+    bool responseTooLarge = false;
 };
 
 void HttpClient::Handle::cancel()
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -16,7 +16,8 @@
 struct HttpFailure
 {
     Error error;
-    bool mayHaveBeenSent = true; // False only when no byte of the request was sent.
+    bool mayHaveBeenSent = true;   // False only when no byte of the request was sent.
+    bool responseTooLarge = false; // The server sent more in some part of its response than the client holds.
 };
 
 struct HttpClientSettings
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 namespace Sagecrank {
 
@@ -47,6 +48,8 @@
     // answered. If not set, none may, and each request is read after the previous response. Responses are
     // sent in request order either way.
     std::function<bool(const HttpRequest &)> mayPipeline;
+    // Observes a request that was answered with an error before it reached the handler.
+    std::function<void(std::uint32_t status, std::string_view reason)> requestRejected;
     // Fault injection for emulators; production servers set neither. rewriteResponse receives a whole
     // response, header and body. respondBeforeBody may answer a request whose body is still being received,
     // which closes the connection.
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -293,6 +293,8 @@
 
 void HttpSession::rejectRequest(std::uint32_t status, std::string_view message)
 {
+    if (this->server->settings.requestRejected)
+        this->server->settings.requestRejected(status, message);
     HttpResponse response = makeResponse(status, "text/plain", std::string(message) + "\n");
     response.headers.push_back({"Sagecrank-Outcome", std::string(outcomeNames.name(Outcome::NotRun))});
     this->respondWithoutHandler(std::move(response));
--- a/Libraries/LibNet/HttpWire.h
+++ b/Libraries/LibNet/HttpWire.h
@@ -62,6 +62,14 @@
 inline constexpr std::uint32_t maximumParsedHeaderBytes = 65'000;
 static_assert(maximumParsedHeaderBytes < maximumUnparsedBytes);
 
+// Whether a message was rejected because one of its parts is larger than allowed.
+inline bool isSizeError(const boost::beast::error_code &error)
+{
+    namespace http = boost::beast::http;
+    return error == http::error::buffer_overflow || error == http::error::header_limit
+           || error == http::error::body_limit;
+}
+
 // Reads until the parser has the whole message. The deadline is checked after each read: the stream's own
 // timeout is rearmed for each, and does not fire while data keeps arriving. The stream, the buffer and the
 // parser must stay alive until the handler has run.
--- a/Meta/prove/faults.py
+++ b/Meta/prove/faults.py
@@ -327,6 +327,13 @@
                     double_late_share=0.1)
 
 
+@fault
+def rejections_repeated(this_round):
+    """An upstream rejects calls and repeats a rejection where the next response is expected; some responses are
+    larger than a node holds."""
+    _upstream_round(this_round, shed_share=0.2, shed_double_late_share=0.3, oversized_share=0.05)
+
+
 @fault
 def named_limit(this_round):
     """An upstream asks in its answers for few calls, for long enough that the limit must be kept meanwhile."""
--- a/Meta/prove/prove.py
+++ b/Meta/prove/prove.py
@@ -48,6 +48,8 @@
 # was.
 LATER_FAULTS = ("zone-lost", "answers-broken")
 LATEST_FAULTS = ("named-limit", "leaves-quietly")
+# In every seed, so that each of its other faults meets it.
+FAULTS_OF_ALL_SEEDS = ("rejections-repeated",)
 
 # Promises that only runs with a certain fault can judge.
 JUDGED_WITH = {"named-limit-kept": "named-limit"}
@@ -55,9 +57,10 @@
 
 def soak_scenario(seed):
     source = random.Random(f"{seed}/soak")
-    disturbing = [name for name in faults.FAULTS if name != "none" and name not in LATER_FAULTS + LATEST_FAULTS]
+    added = ("none",) + LATER_FAULTS + LATEST_FAULTS + FAULTS_OF_ALL_SEEDS
+    disturbing = [name for name in faults.FAULTS if name not in added]
     drawn = source.choices(disturbing, k=source.randint(*SOAK_FAULTS))
-    return "+".join([*drawn, source.choice(LATER_FAULTS), source.choice(LATEST_FAULTS)])
+    return "+".join([*drawn, source.choice(LATER_FAULTS), source.choice(LATEST_FAULTS), *FAULTS_OF_ALL_SEEDS])
 
 
 def parse_arguments():
--- a/Services/Node/CallReasons.h
+++ b/Services/Node/CallReasons.h
@@ -28,6 +28,7 @@
 inline constexpr std::string_view reasonMisdirected = "another_upstream_at_the_address";
 inline constexpr std::string_view reasonNoProof = "upstream_refused_without_proof";
 inline constexpr std::string_view reasonSpoilt = "upstream_answer_spoilt";
+inline constexpr std::string_view reasonTooLarge = "upstream_response_too_large";
 inline constexpr std::string_view reasonUnreachable = "upstream_unreachable";
 inline constexpr std::string_view reasonBroken = "upstream_broke_off";
 inline constexpr std::string_view reasonDeadline = "deadline_passed_while_running";
--- a/Services/Node/Callers/CallerFrontend.cpp
+++ b/Services/Node/Callers/CallerFrontend.cpp
@@ -180,7 +180,7 @@
 {
     const std::string_view problem = this->validate(request);
     if (!problem.empty()) {
-        this->context.observer.requestInvalid(problem);
+        this->context.observer.requestInvalid(400, problem);
         return this->refuse(request, *exchange, 400, problem, 0);
     }
     if (worker.rejectsNewCalls())
--- a/Services/Node/Callers/Worker.cpp
+++ b/Services/Node/Callers/Worker.cpp
@@ -21,11 +21,15 @@
     return client;
 }
 
-HttpServerSettings callerServerSettings(const NodeSettings &settings, const CallerHooks &callers)
+HttpServerSettings callerServerSettings(const NodeSettings &settings, const CallerHooks &callers,
+                                        RequestObserver &observer)
 {
     HttpServerSettings server;
     server.currentLimits = callers.limits;
     server.mayPipeline = callers.mayPipeline;
+    server.requestRejected = [&observer](std::uint32_t status, std::string_view reason) {
+        observer.requestInvalid(status, reason);
+    };
     server.maximumConnections = settings.requests.maximumConnections;
     server.reusePort = true;
     return server;
@@ -39,7 +43,7 @@
     , observer(observer)
     , work(boost::asio::make_work_guard(this->context))
     , client(this->context, upstreamClientSettings(settings))
-    , callerServer(this->context, callerServerSettings(settings, callers),
+    , callerServer(this->context, callerServerSettings(settings, callers, observer),
                    [this, handle = std::move(callers.handle)](HttpRequest request,
                                                               std::shared_ptr<HttpExchange> exchange) {
                        handle(*this, std::move(request), std::move(exchange));
--- a/Services/Node/Gate/LocalGateUpstream.cpp
+++ b/Services/Node/Gate/LocalGateUpstream.cpp
@@ -165,7 +165,8 @@
     if (call->claimed)
         this->claims.leaveUnknown(call->claimKey, call->request.attemptId);
     const bool deadlinePassed = SteadyClock::now() >= call->deadline;
-    this->answerUnknown(call, deadlinePassed ? reasonDeadline : reasonBroken,
+    const std::string_view reason = failure.responseTooLarge ? reasonTooLarge : reasonBroken;
+    this->answerUnknown(call, deadlinePassed ? reasonDeadline : reason,
                         deadlinePassed ? statusGatewayTimeout : statusBadGateway, unreachableRetryAfter);
 }
 
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -33,10 +33,13 @@
     return [generator = std::mt19937_64(std::random_device{}())]() mutable { return generator(); };
 }
 
-HttpServerSettings adminServerSettings()
+HttpServerSettings adminServerSettings(RequestObserver &observer)
 {
     HttpServerSettings server;
     server.maximumConnections = 64;
+    server.requestRejected = [&observer](std::uint32_t status, std::string_view reason) {
+        observer.requestInvalid(status, reason);
+    };
     return server;
 }
 
@@ -112,9 +115,9 @@
               this->settings.platform.upstreamService, this->callerHooks())
     , adminCommands(this->adminHooks())
     , admin(this->adminCommands)
-    , adminServer(this->control, adminServerSettings(), this->adminHandler())
-    , announcementServer(this->control, adminServerSettings(), this->adapterHandler())
-    , probeServer(this->control, adminServerSettings(), this->adapterHandler())
+    , adminServer(this->control, adminServerSettings(this->observer), this->adminHandler())
+    , announcementServer(this->control, adminServerSettings(this->observer), this->adapterHandler())
+    , probeServer(this->control, adminServerSettings(this->observer), this->adapterHandler())
     , plane(this->control, controlSettings(this->settings), this->adapter.table, this->adapter.versions,
             this->controlHooks())
     , drain(drainSettings(this->settings), this->drainHooks())
--- a/Services/Node/RequestObserver.cpp
+++ b/Services/Node/RequestObserver.cpp
@@ -186,9 +186,13 @@
     this->log.write(EventId::UpstreamLimitMalformed, {{"instance", instance}});
 }
 
-void RequestObserver::requestInvalid(std::string_view reason)
+void RequestObserver::requestInvalid(std::uint32_t status, std::string_view reason)
 {
-    this->log.write(EventId::CallerRequestInvalid, {{"reason", reason}});
+    this->log.write(EventId::CallerRequestInvalid, {{"status", status}, {"reason", reason}});
+    this->metrics
+        .counter("sagecrank_requests_invalid_total", "Requests that were malformed or too large.",
+                 {{"status", std::to_string(status)}})
+        .add();
 }
 
 void RequestObserver::peerFrameInvalid(const std::string &peer, const Error &reason)
--- a/Services/Node/RequestObserver.h
+++ b/Services/Node/RequestObserver.h
@@ -96,7 +96,7 @@
     // Nothing if the upstream names no limit any more.
     void upstreamLimitChanged(std::string_view instance, std::optional<double> callsPerSecond);
     void upstreamLimitMalformed(std::string_view instance);
-    void requestInvalid(std::string_view reason);
+    void requestInvalid(std::uint32_t status, std::string_view reason);
     void peerLost(const std::string &peer, const Error &reason);
     void peerFrameInvalid(const std::string &peer, const Error &reason);
 
--- a/Services/UpstreamEmulator/Answer.cpp
+++ b/Services/UpstreamEmulator/Answer.cpp
@@ -6,6 +6,7 @@
 #include <LibHistory/HistoryRecorder.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace Sagecrank {
@@ -14,6 +15,7 @@
 
 constexpr std::size_t maximumResponseBytes = 1'000'000;
 
+constexpr std::string_view callIdHeader = "Sagecrank-Call-Id";
 constexpr std::string_view faultHeader = "Sagecrank-Emulator-Fault";
 constexpr std::string_view malformedResponse = "\x16\x03 these bytes are no answer\r\n\r\n";
 
@@ -31,6 +33,15 @@
     return said;
 }
 
+HttpResponse responseTo(const HttpRequest &request, std::uint32_t status, std::string body)
+{
+    HttpResponse response = makeResponse(status, "text/plain", std::move(body));
+    const std::string_view call = findHeader(request.headers, callIdHeader);
+    if (!call.empty())
+        response.headers.push_back({std::string(callIdHeader), std::string(call)});
+    return response;
+}
+
 std::size_t requestedResponseBytes(std::string_view target)
 {
     const std::string_view text = queryValue(target, "answer_bytes");
@@ -43,7 +54,7 @@
 
 std::string responseBody(const HttpRequest &request)
 {
-    const std::string_view call = findHeader(request.headers, "Sagecrank-Call-Id");
+    const std::string_view call = findHeader(request.headers, callIdHeader);
     std::string body;
     body.reserve(128);
     body.append("call=").append(call).append("\nmethod=").append(request.method);
@@ -58,23 +69,21 @@
 
 HttpResponse servedResponse(const HttpRequest &request, std::string_view upstream)
 {
-    HttpResponse response = makeResponse(200, "text/plain", responseBody(request));
-    response.headers.push_back(
-        {"Sagecrank-Call-Id", std::string(findHeader(request.headers, "Sagecrank-Call-Id"))});
+    HttpResponse response = responseTo(request, 200, responseBody(request));
     response.headers.push_back({"Sagecrank-Upstream-Emulator", std::string(upstream)});
     return response;
 }
 
-HttpResponse shedResponse(std::string_view why)
+HttpResponse shedResponse(const HttpRequest &request, std::string_view why)
 {
-    HttpResponse response = makeResponse(503, "text/plain", std::string(why) + "\n");
+    HttpResponse response = responseTo(request, 503, std::string(why) + "\n");
     response.headers.push_back({"Sagecrank-Outcome", "not-run"});
     return response;
 }
 
-HttpResponse errorResponse(std::uint32_t status, std::string_view why)
+HttpResponse errorResponse(const HttpRequest &request, std::uint32_t status, std::string_view why)
 {
-    return makeResponse(status, "text/plain", std::string(why) + "\n");
+    return responseTo(request, status, std::string(why) + "\n");
 }
 
 void addFaultHeader(HttpResponse &response, CallFault callFault)
@@ -82,6 +91,21 @@
     response.headers.push_back({std::string(faultHeader), std::string(callFaultShareKeys.name(callFault))});
 }
 
+// Encodes the body as one chunk, with more bytes in its extension than anybody should hold.
+std::string withLongChunkExtension(std::string answer)
+{
+    constexpr std::size_t extensionBytes = 1'000'000;
+    removeHeader(answer, "Content-Length");
+    const std::size_t bodyStart = answer.find("\r\n\r\n") + 4;
+    std::array<char, 16> length{};
+    const auto written =
+        std::to_chars(length.data(), length.data() + length.size(), answer.size() - bodyStart, 16);
+    std::string chunk(length.data(), written.ptr);
+    chunk.append(";x=").append(extensionBytes, 'x').append("\r\n");
+    chunk.append(answer, bodyStart).append("\r\n0\r\n\r\n");
+    return answer.substr(0, bodyStart - 2) + "Transfer-Encoding: chunked\r\n\r\n" + chunk;
+}
+
 RawResponse applyMarkedFault(std::string answer)
 {
     const std::optional<CallFault> callFault = callFaultShareKeys.value(removeHeader(answer, faultHeader));
@@ -100,6 +124,8 @@
     case CallFault::DuplicatedLate:
     case CallFault::ShedDuplicatedLate:
         return {answer, false, answer};
+    case CallFault::Oversized:
+        return {withLongChunkExtension(std::move(answer)), false, {}};
     default:
         return {std::move(answer), false, {}};
     }
--- a/Services/UpstreamEmulator/Answer.h
+++ b/Services/UpstreamEmulator/Answer.h
@@ -16,9 +16,10 @@
 // The padding repeats the call id until the body has `?answer_bytes=` bytes.
 std::string responseBody(const HttpRequest &request);
 
+// Each response repeats the id of its call.
 HttpResponse servedResponse(const HttpRequest &request, std::string_view upstream);
-HttpResponse shedResponse(std::string_view why);
-HttpResponse errorResponse(std::uint32_t status, std::string_view why);
+HttpResponse shedResponse(const HttpRequest &request, std::string_view why);
+HttpResponse errorResponse(const HttpRequest &request, std::uint32_t status, std::string_view why);
 
 // A header marks a response that is to be corrupted; the HTTP server removes it and corrupts the encoded
 // bytes.
--- a/Services/UpstreamEmulator/WorkService.cpp
+++ b/Services/UpstreamEmulator/WorkService.cpp
@@ -124,7 +124,7 @@
 {
     ++this->service.shed;
     this->ended = true;
-    HttpResponse response = shedResponse(why);
+    HttpResponse response = shedResponse(this->request, why);
     this->service.addStatements(response);
     if (this->callFault == CallFault::ShedDuplicatedLate)
         addFaultHeader(response, this->callFault);
@@ -170,7 +170,7 @@
         return this->service.settings.crash();
     if (this->callFault == CallFault::Failed) {
         ++this->service.failed;
-        return this->endRunningCall(errorResponse(500, "failing fast"));
+        return this->endRunningCall(errorResponse(this->request, 500, "failing fast"));
     }
     ++this->service.served;
     HttpResponse answer = servedResponse(this->request, this->service.settings.name);
@@ -197,7 +197,8 @@
         return;
     ++this->service.cancelled;
     if (this->running)
-        return this->endRunningCall(errorResponse(504, "the deadline passed while the work ran"));
+        return this->endRunningCall(
+            errorResponse(this->request, 504, "the deadline passed while the work ran"));
     this->leaveQueue();
     this->shed("the deadline passed before the work began");
 }
@@ -352,7 +353,7 @@
     if (!this->faults.drawEarlyRefusal())
         return std::nullopt;
     ++this->shed;
-    return shedResponse("refused before the body was in"); // Says nothing about limits or leaving.
+    return shedResponse(header, "refused before the body was in"); // Says nothing about limits or leaving.
 }
 
 bool WorkService::suppressesAnnouncements() const
