--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -368,30 +368,3 @@
     cr_assert(result.mayHaveBeenSent == row.failed, "%s", row.what);
     cr_assert(row.failed || result.response.status == 503, "%s: %u", row.what, result.response.status);
 }
-
-namespace {
-
-struct UnencodableRequestRow
-{
-    const char *what;
-    HttpRequest request;
-};
-
-const UnencodableRequestRow unencodableRequestRows[] = {
-    {"content in TRACE", {"TRACE", "/", {}, "body"}},
-    {"no method", {"", "/", {}, ""}},
-    {"a long field", {"GET", "/", {{"X", std::string(70'000, 'x')}}, ""}},
-};
-
-} // namespace
-
-// A caller's request cannot be encoded for its upstream. The call fails as not sent, and the process goes on:
-// the retry would otherwise end the next node.
-TABLE_TEST(httpClient, aRequestThatCannotBeEncodedFailsAsNotSent, unencodableRequestRows)
-{
-    boost::asio::io_context context;
-    HttpClient client(context, {});
-    const CallResult result =
-        sendAndWait(context, client, "127.0.0.1:1", row.request, {std::chrono::seconds(10), {}});
-    cr_assert(result.failed && !result.mayHaveBeenSent, "%s", row.what);
-}
