LibNet: Keep the reading of messages in a file of its own

HttpWire.h held stream types, writing and, since the bounds of input, reading with its limits. HttpReading.h now has the last of these; no behaviour changes.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -2,6 +2,7 @@
 #include <LibNet/FramedConnection.h>
 #include <LibNet/HttpClient.h>
 #include <LibNet/HttpConnectionPool.h>
+#include <LibNet/HttpReading.h>
 
 #include <boost/asio/post.hpp>
 
--- a/Libraries/LibNet/HttpSession.h
+++ b/Libraries/LibNet/HttpSession.h
@@ -2,6 +2,7 @@
 // Internal to LibNet.
 #pragma once
 
+#include <LibNet/HttpReading.h>
 #include <LibNet/HttpServer.h>
 #include <LibNet/HttpWire.h>
 
