LibNet: Report a response that cannot be encoded

The server replaced such a response by 502 and said nothing about it. The hook for requests that the server answers itself is called with the error now, so that 4005 and sagecrank_requests_invalid_total show it.

--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -48,7 +48,8 @@
     // answered. If not set, none may, and each request is read after the previous response. Responses are
     // sent in request order either way.
     std::function<bool(const HttpRequest &)> mayPipeline;
-    // Observes a request that was answered with an error before it reached the handler.
+    // Observes a request that was answered with an error of the server's own: it did not reach the handler,
+    // or the handler's response cannot be encoded.
     std::function<void(std::uint32_t status, std::string_view reason)> requestRejected;
     // Fault injection for emulators; production servers set neither. rewriteResponse receives a whole
     // response, header and body. respondBeforeBody may answer a request whose body is still being received,
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -363,9 +363,9 @@
 
 void HttpSession::writeResponse(const Exchange &exchange, HttpResponse response, bool keepAlive)
 {
-    if (!this->encodeResponse(std::move(response), keepAlive))
-        this->encodeResponse(makeResponse(statusBadGateway, "text/plain", "the response is invalid\n"),
-                             keepAlive);
+    const Result<void> encoded = this->encodeResponse(std::move(response), keepAlive);
+    if (!encoded)
+        this->replaceResponse(encoded.error(), keepAlive);
     Response &message = *this->response;
     if (exchange.isHead)
         message.body().clear();
@@ -380,8 +380,8 @@
 }
 
 // Beast throws for what it cannot encode, such as a field that is too long or a body of a response that has
-// none. Returns false then.
-bool HttpSession::encodeResponse(HttpResponse response, bool keepAlive)
+// none.
+Result<void> HttpSession::encodeResponse(HttpResponse response, bool keepAlive)
 {
     Response &message = this->response.emplace();
     try {
@@ -392,10 +392,19 @@
         message.keep_alive(keepAlive);
         message.body() = std::move(response.body);
         message.prepare_payload();
-    } catch (const std::exception &) {
-        return false;
+    } catch (const std::exception &problem) {
+        return makeError(ErrorKind::InvalidInput, "encode response", "", problem.what());
     }
-    return true;
+    return success();
+}
+
+void HttpSession::replaceResponse(const Error &problem, bool keepAlive)
+{
+    if (this->server->settings.requestRejected)
+        this->server->settings.requestRejected(statusBadGateway, problem.describe());
+    const HttpResponse replacement =
+        makeResponse(statusBadGateway, "text/plain", "the response is invalid\n");
+    static_cast<void>(this->encodeResponse(replacement, keepAlive)); // It can be encoded.
 }
 
 void HttpSession::writeRaw(bool keepAlive)
--- a/Libraries/LibNet/HttpSession.h
+++ b/Libraries/LibNet/HttpSession.h
@@ -110,7 +110,8 @@
     void open(Exchange exchange);
     void writeNext();
     void writeResponse(const Exchange &exchange, HttpResponse response, bool keepAlive);
-    bool encodeResponse(HttpResponse response, bool keepAlive);
+    Result<void> encodeResponse(HttpResponse response, bool keepAlive);
+    void replaceResponse(const Error &problem, bool keepAlive);
     void writeRaw(bool keepAlive);
     void handleWritten(const ErrorCode &error, bool keepAlive);
     void abortConnection();
