LibNet: Name the state of a connection that may not be pooled again

The pool asked whether a connection may carry an empty value to learn that its record of values is full.

--- a/Libraries/LibNet/HttpConnectionPool.cpp
+++ b/Libraries/LibNet/HttpConnectionPool.cpp
@@ -17,10 +17,13 @@
 
 } // namespace
 
+bool HttpConnection::isExhausted() const
+{
+    return this->carriedValues.size() >= maximumRequestsPerConnection;
+}
+
 bool HttpConnection::mayCarry(std::string_view correlationValue) const
 {
-    if (this->carriedValues.size() >= maximumRequestsPerConnection)
-        return false;
     const std::size_t hash = std::hash<std::string_view>{}(correlationValue);
     return correlationValue.empty()
            || std::ranges::find(this->carriedValues, hash) == this->carriedValues.end();
@@ -69,7 +72,7 @@
 void HttpConnectionPool::release(const std::string &address, std::unique_ptr<HttpConnection> connection,
                                  Duration idleTimeout)
 {
-    if (!connection->mayCarry({}))
+    if (connection->isExhausted())
         return;
     std::deque<IdleConnection> &connections = this->idle[address];
     if (connections.size() >= this->settings.maximumIdleConnections)
--- a/Libraries/LibNet/HttpConnectionPool.h
+++ b/Libraries/LibNet/HttpConnectionPool.h
@@ -34,6 +34,9 @@
     bool mayCarry(std::string_view correlationValue) const;
     void recordRequest(std::string_view correlationValue);
 
+    // It has carried as many values as it may record, and must not be used again.
+    bool isExhausted() const;
+
     // False if the server has closed the connection or has sent bytes that nobody asked for: a request sent
     // on it would needlessly end with an unknown outcome.
     bool isQuiet();
@@ -62,6 +65,7 @@
     // Returns the most recently used idle connection that may carry a request with this value, or null.
     std::unique_ptr<HttpConnection> acquire(const std::string &address, std::string_view correlationValue);
     std::unique_ptr<HttpConnection> makeConnection();
+    // Closes a connection that is exhausted.
     void release(const std::string &address, std::unique_ptr<HttpConnection> connection,
                  Duration idleTimeout);
     bool hasUsable(const std::string &address) const;
