LibDecide, LibNet, Node: Bound the memory for bodies of requests

Each connection had a bound, all together had none: 200 callers with a body of 1 MB each took the node of the callers to 214 MB with stated lengths (125 MB in chunks), of the 260 MB that a small host has, while its upstream was slow.

BodyMemory counts the bytes that are reserved for bodies over all request threads, against a quarter of the host's memory (memory_mb, 260 unless told); a forwarded body is held up to three times. A body with a stated length is reserved before it is read, one in chunks in doubling steps, and what does not fit is rejected at once with 503 and Retry-After. The upstream's node does the same with what peers send, before it grants a body.

Not yet: responses count for nothing, and a body is still held more than once.

--- a/Libraries/LibNet/HttpReading.h
+++ b/Libraries/LibNet/HttpReading.h
@@ -5,6 +5,7 @@
 #include <LibCore/Time.h>
 #include <LibNet/HttpWire.h>
 
+#include <boost/asio/error.hpp>
 #include <boost/beast/core/read_size.hpp>
 
 #include <cstddef>
@@ -58,13 +59,18 @@
 // not end, and the stream's timeout, which each of them rearms, does not fire, while data keeps arriving
 // whose last part is incomplete. The stream, the buffer and the parser must stay alive until the handler has
 // run; it runs at once if the buffer holds the rest of the message.
-template <bool isRequest, typename Handler>
+//
+// `admit` is asked after each read with the size of the body so far; if it returns false, reading fails with
+// no_buffer_space.
+template <bool isRequest, typename Admit, typename Handler>
 void readMessage(HttpStream &stream, boost::beast::flat_buffer &buffer,
                  boost::beast::http::parser<isRequest, boost::beast::http::string_body> &parser,
-                 Instant deadline, Handler handler)
+                 Instant deadline, Admit admit, Handler handler)
 {
     parser.eager(true);
     const boost::beast::error_code problem = parseBuffer(buffer, parser);
+    if (!problem && !admit(parser.get().body().size()))
+        return handler(boost::beast::error_code(boost::asio::error::no_buffer_space));
     if (problem || parser.is_done())
         return handler(problem);
     if (SteadyClock::now() >= deadline)
@@ -72,16 +78,27 @@
     const std::size_t size = boost::beast::read_size(buffer, maximumUnparsedBytes);
     if (size == 0)
         return handler(boost::beast::error_code(boost::beast::http::error::buffer_overflow));
-    stream.async_read_some(buffer.prepare(size),
-                           [&stream, &buffer, &parser, deadline, handler = std::move(handler)](
-                               boost::beast::error_code error, std::size_t received) mutable {
-                               if (error == boost::asio::error::eof)
-                                   return handler(parseEndOfStream(parser));
-                               if (error)
-                                   return handler(error);
-                               buffer.commit(received);
-                               readMessage(stream, buffer, parser, deadline, std::move(handler));
-                           });
+    stream.async_read_some(
+        buffer.prepare(size),
+        [&stream, &buffer, &parser, deadline, admit = std::move(admit),
+         handler = std::move(handler)](boost::beast::error_code error, std::size_t received) mutable {
+            if (error == boost::asio::error::eof)
+                return handler(parseEndOfStream(parser));
+            if (error)
+                return handler(error);
+            buffer.commit(received);
+            readMessage(stream, buffer, parser, deadline, std::move(admit), std::move(handler));
+        });
+}
+
+// The same for a body that is bounded by the parser's limit only.
+template <bool isRequest, typename Handler>
+void readMessage(HttpStream &stream, boost::beast::flat_buffer &buffer,
+                 boost::beast::http::parser<isRequest, boost::beast::http::string_body> &parser,
+                 Instant deadline, Handler handler)
+{
+    readMessage(
+        stream, buffer, parser, deadline, [](std::size_t) { return true; }, std::move(handler));
 }
 
 } // namespace Sagecrank
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -48,6 +49,10 @@
     // answered. If not set, none may, and each request is read after the previous response. Responses are
     // sent in request order either way.
     std::function<bool(const HttpRequest &)> mayPipeline;
+    // Asked before `bytes` more of a request's body are held, which then has `bodyBytes`. An empty result
+    // rejects the request with 503, and what has been received of it is dropped. Other results are kept until
+    // the request has been answered.
+    std::function<std::shared_ptr<void>(std::uint64_t bytes, std::uint64_t bodyBytes)> reserveBody;
     // Observes a request that was answered with an error of the server's own: it did not reach the handler,
     // or the handler's response cannot be encoded.
     std::function<void(std::uint32_t status, std::string_view reason)> requestRejected;
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -23,9 +23,18 @@
 // response has been sent.
 constexpr std::size_t maximumPipelinedRequests = 16;
 
+constexpr std::string_view noMemoryForBody = "the bodies of other requests fill the memory";
+
 constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 constexpr std::uint32_t statusBadGateway = 502;
+constexpr std::uint32_t statusUnavailable = 503;
+
+// Bodies without a stated length are reserved in steps, each as large as all before it and at least this.
+constexpr std::uint64_t minimumBodyStep = 64 * 1024;
+
+// By then uploads in progress have been forwarded.
+constexpr std::string_view retryAfterSeconds = "1";
 
 class SessionExchange : public HttpExchange
 {
@@ -114,6 +123,7 @@
 void HttpSession::readRequest()
 {
     const HttpLimits limits = this->limits();
+    this->reservedBody = {};
     this->parser.emplace();
     this->parser->header_limit(std::min(limits.headerBytes, maximumParsedHeaderBytes));
     this->parser->body_limit(limits.bodyBytes);
@@ -138,6 +148,9 @@
         return this->sendRawPrefix();
     if (this->respondedBeforeBody())
         return;
+    const auto length = this->parser->content_length();
+    if (length && !this->reserveBody(*length))
+        return this->rejectRequest(statusUnavailable, noMemoryForBody);
     this->stream.expires_after(this->limits().idleTimeout);
     // The caller waits for "100 Continue", which must not be written in the middle of an earlier response.
     if (!beast::iequals(header[http::field::expect], "100-continue"))
@@ -160,12 +173,32 @@
 
 void HttpSession::readBodyRest()
 {
-    readMessage(this->stream, this->buffer, *this->parser, SteadyClock::now() + this->limits().idleTimeout,
-                [self = this->shared_from_this()](const ErrorCode &error) {
-                    if (error)
-                        return self->handleReadError(error);
-                    self->sendRawPrefix();
-                });
+    readMessage(
+        this->stream, this->buffer, *this->parser, SteadyClock::now() + this->limits().idleTimeout,
+        [self = this->shared_from_this()](std::size_t bodyBytes) { return self->reserveBody(bodyBytes); },
+        [self = this->shared_from_this()](const ErrorCode &error) {
+            if (error)
+                return self->handleReadError(error);
+            self->sendRawPrefix();
+        });
+}
+
+// Returns whether the body may be held up to this size.
+bool HttpSession::reserveBody(std::uint64_t bodyBytes)
+{
+    const auto &hook = this->server->settings.reserveBody;
+    BodyReservation &reserved = this->reservedBody;
+    if (!hook || bodyBytes <= reserved.bytes)
+        return true;
+    const std::uint64_t missing = bodyBytes - reserved.bytes;
+    const bool hasLength = this->parser->content_length().has_value();
+    const std::uint64_t step = hasLength ? missing : std::max({missing, reserved.bytes, minimumBodyStep});
+    std::shared_ptr<void> part = hook(step, reserved.bytes + step);
+    if (!part)
+        return false;
+    reserved.parts.push_back(std::move(part));
+    reserved.bytes += step;
+    return true;
 }
 
 bool HttpSession::respondedBeforeBody()
@@ -196,6 +229,8 @@
 {
     if (this->lingering)
         return;
+    if (error == boost::asio::error::no_buffer_space)
+        return this->rejectRequest(statusUnavailable, noMemoryForBody);
     const std::uint32_t status = statusForReadError(error);
     if (status != 0)
         return this->rejectRequest(status, error.message());
@@ -213,6 +248,7 @@
     ReceivedRequest received;
     received.request = toHttpRequest(message);
     received.request.body = std::move(message.body());
+    received.body = std::move(this->reservedBody);
     received.keepAlive = message.keep_alive();
     received.isHead = message.method() == http::verb::head;
     if (this->exchanges.empty() || this->mayPipeline(received.request))
@@ -228,6 +264,7 @@
     exchange.number = number;
     exchange.keepAlive = received.keepAlive;
     exchange.isHead = received.isHead;
+    exchange.body = std::move(received.body);
     this->open(std::move(exchange));
     this->server->handler(std::move(received.request),
                           std::make_shared<SessionExchange>(this->shared_from_this(), number));
@@ -297,6 +334,8 @@
         this->server->settings.requestRejected(status, message);
     HttpResponse response = makeResponse(status, "text/plain", std::string(message) + "\n");
     response.headers.push_back({"Sagecrank-Outcome", std::string(outcomeNames.name(Outcome::NotRun))});
+    if (status == statusUnavailable)
+        response.headers.push_back({"Retry-After", std::string(retryAfterSeconds)});
     this->respondWithoutHandler(std::move(response));
 }
 
@@ -304,6 +343,8 @@
 void HttpSession::respondWithoutHandler(HttpResponse response)
 {
     this->reading = false;
+    this->reservedBody = {};
+    this->parser.reset();
     Exchange exchange;
     exchange.number = ++this->lastRequestNumber;
     exchange.requestUnread = true;
--- a/Libraries/LibNet/HttpSession.h
+++ b/Libraries/LibNet/HttpSession.h
@@ -18,6 +18,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_set>
+#include <vector>
 
 namespace Sagecrank {
 
@@ -65,10 +66,18 @@
     // Whether the caller has sent unread bytes or closed the connection.
     enum class PeekResult : std::uint8_t { Bytes, Nothing, Closed };
 
+    // What HttpServerSettings::reserveBody returned for one body.
+    struct BodyReservation
+    {
+        std::vector<std::shared_ptr<void>> parts;
+        std::uint64_t bytes = 0; // Over all parts.
+    };
+
     // A parsed request with the properties that its response depends on.
     struct ReceivedRequest
     {
         HttpRequest request;
+        BodyReservation body;
         bool keepAlive = false;
         bool isHead = false; // The response to HEAD has the headers of a GET and no body.
     };
@@ -82,6 +91,7 @@
         bool requestUnread = false;           // Rejected before it was read completely.
         std::optional<HttpResponse> response; // Queued behind earlier responses.
         std::function<void()> onDisconnected;
+        BodyReservation body;
     };
 
     // Reading.
@@ -91,6 +101,7 @@
     void readBody();
     void sendContinue();
     void readBodyRest();
+    bool reserveBody(std::uint64_t bodyBytes);
     void handleReadError(const ErrorCode &error);
     void sendRawPrefix();
     bool respondedBeforeBody();
@@ -126,6 +137,7 @@
     std::shared_ptr<HttpServer::State> server;
     boost::beast::flat_buffer buffer{maximumUnparsedBytes};
     std::optional<RequestParser> parser;
+    BodyReservation reservedBody;     // Of the request that is being read.
     std::optional<Response> response; // Alive while it is written.
     std::string responseHeader;       // Alive while it is written.
     RawResponse raw;                  // Set by emulators; its prefix waits for the next request.
--- a/Services/Node/CallReasons.h
+++ b/Services/Node/CallReasons.h
@@ -21,6 +21,9 @@
 inline constexpr std::string_view reasonPeerCongested = "peer_congested";
 inline constexpr std::string_view reasonPeerLeaving = "peer_leaving";
 
+// From the node that the upstream is beside.
+inline constexpr std::string_view reasonNoMemory = "no_memory_for_body";
+
 // From the gate.
 inline constexpr std::string_view reasonKeyInProgress = "key_in_progress";
 inline constexpr std::string_view reasonKeyUnknown = "key_outcome_unknown";
--- a/Services/Node/Callers/Worker.cpp
+++ b/Services/Node/Callers/Worker.cpp
@@ -27,6 +27,7 @@
     HttpServerSettings server;
     server.currentLimits = callers.limits;
     server.mayPipeline = callers.mayPipeline;
+    server.reserveBody = callers.reserveBody;
     server.requestRejected = [&observer](std::uint32_t status, std::string_view reason) {
         observer.requestInvalid(status, reason);
     };
@@ -37,7 +38,7 @@
 
 } // namespace
 
-Worker::Worker(const NodeSettings &settings, LocalGate &gate, BodyGrantQueue &bodies,
+Worker::Worker(const NodeSettings &settings, LocalGate &gate, BodyGrantQueue &bodies, BodyMemory &bodyMemory,
                RequestObserver &observer, CallerHooks callers)
     : settings(settings)
     , observer(observer)
@@ -48,7 +49,7 @@
                                                               std::shared_ptr<HttpExchange> exchange) {
                        handle(*this, std::move(request), std::move(exchange));
                    })
-    , peerServer(RequestThread{this->context, this->client}, gate, bodies, observer)
+    , peerServer(RequestThread{this->context, this->client}, gate, bodies, bodyMemory, observer)
     , peerTimer(this->context)
 {
 }
--- a/Services/Node/Callers/Worker.h
+++ b/Services/Node/Callers/Worker.h
@@ -7,6 +7,7 @@
 #include <Node/Peers/PeerLink.h>
 #include <Node/Peers/PeerServer.h>
 
+#include <LibDecide/BodyMemory.h>
 #include <LibNet/HttpClient.h>
 #include <LibNet/HttpServer.h>
 
@@ -33,14 +34,15 @@
 {
     std::function<HttpLimits()> limits;
     std::function<bool(const HttpRequest &)> mayPipeline; // See HttpServerSettings.
+    std::function<BodyMemory::Reservation(std::uint64_t bytes, std::uint64_t bodyBytes)> reserveBody;
     std::function<void(Worker &, HttpRequest, std::shared_ptr<HttpExchange>)> handle;
 };
 
 class Worker
 {
 public:
-    Worker(const NodeSettings &settings, LocalGate &gate, BodyGrantQueue &bodies, RequestObserver &observer,
-           CallerHooks callers);
+    Worker(const NodeSettings &settings, LocalGate &gate, BodyGrantQueue &bodies, BodyMemory &bodyMemory,
+           RequestObserver &observer, CallerHooks callers);
     ~Worker();
     Worker(const Worker &) = delete;
     Worker &operator=(const Worker &) = delete;
--- a/Services/Node/DerivedSettings.cpp
+++ b/Services/Node/DerivedSettings.cpp
@@ -103,6 +103,14 @@
     return settings.linkMbps * 1e6 / 8;
 }
 
+// A forwarded body is held up to three times at once: for retries, as an attempt and as a frame.
+std::uint64_t bodyMemoryBytes(const NodeSettings &settings)
+{
+    constexpr std::uint64_t bytesPerMegabyte = std::uint64_t{1} << 20;
+    constexpr std::uint64_t partForBodies = 4;
+    return settings.memoryMb * bytesPerMegabyte / partForBodies;
+}
+
 BodyGrantSettings bodyGrantSettings(const NodeSettings &settings)
 {
     BodyGrantSettings grants;
--- a/Services/Node/DerivedSettings.h
+++ b/Services/Node/DerivedSettings.h
@@ -17,7 +17,8 @@
 ControlSettings controlSettings(const NodeSettings &settings);
 AllowanceBounds allowanceBounds(const NodeSettings::Accounts &accounts);
 LoadBalancerSettings loadBalancerSettings(const NodeSettings::Requests &requests);
-double linkBytesPerSecond(const NodeSettings &settings); // 0 if unknown.
+double linkBytesPerSecond(const NodeSettings &settings);     // 0 if unknown.
+std::uint64_t bodyMemoryBytes(const NodeSettings &settings); // That bodies of requests may take.
 BodyGrantSettings bodyGrantSettings(const NodeSettings &settings);
 
 // Admission control for the upstream beside the node. Its jitter is seeded with the node id.
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -102,6 +102,7 @@
     , gate(this->settings.id, makeAdmission(this->settings), this->adapter.headers, this->claims.hooks(),
            this->quarantine.requestHooks(), this->history, this->observer, this->upstreamHooks(),
            linkBytesPerSecond(this->settings))
+    , bodyMemory(bodyMemoryBytes(this->settings))
     , bodies(bodyGrantSettings(this->settings))
     , presence(this->presenceHooks(), this->settings.platform.announcementLifetime)
     , record(this->control, this->adapter.table, this->settings.id, this->recordHooks())
@@ -125,15 +126,20 @@
     , ticker(this->control)
     , signals(this->control, SIGTERM, SIGINT, SIGHUP)
 {
+    this->metrics.gauge("sagecrank_body_bytes_held", "Memory reserved for bodies of requests.",
+                        [this] { return static_cast<double>(this->bodyMemory.heldBytes()); });
     for (std::uint32_t index = 0; index < this->settings.threads; ++index) {
         CallerHooks hooks;
         hooks.limits = [this] { return this->callerLimits(); };
         hooks.mayPipeline = [this](const HttpRequest &request) { return this->callers.mayPipeline(request); };
+        hooks.reserveBody = [this](std::uint64_t bytes, std::uint64_t bodyBytes) {
+            return this->bodyMemory.tryReserve(bytes, bodyBytes);
+        };
         hooks.handle = [this](Worker &worker, HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
             this->callers.handle(worker, std::move(request), std::move(exchange));
         };
         this->workers.push_back(std::make_unique<Worker>(this->settings, this->gate, this->bodies,
-                                                         this->observer, std::move(hooks)));
+                                                         this->bodyMemory, this->observer, std::move(hooks)));
     }
 }
 
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -101,6 +101,7 @@
     ClaimService claims;
     RequestQuarantine quarantine;
     LocalGate gate;
+    BodyMemory bodyMemory;
     BodyGrantQueue bodies;
     UpstreamPresence presence;
     UpstreamRecord record;
--- a/Services/Node/NodeSettings.cpp
+++ b/Services/Node/NodeSettings.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+// The largest body must fit into the memory for bodies; see bodyMemoryBytes().
+constexpr std::int64_t minimumMemoryMb = 96;
+
 constexpr std::int64_t oneMebibyte = std::int64_t{1} << 20;
 
 // Reads the keys of one table, tracks which keys are known, and collects problems.
@@ -242,6 +245,7 @@
             table.read("site", settings.site, true);
             table.readInteger("threads", settings.threads, 1, 64);
             table.readAmount("link_mbps", settings.linkMbps, 1'000'000);
+            table.readInteger("memory_mb", settings.memoryMb, minimumMemoryMb, 4'000'000);
         });
     }
 
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -38,8 +38,9 @@
     std::string region;
     std::string zone;
     std::string site;
-    double linkMbps = 0;       // Of the host's network link; 0 if unknown.
-    std::uint32_t threads = 2; // Worker threads for requests; the control plane has a thread of its own.
+    double linkMbps = 0;          // Of the host's network link; 0 if unknown.
+    std::uint32_t memoryMb = 260; // Of the host, in MiB; bodies of requests may take a part of it.
+    std::uint32_t threads = 2;    // Worker threads for requests; the control plane has a thread of its own.
 
     struct Listen
     {
--- a/Services/Node/Peers/PeerServer.cpp
+++ b/Services/Node/Peers/PeerServer.cpp
@@ -26,10 +26,12 @@
 
 struct PeerServer::State
 {
-    State(RequestThread home, LocalGate &gate, BodyGrantQueue &bodies, RequestObserver &observer)
+    State(RequestThread home, LocalGate &gate, BodyGrantQueue &bodies, BodyMemory &bodyMemory,
+          RequestObserver &observer)
         : home(home)
         , gate(gate)
         , bodies(bodies)
+        , bodyMemory(bodyMemory)
         , observer(observer)
         , acceptor(home.context)
     {
@@ -38,6 +40,7 @@
     RequestThread home;
     LocalGate &gate;
     BodyGrantQueue &bodies;
+    BodyMemory &bodyMemory;
     RequestObserver &observer;
     tcp::acceptor acceptor;
     std::atomic<std::size_t> connectionsWithUnsentResponses = 0;
@@ -52,6 +55,9 @@
 // A response sent longer ago has been read by the peer, or its path is broken.
 constexpr Duration maximumResponseTransitTime = Milliseconds(1000);
 
+// By then calls whose bodies are held have been answered.
+constexpr Duration noMemoryRetryAfter = Milliseconds(200);
+
 // A call whose body is still at its sender.
 struct PendingBodyCall
 {
@@ -90,6 +96,7 @@
     BodyGrantQueue::Id id;
     Instant arrived;
     bool granted = false;
+    BodyMemory::Reservation memory;
     boost::asio::steady_timer timer; // Runs while the call awaits its grant.
 };
 
@@ -187,7 +194,26 @@
             return this->close(request.error());
         if (this->isDuplicate(request.value().callId))
             return this->closeForProtocolError("read call", "duplicate call id");
-        this->submit(std::move(request).assume_value(), {});
+        CallRequest call = std::move(request).assume_value();
+        if (call.body.empty())
+            return this->submit(std::move(call), {});
+        BodyMemory::Reservation memory = this->reserve(call.body.size());
+        if (!memory)
+            return this->refuseForMemory(std::move(call));
+        this->submit(std::move(call), [memory = std::move(memory)](CallResponse &) {});
+    }
+
+    BodyMemory::Reservation reserve(std::uint64_t bodyBytes)
+    {
+        return this->server->bodyMemory.tryReserve(bodyBytes, bodyBytes);
+    }
+
+    void refuseForMemory(CallRequest call)
+    {
+        this->recordCallId(call.callId);
+        this->server->gate.refuseUnsubmitted(
+            this->server->home, std::move(call), reasonNoMemory, noMemoryRetryAfter,
+            [self = this->shared_from_this()](CallResponse response) { self->sendResponse(response); });
     }
 
     void recordCallId(std::uint64_t callId) { this->lastCallId = std::max(this->lastCallId, callId); }
@@ -233,9 +259,13 @@
             return this->closeForProtocolError("read call head", "duplicate call id");
         if (!head.call.body.empty() || head.bodyBytes == 0 || head.bodyBytes > maximumBodySize)
             return this->closeForProtocolError("read call head", "invalid body length");
+        BodyMemory::Reservation memory = this->reserve(head.bodyBytes);
+        if (!memory)
+            return this->refuseForMemory(std::move(head.call));
         BodyGrantQueue &bodies = this->server->bodies;
         const auto call =
             std::make_shared<PendingBodyCall>(this->server->home.context, std::move(head), bodies.nextId());
+        call->memory = std::move(memory);
         this->recordCallId(callId);
         this->pendingBodyCalls.emplace(callId, call);
         const std::uint32_t priority = call->head.call.priority;
@@ -344,7 +374,8 @@
         const std::uint32_t priority = request.priority;
         // A call of this kind waits for a grant before it waits for a slot, so the reported wait includes
         // both.
-        this->submit(std::move(request), [server = this->server, priority](CallResponse &response) {
+        this->submit(std::move(request), [server = this->server, priority,
+                                          memory = std::move(call->memory)](CallResponse &response) {
             const Duration grantWait = server->bodies.expectedWait(0, priority);
             response.expectedWaitMicroseconds +=
                 static_cast<std::uint64_t>(std::chrono::duration_cast<Microseconds>(grantWait).count());
@@ -454,8 +485,9 @@
 
 } // namespace
 
-PeerServer::PeerServer(RequestThread home, LocalGate &gate, BodyGrantQueue &bodies, RequestObserver &observer)
-    : state(std::make_shared<State>(home, gate, bodies, observer))
+PeerServer::PeerServer(RequestThread home, LocalGate &gate, BodyGrantQueue &bodies, BodyMemory &bodyMemory,
+                       RequestObserver &observer)
+    : state(std::make_shared<State>(home, gate, bodies, bodyMemory, observer))
 {
 }
 
--- a/Services/Node/Peers/PeerServer.h
+++ b/Services/Node/Peers/PeerServer.h
@@ -4,6 +4,7 @@
 #include <Node/Gate/LocalGate.h>
 #include <Node/Peers/BodyGrantQueue.h>
 
+#include <LibDecide/BodyMemory.h>
 #include <LibNet/FramedConnection.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -17,7 +18,8 @@
 class PeerServer
 {
 public:
-    PeerServer(RequestThread home, LocalGate &gate, BodyGrantQueue &bodies, RequestObserver &observer);
+    PeerServer(RequestThread home, LocalGate &gate, BodyGrantQueue &bodies, BodyMemory &bodyMemory,
+               RequestObserver &observer);
     ~PeerServer();
     PeerServer(const PeerServer &) = delete;
     PeerServer &operator=(const PeerServer &) = delete;
--- a/Tests/Node/TestForwardedCall.cpp
+++ b/Tests/Node/TestForwardedCall.cpp
@@ -82,7 +82,8 @@
                    this->history,
                    this->observer};
     BodyGrantQueue bodies{BodyGrantSettings{}};
-    Worker worker{this->settings, this->gate, this->bodies, this->observer, {}};
+    BodyMemory bodyMemory{1 << 30};
+    Worker worker{this->settings, this->gate, this->bodies, this->bodyMemory, this->observer, {}};
     std::array<FakePeer, 2> peers{FakePeer(this->worker.ioContext()), FakePeer(this->worker.ioContext())};
     std::shared_ptr<ServiceState> service = std::make_shared<ServiceState>(
         LoadBalancerSettings{}, 0.1, 10, [number = std::uint64_t{0}]() mutable { return number += 7919; });
--- a/Tests/Node/TestPeerServer.cpp
+++ b/Tests/Node/TestPeerServer.cpp
@@ -89,9 +89,10 @@
 class PeerServerFixture : public GateFixture
 {
 public:
-    explicit PeerServerFixture(BodyGrantSettings grants = {})
+    explicit PeerServerFixture(BodyGrantSettings grants = {}, std::uint64_t bodyMemoryBytes = 1 << 30)
         : bodies(grants)
-        , server({this->context, this->client}, this->gate, this->bodies, this->observer)
+        , bodyMemory(bodyMemoryBytes)
+        , server({this->context, this->client}, this->gate, this->bodies, this->bodyMemory, this->observer)
     {
         cr_assert(this->server.listen("127.0.0.1:0").has_value());
         this->link = std::make_shared<PeerLink>(this->context, this->server.address(), linkSettings(),
@@ -133,6 +134,7 @@
     }
 
     BodyGrantQueue bodies;
+    BodyMemory bodyMemory;
     PeerServer server;
     std::shared_ptr<PeerLink> link;
 
@@ -380,6 +382,44 @@
     cr_assert(fixture.runUntil([&] { return second.granted == Granted{2}; }), "%s", row.what);
 }
 
+struct MemoryRow
+{
+    const char *what;
+    BodyGrantSettings grants;
+    Outcome secondOutcome;
+    std::uint64_t limitBytes;
+};
+
+const MemoryRow memoryRows[] = {
+    {"bodies that are announced", slowLinkSettings(), Outcome::NotRun, minimumGrantedBodySize * 3 / 2},
+    {"bodies that come with their calls", {}, Outcome::NotRun, minimumGrantedBodySize * 3 / 2},
+    {"enough memory for both", {}, Outcome::Done, minimumGrantedBodySize * 3},
+};
+
+// Guards against calls whose bodies together fill the memory of the upstream's node.
+TABLE_TEST(peerServer, aBodyBeyondTheMemoryIsRefused, memoryRows)
+{
+    PeerServerFixture fixture(row.grants, row.limitBytes);
+    fixture.announce(4, UpstreamCondition::Ready);
+    const auto call = [&fixture](const char *name) {
+        fixture.link->call(largeCall(name), [&fixture, name](CallResponse response) {
+            fixture.answers[name] = std::move(response);
+        });
+    };
+    call("first");
+    cr_assert(fixture.runUntil([&] { return fixture.receivedRequests.size() == 1; }), "%s", row.what);
+    call("second");
+    if (row.secondOutcome == Outcome::Done) {
+        cr_assert(fixture.runUntil([&] { return fixture.receivedRequests.size() == 2; }));
+        fixture.exchanges[1]->respond(makeResponse(200, "text/plain", ""));
+    }
+    cr_assert(fixture.runUntil([&] { return fixture.answers.contains("second"); }));
+    cr_expect(fixture.answers["second"].outcome == row.secondOutcome);
+    fixture.exchanges[0]->respond(makeResponse(200, "text/plain", ""));
+    cr_assert(fixture.runUntil([&] { return fixture.answers.contains("first"); }));
+    cr_assert(fixture.runUntil([&] { return fixture.bodyMemory.heldBytes() == 0; }));
+}
+
 // The sender dies silently after its grant. The grant expires, and the next body is granted.
 Test(peerServer, aGrantWhoseBodyDoesNotComeExpires)
 {
