LibNet, Node: Pause before accepting again after a failure

With no descriptor left, accept fails at once for as long as a connection waits. All three accept loops tried again without a pause and took the whole thread from the calls in progress.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -1,4 +1,5 @@
 // Implements accepting connections and shutting the server down.
+#include <LibNet/AcceptRetry.h>
 #include <LibNet/FramedConnection.h>
 #include <LibNet/HttpServer.h>
 #include <LibNet/HttpSession.h>
@@ -23,7 +24,7 @@
                 socket.set_option(tcp::no_delay(true), ignored);
                 std::make_shared<HttpSession>(std::move(socket), state)->awaitRequest();
             }
-            acceptNext(state);
+            continueAccepting(state->acceptor, error, [state] { acceptNext(state); });
         });
 }
 
--- a/Services/Node/Control/ControlServer.cpp
+++ b/Services/Node/Control/ControlServer.cpp
@@ -3,6 +3,7 @@
 #include "ControlServer.h"
 
 #include <LibCore/Time.h>
+#include <LibNet/AcceptRetry.h>
 #include <LibNet/FramedConnection.h>
 
 #include <boost/asio/steady_timer.hpp>
@@ -79,7 +80,7 @@
             this->open(std::move(socket));
         else if (!error)
             ++this->counts.refused;
-        this->acceptNext();
+        continueAccepting(this->acceptor, error, [this] { this->acceptNext(); });
     });
 }
 
--- a/Services/Node/Peers/PeerServer.cpp
+++ b/Services/Node/Peers/PeerServer.cpp
@@ -4,6 +4,8 @@
 #include <Node/CallReasons.h>
 #include <Node/Gate/GateCall.h>
 
+#include <LibNet/AcceptRetry.h>
+
 #include <boost/asio/steady_timer.hpp>
 
 #include <sys/socket.h>
@@ -479,7 +481,7 @@
             return;
         if (!error)
             std::make_shared<PeerSession>(state)->start(std::move(socket));
-        acceptNext(state);
+        continueAccepting(state->acceptor, error, [state] { acceptNext(state); });
     });
 }
 
