Node: Close sessions of peers that have been silent for longer than a link lives

A peer that vanished without a reset kept its descriptor here for good. A session that receives no frame for 75 s is closed; the other side closes a connection without calls after 60 s, and sends several pings a second with calls.

peerServer/aSilentPeerIsDisconnectedAndAnActiveOneIsNot failed before.

--- a/Services/Node/Peers/PeerServer.cpp
+++ b/Services/Node/Peers/PeerServer.cpp
@@ -29,12 +29,13 @@
 struct PeerServer::State
 {
     State(RequestThread home, LocalGate &gate, BodyGrantQueue &bodies, BodyMemory &bodyMemory,
-          RequestObserver &observer)
+          RequestObserver &observer, Duration idleTimeout)
         : home(home)
         , gate(gate)
         , bodies(bodies)
         , bodyMemory(bodyMemory)
         , observer(observer)
+        , idleTimeout(idleTimeout)
         , acceptor(home.context)
     {
     }
@@ -44,6 +45,7 @@
     BodyGrantQueue &bodies;
     BodyMemory &bodyMemory;
     RequestObserver &observer;
+    const Duration idleTimeout; // See PeerServer's constructor.
     tcp::acceptor acceptor;
     std::atomic<std::size_t> connectionsWithUnsentResponses = 0;
     std::unordered_set<PeerSession *> sessions; // With an open connection.
@@ -107,6 +109,8 @@
 public:
     explicit PeerSession(std::shared_ptr<PeerServer::State> server)
         : server(std::move(server))
+        , lastFrameAt(SteadyClock::now())
+        , idleTimer(this->server->home.context)
     {
     }
 
@@ -126,6 +130,7 @@
         this->peer = opened->peerName();
         this->server->sessions.insert(this);
         opened->start();
+        this->armIdleTimer();
     }
 
     // The peer closes after it has read all responses. If this side closed while the peer still sends, a TCP
@@ -146,8 +151,24 @@
     bool isAwaitingClose() const { return this->awaitsPeerClose; }
 
 private:
+    // A peer that vanished without a reset would otherwise keep its descriptor here for good.
+    void armIdleTimer()
+    {
+        this->idleTimer.expires_at(this->lastFrameAt + this->server->idleTimeout);
+        this->idleTimer.async_wait(
+            [session = this->weak_from_this()](const boost::system::error_code &error) {
+                const auto self = session.lock();
+                if (error || !self)
+                    return;
+                if (SteadyClock::now() < self->lastFrameAt + self->server->idleTimeout)
+                    return self->armIdleTimer();
+                self->close(makeError(ErrorKind::Timeout, "wait for peer", "", "idle timeout"));
+            });
+    }
+
     void handleFrame(FrameType type, std::span<const char> payload)
     {
+        this->lastFrameAt = SteadyClock::now();
         if (this->goingAway)
             return;
         switch (type) {
@@ -415,6 +436,7 @@
     void handleClosed(const Error &reason)
     {
         this->server->sessions.erase(this);
+        this->idleTimer.cancel();
         this->setHasUnsentResponses(false);
         if (reason.kind == ErrorKind::InvalidInput || reason.kind == ErrorKind::TooLarge)
             this->server->observer.peerFrameInvalid(this->peer, reason);
@@ -472,6 +494,8 @@
     bool goingAway = false;          // No further frames are handled.
     bool awaitsPeerClose = false;    // The peer may not have read its last response.
     std::optional<Instant> lastResponseAt;
+    Instant lastFrameAt;
+    boost::asio::steady_timer idleTimer;
 };
 
 void acceptNext(const std::shared_ptr<PeerServer::State> &state)
@@ -488,8 +512,8 @@
 } // namespace
 
 PeerServer::PeerServer(RequestThread home, LocalGate &gate, BodyGrantQueue &bodies, BodyMemory &bodyMemory,
-                       RequestObserver &observer)
-    : state(std::make_shared<State>(home, gate, bodies, bodyMemory, observer))
+                       RequestObserver &observer, Duration idleTimeout)
+    : state(std::make_shared<State>(home, gate, bodies, bodyMemory, observer, idleTimeout))
 {
 }
 
--- a/Services/Node/Peers/PeerServer.h
+++ b/Services/Node/Peers/PeerServer.h
@@ -4,6 +4,7 @@
 #include <Node/Gate/LocalGate.h>
 #include <Node/Peers/BodyGrantQueue.h>
 
+#include <LibCore/Time.h>
 #include <LibDecide/BodyMemory.h>
 #include <LibNet/FramedConnection.h>
 
@@ -18,8 +19,13 @@
 class PeerServer
 {
 public:
+    // Longer than the other side keeps a connection without calls; with calls it sends several pings a
+    // second.
+    static constexpr Duration defaultIdleTimeout = std::chrono::seconds(75);
+
+    // Sessions that receive nothing for `idleTimeout` are closed.
     PeerServer(RequestThread home, LocalGate &gate, BodyGrantQueue &bodies, BodyMemory &bodyMemory,
-               RequestObserver &observer);
+               RequestObserver &observer, Duration idleTimeout = defaultIdleTimeout);
     ~PeerServer();
     PeerServer(const PeerServer &) = delete;
     PeerServer &operator=(const PeerServer &) = delete;
--- a/Tests/Node/TestPeerServer.cpp
+++ b/Tests/Node/TestPeerServer.cpp
@@ -89,10 +89,12 @@
 class PeerServerFixture : public GateFixture
 {
 public:
-    explicit PeerServerFixture(BodyGrantSettings grants = {}, std::uint64_t bodyMemoryBytes = 1 << 30)
+    explicit PeerServerFixture(BodyGrantSettings grants = {}, std::uint64_t bodyMemoryBytes = 1 << 30,
+                               Duration idleTimeout = PeerServer::defaultIdleTimeout)
         : bodies(grants)
         , bodyMemory(bodyMemoryBytes)
-        , server({this->context, this->client}, this->gate, this->bodies, this->bodyMemory, this->observer)
+        , server({this->context, this->client}, this->gate, this->bodies, this->bodyMemory, this->observer,
+                 idleTimeout)
     {
         cr_assert(this->server.listen("127.0.0.1:0").has_value());
         this->link = std::make_shared<PeerLink>(this->context, this->server.address(), linkSettings(),
@@ -256,12 +258,14 @@
     std::vector<std::uint64_t> granted;
     std::vector<CallResponse> answers;
     std::optional<std::uint64_t> goAwayCallId; // From the GoAway frame.
+    bool closed = false;                       // By the server.
 
 private:
     void read()
     {
         this->socket.async_read_some(boost::asio::buffer(this->buffer),
                                      [this](const boost::system::error_code &error, std::size_t size) {
+                                         this->closed = static_cast<bool>(error);
                                          if (error)
                                              return;
                                          (void)this->reader.feed(
@@ -382,6 +386,24 @@
     cr_assert(fixture.runUntil([&] { return second.granted == Granted{2}; }), "%s", row.what);
 }
 
+// Guards against descriptors that peers which vanished without a reset keep for good.
+Test(peerServer, aSilentPeerIsDisconnectedAndAnActiveOneIsNot)
+{
+    PeerServerFixture fixture({}, 1 << 30, Milliseconds(1000));
+    fixture.announce(4, UpstreamCondition::Ready);
+    RawPeer silent(fixture);
+    RawPeer active(fixture);
+    std::uint64_t sequence = 0;
+    cr_assert(fixture.runUntil([&] {
+        active.send(encodeFrame(FrameType::Ping, Heartbeat{++sequence}));
+        return silent.closed;
+    }));
+    const std::size_t frames = active.frames.size();
+    active.send(encodeFrame(FrameType::Ping, Heartbeat{++sequence}));
+    cr_assert(fixture.runUntil([&] { return active.frames.size() > frames; }));
+    cr_expect(!active.closed);
+}
+
 struct MemoryRow
 {
     const char *what;
