--- a/Libraries/LibDecide/BodyMemory.cpp
+++ b/Libraries/LibDecide/BodyMemory.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 // Ordinary calls have smaller bodies; uploads have larger ones.
-constexpr std::uint64_t maximumSmallBody = 64 * 1024;
+constexpr std::uint64_t maximumSmallBody = std::uint64_t{64} << 10;
 
 // The part of the limit that is left to small bodies, as a divisor.
 constexpr std::uint64_t smallBodyPart = 8;
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -31,7 +31,7 @@
 constexpr std::uint32_t statusUnavailable = 503;
 
 // Bodies without a stated length are reserved in steps, each as large as all before it and at least this.
-constexpr std::uint64_t minimumBodyStep = 64 * 1024;
+constexpr std::uint64_t minimumBodyStep = std::uint64_t{64} << 10;
 
 // By then uploads in progress have been forwarded.
 constexpr std::string_view retryAfterSeconds = "1";
--- a/Services/Node/Peers/PeerServer.cpp
+++ b/Services/Node/Peers/PeerServer.cpp
@@ -1,5 +1,6 @@
 // Implements the sessions that serve other nodes' connections.
 #include "PeerServer.h"
+#include "PendingBodyCall.h"
 
 #include <Node/CallReasons.h>
 #include <Node/Gate/GateCall.h>
@@ -62,48 +63,6 @@
 // By then calls whose bodies are held have been answered.
 constexpr Duration noMemoryRetryAfter = Milliseconds(200);
 
-// A call whose body is still at its sender.
-struct PendingBodyCall
-{
-    PendingBodyCall(boost::asio::io_context &context, CallHead head, BodyGrantQueue::Id id)
-        : head(std::move(head))
-        , id(id)
-        , arrived(SteadyClock::now())
-        , timer(context)
-    {
-    }
-
-    // The call with its remaining times reduced by the time since it arrived.
-    CallRequest remainingCall() const
-    {
-        CallRequest call = this->head.call;
-        const auto waited = static_cast<std::uint64_t>(
-            std::chrono::duration_cast<Microseconds>(SteadyClock::now() - this->arrived).count());
-        call.remainingMicroseconds -= std::min(call.remainingMicroseconds, waited);
-        // At least 1, since 0 means that the call has no target.
-        if (call.remainingTargetMicroseconds > 0)
-            call.remainingTargetMicroseconds -= std::min(call.remainingTargetMicroseconds - 1, waited);
-        return call;
-    }
-
-    // From then on a body with this transfer time misses the target, or the deadline if late responses are
-    // accepted.
-    Instant latestGrantTime(Duration transferTime) const
-    {
-        const Instant start = this->arrived - transferTime;
-        const Instant target = start + Microseconds(this->head.call.remainingTargetMicroseconds);
-        const bool bound = this->head.call.remainingTargetMicroseconds > 0 && !this->head.call.lateAccepted;
-        return bound ? target : start + Microseconds(this->head.call.remainingMicroseconds);
-    }
-
-    CallHead head;
-    BodyGrantQueue::Id id;
-    Instant arrived;
-    bool granted = false;
-    BodyMemory::Reservation memory;
-    boost::asio::steady_timer timer; // Runs while the call awaits its grant.
-};
-
 class PeerSession : public std::enable_shared_from_this<PeerSession>
 {
 public:
