--- a/Meta/soak/fleet.py
+++ b/Meta/soak/fleet.py
@@ -15,7 +15,6 @@
 READY_SECONDS = 20.0
 SETTLE_SECONDS = 2.0
 STORE_PORT_OFFSET = 30
-PORTS = 31
 
 
 class Machine:
@@ -147,7 +146,7 @@
 
 
 class Fleet:
-    """Use as an asynchronous context manager; ends all that it started."""
+    """Use as an asynchronous context manager; ends all that it started, also when a run fails or is cut short."""
 
     def __init__(self, deployment, folder, node_program, binaries):
         self.deployment, self.folder = deployment, folder
@@ -162,13 +161,20 @@
         self.version = 0
 
     async def __aenter__(self):
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self):
         await self.store.start_program(f"{self.binaries}/sagecrank-rows-emulator", "--listen", self.store_address)
         await self._await(self.configure)
         await asyncio.gather(*(program.start() for program in [*self.nodes, *self.servers]))
         for node in self.nodes:
             await self._await(node.is_ready)
         await asyncio.sleep(SETTLE_SECONDS)
-        return self
 
     async def __aexit__(self, *error):
         programs = [*self.nodes, *self.servers, self.store]
--- a/Meta/soak/soak.py
+++ b/Meta/soak/soak.py
@@ -7,6 +7,7 @@
 import os
 import random
 import shutil
+import signal
 import sys
 import time
 
@@ -108,7 +109,13 @@
     return holds
 
 
+def end_in_order(*_):
+    """Raises, so that the run under way ends the processes that it started."""
+    sys.exit(128 + signal.SIGTERM)
+
+
 def main():
+    signal.signal(signal.SIGTERM, end_in_order)
     options = parse_arguments()
     print(f"{'deployment':20} {'seed':>5} {'answers':>8} {'served':>8} {'unsafe':>8} {'refused':>8} result")
     holds = [run_once(name, seed, options) for seed in range(options.first_seed, options.first_seed + options.seeds)
