--- a/Libraries/LibDecide/BodyMemory.cpp
+++ b/Libraries/LibDecide/BodyMemory.cpp
@@ -8,8 +8,8 @@
 // Ordinary calls have smaller bodies; uploads have larger ones.
 constexpr std::uint64_t maximumSmallBody = std::uint64_t{64} << 10;
 
-// The part of the limit that is left to small bodies, as a divisor.
-constexpr std::uint64_t smallBodyPart = 8;
+// The limit divided by this is left to small bodies.
+constexpr std::uint64_t smallBodyDivisor = 8;
 
 } // namespace
 
@@ -23,7 +23,7 @@
 {
     const bool isSmall = bodyBytes <= maximumSmallBody;
     const std::uint64_t allowed =
-        isSmall ? this->limitBytes : this->limitBytes - this->limitBytes / smallBodyPart;
+        isSmall ? this->limitBytes : this->limitBytes - this->limitBytes / smallBodyDivisor;
     std::uint64_t current = *this->held;
     do {
         if (current > allowed || bytes > allowed - current)
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -344,7 +344,7 @@
 {
     this->reading = false;
     this->reservedBody = {};
-    this->parser.reset();
+    this->parser.reset(); // Frees what has been received of the body.
     Exchange exchange;
     exchange.number = ++this->lastRequestNumber;
     exchange.requestUnread = true;
--- a/Meta/soak/faults.py
+++ b/Meta/soak/faults.py
@@ -45,7 +45,7 @@
 
 
 @fault
-async def freeze_nodes_shortly(fleet, source):
+async def freeze_nodes_briefly(fleet, source):
     """Shorter than the time after which a silent peer is given up."""
     await _freeze(source.sample(fleet.nodes, max(1, len(fleet.nodes) // 3)), source, 0.05, 0.7)
 
--- a/Services/Node/DerivedSettings.cpp
+++ b/Services/Node/DerivedSettings.cpp
@@ -107,8 +107,8 @@
 std::uint64_t bodyMemoryBytes(const NodeSettings &settings)
 {
     constexpr std::uint64_t bytesPerMegabyte = std::uint64_t{1} << 20;
-    constexpr std::uint64_t partForBodies = 4;
-    return settings.memoryMb * bytesPerMegabyte / partForBodies;
+    constexpr std::uint64_t divisorForBodies = 4;
+    return settings.memoryMb * bytesPerMegabyte / divisorForBodies;
 }
 
 BodyGrantSettings bodyGrantSettings(const NodeSettings &settings)
