Meta: Draw a third of the nodes in one place, and keep the started callers where they are made

Two faults of the soak drew the same sample of nodes, and the stream of callers took the list that it returns as an argument.

--- a/Meta/soak/clients.py
+++ b/Meta/soak/clients.py
@@ -71,11 +71,13 @@
 
     async def run(self, seconds):
         until = time.monotonic() + seconds
-        streams = [self._stream(route, until, []) for route in self.deployment.routes]
+        streams = [self._stream(route, until) for route in self.deployment.routes]
         calls = [call for started in await asyncio.gather(*streams) for call in started]
         await asyncio.gather(*calls)
 
-    async def _stream(self, route, until, started):
+    async def _stream(self, route, until):
+        """Returns the callers that it started."""
+        started = []
         while time.monotonic() < until:
             await asyncio.sleep(self.source.expovariate(route.rate))
             started.append(asyncio.create_task(self._visit(route)))
--- a/Meta/soak/faults.py
+++ b/Meta/soak/faults.py
@@ -14,6 +14,10 @@
     return function
 
 
+def _third_of_nodes(fleet, source):
+    return source.sample(fleet.nodes, max(1, len(fleet.nodes) // 3))
+
+
 async def _kill_and_start(programs, source, low, high):
     await asyncio.gather(*(program.kill() for program in programs))
     await asyncio.sleep(source.uniform(low, high))
@@ -28,7 +32,7 @@
 @fault
 async def kill_nodes(fleet, source):
     """A third of the nodes die at one moment."""
-    await _kill_and_start(source.sample(fleet.nodes, max(1, len(fleet.nodes) // 3)), source, 0.5, 3.5)
+    await _kill_and_start(_third_of_nodes(fleet, source), source, 0.5, 3.5)
 
 
 async def _freeze(programs, source, low, high):
@@ -47,7 +51,7 @@
 @fault
 async def freeze_nodes_briefly(fleet, source):
     """Shorter than the time after which a silent peer is given up."""
-    await _freeze(source.sample(fleet.nodes, max(1, len(fleet.nodes) // 3)), source, 0.05, 0.7)
+    await _freeze(_third_of_nodes(fleet, source), source, 0.05, 0.7)
 
 
 @fault
