Tests: Share LibNet's scripted server between test files

The tests of valid responses need the scripted server and the call that TestHttpClient has. Moved as they are into ScriptedServer.h. TestLibNet passes as before.

--- a/Tests/LibNet/TestHttpClient.cpp
+++ b/Tests/LibNet/TestHttpClient.cpp
@@ -1,13 +1,11 @@
 // The HTTP client against servers that respond early, drop connections or stop answering on them.
-#include <LibNet/HttpClient.h>
 #include <LibNet/HttpServer.h>
 
+#include "ScriptedServer.h"
+
 #include <Support/TableTest.h>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
-#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <string>
@@ -22,68 +20,6 @@
 
 const std::string earlyResponse = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull";
 
-// Runs a scripted server on a thread of its own.
-class ScriptedServer
-{
-public:
-    template <typename Script>
-    explicit ScriptedServer(Script script)
-        : acceptor(this->context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
-        , thread([this, script] { script(this->acceptor); })
-    {
-    }
-    ~ScriptedServer() { this->thread.join(); }
-
-    std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
-    }
-
-private:
-    boost::asio::io_context context;
-    tcp::acceptor acceptor;
-    std::thread thread;
-};
-
-std::string readHeader(tcp::socket &socket, std::string &buffer)
-{
-    boost::system::error_code ignored;
-    const std::size_t size =
-        boost::asio::read_until(socket, boost::asio::dynamic_buffer(buffer), "\r\n\r\n", ignored);
-    std::string header = buffer.substr(0, size);
-    buffer.erase(0, size);
-    return header;
-}
-
-struct CallResult
-{
-    bool failed = false;
-    bool mayHaveBeenSent = false;
-    HttpResponse response;
-};
-
-CallResult sendAndWait(boost::asio::io_context &context, HttpClient &client, const std::string &address,
-                       HttpRequest request, const HttpSendOptions &options)
-{
-    CallResult result;
-    client.send(address, std::move(request), options, [&](const HttpFailure *failure, HttpResponse response) {
-        result.failed = failure != nullptr;
-        result.mayHaveBeenSent = failure != nullptr && failure->mayHaveBeenSent;
-        result.response = std::move(response);
-        context.stop();
-    });
-    context.restart();
-    context.run_for(std::chrono::seconds(11));
-    return result;
-}
-
-CallResult sendAndWait(boost::asio::io_context &context, HttpClient &client, const std::string &address,
-                       std::string body, ConnectionReuse reuse = ConnectionReuse::Allowed)
-{
-    return sendAndWait(context, client, address, {"POST", "/", {}, std::move(body)},
-                       {std::chrono::seconds(10), {}, reuse});
-}
-
 // Echoes the Id of each request and rejects the first one. A copy of that rejection follows where the next
 // response on its connection is expected.
 class RejectingServer
