LibNet: Accept only responses with a valid status

Cause: Beast takes any three digits for a status, and nothing of ours looked at it. The gate passes on what it does not know as the upstream's own response. 101, which the client never asks for, was taken for a final response, too.

Change: HttpResponseChecks.h states what a valid response is, as HttpRequestChecks.h does for requests, and the client checks it once the header has arrived, before the body. By RFC 9110, section 15, a status is valid from 100 to 599. An invalid response fails the call with an unknown outcome (502, or a retry where that is allowed). Three other places take a status from elsewhere: a peer's response, a recorded outcome of a key, and the server's encoder; each now wants a final status.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include <LibNet/HttpClient.h>
 #include <LibNet/HttpConnectionPool.h>
 #include <LibNet/HttpReading.h>
+#include <LibNet/HttpResponseChecks.h>
 
 #include <boost/asio/post.hpp>
 
@@ -35,13 +36,6 @@
     Interim,      // 1xx: the final response follows.
 };
 
-// A switch of protocols is final: what follows on the connection is no HTTP response.
-bool isInterim(unsigned status)
-{
-    constexpr unsigned statusSwitchingProtocols = 101;
-    return status >= 100 && status < 200 && status != statusSwitchingProtocols;
-}
-
 } // namespace
 
 class HttpClientCall : public std::enable_shared_from_this<HttpClientCall>
@@ -138,12 +132,25 @@
         this->parser->body_limit(this->pool->settings.maximumBodyBytes);
         if (this->message.method() == http::verb::head)
             this->parser->skip(true);
+        readHeader(this->connection->stream, this->buffer, *this->parser, this->deadline,
+                   [self = this->shared_from_this()](const beast::error_code &error) {
+                       if (error)
+                           return self->failReading(error);
+                       self->handleHeader();
+                   });
+    }
+
+    void handleHeader()
+    {
+        const std::string_view problem = findHeaderError(this->parser->get());
+        if (!problem.empty())
+            return this->finishWithFailure(this->readError(problem));
+        if (this->parser->is_done())
+            return this->handleMessage();
         readMessage(this->connection->stream, this->buffer, *this->parser, this->deadline,
                     [self = this->shared_from_this()](const beast::error_code &error) {
-                        if (error && self->writeError)
-                            return self->fail("send request", self->writeError);
                         if (error)
-                            return self->fail("read response", error);
+                            return self->failReading(error);
                         self->handleMessage();
                     });
     }
@@ -191,7 +198,7 @@
     ResponseMatch matchResponse() const
     {
         const auto &message = this->parser->get();
-        if (isInterim(message.result_int()))
+        if (isInterimStatus(message.result_int()))
             return ResponseMatch::Interim;
         if (this->correlationValue.empty())
             return ResponseMatch::ThisRequest;
@@ -202,9 +209,9 @@
         return matches ? ResponseMatch::ThisRequest : ResponseMatch::OtherRequest;
     }
 
-    Error readError(const std::string &problem) const
+    Error readError(std::string_view problem) const
     {
-        return makeError(ErrorKind::Timeout, "read response", this->address, problem);
+        return makeError(ErrorKind::Timeout, "read response", this->address, std::string(problem));
     }
 
     // If the server closes an idle connection while a request is in flight, the outcome of the call is
@@ -220,6 +227,13 @@
         return std::min<Duration>(this->pool->settings.idleTimeout, advertised - idleExpiryMargin);
     }
 
+    void failReading(const beast::error_code &error)
+    {
+        if (this->writeError)
+            return this->fail("send request", this->writeError);
+        this->fail("read response", error);
+    }
+
     void fail(std::string_view operation, const beast::error_code &error)
     {
         this->responseTooLarge = isSizeError(error);
--- a/Libraries/LibNet/HttpReading.h
+++ b/Libraries/LibNet/HttpReading.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <utility>
 
 namespace Sagecrank {
@@ -55,24 +56,19 @@
     return error;
 }
 
-// Reads until the parser has the whole message, and checks the deadline after each read. Beast's own reads do
-// not end, and the stream's timeout, which each of them rearms, does not fire, while data keeps arriving
-// whose last part is incomplete. The stream, the buffer and the parser must stay alive until the handler has
-// run; it runs at once if the buffer holds the rest of the message.
-//
-// `admit` is asked after each read with the size of the body so far; if it returns false, reading fails with
-// no_buffer_space.
-template <bool isRequest, typename Admit, typename Handler>
-void readMessage(HttpStream &stream, boost::beast::flat_buffer &buffer,
-                 boost::beast::http::parser<isRequest, boost::beast::http::string_body> &parser,
-                 Instant deadline, Admit admit, Handler handler)
+// Reads until `parse` returns a result, which is an error or the end of what it parses, and checks the
+// deadline after each read. Beast's own reads do not end, and the stream's timeout, which each of them
+// rearms, does not fire, while data keeps arriving whose last part is incomplete. The stream, the buffer and
+// the parser must stay alive until the handler has run; it runs at once if the buffer holds all that `parse`
+// needs.
+template <bool isRequest, typename Parse, typename Handler>
+void readUntilParsed(HttpStream &stream, boost::beast::flat_buffer &buffer,
+                     boost::beast::http::parser<isRequest, boost::beast::http::string_body> &parser,
+                     Instant deadline, Parse parse, Handler handler)
 {
-    parser.eager(true);
-    const boost::beast::error_code problem = parseBuffer(buffer, parser);
-    if (!problem && !admit(parser.get().body().size()))
-        return handler(boost::beast::error_code(boost::asio::error::no_buffer_space));
-    if (problem || parser.is_done())
-        return handler(problem);
+    const std::optional<boost::beast::error_code> parsed = parse();
+    if (parsed)
+        return handler(*parsed);
     if (SteadyClock::now() >= deadline)
         return handler(boost::beast::error_code(boost::beast::error::timeout));
     const std::size_t size = boost::beast::read_size(buffer, maximumUnparsedBytes);
@@ -80,17 +76,49 @@
         return handler(boost::beast::error_code(boost::beast::http::error::buffer_overflow));
     stream.async_read_some(
         buffer.prepare(size),
-        [&stream, &buffer, &parser, deadline, admit = std::move(admit),
+        [&stream, &buffer, &parser, deadline, parse = std::move(parse),
          handler = std::move(handler)](boost::beast::error_code error, std::size_t received) mutable {
             if (error == boost::asio::error::eof)
                 return handler(parseEndOfStream(parser));
             if (error)
                 return handler(error);
             buffer.commit(received);
-            readMessage(stream, buffer, parser, deadline, std::move(admit), std::move(handler));
+            readUntilParsed(stream, buffer, parser, deadline, std::move(parse), std::move(handler));
         });
 }
 
+// Reads until the parser has the header. What follows it stays in the buffer.
+template <bool isRequest, typename Handler>
+void readHeader(HttpStream &stream, boost::beast::flat_buffer &buffer,
+                boost::beast::http::parser<isRequest, boost::beast::http::string_body> &parser,
+                Instant deadline, Handler handler)
+{
+    parser.eager(false);
+    const auto parse = [&buffer, &parser]() -> std::optional<boost::beast::error_code> {
+        const boost::beast::error_code problem = parseBuffer(buffer, parser);
+        return problem || parser.is_header_done() ? std::optional(problem) : std::nullopt;
+    };
+    readUntilParsed(stream, buffer, parser, deadline, parse, std::move(handler));
+}
+
+// Reads until the parser has the whole message. `admit` is asked after each read with the size of the body so
+// far; if it returns false, reading fails with no_buffer_space.
+template <bool isRequest, typename Admit, typename Handler>
+void readMessage(HttpStream &stream, boost::beast::flat_buffer &buffer,
+                 boost::beast::http::parser<isRequest, boost::beast::http::string_body> &parser,
+                 Instant deadline, Admit admit, Handler handler)
+{
+    parser.eager(true);
+    const auto parse = [&buffer, &parser,
+                        admit = std::move(admit)]() -> std::optional<boost::beast::error_code> {
+        const boost::beast::error_code problem = parseBuffer(buffer, parser);
+        if (!problem && !admit(parser.get().body().size()))
+            return boost::beast::error_code(boost::asio::error::no_buffer_space);
+        return problem || parser.is_done() ? std::optional(problem) : std::nullopt;
+    };
+    readUntilParsed(stream, buffer, parser, deadline, parse, std::move(handler));
+}
+
 // The same for a body that is bounded by the parser's limit only.
 template <bool isRequest, typename Handler>
 void readMessage(HttpStream &stream, boost::beast::flat_buffer &buffer,
--- /dev/null
+++ b/Libraries/LibNet/HttpResponseChecks.h
@@ -0,0 +1,24 @@
+// What is a valid and complete response, by RFC 9110 and RFC 9112, beyond what Beast checks. Internal to
+// LibNet's HTTP client, since it includes Beast's headers.
+#pragma once
+
+#include <LibCore/HttpStatus.h>
+#include <LibNet/HttpWire.h>
+
+#include <string_view>
+
+namespace Sagecrank {
+
+// Describes what is wrong with a header that Beast accepts; empty when it is valid.
+inline std::string_view findHeaderError(const boost::beast::http::response_header<> &header)
+{
+    const std::uint32_t status = header.result_int();
+    if (!isInterimStatus(status) && !isFinalStatus(status))
+        return "a status outside of 100 to 599";
+    // The client never asks for it, and what follows on the connection would be no HTTP.
+    if (header.result() == boost::beast::http::status::switching_protocols)
+        return "a switch of protocols";
+    return {};
+}
+
+} // namespace Sagecrank
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -1,4 +1,5 @@
 // Implements reading, pipelining and answering the requests of one connection.
+#include <LibCore/HttpStatus.h>
 #include <LibNet/HttpRequestChecks.h>
 #include <LibNet/HttpSession.h>
 
@@ -424,6 +425,10 @@
 // none.
 Result<void> HttpSession::encodeResponse(HttpResponse response, bool keepAlive)
 {
+    if (!isFinalStatus(response.status))
+        return makeError(ErrorKind::InvalidInput, "encode response", "",
+                         "the status " + std::to_string(response.status)
+                             + " is not that of a final response");
     Response &message = this->response.emplace();
     try {
         message.version(11);
--- a/Libraries/LibSource/ClaimManager.cpp
+++ b/Libraries/LibSource/ClaimManager.cpp
@@ -1,4 +1,5 @@
 // Implements claims of idempotency keys; see ClaimManager.h, and ClaimRow.h for the states of a row.
+#include <LibCore/HttpStatus.h>
 #include <LibSource/ClaimManager.h>
 
 #include <algorithm>
@@ -228,6 +229,8 @@
 
 void ClaimManager::resolveOtherAttempt(Entry &entry, const ClaimRow &existing)
 {
+    if (existing.state == ClaimState::Done && !isFinalStatus(existing.outcome.status))
+        return this->complete(entry, {ClaimDecision::Unknown, {}, {}, "claim_row_unreadable"});
     if (existing.state == ClaimState::Done)
         return this->complete(entry, {ClaimDecision::AlreadyDone, existing.outcome, {}, "key_done"});
     if (existing.state == ClaimState::Released) {
--- a/Services/Node/Peers/PeerLink.cpp
+++ b/Services/Node/Peers/PeerLink.cpp
@@ -1,6 +1,7 @@
 // Implements connecting, matching responses to calls and detecting silent connections.
 #include "PeerLink.h"
 
+#include <LibCore/HttpStatus.h>
 #include <Node/CallReasons.h>
 
 #include <boost/asio/post.hpp>
@@ -302,6 +303,8 @@
     if (!response)
         return this->connection->close(response.error());
     const std::uint64_t callId = response.value().callId;
+    if (response.value().outcome == Outcome::Done && !isFinalStatus(response.value().status))
+        return this->complete(callId, makeFailure(Outcome::Unknown, reasonSpoilt));
     this->complete(callId, std::move(response).assume_value());
 }
 
--- a/Services/UpstreamEmulator/Answer.cpp
+++ b/Services/UpstreamEmulator/Answer.cpp
@@ -126,6 +126,8 @@
         return {answer, false, answer};
     case CallFault::Oversized:
         return {withLongChunkExtension(std::move(answer)), false, {}};
+    case CallFault::InvalidStatus:
+        return {answer.replace(answer.find(' ') + 1, 3, "000"), false, {}};
     default:
         return {std::move(answer), false, {}};
     }
--- a/Services/UpstreamEmulator/UpstreamFaults.h
+++ b/Services/UpstreamEmulator/UpstreamFaults.h
@@ -27,11 +27,12 @@
     DuplicatedLate,     // As Duplicated, but the copy is sent where the next call's response is expected.
     ShedDuplicatedLate, // Shed, and the copy of that response is sent where the next one is expected.
     Oversized,          // Runs; the response has a chunk extension of a megabyte.
+    InvalidStatus,      // Runs; the status of the response is 000.
     RefusedEarly, // Refused without running before its body arrives; applies to calls whose body comes later.
 };
 
 // The key in the fault settings that holds the share of each fault; the remaining calls get None.
-inline constexpr EnumNames<CallFault, 12> callFaultShareKeys{{
+inline constexpr EnumNames<CallFault, 13> callFaultShareKeys{{
     {CallFault::Shed, "shed_share"},
     {CallFault::Failed, "fail_share"},
     {CallFault::Hung, "hang_share"},
@@ -43,6 +44,7 @@
     {CallFault::DuplicatedLate, "double_late_share"},
     {CallFault::ShedDuplicatedLate, "shed_double_late_share"},
     {CallFault::Oversized, "oversized_share"},
+    {CallFault::InvalidStatus, "invalid_status_share"},
     {CallFault::RefusedEarly, "early_share"},
 }};
 
--- /dev/null
+++ b/Tests/LibNet/TestHttpResponses.cpp
@@ -0,0 +1,112 @@
+// What the HTTP client accepts as a valid and complete response, by RFC 9110 and RFC 9112.
+#include "ScriptedServer.h"
+
+#include <Support/TableTest.h>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <string>
+
+using namespace Sagecrank;
+using boost::asio::ip::tcp;
+
+namespace {
+
+// Sends the bytes in response to one request, then closes the connection.
+CallResult receive(const std::string &bytes, const std::string &method = "POST")
+{
+    ScriptedServer server([&bytes](tcp::acceptor &acceptor) {
+        tcp::socket socket = acceptor.accept();
+        std::string buffer;
+        readHeader(socket, buffer);
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+    });
+    boost::asio::io_context context;
+    HttpClient client(context, {});
+    return sendAndWait(context, client, server.address(), {method, "/", {}, {}}, {std::chrono::seconds(10)});
+}
+
+struct InvalidRow
+{
+    const char *what;
+    std::string bytes;
+};
+
+const std::string hello = "Content-Length: 5\r\n\r\nhello";
+
+const InvalidRow statusRows[] = {
+    {"000", "HTTP/1.1 000 Broken\r\n" + hello},
+    {"099", "HTTP/1.1 099 Broken\r\n" + hello},
+    {"600", "HTTP/1.1 600 Broken\r\n" + hello},
+    {"999", "HTTP/1.1 999 Broken\r\n" + hello},
+    {"two digits", "HTTP/1.1 20 OK\r\n" + hello},
+    {"four digits", "HTTP/1.1 2000 OK\r\n" + hello},
+    {"an unrequested switch of protocols", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nhello"},
+};
+
+} // namespace
+
+// Guards against a status that is none, such as 000, reaching callers as that of a response.
+TABLE_TEST(httpResponse, anInvalidStatusFailsTheCall, statusRows)
+{
+    const CallResult result = receive(row.bytes);
+    cr_assert(result.failed && result.mayHaveBeenSent, "%s: %u", row.what, result.response.status);
+}
+
+namespace {
+
+const std::string statusOk = "HTTP/1.1 200 OK\r\n";
+
+const std::string chunkedHello = "5\r\nhello\r\n0\r\n\r\n";
+
+struct ValidRow
+{
+    const char *what;
+    const char *method;
+    std::string bytes;
+    std::uint32_t status;
+    const char *body;
+};
+
+const ValidRow validRows[] = {
+    {"a length", "POST", statusOk + hello, 200, "hello"},
+    {"a length of zero", "POST", statusOk + "Content-Length: 0\r\n\r\n", 200, ""},
+    {"a repeated length", "POST", statusOk + "Content-Length: 5\r\n" + hello, 200, "hello"},
+    {"a list of equal lengths", "POST", statusOk + "Content-Length: 5, 5\r\n\r\nhello", 200, "hello"},
+    {"no length", "POST", statusOk + "\r\nhello", 200, "hello"},
+    {"no length and no body", "POST", statusOk + "\r\n", 200, ""},
+    {"no length, HTTP/1.0", "POST", "HTTP/1.0 200 OK\r\n\r\nhello", 200, "hello"},
+    {"chunks", "POST", statusOk + "Transfer-Encoding: chunked\r\n\r\n" + chunkedHello, 200, "hello"},
+    {"chunks in other letters", "POST", statusOk + "transfer-encoding: Chunked\r\n\r\n" + chunkedHello, 200,
+     "hello"},
+    {"chunk extensions and trailers", "POST",
+     statusOk + "Transfer-Encoding: chunked\r\n\r\n2;a=\"b\"\r\nhe\r\n3\r\nllo\r\n0;c\r\nX: a\r\n\r\n", 200,
+     "hello"},
+    {"HEAD with a length", "HEAD", statusOk + "Content-Length: 5\r\n\r\n", 200, ""},
+    {"HEAD with chunks", "HEAD", statusOk + "Transfer-Encoding: chunked\r\n\r\n", 200, ""},
+    {"HEAD without a length", "HEAD", statusOk + "\r\n", 200, ""},
+    {"204", "POST", "HTTP/1.1 204 No Content\r\n\r\n", 204, ""},
+    {"204 with a length", "POST", "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", 204, ""},
+    {"304 with the length of what has not changed", "GET",
+     "HTTP/1.1 304 Not Modified\r\nETag: \"a\"\r\nContent-Length: 5\r\n\r\n", 304, ""},
+    {"an unregistered status", "POST", "HTTP/1.1 599 Odd\r\n" + hello, 599, "hello"},
+    {"an empty reason", "POST", "HTTP/1.1 200 \r\n" + hello, 200, "hello"},
+    {"a reason beyond ASCII", "POST", "HTTP/1.1 200 S\xc3\xad\r\n" + hello, 200, "hello"},
+    {"values beyond ASCII, empty and with tabs", "POST", statusOk + "A: \xe9\r\nB:\r\nC: a\tb \r\n" + hello,
+     200, "hello"},
+    {"interim responses", "POST",
+     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + statusOk + hello, 200,
+     "hello"},
+};
+
+} // namespace
+
+// Guards against rules that reject what a server may send.
+TABLE_TEST(httpResponse, aValidResponseIsReceived, validRows)
+{
+    const CallResult result = receive(row.bytes, row.method);
+    cr_assert(!result.failed && result.response.status == row.status, "%s: %u", row.what,
+              result.response.status);
+    cr_assert(result.response.body == row.body, "%s: '%s'", row.what, result.response.body.c_str());
+}
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -407,6 +407,26 @@
 
 } // namespace
 
+// Guards against a handler's response without a valid status reaching the caller.
+Test(httpServer, aResponseWithoutAValidStatusIsReplaced)
+{
+    for (const std::uint32_t status : {0U, 99U, 100U, 600U, 1000U}) {
+        boost::asio::io_context context;
+        HttpServer server(context, HttpServerSettings{},
+                          [status](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+                              exchange->respond(makeResponse(status, "text/plain", "odd"));
+                          });
+        cr_assert(server.listen("127.0.0.1:0").has_value());
+        std::thread thread([&context] { context.run_for(std::chrono::seconds(5)); });
+        RawCaller caller(server.address());
+        caller.send("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        const std::string response = caller.readUntilClosed();
+        context.stop();
+        thread.join();
+        cr_assert(response.starts_with("HTTP/1.1 502 "), "%u: %s", status, response.c_str());
+    }
+}
+
 // A caller pipelines three lookups on one connection. Handled one at a time, each would wait for the previous
 // response although slots are free. They run concurrently and are answered in request order.
 Test(httpServer, pipelinedLookupsRunConcurrently)
--- a/Tests/LibSource/TestClaims.cpp
+++ b/Tests/LibSource/TestClaims.cpp
@@ -161,6 +161,20 @@
     cr_assert(second->decision == ClaimDecision::Granted);
 }
 
+// Guards against a recorded outcome without a valid status being returned to a later attempt as its response.
+Test(claims, anOutcomeWithoutAValidStatusIsUnknown)
+{
+    ClaimFixture fixture(2);
+    fixture.claim(0, "k", "a1");
+    fixture.run(Milliseconds(20));
+    fixture.gates[0]->finish("k", "a1", {0, "text/plain", "broken", true});
+    fixture.run(Milliseconds(100));
+    cr_assert(stateOf(fixture, "k") == "done");
+    const auto second = fixture.claim(1, "k", "b1");
+    fixture.run(Milliseconds(100));
+    cr_assert(second->decision == ClaimDecision::Unknown, "%s", second->reason.c_str());
+}
+
 // Two attempts with the same key reach two gates at the same time. One runs; the other is told that the key
 // is in use. Neither is told "not run", since nothing failed.
 Test(claims, twoGatesRaceForOneKey)
--- a/Tests/Node/TestPeerLink.cpp
+++ b/Tests/Node/TestPeerLink.cpp
@@ -78,6 +78,17 @@
     cr_assert(fixture.peer.connections.size() == 1);
 }
 
+// Guards against a status that is none reaching a caller from a node of an earlier version.
+Test(peerLink, aResponseWithoutAValidStatusIsUnknown)
+{
+    LinkFixture fixture;
+    fixture.call("0");
+    cr_assert(fixture.runUntil([&] { return !fixture.peer.calls.empty(); }));
+    fixture.peer.answer(0, "broken", 0);
+    cr_assert(fixture.runUntil([&] { return !fixture.answers.empty(); }));
+    cr_assert(fixture.answers["0"].outcome == Outcome::Unknown && fixture.answers["0"].body.empty());
+}
+
 // A middlebox drops the state of a connection, which stays open and silent while new ones work. The call on
 // it ends as unknown after the silence timeout, and the next call succeeds on a new connection.
 Test(peerLink, silentConnectionIsReplaced)
--- a/Tests/Platform/TestFaultyServer.cpp
+++ b/Tests/Platform/TestFaultyServer.cpp
@@ -29,6 +29,7 @@
     {R"({"shed_double_late_share":1})", Outcome::NotRun, 503},
     {R"({"drop_share":1})", Outcome::Unknown, 502},
     {R"({"oversized_share":1})", Outcome::Unknown, 502},
+    {R"({"invalid_status_share":1})", Outcome::Unknown, 502},
 };
 
 class FaultyServer : public PlatformGate
