LibNet: Keep trailers out of the header of a response

Found while checking the readers of responses: Beast adds the trailers of a chunked body to the header's fields. A trailer could so name the request that a response belongs to, carry the proof that a request did not run, or the header that every valid response has (RFC 9110, section 6.5.1, forbids to merge them).

Change: the client takes the header when it is complete, before the body is read, and drops the trailers.

Evidence: httpResponse/trailersAreNotHeaderFields failed before (the trailer was a header field) and passes now.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -128,6 +128,7 @@
 
     void read()
     {
+        this->response.reset();
         this->parser.emplace();
         this->parser->body_limit(this->pool->settings.maximumBodyBytes);
         if (this->message.method() == http::verb::head)
@@ -145,6 +146,8 @@
         const std::string_view problem = findHeaderError(this->parser->get());
         if (!problem.empty())
             return this->finishWithFailure(this->readError(problem));
+        // Trailers, which Beast adds to the header, are not part of it.
+        this->response = toHttpResponse(this->parser->get());
         if (this->parser->is_done())
             return this->handleMessage();
         readMessage(this->connection->stream, this->buffer, *this->parser, this->deadline,
@@ -177,11 +180,7 @@
     {
         const bool endsWithConnection = this->parser->need_eof();
         http::response<http::string_body> message = this->parser->release();
-        HttpResponse response;
-        response.status = message.result_int();
-        response.headers.reserve(8);
-        for (const auto &field : message)
-            response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+        HttpResponse response = std::move(*this->response);
         response.body = std::move(message.body());
         response.receivedOn = {this->connection->number, this->connection->requestCount(),
                                this->staleResponses};
@@ -197,16 +196,17 @@
     // connection would receive the response to another caller's request.
     ResponseMatch matchResponse() const
     {
-        const auto &message = this->parser->get();
-        if (isInterimStatus(message.result_int()))
+        if (isInterimStatus(this->response->status))
             return ResponseMatch::Interim;
         if (this->correlationValue.empty())
             return ResponseMatch::ThisRequest;
-        const auto found = message.find(this->correlationHeader);
-        if (found == message.end())
+        const auto found = std::ranges::find_if(this->response->headers, [this](const Header &header) {
+            return headerNamesEqual(header.name, this->correlationHeader);
+        });
+        if (found == this->response->headers.end())
             return this->echoRequired ? ResponseMatch::NoRequest : ResponseMatch::ThisRequest;
-        const bool matches = std::string_view(found->value()) == this->correlationValue;
-        return matches ? ResponseMatch::ThisRequest : ResponseMatch::OtherRequest;
+        return found->value == this->correlationValue ? ResponseMatch::ThisRequest
+                                                      : ResponseMatch::OtherRequest;
     }
 
     Error readError(std::string_view problem) const
@@ -275,7 +275,8 @@
     std::unique_ptr<HttpConnection> connection;
     beast::flat_buffer buffer{maximumUnparsedBytes};
     std::optional<http::response_parser<http::string_body>> parser;
-    bool sent = false; // Set before the first byte may be sent.
+    std::optional<HttpResponse> response; // Without its body; empty until a header has been received.
+    bool sent = false;                    // Set before the first byte may be sent.
     beast::error_code writeError;
     bool responseTooLarge = false;
 };
--- a/Libraries/LibNet/HttpResponseChecks.h
+++ b/Libraries/LibNet/HttpResponseChecks.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <LibCore/HttpStatus.h>
+#include <LibNet/HttpMessages.h>
 #include <LibNet/HttpWire.h>
 
+#include <string>
 #include <string_view>
 
 namespace Sagecrank {
@@ -21,4 +23,15 @@
     return {};
 }
 
+// Without the body.
+inline HttpResponse toHttpResponse(const boost::beast::http::response_header<> &header)
+{
+    HttpResponse response;
+    response.status = header.result_int();
+    response.headers.reserve(8);
+    for (const auto &field : header)
+        response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    return response;
+}
+
 } // namespace Sagecrank
--- a/Tests/LibNet/TestHttpResponses.cpp
+++ b/Tests/LibNet/TestHttpResponses.cpp
@@ -110,3 +110,16 @@
               result.response.status);
     cr_assert(result.response.body == row.body, "%s: '%s'", row.what, result.response.body.c_str());
 }
+
+// Guards against a trailer, which follows the body, passing for a field of the head: it could name the
+// request or carry the proof that the request did not run.
+Test(httpResponse, trailersAreNotHeaderFields)
+{
+    const HttpResponse response =
+        receive(statusOk
+                + "A: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nB: b\r\nA: c\r\n\r\n")
+            .response;
+    cr_assert(findHeader(response.headers, "A") == "a");
+    cr_assert(findHeader(response.headers, "B").empty());
+    cr_assert(response.headers.size() == 2 && response.body == "hello");
+}
