LibNet, Node: Do not take a reset for the end of a body

Callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once. The write gets it; the client then reads, since a server may reject an upload by its header and close. The read returns what has arrived and then a regular end of the stream, and by that a body without a length is complete.

Change: such a body is complete only if no write has failed, or if the error is EPIPE: Linux reports that instead of ECONNRESET only if the server had ended its side before the reset, so that all of the body has arrived. RFC 9112, section 8: a response that ends by the close of the connection is complete unless an error was indicated. A server that rejects an upload by its header often resets the connection, as it closes with bytes unread. So that such a rejection is not lost, the failure holds the intact header, and the gate takes from it the proof that the request did not run.

Evidence: before, two rows of httpResponse/aResetDuringTheUploadIsNotTheEndOfABody failed (200 with 'hello', 200 with nothing), and faultyServer/aResetUploadHasNoCompleteResponse (the gate passed on 200 'part'). All rows pass now, also those that passed before: a body with a length or in chunks that is complete, a regular end ahead of the reset, and a rejection whose body is cut off (503, not run).

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -160,6 +160,8 @@
 
     void handleMessage()
     {
+        if (this->parser->need_eof() && !isCompleteAtEndOfStream(this->writeError))
+            return this->failReading(this->writeError);
         switch (this->matchResponse()) {
         case ResponseMatch::ThisRequest:
             return this->finish();
@@ -256,7 +258,9 @@
         this->done = nullptr;
         if (this->connection)
             this->connection->stream.close();
-        const HttpFailure failure{error, this->sent, this->responseTooLarge};
+        HttpFailure failure{error, this->sent, this->responseTooLarge, std::nullopt};
+        if (this->response && this->matchResponse() == ResponseMatch::ThisRequest)
+            failure.incompleteResponse = std::move(this->response);
         callback(&failure, {});
     }
 
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Sagecrank {
@@ -18,6 +19,9 @@
     Error error;
     bool mayHaveBeenSent = true;   // False only when no byte of the request was sent.
     bool responseTooLarge = false; // The server sent more in some part of its response than the client holds.
+    // The status and the header of a valid response to this request whose body is not complete. They may
+    // prove that the request did not run.
+    std::optional<HttpResponse> incompleteResponse;
 };
 
 struct HttpClientSettings
--- a/Libraries/LibNet/HttpResponseChecks.h
+++ b/Libraries/LibNet/HttpResponseChecks.h
@@ -23,6 +23,14 @@
     return {};
 }
 
+// Whether a body without a length, which ends with the connection, is complete. The system reports a reset
+// once: if a write has reported it, the next read finds what looks like a regular end. The error is EPIPE
+// only if the server had ended its side before the reset, and all that it sent before has been received.
+inline bool isCompleteAtEndOfStream(const boost::beast::error_code &writeError)
+{
+    return !writeError || writeError == boost::asio::error::broken_pipe;
+}
+
 // Without the body.
 inline HttpResponse toHttpResponse(const boost::beast::http::response_header<> &header)
 {
--- a/Services/Node/Gate/LocalGateUpstream.cpp
+++ b/Services/Node/Gate/LocalGateUpstream.cpp
@@ -154,6 +154,10 @@
 
 void LocalGate::upstreamFailed(const std::shared_ptr<GateCall> &call, const HttpFailure &failure)
 {
+    // An upstream that rejects a large upload by its header may reset the connection, which can cut off the
+    // body of the rejection.
+    if (failure.incompleteResponse && this->provesNotRun(*failure.incompleteResponse))
+        return this->handleProvenNotRun(call, *failure.incompleteResponse);
     this->recordFailure(*call, failure);
     if (failure.mayHaveBeenSent && !call->cancelled)
         this->recordOutcome(*call, true);
--- a/Tests/LibNet/TestHttpResponses.cpp
+++ b/Tests/LibNet/TestHttpResponses.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr std::size_t longBody = std::size_t{8} << 20; // More than the socket buffers of both ends hold.
+
 // Sends the bytes in response to one request, then closes the connection.
 CallResult receive(const std::string &bytes, const std::string &method = "POST")
 {
@@ -56,6 +58,61 @@
 
 namespace {
 
+struct CutOffRow
+{
+    const char *what;
+    std::string bytes;
+    bool endsCleanly; // The server ends its side of the connection before it resets the connection.
+    bool failed;
+};
+
+const std::string headWithoutLength = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+
+const CutOffRow cutOffRows[] = {
+    {"no length, reset", headWithoutLength + "hello", false, true},
+    {"no length, no body, reset", headWithoutLength, false, true},
+    {"no length, ended, then reset", headWithoutLength + "hello", true, false},
+    {"a length, reset", "HTTP/1.1 413 Too Large\r\n" + hello, false, false},
+    {"a length, reset within the body", "HTTP/1.1 413 Too Large\r\nContent-Length: 6\r\n\r\nhello", false,
+     true},
+    {"chunks, reset", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", false,
+     false},
+    {"chunks, reset before the last", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+     false, true},
+};
+
+// Responds while the request's body is still being sent, and resets the connection.
+void respondAndReset(tcp::acceptor &acceptor, const CutOffRow &row)
+{
+    constexpr auto untilReceived = std::chrono::milliseconds(100);
+    tcp::socket socket = acceptor.accept();
+    std::string buffer;
+    readHeader(socket, buffer);
+    boost::asio::write(socket, boost::asio::buffer(row.bytes));
+    if (row.endsCleanly)
+        socket.shutdown(tcp::socket::shutdown_send);
+    std::this_thread::sleep_for(untilReceived);
+    socket.set_option(tcp::socket::linger(true, 0));
+    socket.close();
+}
+
+} // namespace
+
+// Guards against a part of a body passing for all of it when the connection is reset during an upload: the
+// write reports the reset, and reading then finds what looks like a regular end.
+TABLE_TEST(httpResponse, aResetDuringTheUploadIsNotTheEndOfABody, cutOffRows)
+{
+    ScriptedServer server([&row](tcp::acceptor &acceptor) { respondAndReset(acceptor, row); });
+    boost::asio::io_context context;
+    HttpClient client(context, {});
+    const CallResult result = sendAndWait(context, client, server.address(), std::string(longBody, 'x'));
+    cr_assert(result.failed == row.failed, "%s: %u '%s'", row.what, result.response.status,
+              result.response.body.c_str());
+    cr_assert(row.failed || result.response.body == "hello", "%s", row.what);
+}
+
+namespace {
+
 const std::string statusOk = "HTTP/1.1 200 OK\r\n";
 
 const std::string chunkedHello = "5\r\nhello\r\n0\r\n\r\n";
@@ -123,3 +180,22 @@
     cr_assert(findHeader(response.headers, "B").empty());
     cr_assert(response.headers.size() == 2 && response.body == "hello");
 }
+
+// Guards against losing the proof that a request did not run: a server that rejects an upload by its header
+// and closes with bytes unread resets the connection, which may cut off the body of the rejection.
+Test(httpResponse, theHeaderOfAnIncompleteResponseIsReported)
+{
+    const CutOffRow row{"", "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nConnection: close\r\n\r\nhe", false, true};
+    ScriptedServer server([&row](tcp::acceptor &acceptor) { respondAndReset(acceptor, row); });
+    boost::asio::io_context context;
+    HttpClient client(context, {});
+    std::optional<HttpResponse> incomplete;
+    client.send(server.address(), {"POST", "/", {}, std::string(longBody, 'x')}, std::chrono::seconds(10),
+                [&incomplete](const HttpFailure *failure, const HttpResponse &) {
+                    cr_assert(failure != nullptr);
+                    incomplete = failure->incompleteResponse;
+                });
+    context.run();
+    cr_assert(incomplete && incomplete->status == 503 && incomplete->body.empty());
+    cr_assert(findHeader(incomplete->headers, "Not-Run") == "1");
+}
--- a/Tests/Platform/TestFaultyServer.cpp
+++ b/Tests/Platform/TestFaultyServer.cpp
@@ -2,10 +2,13 @@
 #include "PlatformGate.h"
 
 #include <LibNet/HttpServer.h>
+#include <LibNet/ScriptedServer.h>
 #include <Support/TableTest.h>
 #include <UpstreamEmulator/Answer.h>
 #include <UpstreamEmulator/WorkService.h>
 
+#include <boost/asio/write.hpp>
+
 using namespace Sagecrank;
 
 namespace {
@@ -114,3 +117,53 @@
     const CallResponse again = server.call("booking");
     cr_assert(again.outcome == Outcome::Done && again.status == 200, "%u", again.status);
 }
+
+namespace {
+
+struct ResetRow
+{
+    const char *what;
+    std::string response;
+    Outcome outcome;
+    std::uint32_t status;
+};
+
+const ResetRow resetRows[] = {
+    {"a part of a success", "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nAttempt-Id: a1\r\n\r\npart",
+     Outcome::Unknown, 502},
+    {"a part of a rejection", "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nAttempt-Id: a1\r\n\r\npart",
+     Outcome::NotRun, 503},
+};
+
+// Responds to the header of a request and resets the connection while the body is being sent.
+void respondAndReset(boost::asio::ip::tcp::acceptor &acceptor, const std::string &response)
+{
+    boost::asio::ip::tcp::socket socket = acceptor.accept();
+    std::string buffer;
+    readHeader(socket, buffer);
+    boost::asio::write(socket, boost::asio::buffer(response));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    socket.set_option(boost::asio::ip::tcp::socket::linger(true, 0));
+}
+
+} // namespace
+
+// Guards against a part of a response reaching the caller as all of it, and against losing a rejection whose
+// body is cut off, when a server resets an upload.
+TABLE_TEST(faultyServer, aResetUploadHasNoCompleteResponse, resetRows)
+{
+    const ScriptedServer server(
+        [&row](boost::asio::ip::tcp::acceptor &acceptor) { respondAndReset(acceptor, row.response); });
+    PlatformGate platform;
+    platform.gate.announce({"booking", server.address(), 2, UpstreamCondition::Ready, "i-1", 7, 1});
+    CallRequest request;
+    request.cluster = "booking";
+    request.remainingMicroseconds = 9'000'000;
+    request.callerCallId = "a1";
+    request.method = "POST";
+    request.target = "/pay";
+    request.body.assign(std::size_t{8} << 20, 'b'); // More than the socket buffers of both ends hold.
+    const CallResponse response = platform.call(std::move(request));
+    cr_assert(response.outcome == row.outcome && response.status == row.status, "%s: %u '%s'", row.what,
+              response.status, response.body.c_str());
+}
