LibNet: Reject a response with a folded header line

Other operators saw: a server sent a header in which a field's name held a blank or a control byte; the client got it as a response, with that line passed on or with a body that was not the server's.

Cause: Beast rejects names with blanks or control bytes within or after them (kept as tests). But a line that begins with a blank or a tab is a continuation to it, which it joins to the value before. So a blank ahead of "Content-Length" hides the length, and the body ends elsewhere than the server meant.

Change: the unparsed header is searched for continuation lines, which RFC 9112, section 5.2 lets a gateway reject. The call ends with an unknown outcome (502).

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -133,7 +133,7 @@
         this->parser->body_limit(this->pool->settings.maximumBodyBytes);
         if (this->message.method() == http::verb::head)
             this->parser->skip(true);
-        readHeader(this->connection->stream, this->buffer, *this->parser, this->deadline,
+        readHeader(this->connection->stream, this->buffer, *this->parser, this->deadline, checkUnparsedHeader,
                    [self = this->shared_from_this()](const beast::error_code &error) {
                        if (error)
                            return self->failReading(error);
--- a/Libraries/LibNet/HttpReading.h
+++ b/Libraries/LibNet/HttpReading.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace Sagecrank {
@@ -87,15 +88,21 @@
         });
 }
 
-// Reads until the parser has the header. What follows it stays in the buffer.
-template <bool isRequest, typename Handler>
+// Reads until the parser has the header. What follows it stays in the buffer. `check` is asked for an error
+// in the bytes that are to be parsed next, which start at a line.
+template <bool isRequest, typename Check, typename Handler>
 void readHeader(HttpStream &stream, boost::beast::flat_buffer &buffer,
                 boost::beast::http::parser<isRequest, boost::beast::http::string_body> &parser,
-                Instant deadline, Handler handler)
+                Instant deadline, Check check, Handler handler)
 {
     parser.eager(false);
-    const auto parse = [&buffer, &parser]() -> std::optional<boost::beast::error_code> {
-        const boost::beast::error_code problem = parseBuffer(buffer, parser);
+    const auto parse = [&buffer, &parser,
+                        check = std::move(check)]() -> std::optional<boost::beast::error_code> {
+        const boost::asio::const_buffer unparsed = buffer.data();
+        boost::beast::error_code problem =
+            check(std::string_view(static_cast<const char *>(unparsed.data()), unparsed.size()));
+        if (!problem)
+            problem = parseBuffer(buffer, parser);
         return problem || parser.is_header_done() ? std::optional(problem) : std::nullopt;
     };
     readUntilParsed(stream, buffer, parser, deadline, parse, std::move(handler));
--- a/Libraries/LibNet/HttpResponseChecks.h
+++ b/Libraries/LibNet/HttpResponseChecks.h
@@ -6,11 +6,37 @@
 #include <LibNet/HttpMessages.h>
 #include <LibNet/HttpWire.h>
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
 namespace Sagecrank {
 
+// Whether a header contains a continuation line. Beast appends such a line to the value before it; another
+// parser takes it for a field, which may be the one that states the length. RFC 9112, section 5.2 lets a
+// gateway reject the response. `header` starts at a line; what follows the header is not looked at.
+inline bool hasFoldedLine(std::string_view header)
+{
+    constexpr std::string_view lineEnd = "\r\n";
+    while (!header.starts_with(lineEnd)) {
+        const std::size_t end = header.find(lineEnd);
+        if (end == std::string_view::npos)
+            return false;
+        header.remove_prefix(end + lineEnd.size());
+        if (header.starts_with(' ') || header.starts_with('\t'))
+            return true;
+    }
+    return false;
+}
+
+// Checks a header before it is parsed, as far as it has been received.
+inline boost::beast::error_code checkUnparsedHeader(std::string_view header)
+{
+    if (hasFoldedLine(header))
+        return boost::beast::http::error::bad_obs_fold;
+    return {};
+}
+
 // Describes what is wrong with a header that Beast accepts; empty when it is valid.
 inline std::string_view findHeaderError(const boost::beast::http::response_header<> &header)
 {
--- a/Meta/prove/faults.py
+++ b/Meta/prove/faults.py
@@ -322,10 +322,10 @@
 
 @fault
 def answers_broken(this_round):
-    """Answers are broken off, spoilt, without a length or a valid status, or come twice, also
+    """Answers are broken off, spoilt, without a length or a valid status, with a folded header, or come twice, also
     where the next one is expected."""
     _upstream_round(this_round, cut_share=0.1, spoil_share=0.1, unframed_share=0.1, double_share=0.1,
-                    double_late_share=0.1, invalid_status_share=0.05)
+                    double_late_share=0.1, invalid_status_share=0.05, folded_share=0.05)
 
 
 @fault
--- a/Meta/soak/faults.py
+++ b/Meta/soak/faults.py
@@ -124,7 +124,7 @@
 async def garble(fleet, source):
     await _server_faults(fleet, source, source.uniform(2.0, 5.0), 0.5, cut_share=0.1, spoil_share=0.1,
                          unframed_share=0.1, double_share=0.1, double_late_share=0.1,
-                         shed_double_late_share=0.1, invalid_status_share=0.05, early_share=0.2)
+                         shed_double_late_share=0.1, invalid_status_share=0.05, folded_share=0.05, early_share=0.2)
 
 
 @fault
--- a/Services/UpstreamEmulator/Answer.cpp
+++ b/Services/UpstreamEmulator/Answer.cpp
@@ -128,6 +128,8 @@
         return {withLongChunkExtension(std::move(answer)), false, {}};
     case CallFault::InvalidStatus:
         return {answer.replace(answer.find(' ') + 1, 3, "000"), false, {}};
+    case CallFault::FoldedHeader:
+        return {answer.insert(answer.find("Content-Length:"), " "), true, {}};
     default:
         return {std::move(answer), false, {}};
     }
--- a/Services/UpstreamEmulator/UpstreamFaults.h
+++ b/Services/UpstreamEmulator/UpstreamFaults.h
@@ -28,11 +28,12 @@
     ShedDuplicatedLate, // Shed, and the copy of that response is sent where the next one is expected.
     Oversized,          // Runs; the response has a chunk extension of a megabyte.
     InvalidStatus,      // Runs; the status of the response is 000.
+    FoldedHeader,       // Runs; the line with the length continues the line before it.
     RefusedEarly, // Refused without running before its body arrives; applies to calls whose body comes later.
 };
 
 // The key in the fault settings that holds the share of each fault; the remaining calls get None.
-inline constexpr EnumNames<CallFault, 13> callFaultShareKeys{{
+inline constexpr EnumNames<CallFault, 14> callFaultShareKeys{{
     {CallFault::Shed, "shed_share"},
     {CallFault::Failed, "fail_share"},
     {CallFault::Hung, "hang_share"},
@@ -45,6 +46,7 @@
     {CallFault::ShedDuplicatedLate, "shed_double_late_share"},
     {CallFault::Oversized, "oversized_share"},
     {CallFault::InvalidStatus, "invalid_status_share"},
+    {CallFault::FoldedHeader, "folded_share"},
     {CallFault::RefusedEarly, "early_share"},
 }};
 
--- a/Tests/LibNet/TestHttpResponses.cpp
+++ b/Tests/LibNet/TestHttpResponses.cpp
@@ -115,6 +115,46 @@
 
 const std::string statusOk = "HTTP/1.1 200 OK\r\n";
 
+const InvalidRow headRows[] = {
+    {"a blank in a name", statusOk + "X Y: a\r\n" + hello},
+    {"a blank after a name", statusOk + "Content-Length : 5\r\n\r\nhello"},
+    {"a tab after a name", statusOk + "Content-Length\t: 5\r\n\r\nhello"},
+    {"a blank before the first name", statusOk + " X: a\r\n" + hello},
+    {"a blank before a name", statusOk + "X: a\r\n Content-Length: 2\r\n\r\nhello"},
+    {"a tab before a name", statusOk + "X: a\r\n\tContent-Length: 2\r\n\r\nhello"},
+    {"a blank line that is not empty", statusOk + "X: a\r\n \r\n" + hello},
+    {"a control byte in a name", statusOk + "X\x01Y: a\r\n" + hello},
+    {"a delete byte in a name", statusOk + "X\x7fY: a\r\n" + hello},
+    {"a byte beyond ASCII in a name", statusOk + "X\xe9Y: a\r\n" + hello},
+    {"an empty name", statusOk + ": a\r\n" + hello},
+    {"no colon", statusOk + "X\r\n" + hello},
+    {"a null byte in a value", statusOk + "X: a" + std::string(1, '\0') + "b\r\n" + hello},
+    {"a control byte in a value", statusOk + "X: a\x01\r\n" + hello},
+    {"a line feed alone", statusOk + "X: a\nY: b\r\n" + hello},
+    {"a carriage return alone", statusOk + "X: a\rY: b\r\n" + hello},
+    {"a control byte in the reason", "HTTP/1.1 200 O\x01K\r\n" + hello},
+    {"another version", "HTTP/2.0 200 OK\r\n" + hello},
+    {"another protocol", "HTTQ/1.1 200 OK\r\n" + hello},
+    {"a line before the status", "\r\n" + statusOk + hello},
+    {"an end within the head", statusOk + "X: a\r\n"},
+    {"an invalid interim response", "HTTP/1.1 100 Continue\r\nX Y: a\r\n\r\n" + statusOk + hello},
+    {"a folded interim response", "HTTP/1.1 103 Hints\r\nX: a\r\n b\r\n\r\n" + statusOk + hello},
+    {"no response after an interim one", "HTTP/1.1 100 Continue\r\n\r\n"},
+};
+
+} // namespace
+
+// Guards against a response with a damaged head being passed on, or read with a body that is not the
+// server's: a line that starts with a blank is a continuation to one parser and a field to another.
+TABLE_TEST(httpResponse, anInvalidHeadFailsTheCall, headRows)
+{
+    const CallResult result = receive(row.bytes);
+    cr_assert(result.failed && result.mayHaveBeenSent, "%s: %u '%s'", row.what, result.response.status,
+              result.response.body.c_str());
+}
+
+namespace {
+
 const std::string chunkedHello = "5\r\nhello\r\n0\r\n\r\n";
 
 struct ValidRow
@@ -181,6 +221,30 @@
     cr_assert(response.headers.size() == 2 && response.body == "hello");
 }
 
+// Guards against reading what follows a header as a part of it: the end of a header may arrive alone, and a
+// body may start like a continuation line.
+Test(httpResponse, aResponseMayBeSplitAtAnyByte)
+{
+    const std::string bytes = "HTTP/1.1 200 OK\r\nA: a\r\nContent-Length: 6\r\n\r\n hello";
+    ScriptedServer server([&bytes](tcp::acceptor &acceptor) {
+        tcp::socket socket = acceptor.accept();
+        socket.set_option(tcp::no_delay(true));
+        std::string buffer;
+        for (std::size_t split = 1; split < bytes.size(); ++split) {
+            readHeader(socket, buffer);
+            boost::asio::write(socket, boost::asio::buffer(bytes.substr(0, split)));
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+            boost::asio::write(socket, boost::asio::buffer(bytes.substr(split)));
+        }
+    });
+    boost::asio::io_context context;
+    HttpClient client(context, {});
+    for (std::size_t split = 1; split < bytes.size(); ++split) {
+        const CallResult result = sendAndWait(context, client, server.address(), "");
+        cr_assert(!result.failed && result.response.body == " hello", "split at %zu", split);
+    }
+}
+
 // Guards against losing the proof that a request did not run: a server that rejects an upload by its header
 // and closes with bytes unread resets the connection, which may cut off the body of the rejection.
 Test(httpResponse, theHeaderOfAnIncompleteResponseIsReported)
--- a/Tests/Platform/TestFaultyServer.cpp
+++ b/Tests/Platform/TestFaultyServer.cpp
@@ -33,6 +33,7 @@
     {R"({"drop_share":1})", Outcome::Unknown, 502},
     {R"({"oversized_share":1})", Outcome::Unknown, 502},
     {R"({"invalid_status_share":1})", Outcome::Unknown, 502},
+    {R"({"folded_share":1})", Outcome::Unknown, 502},
 };
 
 class FaultyServer : public PlatformGate
