LibNet: Accept no transfer coding but chunked in responses

Found while checking the readers of responses: a body in a coding that nobody decodes was passed on as the server's body, chunk lines included where "chunked" was not the only coding; chunks in HTTP/1.0 were read although RFC 9112, section 6.1 calls their framing faulty.

Cause: Beast only looks for "chunked" as the last coding and otherwise reads until the connection ends. Requests had a rule for this, responses had none.

Change: the rule moves to HttpFramingChecks.h, and both kinds of message are checked by it.

Evidence: nine rows of httpResponse/anInvalidFramingFailsTheCall failed before; the other 15 (lengths that contradict each other, cut-off bodies and chunks) passed. All pass now.

--- a/Libraries/LibNet/HttpRequestChecks.h
+++ b/Libraries/LibNet/HttpRequestChecks.h
@@ -2,6 +2,7 @@
 // HTTP server, since it includes Beast's headers.
 #pragma once
 
+#include <LibNet/HttpFramingChecks.h>
 #include <LibNet/HttpMessages.h>
 #include <LibNet/HttpWire.h>
 
@@ -53,17 +54,7 @@
         return "more than one Host";
     if (hostCount == 0 && header.version() >= version11)
         return "no Host";
-    const std::size_t codingCount = header.count(boost::beast::http::field::transfer_encoding);
-    if (codingCount == 0)
-        return {};
-    if (codingCount > 1
-        || !boost::beast::iequals(header[boost::beast::http::field::transfer_encoding], "chunked"))
-        return "a transfer coding other than chunked";
-    if (header.count(boost::beast::http::field::content_length) != 0)
-        return "both a length and a transfer coding";
-    if (header.version() < version11)
-        return "a transfer coding in HTTP/1.0";
-    return {};
+    return findTransferCodingError(header, header.version());
 }
 
 inline HttpRequest toHttpRequest(const boost::beast::http::request<boost::beast::http::string_body> &message)
--- a/Libraries/LibNet/HttpResponseChecks.h
+++ b/Libraries/LibNet/HttpResponseChecks.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <LibCore/HttpStatus.h>
+#include <LibNet/HttpFramingChecks.h>
 #include <LibNet/HttpMessages.h>
 #include <LibNet/HttpWire.h>
 
@@ -46,7 +47,7 @@
     // The client never asks for it, and what follows on the connection would be no HTTP.
     if (header.result() == boost::beast::http::status::switching_protocols)
         return "a switch of protocols";
-    return {};
+    return findTransferCodingError(header, header.version());
 }
 
 // Whether a body without a length, which ends with the connection, is complete. The system reports a reset
--- a/Tests/LibNet/TestHttpResponses.cpp
+++ b/Tests/LibNet/TestHttpResponses.cpp
@@ -142,6 +142,39 @@
     {"no response after an interim one", "HTTP/1.1 100 Continue\r\n\r\n"},
 };
 
+const std::string chunkedHello = "5\r\nhello\r\n0\r\n\r\n";
+
+const InvalidRow framingRows[] = {
+    {"two lengths", statusOk + "Content-Length: 5\r\nContent-Length: 4\r\n\r\nhello"},
+    {"a list of lengths", statusOk + "Content-Length: 5, 4\r\n\r\nhello"},
+    {"a negative length", statusOk + "Content-Length: -5\r\n\r\nhello"},
+    {"a length with a sign", statusOk + "Content-Length: +5\r\n\r\nhello"},
+    {"a length with a unit", statusOk + "Content-Length: 5b\r\n\r\nhello"},
+    {"an empty length", statusOk + "Content-Length: \r\n\r\nhello"},
+    {"a length beyond all numbers", statusOk + "Content-Length: 18446744073709551621\r\n\r\nhello"},
+    {"a length, then a coding",
+     statusOk + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + chunkedHello},
+    {"a coding, then a length",
+     statusOk + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n" + chunkedHello},
+    {"another coding", statusOk + "Transfer-Encoding: gzip\r\n\r\nhello"},
+    {"another coding and a length", statusOk + "Transfer-Encoding: gzip\r\nContent-Length: 5\r\n\r\nhello"},
+    {"a coding ahead of chunks", statusOk + "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunkedHello},
+    {"a coding in a line of its own",
+     statusOk + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n" + chunkedHello},
+    {"a coding after chunks", statusOk + "Transfer-Encoding: chunked, gzip\r\n\r\n" + chunkedHello},
+    {"chunks twice", statusOk + "Transfer-Encoding: chunked, chunked\r\n\r\n" + chunkedHello},
+    {"an empty coding", statusOk + "Transfer-Encoding: \r\n\r\nhello"},
+    {"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunkedHello},
+    {"another coding without a body", "HTTP/1.1 204 No Content\r\nTransfer-Encoding: gzip\r\n\r\n"},
+    {"less than the length", statusOk + "Content-Length: 6\r\n\r\nhello"},
+    {"no last chunk", statusOk + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"},
+    {"no end of the trailers", statusOk + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX: a\r\n"},
+    {"a chunk size that is no number",
+     statusOk + "Transfer-Encoding: chunked\r\n\r\ng\r\nhello\r\n0\r\n\r\n"},
+    {"a chunk longer than its size", statusOk + "Transfer-Encoding: chunked\r\n\r\n4\r\nhello\r\n0\r\n\r\n"},
+    {"an invalid trailer", statusOk + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX Y: a\r\n\r\n"},
+};
+
 } // namespace
 
 // Guards against a response with a damaged head being passed on, or read with a body that is not the
@@ -153,9 +186,15 @@
               result.response.body.c_str());
 }
 
-namespace {
+// Guards against a body whose end is in doubt, or whose coding nobody decodes, passing for the server's body.
+TABLE_TEST(httpResponse, anInvalidFramingFailsTheCall, framingRows)
+{
+    const CallResult result = receive(row.bytes);
+    cr_assert(result.failed && result.mayHaveBeenSent, "%s: %u '%s'", row.what, result.response.status,
+              result.response.body.c_str());
+}
 
-const std::string chunkedHello = "5\r\nhello\r\n0\r\n\r\n";
+namespace {
 
 struct ValidRow
 {
