Node: Reject requests that cannot end before the end of a drain

Callers saw: a request whose body ended late in the grace of a node that was stopped was sent to another node's upstream, and was answered 504 at the end of the grace while it ran there, also if it may not be repeated (LOST).

Cause: connections with a request in progress stay open when the node takes no new callers. Their requests were started until the node was idle, whatever time was left; pending calls are withdrawn once, at the maximum drain time, and a call that starts just before or after it is cut off 0.9 s later.

Change: NodeDrain states by when calls have to end, and from the moment at which callers are stopped a request whose deadline is later is rejected at once (503, not run). Until its deadline a call always ends, so none is cut off.

The requests that a node takes before it stops callers are served as before.

--- a/Services/Node/Callers/CallerFrontend.cpp
+++ b/Services/Node/Callers/CallerFrontend.cpp
@@ -89,7 +89,7 @@
     std::shared_ptr<HttpExchange> exchange;
     RouteMatch route;
     CallerIdentity caller;
-    Instant arrived;
+    CallPlan plan; // Moved away when it is forwarded.
     std::shared_ptr<CallTracker> tracker;
     Instant allowanceAcquiredAt{}; // Unset if the account has no allowance.
 };
@@ -195,8 +195,11 @@
     if (this->refuseUnidentified(request, *exchange, caller.verdict))
         return;
 
+    CallPlan plan = this->makePlan(request, *route, SteadyClock::now());
+    if (!worker.acceptsCall(plan.deadline))
+        return this->refuse(request, *exchange, 503, reasonLeaving, shutdownRetryAfterMilliseconds);
     const auto admitted = std::make_shared<AdmittedRequest>(
-        AdmittedRequest{std::move(request), exchange, *route, caller, SteadyClock::now(),
+        AdmittedRequest{std::move(request), exchange, *route, caller, std::move(plan),
                         std::make_shared<CallTracker>(this->hooks.callStarted, this->hooks.callEnded)});
     if (caller.account && caller.account->isLimited())
         return this->acquireAllowance(worker, admitted);
@@ -221,7 +224,7 @@
     const std::string &account = admitted->caller.account->name;
     const bool isGranted = decision.verdict == AllowanceVerdict::Granted;
     admitted->allowanceAcquiredAt = SteadyClock::now();
-    if (isGranted && !admitted->tracker->hasEnded() && !worker.rejectsNewCalls())
+    if (isGranted && !admitted->tracker->hasEnded() && worker.acceptsCall(admitted->plan.deadline))
         return this->forward(worker, admitted);
     if (isGranted)
         this->hooks.releaseAllowance(account, admitted->allowanceAcquiredAt);
@@ -264,8 +267,8 @@
 void CallerFrontend::forward(Worker &worker, const std::shared_ptr<AdmittedRequest> &admitted) const
 {
     const RouteMatch &route = admitted->route;
-    const Instant arrived = admitted->arrived;
-    CallPlan plan = this->makePlan(admitted->request, route, arrived);
+    CallPlan plan = std::move(admitted->plan);
+    const Instant arrived = plan.arrived;
     CallRequest call = this->makeCall(std::move(admitted->request), route, admitted->caller);
     plan.firstArrived = this->firstArrived(call.kind, plan);
     if (route.targetLatency > Milliseconds(0))
@@ -279,9 +282,9 @@
     const std::string callerCallId = call.callerCallId;
     const auto forwarded = std::make_shared<ForwardedCall>(
         this->context, worker, std::move(plan), std::move(call),
-        [this, &observer, admitted, span, callerCallId](CallResponse response) {
+        [this, &observer, admitted, span, callerCallId, arrived](CallResponse response) {
             const Instant now = SteadyClock::now();
-            observer.callAnswered(admitted->route.callClass, response, now - admitted->arrived);
+            observer.callAnswered(admitted->route.callClass, response, now - arrived);
             span->field("outcome", outcomeNames.name(response.outcome));
             span->end(now);
             if (response.outcome == Outcome::NotRun && admitted->allowanceAcquiredAt != Instant{})
--- a/Services/Node/Callers/Worker.cpp
+++ b/Services/Node/Callers/Worker.cpp
@@ -93,9 +93,12 @@
     });
 }
 
-void Worker::stopAccepting()
+void Worker::stopAccepting(Instant callsEndBy)
 {
-    boost::asio::post(this->context, [this] { this->callerServer.stopAccepting(); });
+    boost::asio::post(this->context, [this, callsEndBy] {
+        this->callsEndBy = callsEndBy;
+        this->callerServer.stopAccepting();
+    });
 }
 
 void Worker::rejectNewCalls(std::function<void()> done)
--- a/Services/Node/Callers/Worker.h
+++ b/Services/Node/Callers/Worker.h
@@ -53,7 +53,9 @@
 
     // Callable from any thread.
     void beginShutdown(); // Callers are told to close; silent peers keep their pending calls.
-    void stopAccepting();
+    // Requests that are still being received are read on. They are rejected if their deadline is later than
+    // `callsEndBy`.
+    void stopAccepting(Instant callsEndBy);
     void withdrawPendingCalls();
     // Rejects every request read from now on; `done` runs on the worker's thread once this is in effect.
     void rejectNewCalls(std::function<void()> done);
@@ -70,6 +72,8 @@
 
     // Call on the worker's thread.
     bool rejectsNewCalls() const { return this->rejecting; }
+    // Whether a call with this deadline may start. One that may run beyond the end of the drain may not.
+    bool acceptsCall(Instant deadline) const { return !this->rejecting && deadline <= this->callsEndBy; }
     // Calls keep the link that they were sent on, even if it has been replaced since.
     std::shared_ptr<PeerLink> link(const std::string &peerAddress);
     void addCall(ForwardedCall &call) { this->calls.insert(&call); }
@@ -91,6 +95,7 @@
     boost::asio::steady_timer peerTimer;
     bool shuttingDown = false;
     bool rejecting = false;
+    Instant callsEndBy = Instant::max();       // The latest deadline of a call that may start.
     std::unordered_set<ForwardedCall *> calls; // Pending; each removes itself.
     std::thread thread;
 };
--- a/Services/Node/NodeDrain.h
+++ b/Services/Node/NodeDrain.h
@@ -75,6 +75,10 @@
 
     DrainStage stage() const { return this->currentStage; }
 
+    // Once callers are stopped, a call with a later deadline is not started, since the end of the process
+    // could cut it off. Valid after begin().
+    Instant callsEndBy() const { return this->begunAt + this->settings.maximum; }
+
 private:
     bool isDone();
 
--- a/Services/Node/NodeShutdown.cpp
+++ b/Services/Node/NodeShutdown.cpp
@@ -61,7 +61,7 @@
     };
     hooks.stopCallers = [this] {
         for (const auto &worker : this->workers)
-            worker->stopAccepting();
+            worker->stopAccepting(this->drain.callsEndBy());
     };
     hooks.idle = [this] { return this->isIdle(); };
     hooks.withdrawPendingCalls = [this] {
--- a/Tests/EndToEnd/TestDrain.py
+++ b/Tests/EndToEnd/TestDrain.py
@@ -13,6 +13,8 @@
 LINGER_MS = 1000
 # No callers are left and nothing runs: a node that waits for nothing else has ended by then.
 AFTER_LINGER = 2.5
+# Pending calls are withdrawn then. After it, a node ends within a second.
+DRAIN_SECONDS = 4
 BODY = 12 << 20  # More than the kernel's buffers hold on loopback.
 SMALL_BUFFER = 65536
 LONG = "/slots/long"
@@ -22,13 +24,18 @@
 maximum_timeout_ms = 60000
 [drain]
 linger_ms = {LINGER_MS}
-maximum_ms = 30000
 """
 
 CONFIGURATION = """[mesh]
 name = "drain"
 [cluster.booking]
 [[route]]
+name = "pay"
+prefix = "/pay"
+methods = ["POST"]
+cluster = "booking"
+timeout_ms = 60000
+[[route]]
 name = "slots"
 prefix = "/slots"
 methods = ["GET"]
@@ -47,6 +54,11 @@
         self.end_headers()
         self.wfile.write(b"x" * size)
 
+    def do_POST(self):
+        """Works for longer than a drain lasts."""
+        self.server.payments += 1
+        time.sleep(DRAIN_SECONDS + 2)
+
     def log_message(self, *arguments):
         pass
 
@@ -109,6 +121,13 @@
     return connection
 
 
+def begin_upload(address):
+    """Sends a request but for the last byte of its body."""
+    connection = connect(address)
+    connection.sendall(b"POST /pay HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nbody")
+    return connection
+
+
 def read_answer(connection, answer=b""):
     try:
         while data := connection.recv(65536):
@@ -125,14 +144,17 @@
         super().setUp()
         upstream = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Upstream)
         upstream.daemon_threads = True
+        upstream.payments = 0
+        self.server = upstream
         self.upstream = f"127.0.0.1:{upstream.server_port}"
         threading.Thread(target=upstream.serve_forever, daemon=True).start()
         self.addCleanup(upstream.server_close)
         self.addCleanup(upstream.shutdown)
 
-    def start_draining_node(self, name, seeds, peers=None, advertised=None):
+    def start_draining_node(self, name, seeds, peers=None, advertised=None, maximum_seconds=30):
         advertise = f'[advertise]\npeers = "{advertised}"\n' if advertised else ""
-        return self.start_node(name, seeds, advertise + SETTINGS, peers)
+        settings = SETTINGS + f"maximum_ms = {maximum_seconds * 1000}\n"
+        return self.start_node(name, seeds, advertise + settings, peers)
 
     def announce_upstream(self, node):
         announcement = json.dumps({"cluster": "booking", "address": self.upstream, "state": "ready", "slots": 4})
@@ -178,6 +200,33 @@
             self.assert_whole(read_answer(caller))
         self.assertEqual(ending.wait(WAIT), 0)
 
+    def assert_rejected(self, answer):
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer[:200])
+        self.assertIn(b"\r\nSagecrank-Outcome: not-run\r\n", answer)
+        self.assertEqual(self.server.payments, 0)
+
+    def start_busy_node(self):
+        """A node that a slow reader keeps from ending before the maximum of its drain. The upstream is at another
+        node, since a node that ends sends nothing more to its own."""
+        _, serving = self.start_draining_node("serving", [])
+        ending, node = self.start_draining_node("ending", [serving["gossip"]], maximum_seconds=DRAIN_SECONDS)
+        self.announce_upstream(serving)
+        self.await_route(node)
+        slow = ask(node["callers"], LONG)
+        self.addCleanup(slow.close)
+        slow.recv(1024)
+        return ending, node
+
+    def test_an_upload_that_ends_late_in_a_drain_is_rejected(self):
+        """Guards against starting a call that the end of the process would cut off."""
+        ending, node = self.start_busy_node()
+        with begin_upload(node["callers"]) as caller:
+            ending.terminate()
+            time.sleep(LINGER_MS / 1000 + 1)
+            caller.sendall(b"!")
+            self.assert_rejected(read_answer(caller))
+        self.assertEqual(ending.wait(WAIT), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/Tests/Node/TestNodeDrain.cpp
+++ b/Tests/Node/TestNodeDrain.cpp
@@ -105,6 +105,14 @@
     cr_assert(steps == std::vector<std::string>({"refuse", "leave"}));
 }
 
+// Guards against accepting a call that would be cut off: it must end before pending calls are withdrawn.
+Test(nodeDrain, callsEndBeforePendingCallsAreWithdrawn)
+{
+    DrainFixture fixture;
+    fixture.drain.begin(fixture.start);
+    cr_assert(fixture.drain.callsEndBy() == fixture.start + std::chrono::seconds(60));
+}
+
 // If each step came an interval late, the final responses would be sent when the process is being killed.
 Test(nodeDrain, nextStepIsTheTimeOfTheNextStage)
 {
