LibNet, Node: Reject requests that are still being received when a node ends

Callers saw: a node that ended closed the connection of an upload without a response, so that its caller could not know that the request had not run.

Cause: a request that has arrived in part counts neither as a call nor as a pending response. An idle node ended beside it, and a busy one when its grace was over.

Change: HttpServer::rejectPartialRequests() cancels their reads and answers 503 (not run). A node calls it when it takes no more requests: before the last check whether it is idle, and when it withdraws pending calls.

Evidence: before, the callers of two tests of EndToEndTestDrain (a busy and an idle node) got no byte. They pass now, and so does httpServer/aPartialRequestIsRejectedOnShutdown.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -72,6 +72,16 @@
         session->closeWhenIdle();
 }
 
+// Without a response, the caller of an upload would not know whether it may send it again.
+void HttpServer::rejectPartialRequests()
+{
+    this->stopAccepting();
+    this->state->rejectsPartialRequests = true;
+    const std::unordered_set<HttpSession *> open = this->state->sessions;
+    for (HttpSession *session : open)
+        session->rejectPartialRequest();
+}
+
 std::size_t HttpServer::pendingResponses() const
 {
     return this->state->pendingResponses;
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -26,6 +26,8 @@
 
 constexpr std::string_view noMemoryForBody = "the bodies of other requests fill the memory";
 
+constexpr std::string_view serverStopping = "the server is shutting down";
+
 constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 constexpr std::uint32_t statusBadGateway = 502;
@@ -232,6 +234,9 @@
         return;
     if (error == boost::asio::error::no_buffer_space)
         return this->rejectRequest(statusUnavailable, noMemoryForBody);
+    const bool cancelled = error == boost::asio::error::operation_aborted && this->stream.socket().is_open();
+    if (cancelled && this->server->rejectsPartialRequests)
+        return this->rejectRequest(statusUnavailable, serverStopping);
     const std::uint32_t status = statusForReadError(error);
     if (status != 0)
         return this->rejectRequest(status, error.message());
@@ -474,9 +479,9 @@
     const bool last = !error && !keepAlive && !requestUnread && this->exchanges.empty();
     if (last && (this->server->closing || this->hasUnreadBytes()))
         return this->lingerAndClose(); // The response stays pending until the caller has read it.
-    --this->server->pendingResponses;
     if (!error && requestUnread)
-        return this->drainAndClose();
+        return this->drainAndClose(); // Stays pending until the drain ends.
+    --this->server->pendingResponses;
     if (error || !keepAlive)
         return this->abortConnection();
     if (!this->exchanges.empty()) {
--- a/Libraries/LibNet/HttpSession.h
+++ b/Libraries/LibNet/HttpSession.h
@@ -40,6 +40,7 @@
     boost::asio::ip::tcp::acceptor acceptor;
     std::unordered_set<HttpSession *> sessions; // Open ones; each removes itself in its destructor.
     bool closing = false;
+    bool rejectsPartialRequests = false;           // Implies closing.
     std::atomic<std::size_t> pendingResponses = 0; // Over all sessions.
 };
 
@@ -57,6 +58,7 @@
     void onCallerDisconnected(std::uint64_t number, std::function<void()> hook);
     void close();
     void closeWhenIdle();
+    void rejectPartialRequest();
 
 private:
     using ErrorCode = boost::beast::error_code;
@@ -127,8 +129,9 @@
     void handleWritten(const ErrorCode &error, bool keepAlive);
     void abortConnection();
     void drainAndClose();
+    void endDrain();
     bool hasUnreadBytes();
-    void lingerAndClose(); // One response counts as pending until the linger ends.
+    void lingerAndClose(); // One response counts as pending until the linger or the drain ends.
     void awaitCallerClose();
     void endLinger();
     void discardInput(Instant deadline);
--- a/Libraries/LibNet/HttpSessionClosing.cpp
+++ b/Libraries/LibNet/HttpSessionClosing.cpp
@@ -44,13 +44,22 @@
 
 // Used when a request was rejected while its body is still arriving. Closing a socket with unread bytes sends
 // a TCP reset, which can destroy the response before the caller reads it. So only the sending side is shut
-// down, and input is discarded until the caller closes, for a bounded time.
+// down, and input is discarded until the caller closes, for a bounded time; until then the response counts as
+// pending.
 void HttpSession::drainAndClose()
 {
     ErrorCode ignored;
     this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    this->stream.expires_after(maximumDrainTime);
-    this->discardInput(SteadyClock::now() + maximumDrainTime);
+    const Milliseconds limit =
+        this->server->closing ? this->server->settings.lingerTimeout : maximumDrainTime;
+    this->stream.expires_after(limit);
+    this->discardInput(SteadyClock::now() + limit);
+}
+
+void HttpSession::endDrain()
+{
+    --this->server->pendingResponses;
+    this->close();
 }
 
 bool HttpSession::hasUnreadBytes()
@@ -101,7 +110,7 @@
         this->buffer.prepare(drainBufferSize),
         [self = this->shared_from_this(), deadline](const ErrorCode &error, std::size_t) {
             if (error || SteadyClock::now() >= deadline)
-                return self->close();
+                return self->endDrain();
             self->discardInput(deadline);
         });
 }
@@ -114,6 +123,13 @@
         this->stream.cancel();
 }
 
+// The read that is cancelled fails, and rejects the request.
+void HttpSession::rejectPartialRequest()
+{
+    if (this->reading && !this->awaitingFirstByte && !this->lingering && this->exchanges.empty())
+        this->stream.cancel();
+}
+
 void HttpSession::close()
 {
     ErrorCode ignored;
--- a/Services/Node/Callers/Worker.cpp
+++ b/Services/Node/Callers/Worker.cpp
@@ -105,13 +105,16 @@
 {
     boost::asio::post(this->context, [this, done = std::move(done)] {
         this->rejecting = true;
-        done();
+        this->callerServer.rejectPartialRequests();
+        // After the reads that this has cancelled, whose rejections count as unsent responses.
+        boost::asio::post(this->context, done);
     });
 }
 
 void Worker::withdrawPendingCalls()
 {
     boost::asio::post(this->context, [this] {
+        this->callerServer.rejectPartialRequests();
         for (const auto &call : this->pendingCalls())
             call->withdraw();
     });
--- a/Services/Node/Callers/Worker.h
+++ b/Services/Node/Callers/Worker.h
@@ -56,8 +56,9 @@
     // Requests that are still being received are read on. They are rejected if their deadline is later than
     // `callsEndBy`.
     void stopAccepting(Instant callsEndBy);
-    void withdrawPendingCalls();
-    // Rejects every request read from now on; `done` runs on the worker's thread once this is in effect.
+    void withdrawPendingCalls(); // Also rejects requests that are still being received.
+    // Rejects every request that has not been received; `done` runs on the worker's thread once this is in
+    // effect.
     void rejectNewCalls(std::function<void()> done);
     // Completes all pending calls and sends GoAway to the peers. Waits up to `maximumWait` for them to read
     // their last responses; then `done` runs on the worker's thread.
--- a/Tests/EndToEnd/TestDrain.py
+++ b/Tests/EndToEnd/TestDrain.py
@@ -227,6 +227,24 @@
             self.assert_rejected(read_answer(caller))
         self.assertEqual(ending.wait(WAIT), 0)
 
+    def test_an_upload_that_does_not_end_in_a_drain_is_rejected(self):
+        """Guards against ending a busy node without a response to a request that it has read in part."""
+        ending, node = self.start_busy_node()
+        with begin_upload(node["callers"]) as caller:
+            ending.terminate()
+            self.assert_rejected(read_answer(caller))
+        self.assertEqual(ending.wait(WAIT), 0)
+
+    def test_an_upload_to_an_idle_node_that_ends_is_rejected(self):
+        """The same for a node that waits for nothing else."""
+        ending, node = self.start_draining_node("ending", [])
+        self.announce_upstream(node)
+        self.await_route(node)
+        with begin_upload(node["callers"]) as caller:
+            ending.terminate()
+            self.assert_rejected(read_answer(caller))
+        self.assertEqual(ending.wait(WAIT), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -366,6 +366,17 @@
         boost::asio::post(this->context, [this] { this->server.stopAccepting(); });
     }
 
+    // Returns once the server has run what was queued when the requests were rejected.
+    void rejectPartialRequests()
+    {
+        std::promise<void> done;
+        boost::asio::post(this->context, [this, &done] {
+            this->server.rejectPartialRequests();
+            boost::asio::post(this->context, [&done] { done.set_value(); });
+        });
+        done.get_future().wait();
+    }
+
     // Returns once the server has run everything posted to it so far.
     void drainQueue()
     {
@@ -510,6 +521,40 @@
     cr_assert(server.targets().size() == 1);
 }
 
+namespace {
+
+struct PartialRow
+{
+    const char *what;
+    std::string bytes;
+};
+
+const PartialRow partialRows[] = {
+    {"a header", "POST /a HTTP/1.1\r\nHost: a\r\n"},
+    {"a body with a length", "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhe"},
+    {"a body in chunks", "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n"},
+};
+
+} // namespace
+
+// Guards against cutting off an upload on shutdown without telling its caller that it has not run. The
+// response counts as pending until the caller has read it.
+TABLE_TEST(httpServer, aPartialRequestIsRejectedOnShutdown, partialRows)
+{
+    HoldingServer server(std::chrono::minutes(1));
+    RawCaller caller(server.address());
+    caller.send(row.bytes);
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    server.rejectPartialRequests();
+    cr_assert(server.pendingResponses() == 1, "%s", row.what);
+    const std::string response = caller.readUntilClosed();
+    cr_assert(response.starts_with("HTTP/1.1 503 "), "%s: %s", row.what, response.c_str());
+    cr_assert(response.find("Sagecrank-Outcome: not-run\r\n") != std::string::npos, "%s", row.what);
+    cr_assert(server.pendingResponses() == 1 && server.targets().empty(), "%s", row.what);
+    caller.close();
+    cr_assert(eventually([&] { return server.pendingResponses() == 0; }), "%s", row.what);
+}
+
 // On shutdown, the server waits for callers to read their last responses, but no longer than until they
 // close.
 Test(httpServer, lingeringEndsWhenTheCallerCloses)
