--- a/Tests/Platform/TestInstanceApi.cpp
+++ b/Tests/Platform/TestInstanceApi.cpp
@@ -4,6 +4,8 @@
 #include <platform/EmulatedServer.h>
 #include <platform/InstanceApi.h>
 
+#include <string>
+
 using namespace Sagecrank;
 
 namespace {
@@ -57,7 +59,7 @@
 struct InvalidRow
 {
     const char *what;
-    const char *body;
+    std::string body;
 };
 
 const InvalidRow invalidRows[] = {
@@ -70,6 +72,16 @@
      R"({"service":"b","address":"10.0.0.9:80","slots":6,"state":"odd","callSeq":9,"born":9})"},
     {"born of another type",
      R"({"service":"b","address":"10.0.0.9:80","slots":6,"state":"ready","callSeq":9,"born":"x"})"},
+    {"a port out of range",
+     R"({"service":"b","address":"10.0.0.9:99999","slots":6,"state":"ready","callSeq":9,"born":9})"},
+    {"more slots than a number holds",
+     R"({"service":"b","address":"10.0.0.9:80","slots":99999999999999999999,"state":"ready","callSeq":9,"born":9})"},
+    {"a number beyond a double",
+     R"({"service":"b","address":"10.0.0.9:80","slots":6,"state":"ready","callSeq":1e999999,"born":9})"},
+    {"nested lists", R"({"service":)" + std::string(100'000, '[') + std::string(100'000, ']') + "}"},
+    {"nested lists beside the fields",
+     R"({"service":"b","address":"10.0.0.9:80","slots":6,"state":"ready","callSeq":9,"born":9,"x":)"
+         + std::string(100'000, '[') + std::string(100'000, ']') + "}"},
     {"another server's address",
      R"({"service":"b","address":"10.0.0.8:80","slots":6,"state":"ready","callSeq":9,"born":9})"},
 };
--- a/Tests/Platform/TestRowsStore.cpp
+++ b/Tests/Platform/TestRowsStore.cpp
@@ -67,6 +67,45 @@
     cr_assert(one.has_value() && one.value() == row);
 }
 
+namespace {
+
+struct OddValueRow
+{
+    const char *what;
+    std::string value;
+    bool skipped; // The whole row; else only the attribute.
+};
+
+const OddValueRow oddValueRows[] = {
+    {"no bytes", "", true},
+    {"no JSON", "\xff\x01", true},
+    {"no object", "[1]", true},
+    {"nested lists", R"({"gossip":)" + std::string(100'000, '[') + std::string(100'000, ']') + "}", true},
+    {"nested objects that do not end", std::string(100'000, '{'), true},
+    {"a number beyond 64 bits", R"({"time":99999999999999999999999999})", false},
+    {"a number beyond a double", R"({"time":1e999999})", false},
+    {"a negative number", R"({"time":-1})", false},
+    {"a nested attribute", R"({"time":{"a":[1]}})", false},
+};
+
+} // namespace
+
+// Guards against a row of another writer that ends the node or hides the other rows.
+TABLE_TEST(rowsStore, anOddRowDoesNotHideTheOthers, oddValueRows)
+{
+    StoreFixture fixture;
+    const TablePort table = Platform::makeRowsTable(fixture.client, "sagecrank");
+    const Row good{{"introducers", "z#2"}, {{"gossip", std::string("10.0.0.1:1")}}};
+    cr_assert(fixture.await<Result<void>>([&](auto done) { table.putIf({good, {}}, done); }).has_value());
+    cr_assert(fixture.write({"sagecrank", "introducers", "z#1", row.value, false, std::nullopt}).has_value());
+    const auto found = fixture.await<Result<std::vector<Row>>>([&](auto done) {
+        table.query({"introducers", false, 10}, done);
+    });
+    cr_assert(found.has_value() && found.value().size() == (row.skipped ? 1 : 2), "%s", row.what);
+    cr_assert(found.value().back() == good, "%s", row.what);
+    cr_assert(row.skipped || found.value().front().number("time") == nullptr, "%s", row.what);
+}
+
 // A node that watches the configuration is notified of a change. Then the store drops its history. The next
 // change must not be missed, so the row itself is read again.
 Test(rowsStore, watchFollowsChangesAndExpiredHistory)
