Node: Skip introducers whose address is unusable

Other operators saw: machines that read a list with one odd entry stopped following it. Here a row of another writer among those of the introducers, with a port out of range or no address at all, ended nobody, but took a place of its zone: nodes that start without knowing any other contacted it in vain, and found all places taken.

Cause: any text was taken for an introducer's address. Nodes overwrite a place only after several rounds.

Change: a row without a usable address is skipped, and its place counts as free.

Evidence: introducers/unusableAddressesLeaveTheirPlacesFree, five rows, failed before and passes now.

--- a/Services/Node/Control/ControlIntroducers.cpp
+++ b/Services/Node/Control/ControlIntroducers.cpp
@@ -1,6 +1,8 @@
 // Reads and writes the rows of introducers.
 #include "ControlIntroducers.h"
 
+#include <LibNet/FramedConnection.h>
+
 #include <algorithm>
 #include <chrono>
 #include <map>
@@ -152,6 +154,9 @@
     std::map<std::string, std::vector<std::string>> otherZones;
     for (const Row &row : rows) {
         const std::string *address = row.text("gossip");
+        // A row of another writer may hold anything. Its place is free.
+        if (address != nullptr && !parseTcpEndpoint(*address))
+            continue;
         if (address != nullptr && *address == this->gossipAddress && this->hooks.isIntroducer)
             this->hooks.isIntroducer();
         if (address == nullptr || *address == this->gossipAddress)
--- a/Tests/Control/TestControlPlane.cpp
+++ b/Tests/Control/TestControlPlane.cpp
@@ -249,6 +249,31 @@
     }));
 }
 
+// Guards against rows of another writer that stop the nodes from finding each other, or end them.
+Test(control, nodesFindEachOtherBesideOddIntroducerRows)
+{
+    const std::string odd[] = {
+        "", "not an address", "10.0.0.1:99999", "10.0.0.1:-1", "256.0.0.1:1", std::string(100'000, '1')};
+    Fixture fixture;
+    int number = 0;
+    for (const std::string &address : odd) {
+        for (int zone = 0; zone < 3; ++zone) {
+            const RowKey key{"introducers", "z" + std::to_string(zone) + "#" + std::to_string(number % 6)};
+            fixture.platform.rows[key] = {key, {{"gossip", address}}};
+        }
+        ++number;
+    }
+    const RowKey withoutAddress{"introducers", "z0"};
+    fixture.platform.rows[withoutAddress] = {withoutAddress, {{"gossip", std::uint64_t{1}}}};
+    for (int i = 0; i < 3; ++i)
+        fixture.nodes[i].start(fixture.context, fixture.platform, "n" + std::to_string(i),
+                               "z" + std::to_string(i), {});
+    cr_assert(fixture.runUntil([&] {
+        return fixture.nodes[0].view.size() == 3 && fixture.nodes[1].view.size() == 3
+               && fixture.nodes[2].view.size() == 3;
+    }));
+}
+
 // The platform's table is restored from a copy without the introducers' rows, and one node notices it. The
 // others must learn of it and rewrite their rows at once, since the next renewal is up to a minute away.
 Test(control, restoredStoreIsAnnouncedToAllNodes)
--- a/Tests/Control/TestIntroducers.cpp
+++ b/Tests/Control/TestIntroducers.cpp
@@ -142,6 +142,9 @@
 
 const bool unavailableRows[] = {false, true};
 
+const std::string oddAddresses[] = {"", "not an address", "10.0.0.1:99999", "256.0.0.1:1",
+                                    std::string(100'000, '1')};
+
 } // namespace
 
 // A whole fleet starts at once, and the platform allows only several hundred writes a second in total. All
@@ -159,6 +162,21 @@
     cr_assert(calls <= row.maximumCalls, "%d calls", calls);
 }
 
+// Guards against rows of another writer that take the places of a zone's introducers, so that nodes contact
+// nobody until they overwrite one of them.
+TABLE_TEST(introducers, unusableAddressesLeaveTheirPlacesFree, oddAddresses)
+{
+    Fleet fleet;
+    for (int place = 0; place < static_cast<int>(introducersPerZone); ++place) {
+        const RowKey key{"introducers", "z0#" + std::to_string(place)};
+        fleet.table.rows[key] = {key, {{"gossip", row}}};
+    }
+    for (int node = 0; node < 8; ++node)
+        fleet.add("z0");
+    fleet.run(std::chrono::seconds(1));
+    cr_assert(fleet.allKnown(), "%.20s", row.c_str());
+}
+
 // The table is unavailable while a node starts. A later round must write the row once it is available.
 Test(introducers, failedWriteIsRetried)
 {
