LibNet: State no length for responses without content

Found while checking what callers get of valid responses: the response to HEAD, a 204 and a 304 passed with "Content-Length: 0", whatever the server stated. RFC 9110, section 8.6: that of a HEAD or a 304 must be the length that a GET would have, and a 204 has none. A caller that asks with HEAD for a length got a wrong one.

Cause: the length is a field of one connection and is not passed on; the encoder then states that of the empty body.

Change: a response that has no content states a length only if its handler gave the body that a GET would have.

Evidence: three rows of httpServer/aResponseWithoutContentStatesNoLength failed in a build of the encoder as it was (200 to HEAD, 204, 304), and pass now; the rows of other responses passed before.

--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -39,6 +39,12 @@
 // By then uploads in progress have been forwarded.
 constexpr std::string_view retryAfterSeconds = "1";
 
+// RFC 9110, sections 15.3.5 and 15.4.5.
+bool neverHasContent(http::status status)
+{
+    return status == http::status::no_content || status == http::status::not_modified;
+}
+
 class SessionExchange : public HttpExchange
 {
 public:
@@ -414,6 +420,9 @@
     if (!encoded)
         this->replaceResponse(encoded.error(), keepAlive);
     Response &message = *this->response;
+    // A length of zero would be wrong: the responses to GET may have content.
+    if (message.body().empty() && (exchange.isHead || neverHasContent(message.result())))
+        message.erase(http::field::content_length);
     if (exchange.isHead)
         message.body().clear();
     this->stream.expires_after(this->limits().idleTimeout);
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -418,6 +418,48 @@
 
 } // namespace
 
+namespace {
+
+struct LengthRow
+{
+    const char *method;
+    std::uint32_t status;
+    const char *body;
+    const char *length; // In the response; empty: it states none.
+};
+
+const LengthRow lengthRows[] = {
+    {"GET", 200, "body", "Content-Length: 4\r\n"},
+    {"GET", 200, "", "Content-Length: 0\r\n"},
+    {"HEAD", 200, "body", "Content-Length: 4\r\n"},
+    {"HEAD", 200, "", ""},
+    {"GET", 204, "", ""},
+    {"GET", 304, "", ""},
+};
+
+} // namespace
+
+// Guards against stating a length of zero for what a GET would return, or for what has not changed.
+TABLE_TEST(httpServer, aResponseWithoutContentStatesNoLength, lengthRows)
+{
+    boost::asio::io_context context;
+    HttpServer server(context, HttpServerSettings{},
+                      [&row](const HttpRequest &, const std::shared_ptr<HttpExchange> &exchange) {
+                          exchange->respond(makeResponse(row.status, "text/plain", row.body));
+                      });
+    cr_assert(server.listen("127.0.0.1:0").has_value());
+    std::thread thread([&context] { context.run_for(std::chrono::seconds(5)); });
+    RawCaller caller(server.address());
+    caller.send(std::string(row.method) + " / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    const std::string response = caller.readUntilClosed();
+    context.stop();
+    thread.join();
+    const std::string stated = *row.length == '\0' ? "Content-Length" : row.length;
+    cr_assert((response.find(stated) == std::string::npos) == (*row.length == '\0'), "%s", response.c_str());
+    const bool isHead = std::string_view(row.method) == "HEAD";
+    cr_assert(response.ends_with(std::string("\r\n\r\n") + (isHead ? "" : row.body)), "%s", response.c_str());
+}
+
 // Guards against a handler's response without a valid status reaching the caller.
 Test(httpServer, aResponseWithoutAValidStatusIsReplaced)
 {
