Node, Tests: Answer 502 for a peer's invalid status, and start nodes apart in one place

A peer's response without a valid status was reported as 504, which tells of a passed deadline; the gate reports the same fault of an upstream as 502. Two tests of the control plane started their nodes alike; their fixture does it now.

--- a/Libraries/LibNet/HttpSession.h
+++ b/Libraries/LibNet/HttpSession.h
@@ -128,10 +128,10 @@
     void writeRaw(bool keepAlive);
     void handleWritten(const ErrorCode &error, bool keepAlive);
     void abortConnection();
-    void drainAndClose();
+    void drainAndClose(); // The response counts as pending until the drain ends.
     void endDrain();
     bool hasUnreadBytes();
-    void lingerAndClose(); // One response counts as pending until the linger or the drain ends.
+    void lingerAndClose(); // One response counts as pending until the linger ends.
     void awaitCallerClose();
     void endLinger();
     void discardInput(Instant deadline);
--- a/Services/Node/Peers/PeerLink.cpp
+++ b/Services/Node/Peers/PeerLink.cpp
@@ -17,6 +17,8 @@
 // all of it, bound the wait; the next call opens a new connection.
 constexpr int probesPerSilenceTimeout = 4;
 
+constexpr std::uint32_t statusBadGateway = 502;
+
 constexpr Duration initialBackoff = Milliseconds(50);
 constexpr Duration maximumBackoff = Milliseconds(2000);
 
@@ -303,8 +305,11 @@
     if (!response)
         return this->connection->close(response.error());
     const std::uint64_t callId = response.value().callId;
-    if (response.value().outcome == Outcome::Done && !isFinalStatus(response.value().status))
-        return this->complete(callId, makeFailure(Outcome::Unknown, reasonSpoilt));
+    if (response.value().outcome == Outcome::Done && !isFinalStatus(response.value().status)) {
+        CallResponse failure = makeFailure(Outcome::Unknown, reasonSpoilt);
+        failure.status = statusBadGateway;
+        return this->complete(callId, std::move(failure));
+    }
     this->complete(callId, std::move(response).assume_value());
 }
 
--- a/Tests/Control/TestControlPlane.cpp
+++ b/Tests/Control/TestControlPlane.cpp
@@ -202,6 +202,19 @@
             this->nodes[i].start(this->context, this->platform, "n" + std::to_string(i), "z",
                                  {this->nodes[0].gossipAddress});
     }
+
+    // Each in a zone of its own, without seeds.
+    void startApart()
+    {
+        for (int i = 0; i < 3; ++i)
+            this->nodes[i].start(this->context, this->platform, "n" + std::to_string(i),
+                                 "z" + std::to_string(i), {});
+    }
+
+    bool allSeeEachOther() const
+    {
+        return std::ranges::all_of(this->nodes, [](const TestNode &node) { return node.view.size() == 3; });
+    }
 };
 
 } // namespace
@@ -240,13 +253,8 @@
 Test(control, nodesFindEachOtherThroughIntroducers)
 {
     Fixture fixture;
-    for (int i = 0; i < 3; ++i)
-        fixture.nodes[i].start(fixture.context, fixture.platform, "n" + std::to_string(i),
-                               "z" + std::to_string(i), {});
-    cr_assert(fixture.runUntil([&] {
-        return fixture.nodes[0].view.size() == 3 && fixture.nodes[1].view.size() == 3
-               && fixture.nodes[2].view.size() == 3;
-    }));
+    fixture.startApart();
+    cr_assert(fixture.runUntil([&] { return fixture.allSeeEachOther(); }));
 }
 
 // Guards against rows of another writer that stop the nodes from finding each other, or end them.
@@ -265,13 +273,8 @@
     }
     const RowKey withoutAddress{"introducers", "z0"};
     fixture.platform.rows[withoutAddress] = {withoutAddress, {{"gossip", std::uint64_t{1}}}};
-    for (int i = 0; i < 3; ++i)
-        fixture.nodes[i].start(fixture.context, fixture.platform, "n" + std::to_string(i),
-                               "z" + std::to_string(i), {});
-    cr_assert(fixture.runUntil([&] {
-        return fixture.nodes[0].view.size() == 3 && fixture.nodes[1].view.size() == 3
-               && fixture.nodes[2].view.size() == 3;
-    }));
+    fixture.startApart();
+    cr_assert(fixture.runUntil([&] { return fixture.allSeeEachOther(); }));
 }
 
 // The platform's table is restored from a copy without the introducers' rows, and one node notices it. The
--- a/Tests/Node/TestPeerLink.cpp
+++ b/Tests/Node/TestPeerLink.cpp
@@ -86,7 +86,8 @@
     cr_assert(fixture.runUntil([&] { return !fixture.peer.calls.empty(); }));
     fixture.peer.answer(0, "broken", 0);
     cr_assert(fixture.runUntil([&] { return !fixture.answers.empty(); }));
-    cr_assert(fixture.answers["0"].outcome == Outcome::Unknown && fixture.answers["0"].body.empty());
+    const CallResponse &answer = fixture.answers["0"];
+    cr_assert(answer.outcome == Outcome::Unknown && answer.status == 502 && answer.body.empty());
 }
 
 // A middlebox drops the state of a connection, which stays open and silent while new ones work. The call on
