LibNet: Reject partial requests in every state of their connection

A read that had completed as the server began to reject partial requests was not cancelled: its session went on to read a header or a body, and the end of the node cut the request off as before. The same held for a request whose first bytes had arrived but not been read, or that followed a response that was being written.

Change: while the server rejects partial requests, a session asks before each read and rejects the request instead.

The tests of malformed rows use that word, and the control plane's fixture has a shorter set-up.

--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -99,8 +99,9 @@
     // Refuses new connections and closes idle ones. Implies disableKeepAlive().
     void stopAccepting();
 
-    // Rejects each request that has been received only in part, as not run. Implies stopAccepting(). Call on
-    // the server's thread; the rejections count as pending responses once it has run what is queued then.
+    // Rejects each request that has been received only in part or not been read yet, as not run. Implies
+    // stopAccepting(). Call on the server's thread; the rejections count as pending responses once it has run
+    // what is queued then.
     void rejectPartialRequests();
 
     // Closes all connections, also those with a request in progress. Call on the server's thread.
--- a/Libraries/LibNet/HttpSession.cpp
+++ b/Libraries/LibNet/HttpSession.cpp
@@ -97,6 +97,8 @@
     this->reading = true;
     if (this->buffer.size() != 0)
         return this->readRequest();
+    if (this->server->rejectsPartialRequests && this->hasUnreadBytes())
+        return this->rejectRequest(statusUnavailable, serverStopping);
     this->stream.expires_after(this->limits().idleTimeout);
     this->awaitingFirstByte = true;
     this->stream.async_read_some(this->buffer.prepare(initialReadSize),
@@ -131,6 +133,8 @@
 // timeout alone, some thousand of them would occupy all connections.
 void HttpSession::readRequest()
 {
+    if (this->rejectedByShutdown())
+        return;
     const HttpLimits limits = this->limits();
     this->reservedBody = {};
     this->parser.emplace();
@@ -155,7 +159,7 @@
         return this->rejectRequest(400, problem);
     if (this->parser->is_done())
         return this->sendRawPrefix();
-    if (this->respondedBeforeBody())
+    if (this->rejectedByShutdown() || this->respondedBeforeBody())
         return;
     const auto length = this->parser->content_length();
     if (length && !this->reserveBody(*length))
@@ -184,7 +188,9 @@
 {
     readMessage(
         this->stream, this->buffer, *this->parser, SteadyClock::now() + this->limits().idleTimeout,
-        [self = this->shared_from_this()](std::size_t bodyBytes) { return self->reserveBody(bodyBytes); },
+        [self = this->shared_from_this()](std::size_t bodyBytes) {
+            return !self->server->rejectsPartialRequests && self->reserveBody(bodyBytes);
+        },
         [self = this->shared_from_this()](const ErrorCode &error) {
             if (error)
                 return self->handleReadError(error);
@@ -192,6 +198,14 @@
         });
 }
 
+// A read may complete while the server begins to reject partial requests, so this is asked before each read.
+bool HttpSession::rejectedByShutdown()
+{
+    if (this->server->rejectsPartialRequests)
+        this->rejectRequest(statusUnavailable, serverStopping);
+    return this->server->rejectsPartialRequests;
+}
+
 // Returns whether the body may be held up to this size.
 bool HttpSession::reserveBody(std::uint64_t bodyBytes)
 {
@@ -238,11 +252,12 @@
 {
     if (this->lingering)
         return;
-    if (error == boost::asio::error::no_buffer_space)
-        return this->rejectRequest(statusUnavailable, noMemoryForBody);
     const bool cancelled = error == boost::asio::error::operation_aborted && this->stream.socket().is_open();
-    if (cancelled && this->server->rejectsPartialRequests)
-        return this->rejectRequest(statusUnavailable, serverStopping);
+    const bool notAdmitted = error == boost::asio::error::no_buffer_space;
+    if ((cancelled || notAdmitted) && this->rejectedByShutdown())
+        return;
+    if (notAdmitted)
+        return this->rejectRequest(statusUnavailable, noMemoryForBody);
     const std::uint32_t status = statusForReadError(error);
     if (status != 0)
         return this->rejectRequest(status, error.message());
--- a/Libraries/LibNet/HttpSession.h
+++ b/Libraries/LibNet/HttpSession.h
@@ -107,6 +107,7 @@
     void handleReadError(const ErrorCode &error);
     void sendRawPrefix();
     bool respondedBeforeBody();
+    bool rejectedByShutdown();
     void completeRequest();
     void dispatch(ReceivedRequest received);
     bool mayPipeline(const HttpRequest &request) const;
--- a/Tests/Control/TestControlPlane.cpp
+++ b/Tests/Control/TestControlPlane.cpp
@@ -203,8 +203,8 @@
                                  {this->nodes[0].gossipAddress});
     }
 
-    // Each in a zone of its own, without seeds.
-    void startApart()
+    // Without seeds.
+    void startInOwnZones()
     {
         for (int i = 0; i < 3; ++i)
             this->nodes[i].start(this->context, this->platform, "n" + std::to_string(i),
@@ -253,27 +253,25 @@
 Test(control, nodesFindEachOtherThroughIntroducers)
 {
     Fixture fixture;
-    fixture.startApart();
+    fixture.startInOwnZones();
     cr_assert(fixture.runUntil([&] { return fixture.allSeeEachOther(); }));
 }
 
 // Guards against rows of another writer that stop the nodes from finding each other, or end them.
-Test(control, nodesFindEachOtherBesideOddIntroducerRows)
+Test(control, nodesFindEachOtherBesideMalformedRows)
 {
-    const std::string odd[] = {
+    const std::string addresses[] = {
         "", "not an address", "10.0.0.1:99999", "10.0.0.1:-1", "256.0.0.1:1", std::string(100'000, '1')};
     Fixture fixture;
-    int number = 0;
-    for (const std::string &address : odd) {
+    for (std::size_t place = 0; place < std::size(addresses); ++place) {
         for (int zone = 0; zone < 3; ++zone) {
-            const RowKey key{"introducers", "z" + std::to_string(zone) + "#" + std::to_string(number % 6)};
-            fixture.platform.rows[key] = {key, {{"gossip", address}}};
+            const RowKey key{"introducers", "z" + std::to_string(zone) + "#" + std::to_string(place)};
+            fixture.platform.rows[key] = {key, {{"gossip", addresses[place]}}};
         }
-        ++number;
     }
     const RowKey withoutAddress{"introducers", "z0"};
     fixture.platform.rows[withoutAddress] = {withoutAddress, {{"gossip", std::uint64_t{1}}}};
-    fixture.startApart();
+    fixture.startInOwnZones();
     cr_assert(fixture.runUntil([&] { return fixture.allSeeEachOther(); }));
 }
 
--- a/Tests/Control/TestIntroducers.cpp
+++ b/Tests/Control/TestIntroducers.cpp
@@ -142,8 +142,8 @@
 
 const bool unavailableRows[] = {false, true};
 
-const std::string oddAddresses[] = {"", "not an address", "10.0.0.1:99999", "256.0.0.1:1",
-                                    std::string(100'000, '1')};
+const std::string unusableAddresses[] = {"", "not an address", "10.0.0.1:99999", "256.0.0.1:1",
+                                         std::string(100'000, '1')};
 
 } // namespace
 
@@ -164,7 +164,7 @@
 
 // Guards against rows of another writer that take the places of a zone's introducers, so that nodes contact
 // nobody until they overwrite one of them.
-TABLE_TEST(introducers, unusableAddressesLeaveTheirPlacesFree, oddAddresses)
+TABLE_TEST(introducers, unusableAddressesLeaveTheirPlacesFree, unusableAddresses)
 {
     Fleet fleet;
     for (int place = 0; place < static_cast<int>(introducersPerZone); ++place) {
--- a/Tests/LibNet/TestHttpServer.cpp
+++ b/Tests/LibNet/TestHttpServer.cpp
@@ -569,12 +569,17 @@
 {
     const char *what;
     std::string bytes;
+    Milliseconds pause; // In which the server may read them.
 };
 
+const std::string partialHeader = "POST /a HTTP/1.1\r\nHost: a\r\n";
+
 const PartialRow partialRows[] = {
-    {"a header", "POST /a HTTP/1.1\r\nHost: a\r\n"},
-    {"a body with a length", "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhe"},
-    {"a body in chunks", "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n"},
+    {"a header", partialHeader, Milliseconds(50)},
+    {"a header that has just arrived", partialHeader, Milliseconds(0)},
+    {"a body with a length", partialHeader + "Content-Length: 5\r\n\r\nhe", Milliseconds(50)},
+    {"a body that has just arrived", partialHeader + "Content-Length: 5\r\n\r\nhe", Milliseconds(0)},
+    {"a body in chunks", partialHeader + "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n", Milliseconds(50)},
 };
 
 } // namespace
@@ -585,14 +590,18 @@
 {
     HoldingServer server(std::chrono::minutes(1));
     RawCaller caller(server.address());
+    caller.send(get("/first"));
+    cr_assert(eventually([&] { return server.targets().size() == 1; }));
+    server.respond(0, "first");
+    caller.readUntil("first");
     caller.send(row.bytes);
-    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    std::this_thread::sleep_for(row.pause);
     server.rejectPartialRequests();
     cr_assert(server.pendingResponses() == 1, "%s", row.what);
     const std::string response = caller.readUntilClosed();
     cr_assert(response.starts_with("HTTP/1.1 503 "), "%s: %s", row.what, response.c_str());
     cr_assert(response.find("Sagecrank-Outcome: not-run\r\n") != std::string::npos, "%s", row.what);
-    cr_assert(server.pendingResponses() == 1 && server.targets().empty(), "%s", row.what);
+    cr_assert(server.pendingResponses() == 1 && server.targets().size() == 1, "%s", row.what);
     caller.close();
     cr_assert(eventually([&] { return server.pendingResponses() == 0; }), "%s", row.what);
 }
--- a/Tests/Platform/TestRowsStore.cpp
+++ b/Tests/Platform/TestRowsStore.cpp
@@ -69,14 +69,14 @@
 
 namespace {
 
-struct OddValueRow
+struct MalformedValueRow
 {
     const char *what;
     std::string value;
     bool skipped; // The whole row; else only the attribute.
 };
 
-const OddValueRow oddValueRows[] = {
+const MalformedValueRow malformedValueRows[] = {
     {"no bytes", "", true},
     {"no JSON", "\xff\x01", true},
     {"no object", "[1]", true},
@@ -91,7 +91,7 @@
 } // namespace
 
 // Guards against a row of another writer that ends the node or hides the other rows.
-TABLE_TEST(rowsStore, anOddRowDoesNotHideTheOthers, oddValueRows)
+TABLE_TEST(rowsStore, aMalformedRowDoesNotHideTheOthers, malformedValueRows)
 {
     StoreFixture fixture;
     const TablePort table = Platform::makeRowsTable(fixture.client, "sagecrank");
