--- a/review/standins-2/platform_standin.py
+++ b/review/standins-2/platform_standin.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -20,14 +21,14 @@
 
 
 def free_ports(count):
-    """Returns ports that are free for TCP and UDP at the moment."""
+    """Returns ports that are free for TCP and UDP, below those that the system gives to outgoing connections."""
     held, ports = [], []
     while len(ports) < count:
+        port = random.randint(15000, 32000)
         tcp = socket.socket()
-        tcp.bind(("127.0.0.1", 0))
-        port = tcp.getsockname()[1]
         udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
+            tcp.bind(("127.0.0.1", port))
             udp.bind(("127.0.0.1", port))
         except OSError:
             tcp.close()
