--- a/review/standins-2/platform_standin.py
+++ b/review/standins-2/platform_standin.py
@@ -20,7 +20,12 @@
 HOST = "shop.example"
 
 
-def free_ports(count):
+def draw_address():
+    """Returns a loopback address that no other machine uses, not even of another case that runs beside this."""
+    return "127." + ".".join(str(random.randint(1, 250)) for _ in range(3))
+
+
+def free_ports(ip, count):
     """Returns ports that are free for TCP and UDP, below those that the system gives to outgoing connections."""
     held, ports = [], []
     while len(ports) < count:
@@ -28,8 +33,8 @@
         tcp = socket.socket()
         udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
-            tcp.bind(("127.0.0.1", port))
-            udp.bind(("127.0.0.1", port))
+            tcp.bind((ip, port))
+            udp.bind((ip, port))
         except OSError:
             tcp.close()
             udp.close()
@@ -266,7 +271,7 @@
         self.tasks = set()
 
     async def start(self):
-        self.listener = await asyncio.start_server(self.serve, "127.0.0.1", self.machine.app_port,
+        self.listener = await asyncio.start_server(self.serve, self.machine.ip, self.machine.app_port,
                                                    reuse_address=True)
         self.record.write(f"server {self.identity} born {self.born} starts")
 
@@ -404,19 +409,20 @@
         self.name = name
         self.zone = zone
         self.service = service
+        self.ip = draw_address()
         (self.app_port, self.inbound, self.outbound, self.ready_port, self.control_port, self.first_port,
-         self.last_port) = free_ports(7)
-        self.app_address = f"127.0.0.1:{self.app_port}"
-        self.outbound_address = f"127.0.0.1:{self.outbound}"
-        self.control_address = f"127.0.0.1:{self.control_port}"
+         self.last_port) = free_ports(self.ip, 7)
+        self.app_address = f"{self.ip}:{self.app_port}"
+        self.outbound_address = f"{self.ip}:{self.outbound}"
+        self.control_address = f"{self.ip}:{self.control_port}"
         self.process = None
 
     def settings(self):
-        return {"nodeName": self.name, "ip": "127.0.0.1", "zone": self.zone, "region": "lima",
+        return {"nodeName": self.name, "ip": self.ip, "zone": self.zone, "region": "lima",
                 "limits": {"cpuShare": 0.2, "cores": 1, "memoryMb": 260, "maxFds": 4100, "linkMbps": 1000.0},
                 "appAddr": self.app_address, "service": self.service,
-                "listen": {"inbound": f"127.0.0.1:{self.inbound}", "outbound": self.outbound_address,
-                           "ready": f"127.0.0.1:{self.ready_port}", "control": self.control_address},
+                "listen": {"inbound": f"{self.ip}:{self.inbound}", "outbound": self.outbound_address,
+                           "ready": f"{self.ip}:{self.ready_port}", "control": self.control_address},
                 "portRange": [self.first_port, self.last_port], "seeds": [], "beatInterval": "870ms",
                 "platform": {"address": self.store.address}, "bounds": self.BOUNDS}
 
@@ -440,7 +446,7 @@
             os.kill(self.process.pid, number)
 
     async def is_ready(self):
-        answer = await call(f"127.0.0.1:{self.ready_port}", "GET", "/api/readyz")
+        answer = await call(f"{self.ip}:{self.ready_port}", "GET", "/api/readyz")
         return answer is not None and answer.status == 200
 
     async def wait_until_ready(self):
@@ -486,6 +492,76 @@
         await asyncio.gather(*tasks)
 
 
+class Deployment:
+    """The machines of `despacho` on borralimpio-central, seven in four zones, and the one of `cobranza` in `ate`.
+    A server runs beside each of the seven but the one in `ate`, which is the machine of the case. So one server
+    is a seventh of the service. The machine of `cobranza` is its neighbour; only its clients are played."""
+
+    SERVICE = "despacho"
+    ZONES = ["ate", "miraflores", "miraflores", "san-isidro", "san-isidro", "surco", "surco"]
+    BEAT_S = 0.87
+
+    def __init__(self, folder, record):
+        self.folder = folder
+        self.record = record
+        self.store = Store()
+        self.machines = []
+        self.tasks = []
+
+    @property
+    def machine(self):
+        return self.machines[0]
+
+    @property
+    def neighbour(self):
+        return self.machines[-1]
+
+    async def start(self):
+        await self.store.start()
+        self.store.configure(configuration(1, [("book", "/book/", "unsafe", self.SERVICE, 1200)],
+                                           [self.SERVICE]))
+        for number, zone in enumerate(self.ZONES):
+            self.machines.append(Machine(self.folder, self.store, f"sidecar-{zone}-{number}", zone, self.SERVICE))
+        self.machines.append(Machine(self.folder, self.store, "sidecar-ate-7", "ate", "cobranza"))
+        for machine in self.machines:
+            await machine.start()
+        for number, machine in enumerate(self.machines):
+            await machine.wait_until_ready()
+            if 0 < number < len(self.ZONES):
+                server = Server(machine, self.record, f"i-other-{number}", 0.16)
+                await server.start()
+                self.check_in_forever(server)
+
+    def check_in_forever(self, server):
+        async def check_in():
+            while True:
+                await server.check_in()
+                await asyncio.sleep(self.BEAT_S)
+
+        task = asyncio.ensure_future(check_in())
+        self.tasks.append(task)
+        return task
+
+    async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        for machine in self.machines:
+            await machine.stop()
+
+
+def judge_drain(record, server, clients, confirmed, bound):
+    """Whether no request reached the server after `bound`, which is no earlier than `drain` after the
+    confirmation of its leaving."""
+    answers = {attempt: status for client in clients for attempt, status in client.answers.items()}
+    after = [(at, attempt) for at, attempt in server.arrivals if at > bound]
+    lost = [attempt for _, attempt in after if answers.get(attempt) != 200]
+    last = max((at for at, _ in after), default=confirmed) - confirmed
+    record.write(f"leaving confirmed at {confirmed:.3f}; {len(after)} requests reached the server later than "
+                 f"{bound - confirmed:.3f} s after it, the last {last:.3f} s after it; {len(lost)} of them ended "
+                 f"without its answer")
+    return not after
+
+
 def configuration(version, routes, services):
     """A configuration of the operator. `routes` are (name, prefix, kind, service, timeout in ms)."""
     rules = [{"name": name, "kind": kind, "targetLatency": "500ms", "priority": 1,
