Node: Count a departure for earlier runs of its name too

Cause: after a restart the node uses the row of the serving instance unless the row of the departure names the same start time. The first row may name an earlier run of the same name: its write is not repeated when it fails, and an instance that drains with its first message has never served. Calls name the instance by its name only, so the later run accepts what is meant for the earlier one.

Change: a departure counts for each run of its name that started no later. Runs of one name follow each other, so those before it have ended, and later ones are not concerned.

--- a/Services/Node/Upstream/UpstreamPresence.cpp
+++ b/Services/Node/Upstream/UpstreamPresence.cpp
@@ -70,6 +70,8 @@
     return AnnouncementResult::Accepted;
 }
 
+// Instances of one name run one after the other, so the departure of a later one covers those before it. The
+// row of the serving instance may still name one of these.
 bool UpstreamPresence::hasDeparted(Instant now, const UpstreamAnnouncement &announcement) const
 {
     if (this->statedLeaving == departureOf(announcement))
@@ -79,7 +81,7 @@
     if (!this->departed || this->departed->instance != announcement.instance)
         return false;
     return this->departed->startedAt == 0 ? now < this->nameRejectedUntil
-                                          : this->departed->startedAt == announcement.startedAt;
+                                          : announcement.startedAt <= this->departed->startedAt;
 }
 
 void UpstreamPresence::apply(Instant now, const UpstreamAnnouncement &announcement, UpstreamState state)
