Node: Keep one record of departures, by name and start time

Cause: a departure without a start time was applied to the instance that the node knew last, and dropped if the names differed; the response confirmed it all the same, and without waiting for the table. With the same name it was taken for that of the earlier run. What was known of departures stood in four members of UpstreamPresence, each with a rule of its own, and the row of the table held one departure, which a process wrote without having read it: a confirmed departure of another instance was lost with it.

Change: Departures holds what is known, by name: up to which start time the instances of a name have left for good, and up to which they are rejected for a while, since a departure stated no start time. A departure without a start time covers each instance of its name that started before it was reported. It is asked wherever an instance is let take calls: announcements, those that were held back, the row of the serving instance. The row of departures holds several, and is read before it is written. A response waits for the table if its request reported a departure, whatever the state of the upstream was.

The other direction: after `departedNameTimeout` (15 s) an announcement cannot have been delayed from before the departure, so the departure was a late one of an earlier run, and is dropped. Before, such an instance got no calls any more.

isLeaving() is gone: it told of the present instance, not of what the request reported. The assertion of the test of a finishing version is now that no departure is reported; that of a departure with an unread table, that it is confirmed only once the row holds it. deregistrationIsFinalForInstance and the others are unchanged.

--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -164,7 +164,7 @@
     TRY_VOID(this->plane.start());
     for (const auto &worker : this->workers)
         worker->start();
-    this->presence.awaitPersistedState();
+    this->presence.awaitPersistedState(SteadyClock::now());
     this->record.load();
     this->watchSignals();
     this->tick();
@@ -290,10 +290,12 @@
 
 // An announcement takes effect at once. The response that confirms a departure is sent only when the
 // departure is persisted, since the confirmation binds the next process of this node too.
-void Node::confirm(const HttpRequest &request, HttpResponse response,
-                   const std::shared_ptr<HttpExchange> &exchange)
+void Node::respond(const std::shared_ptr<HttpExchange> &exchange,
+                   const std::function<HttpResponse()> &handleRequest)
 {
-    if (request.method == "GET" || !this->presence.isLeaving())
+    this->departureReported = false;
+    HttpResponse response = handleRequest();
+    if (!this->departureReported)
         return exchange->respond(std::move(response));
     this->record.whenPersisted([exchange, response = std::move(response)](bool persisted) mutable {
         exchange->respond(persisted ? std::move(response)
@@ -304,14 +306,14 @@
 HttpHandler Node::adminHandler()
 {
     return [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
-        this->confirm(request, this->admin.answer(request), exchange);
+        this->respond(exchange, [&] { return this->admin.answer(request); });
     };
 }
 
 HttpHandler Node::adapterHandler()
 {
     return [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
-        this->confirm(request, this->adapter.answer(request, this->adminCommands), exchange);
+        this->respond(exchange, [&] { return this->adapter.answer(request, this->adminCommands); });
     };
 }
 
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -57,8 +57,8 @@
     std::function<void()> afterAllWorkers(std::function<void()> done) const;
     void refuseCallers();
     void endCalls();
-    void confirm(const HttpRequest &request, HttpResponse response,
-                 const std::shared_ptr<HttpExchange> &exchange);
+    void respond(const std::shared_ptr<HttpExchange> &exchange,
+                 const std::function<HttpResponse()> &handleRequest);
     HttpHandler adminHandler();
     HttpHandler adapterHandler();
     UpstreamHooks upstreamHooks();
@@ -115,6 +115,7 @@
     HttpServer adminServer;
     HttpServer announcementServer;
     HttpServer probeServer;
+    bool departureReported = false; // By the request that is being handled.
     ControlPlane plane;
     bool leaveAnnounced = false; // On the control thread.
     bool callersRefused = false; // Every worker refuses new requests; set at the end of a drain.
--- a/Services/Node/NodeHooks.cpp
+++ b/Services/Node/NodeHooks.cpp
@@ -176,8 +176,9 @@
     hooks.callEnded = [this](const UpstreamOutcome &outcome) { this->rollouts.recordOutcome(outcome); };
     // The record of departures is used on the control thread only.
     hooks.leaving = [this](const std::string &instance) {
-        boost::asio::post(this->control,
-                          [this, instance] { this->presence.leavingStated(SteadyClock::now(), instance); });
+        boost::asio::post(this->control, [this, instance] {
+            this->presence.leavingStated(SteadyClock::now(), unixMilliseconds(), instance);
+        });
     };
     return hooks;
 }
@@ -192,7 +193,10 @@
         this->plane.announceUpstream(upstream.cluster, state, upstream.slots, upstream.version);
         this->limitQueue();
     };
-    hooks.leaving = [this](const Departure &departure) { this->record.recordDeparture(departure); };
+    hooks.leaving = [this](const Departure &departure) {
+        this->departureReported = true;
+        this->record.recordDeparture(departure);
+    };
     hooks.serving = [this](const UpstreamAnnouncement &upstream) { this->record.recordServing(upstream); };
     return hooks;
 }
@@ -209,8 +213,8 @@
         for (const Notice &notice : noticesOf(upstream.crashes, unixMilliseconds()))
             this->plane.announce(notice);
     };
-    hooks.departurePersisted = [this](const Departure &departure) {
-        this->nodeLog.departurePersisted(departure);
+    hooks.departuresPersisted = [this](const std::vector<Departure> &departures) {
+        this->nodeLog.departuresPersisted(departures);
     };
     hooks.failed = [this](const Error &error) { this->nodeLog.upstreamRecordFailed(error); };
     return hooks;
@@ -223,7 +227,7 @@
         return this->presence.announced(SteadyClock::now(), announcement, state);
     };
     hooks.left = [this](const std::string &instance) {
-        return this->presence.left(SteadyClock::now(), instance);
+        return this->presence.left(SteadyClock::now(), unixMilliseconds(), instance);
     };
     hooks.announcementRefused = [this](const Error &error) { this->nodeLog.announcementRefused(error); };
     hooks.drain = [this] { this->drain.begin(SteadyClock::now()); };
--- a/Services/Node/NodeLog.cpp
+++ b/Services/Node/NodeLog.cpp
@@ -143,15 +143,21 @@
 
 void NodeLog::upstreamRecalled(const PersistedUpstream &upstream)
 {
-    const auto nameOf = [](const auto &start) { return start ? start->instance : std::string("none"); };
+    const std::string serving = upstream.serving ? upstream.serving->instance : "none";
+    const std::string leaving = upstream.departures.empty() ? "none" : upstream.departures.back().instance;
     this->log.write(EventId::UpstreamRecalled,
-                    {{"serving", nameOf(upstream.serving)}, {"leaving", nameOf(upstream.departure)}});
+                    {{"serving", serving}, {"leaving", leaving}, {"departures", upstream.departures.size()}});
 }
 
-void NodeLog::departurePersisted(const Departure &departure)
+void NodeLog::departuresPersisted(const std::vector<Departure> &departures)
 {
-    this->log.write(EventId::DepartureKept,
-                    {{"instance", departure.instance}, {"started_at", departure.startedAt}});
+    if (departures.empty())
+        return;
+    const Departure &newest = departures.back();
+    this->log.write(EventId::DepartureKept, {{"instance", newest.instance},
+                                             {"started_at", newest.startedAt.value_or(0)},
+                                             {"reported_at", newest.reportedAt},
+                                             {"departures", departures.size()}});
 }
 
 void NodeLog::upstreamRecordFailed(const Error &error)
--- a/Services/Node/NodeLog.h
+++ b/Services/Node/NodeLog.h
@@ -35,7 +35,7 @@
     void introducerUnknown(const std::string &gossipAddress);
     void announcementRefused(const Error &error);
     void upstreamRecalled(const PersistedUpstream &upstream);
-    void departurePersisted(const Departure &departure);
+    void departuresPersisted(const std::vector<Departure> &departures);
     void upstreamRecordFailed(const Error &error);
     void upstreamSilent(const std::string &cluster);
     void upstreamChanged(const UpstreamAnnouncement &upstream, UpstreamState state);
--- a/Services/Node/Upstream/UpstreamPresence.cpp
+++ b/Services/Node/Upstream/UpstreamPresence.cpp
@@ -1,6 +1,7 @@
 // Applies the announcements of the upstream and passes changes to the gate and the membership.
 #include "UpstreamPresence.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Sagecrank {
@@ -28,13 +29,13 @@
     return state == UpstreamState::Ready || state == UpstreamState::Warming;
 }
 
-} // namespace
-
-Departure departureOf(const UpstreamAnnouncement &announcement)
+bool isSameInstance(const UpstreamAnnouncement &one, const UpstreamAnnouncement &other)
 {
-    return {announcement.instance, announcement.startedAt};
+    return one.instance == other.instance && one.startedAt == other.startedAt;
 }
 
+} // namespace
+
 UpstreamPresence::UpstreamPresence(UpstreamPresenceHooks hooks, Duration lifetime)
     : hooks(std::move(hooks))
     , lifetime(lifetime)
@@ -43,65 +44,71 @@
 
 // A delayed announcement may arrive after a newer instance of the upstream has announced itself. Applying it
 // would remove the new instance, or send calls to one that has ended. So the later instance wins, and within
-// one instance the higher sequence number; an instance that announced that it is gone does not return.
+// one instance the higher sequence number.
 bool UpstreamPresence::isStale(const UpstreamAnnouncement &announcement) const
 {
     if (this->announcedState == UpstreamState::None || announcement.instance.empty())
         return false;
     if (announcement.startedAt != this->last.startedAt)
         return announcement.startedAt < this->last.startedAt;
-    if (announcement.instance != this->last.instance)
-        return false;
-    if (this->announcedState == UpstreamState::Gone && this->announcedGone)
-        return true;
-    return announcement.sequence < this->last.sequence;
+    return announcement.instance == this->last.instance && announcement.sequence < this->last.sequence;
 }
 
 AnnouncementResult UpstreamPresence::announced(Instant now, UpstreamAnnouncement announcement,
                                                UpstreamState state)
 {
     const std::lock_guard guard(this->mutex);
+    const bool isNamed = !announcement.instance.empty();
+    // Also if it is stale: its confirmation binds this node, whatever else is known of the instance.
+    if (isNamed && !takesCalls(state))
+        this->report({announcement.instance, announcement.startedAt});
     if (this->isStale(announcement))
         return AnnouncementResult::Stale;
-    if (takesCalls(state) && this->hasDeparted(now, announcement))
-        return AnnouncementResult::Stale;
-    if (!this->holdBack(announcement, state))
-        this->apply(now, announcement, state);
+    if (isNamed && takesCalls(state)) {
+        if (!this->isAllowed(now, announcement))
+            return AnnouncementResult::Stale;
+        if (this->holdBack(announcement, state))
+            return AnnouncementResult::Accepted;
+    }
+    this->apply(now, announcement, state);
     return AnnouncementResult::Accepted;
 }
 
-// Instances of one name run one after the other, so the departure of a later one covers those before it. The
-// row of the serving instance may still name one of these.
-bool UpstreamPresence::hasDeparted(Instant now, const UpstreamAnnouncement &announcement) const
+// Whether an instance that announces itself may take calls, by what is known of departures.
+bool UpstreamPresence::isAllowed(Instant now, const UpstreamAnnouncement &announcement) const
 {
-    if (this->statedLeaving == departureOf(announcement))
-        return true;
-    if (this->departedUnknown == announcement.instance && now < this->nameRejectedUntil)
+    const Departure *departure = this->departures.find(announcement.instance);
+    if (departure == nullptr || !departure->covers(announcement.startedAt))
         return true;
-    if (!this->departed || this->departed->instance != announcement.instance)
+    if (departure->startedAt && announcement.startedAt <= *departure->startedAt)
         return false;
-    return this->departed->startedAt == 0 ? now < this->nameRejectedUntil
-                                          : announcement.startedAt <= this->departed->startedAt;
+    const auto rejected = this->namesRejectedUntil.find(announcement.instance);
+    return now >= (rejected == this->namesRejectedUntil.end() ? this->loadedNamesRejectedUntil
+                                                              : rejected->second);
+}
+
+bool UpstreamPresence::hasDeparted(const UpstreamAnnouncement &announcement) const
+{
+    const Departure *departure = this->departures.find(announcement.instance);
+    return departure != nullptr && departure->covers(announcement.startedAt);
 }
 
 void UpstreamPresence::apply(Instant now, const UpstreamAnnouncement &announcement, UpstreamState state)
 {
-    const bool isNamed = !announcement.instance.empty();
-    if (isNamed && takesCalls(state) && this->hooks.serving)
-        this->hooks.serving(announcement);
-    if (isNamed && !takesCalls(state) && this->hooks.leaving)
-        this->hooks.leaving(departureOf(announcement));
-    this->announcedGone = state == UpstreamState::Gone;
+    if (takesCalls(state) && !announcement.instance.empty()) {
+        this->departures.retract(announcement.instance, announcement.startedAt);
+        if (this->hooks.serving)
+            this->hooks.serving(announcement);
+    }
     this->renewedAt = now;
     this->publish(announcement, state);
 }
 
 bool UpstreamPresence::holdBack(const UpstreamAnnouncement &announcement, UpstreamState state)
 {
-    if (!this->awaitsPersistedState || !takesCalls(state) || this->announcedState != UpstreamState::None
-        || announcement.instance.empty())
+    if (!this->awaitsPersistedState || this->announcedState != UpstreamState::None)
         return false;
-    if (this->held && departureOf(this->held->announcement) == departureOf(announcement)
+    if (this->held && isSameInstance(this->held->announcement, announcement)
         && announcement.sequence > this->held->announcement.sequence)
         return false;
     if (!this->held || announcement.startedAt >= this->held->announcement.startedAt)
@@ -109,62 +116,78 @@
     return true;
 }
 
-void UpstreamPresence::awaitPersistedState()
+void UpstreamPresence::awaitPersistedState(Instant now)
 {
     const std::lock_guard guard(this->mutex);
     this->awaitsPersistedState = true;
+    this->loadedNamesRejectedUntil = now + departedNameTimeout;
 }
 
 void UpstreamPresence::persistedStateLoaded(Instant now, const PersistedUpstream &upstream)
 {
     const std::lock_guard guard(this->mutex);
     this->awaitsPersistedState = false;
-    this->departed = upstream.departure;
-    if (this->departed && this->departed->startedAt == 0)
-        this->nameRejectedUntil = now + departedNameTimeout;
-    std::optional<HeldAnnouncement> restored = std::exchange(this->held, std::nullopt);
-    if (upstream.serving && (!restored || restored->announcement.startedAt < upstream.serving->startedAt))
-        restored = HeldAnnouncement{*upstream.serving, UpstreamState::Ready};
-    if (takesCalls(this->announcedState) && this->hasDeparted(now, this->last))
-        this->publish(this->last, UpstreamState::Draining);
-    else if (restored && this->announcedState == UpstreamState::None
-             && !this->hasDeparted(now, restored->announcement))
-        this->apply(now, restored->announcement, restored->state);
+    for (const Departure &departure : upstream.departures)
+        this->departures.add(departure);
+    const std::optional<HeldAnnouncement> announced = std::exchange(this->held, std::nullopt);
+    if (takesCalls(this->announcedState)) {
+        if (this->hasDeparted(this->last))
+            this->publish(this->last, UpstreamState::Draining);
+        return;
+    }
+    if (this->announcedState != UpstreamState::None)
+        return;
+    const bool isRowNewer =
+        upstream.serving && (!announced || announced->announcement.startedAt < upstream.serving->startedAt);
+    if (isRowNewer && !this->hasDeparted(*upstream.serving))
+        return this->apply(now, *upstream.serving, UpstreamState::Ready);
+    if (announced && !this->hasDeparted(announced->announcement))
+        this->apply(now, announced->announcement, announced->state);
 }
 
-AnnouncementResult UpstreamPresence::left(Instant now, const std::string &instance)
+void UpstreamPresence::report(const Departure &departure)
 {
-    const std::lock_guard guard(this->mutex);
-    if (this->announcedState == UpstreamState::None && this->held
-        && this->held->announcement.instance == instance)
-        this->last = this->held->announcement;
-    else if (this->announcedState == UpstreamState::None)
-        return this->unknownInstanceLeft(now, instance);
-    else if (instance != this->last.instance)
-        return AnnouncementResult::Stale;
-    this->apply(now, UpstreamAnnouncement(this->last), UpstreamState::Gone);
-    return AnnouncementResult::Accepted;
+    this->departures.add(departure);
+    if (this->held && this->hasDeparted(this->held->announcement))
+        this->held.reset();
+    if (this->hooks.leaving)
+        this->hooks.leaving(departure);
 }
 
-// After a restart of the node, the first message from its upstream may say that it leaves. Without a record
-// of this, the persisted row of the serving instance or a delayed announcement would bring back an upstream
-// that was promised no more calls.
-AnnouncementResult UpstreamPresence::unknownInstanceLeft(Instant now, const std::string &instance)
+// The start time of the instance is not stated, and it may have started since the last announcement that
+// arrived. So the departure covers each instance of this name that has started until now.
+void UpstreamPresence::reportName(Instant now, std::uint64_t unixNow, const std::string &instance,
+                                  std::optional<std::uint64_t> startedAt)
 {
-    this->departedUnknown = instance;
-    this->nameRejectedUntil = now + departedNameTimeout;
-    if (this->hooks.leaving)
-        this->hooks.leaving({instance, 0});
+    std::uint64_t reportedAt = unixNow;
+    // The time of day may have been set back since the instance started.
+    if (instance == this->last.instance)
+        reportedAt = std::max(reportedAt, this->last.startedAt);
+    if (this->held && instance == this->held->announcement.instance)
+        reportedAt = std::max(reportedAt, this->held->announcement.startedAt);
+    this->namesRejectedUntil[instance] = now + departedNameTimeout;
+    this->report({instance, startedAt, reportedAt});
+    std::erase_if(this->namesRejectedUntil, [this, now](const auto &name) {
+        return name.second <= now || this->departures.find(name.first) == nullptr;
+    });
+}
+
+AnnouncementResult UpstreamPresence::left(Instant now, std::uint64_t unixNow, const std::string &instance)
+{
+    const std::lock_guard guard(this->mutex);
+    this->reportName(now, unixNow, instance, std::nullopt);
+    if (this->announcedState != UpstreamState::None && instance == this->last.instance)
+        this->apply(now, UpstreamAnnouncement(this->last), UpstreamState::Gone);
     return AnnouncementResult::Accepted;
 }
 
-void UpstreamPresence::leavingStated(Instant now, const std::string &instance)
+void UpstreamPresence::leavingStated(Instant now, std::uint64_t unixNow, const std::string &instance)
 {
     const std::lock_guard guard(this->mutex);
     if (instance != this->last.instance || !takesCalls(this->announcedState))
         return;
     if (!instance.empty())
-        this->statedLeaving = departureOf(this->last);
+        this->reportName(now, unixNow, instance, this->last.startedAt);
     this->apply(now, UpstreamAnnouncement(this->last), UpstreamState::Draining);
 }
 
@@ -210,15 +233,6 @@
     return this->lastState;
 }
 
-bool UpstreamPresence::isLeaving() const
-{
-    const std::lock_guard guard(this->mutex);
-    const bool unknownDeparted = this->announcedState == UpstreamState::None && this->departedUnknown;
-    const bool drained = this->draining && takesCalls(this->announcedState);
-    return unknownDeparted || drained || this->announcedState == UpstreamState::Draining
-           || this->announcedState == UpstreamState::Gone;
-}
-
 void UpstreamPresence::publish(const UpstreamAnnouncement &announcement, UpstreamState announced)
 {
     const UpstreamState state = this->effectiveState(announced);
--- a/Services/Node/Upstream/UpstreamPresence.h
+++ b/Services/Node/Upstream/UpstreamPresence.h
@@ -3,12 +3,14 @@
 #pragma once
 
 #include "CrashHistory.h"
+#include "Departures.h"
 #include <Node/Gate/LocalGate.h>
 
 #include <LibCore/Time.h>
 #include <LibMembership/Member.h>
 
 #include <functional>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <vector>
@@ -18,12 +20,6 @@
 // An upstream renews its announcement every second, so this is three missed renewals.
 inline constexpr Duration announcementLifetime = std::chrono::seconds(3);
 
-// When the first message that a node gets from its upstream says that it leaves, the start time of that
-// instance is unknown. For this long, every announcement under that name is rejected: longer than an instance
-// runs on after it announced that it leaves, and longer than an announcement can be delayed. A new instance
-// with the same name waits at most this long.
-inline constexpr Duration departedNameTimeout = std::chrono::seconds(15);
-
 // The condition of an upstream, as its callers see it, in the announced state.
 UpstreamCondition conditionOf(UpstreamState state);
 
@@ -39,22 +35,11 @@
     Stale, // From an earlier instance, or older than an announcement already accepted.
 };
 
-// An upstream instance that announced that it leaves.
-struct Departure
-{
-    std::string instance;
-    std::uint64_t startedAt = 0; // 0: any instance of this name, for `departedNameTimeout`.
-
-    bool operator==(const Departure &) const = default;
-};
-
-Departure departureOf(const UpstreamAnnouncement &announcement);
-
 // What an earlier process of this node persisted.
 struct PersistedUpstream
 {
     std::optional<UpstreamAnnouncement> serving; // The last instance that took calls.
-    std::optional<Departure> departure;          // The last instance whose departure was confirmed.
+    std::vector<Departure> departures;           // Confirmed ones, oldest first.
     std::vector<CrashRecord> crashes;
 };
 
@@ -64,7 +49,7 @@
     std::function<void(const std::string &cluster)> announcementExpired;
     std::function<void(const UpstreamAnnouncement &)> gate;                      // On every announcement.
     std::function<void(const UpstreamAnnouncement &, UpstreamState)> membership; // Only on changes.
-    // On every announcement of an instance that drains or is gone, before it is confirmed. May be empty.
+    // On every message from which an instance leaves, before it is confirmed. May be empty.
     std::function<void(const Departure &)> leaving = {};
     // On every announcement of an instance that takes calls. May be empty.
     std::function<void(const UpstreamAnnouncement &)> serving = {};
@@ -77,23 +62,22 @@
     explicit UpstreamPresence(UpstreamPresenceHooks hooks, Duration lifetime = announcementLifetime);
 
     AnnouncementResult announced(Instant now, UpstreamAnnouncement announcement, UpstreamState state);
-    // The named instance leaves. Its start time is not known.
-    AnnouncementResult left(Instant now, const std::string &instance);
+    // The named instance leaves. Its start time is not known. `unixNow` is in milliseconds.
+    AnnouncementResult left(Instant now, std::uint64_t unixNow, const std::string &instance);
     // The named instance stated in an answer that it leaves. Nothing that it announces brings it back.
-    void leavingStated(Instant now, const std::string &instance);
+    void leavingStated(Instant now, std::uint64_t unixNow, const std::string &instance);
     void advance(Instant now); // Detects missing announcements.
 
     // From now on a first "ready" is held back until `persistedStateLoaded` is called, or until the same
     // instance announces it again: two delayed announcements are less likely than an unavailable table, and
     // an upstream that is held back longer serves no calls.
-    void awaitPersistedState();
+    void awaitPersistedState(Instant now);
     void persistedStateLoaded(Instant now, const PersistedUpstream &upstream);
     void drain(); // The node leaves, so the upstream drains whatever it announces.
 
     void setUse(UpstreamUse use);
 
     UpstreamState state() const;
-    bool isLeaving() const; // Draining or gone, by its own announcement or because the node drains.
 
 private:
     struct HeldAnnouncement
@@ -102,11 +86,14 @@
         UpstreamState state = UpstreamState::None;
     };
 
-    AnnouncementResult unknownInstanceLeft(Instant now, const std::string &instance);
+    void report(const Departure &departure);
+    void reportName(Instant now, std::uint64_t unixNow, const std::string &instance,
+                    std::optional<std::uint64_t> startedAt);
     void apply(Instant now, const UpstreamAnnouncement &announcement, UpstreamState state);
     void publish(const UpstreamAnnouncement &announcement, UpstreamState announced);
     UpstreamState effectiveState(UpstreamState announced) const;
-    bool hasDeparted(Instant now, const UpstreamAnnouncement &announcement) const;
+    bool isAllowed(Instant now, const UpstreamAnnouncement &announcement) const;
+    bool hasDeparted(const UpstreamAnnouncement &announcement) const;
     bool holdBack(const UpstreamAnnouncement &announcement, UpstreamState state);
     bool isStale(const UpstreamAnnouncement &announcement) const;
 
@@ -118,14 +105,14 @@
     UpstreamState announcedState = UpstreamState::None;
     UpstreamUse use = UpstreamUse::Serving;
     Instant renewedAt;
-    bool announcedGone = false; // The last instance announced that it is gone.
-    bool draining = false;      // Never reset.
+    bool draining = false; // Never reset.
     bool awaitsPersistedState = false;
-    std::optional<HeldAnnouncement> held;       // Set only while `awaitsPersistedState`.
-    std::optional<Departure> departed;          // From the persisted state.
-    std::optional<std::string> departedUnknown; // Instance that left before it was known to this process.
-    std::optional<Departure> statedLeaving;     // Instance that stated in an answer that it leaves.
-    Instant nameRejectedUntil; // End of `departedNameTimeout` for a departure without a start time.
+    Instant loadedNamesRejectedUntil;     // For departures that were reported to an earlier process.
+    std::optional<HeldAnnouncement> held; // Set only while `awaitsPersistedState`.
+    Departures departures;                // Reported to this process or an earlier one.
+    // The end of `departedNameTimeout` for each name in `departures` whose departure was reported to this
+    // process without a start time.
+    std::map<std::string, Instant> namesRejectedUntil;
 };
 
 } // namespace Sagecrank
--- a/Services/Node/Upstream/UpstreamRecord.h
+++ b/Services/Node/Upstream/UpstreamRecord.h
@@ -1,10 +1,12 @@
 // Persists the state of the upstream beside this node across restarts of the node: which instance serves,
-// which instance's departure was confirmed, and which requests ran when an instance crashed. Three rows for
-// each node; the first two are written once for each instance, the last one at a crash.
+// which departures were confirmed, and which requests ran when an instance crashed. Three rows for each node;
+// the first two are written once for each instance, the last one at a crash.
 //
-// A departure is persisted before it is confirmed, and a new process reads that row before it accepts a first
-// "ready". Otherwise, when a node confirms a drain and is killed, a delayed "ready" from before the drain
-// would make its next process send calls to an upstream that was promised none and is about to end.
+// A departure is persisted before it is confirmed, and a new process reads that row before it trusts
+// announcements that may have been delayed. Otherwise, when a node confirms a drain and is killed, a delayed
+// "ready" from before the drain would make its next process send calls to an upstream that was promised none
+// and is about to end. The row holds the departures of several instances, and no process writes it before it
+// has read it: the departure that it would drop may be that of an instance that still runs.
 //
 // Upstreams announce themselves every one or two seconds. Waiting for that after a restart of the node would
 // take its upstream out for up to two more seconds, which adds up when hosts are restarted one after the
@@ -46,7 +48,7 @@
 {
     // Called once, when the table has answered.
     std::function<void(const PersistedUpstream &)> loaded;
-    std::function<void(const Departure &)> departurePersisted;
+    std::function<void(const std::vector<Departure> &)> departuresPersisted;
     std::function<void(const Error &)> failed; // A read or a write failed.
 };
 
@@ -60,10 +62,10 @@
     void load(); // Reads the rows; retries until the table answers.
 
     // Writes the row of the serving instance. A failed write is not retried, since the row only speeds up a
-    // restart.
+    // restart. Drops a departure that was reported for its name by an earlier instance.
     void recordServing(const UpstreamAnnouncement &announcement);
 
-    // Writes the row of the departing instance. Does nothing if it is already persisted.
+    // Writes the row of departures. Does nothing if this one is already persisted.
     void recordDeparture(const Departure &departure);
 
     // Records the requests that ran at a crash of the upstream. A failed write is retried at the upstream's
@@ -78,23 +80,25 @@
     // spreads the writes of a fleet.
     void rewriteAfterRestore(Instant now);
 
-    // Reports whether the recorded departure is persisted: at once if no write is in progress, and after
-    // `departureWriteTimeout` at the latest. A departure that is not persisted must not be confirmed; the
-    // upstream asks again.
+    // Reports whether the recorded departures are persisted: at once if no read or write is in progress that
+    // decides it, and after `departureWriteTimeout` at the latest. A departure that is not persisted must not
+    // be confirmed; the upstream asks again.
     void whenPersisted(std::function<void(bool persisted)> answer);
 
 private:
-    void applyLoaded(const PersistedUpstream &loaded, std::uint32_t restoresBefore);
-    void rewriteDeparture();
+    void applyLoaded(const PersistedUpstream &read, std::uint32_t restoresBefore);
+    void readFailed(const Error &error);
+    void scheduleRead(Duration delay);
+    void rewriteDepartures();
     void scheduleRewrite();
     // A later instance serves, so the departure is no longer needed.
     bool isSuperseded(const Departure &departure) const;
-    void writeDeparture();
+    void writeDepartures();
     void writeCrashes();
-    void departureWritten(const Departure &departure, const Result<void> &result,
-                          std::uint32_t restoresBefore);
+    void departuresWritten(const std::vector<Departure> &written, const Result<void> &result,
+                           std::uint32_t restoresBefore);
     void answerWaiting();
-    bool isPersisted() const { return this->recordedDeparture == this->persistedDeparture; }
+    bool isPersisted() const;
 
     const TablePort table;
     const std::string node;
@@ -109,12 +113,13 @@
     bool crashesPersisted = true;            // Whether the row holds all of `crashes`.
     std::optional<Instant> servingWrittenAt; // By this process.
     bool servingNeedsRewrite = false;        // Rewritten at the next announcement.
-    std::optional<Departure> recordedDeparture;
-    std::optional<Departure> persistedDeparture; // The known content of the row.
+    bool loaded = false;                     // Nothing is written to the row of departures before.
+    Departures departures;
+    std::optional<std::vector<Departure>> persistedDepartures; // The content of the row, if it is known.
     bool writing = false;
-    bool rewritePending = false;    // A persisted departure may be lost and must be rewritten.
+    bool rewritePending = false;    // Persisted departures may be lost and must be rewritten.
     std::uint32_t restoreCount = 0; // How often the table was restored from an older copy.
-    std::vector<std::function<void(bool)>> waiting; // Empty unless `writing`.
+    std::vector<std::function<void(bool)>> waiting;
 };
 
 } // namespace Sagecrank
--- a/Tests/Node/TestNodeDrain.cpp
+++ b/Tests/Node/TestNodeDrain.cpp
@@ -32,10 +32,12 @@
     UpstreamPresence presence{
         {[this](const std::string &cluster) { this->expired.push_back(cluster); },
          [this](const UpstreamAnnouncement &announcement) { this->gate.push_back(announcement.condition); },
-         [this](const UpstreamAnnouncement &, UpstreamState state) { this->published.push_back(state); }}};
+         [this](const UpstreamAnnouncement &, UpstreamState state) { this->published.push_back(state); },
+         [this](const Departure &) { ++this->departures; }}};
     std::vector<std::string> expired;
     std::vector<UpstreamCondition> gate;
     std::vector<UpstreamState> published;
+    int departures = 0;
     Instant start = Instant() + std::chrono::hours(1);
     UpstreamAnnouncement booking{"booking", "127.0.0.1:9101", 6, UpstreamCondition::NotReady};
 };
@@ -208,7 +210,7 @@
     fixture.presence.setUse(UpstreamUse::Finishing);
     fixture.presence.announced(fixture.start + Milliseconds(500), fixture.booking, UpstreamState::Ready);
     cr_assert(fixture.gate.back() == UpstreamCondition::Draining);
-    cr_assert(!fixture.presence.isLeaving());
+    cr_assert(fixture.departures == 0);
     fixture.presence.setUse(UpstreamUse::Finished);
     fixture.presence.announced(fixture.start + Milliseconds(900), fixture.booking, UpstreamState::Ready);
     fixture.presence.advance(fixture.start + Milliseconds(1000));
--- a/Tests/Node/TestUpstreamRecord.cpp
+++ b/Tests/Node/TestUpstreamRecord.cpp
@@ -1,120 +1,14 @@
 // The persisted rows of an upstream, and how a restarted node uses them.
-#include <Node/Upstream/UpstreamRecord.h>
+#include "UpstreamFixture.h"
 
 #include <Support/TableTest.h>
 
-#include <LibNet/HttpServer.h>
-
-#include <boost/asio/io_context.hpp>
-
 #include <map>
 
 using namespace Sagecrank;
 
 namespace {
 
-// A table that outlives the processes of a test. It can fail calls, and delay the answers of reads and
-// writes.
-class FakeTable
-{
-public:
-    TablePort port()
-    {
-        TablePort port;
-        port.query = [this](const QueryRequest &request, const RowsCallback &callback) {
-            ++this->reads;
-            if (this->unavailable)
-                return callback(makeError(ErrorKind::Unavailable, "read rows", "table", "unavailable"));
-            std::vector<Row> found;
-            for (const auto &[key, row] : this->rows) {
-                if (key.partition == request.partition)
-                    found.push_back(row);
-            }
-            if (!this->holdsReads)
-                return callback(std::move(found));
-            this->pendingRead = [found, callback] { callback(found); };
-        };
-        port.putIf = [this](const ConditionalPut &put, const WriteCallback &callback) {
-            if (put.row.key.sort == "serving") {
-                this->rows[put.row.key] = put.row;
-                return callback(success());
-            }
-            ++this->writes;
-            if (this->unavailable)
-                return callback(makeError(ErrorKind::Unavailable, "write row", "table", "unavailable"));
-            this->pending = [this, row = put.row, callback] {
-                this->rows[row.key] = row;
-                callback(success());
-            };
-            if (!this->holdsWrites)
-                this->finishWrite();
-        };
-        return port;
-    }
-
-    void finishWrite()
-    {
-        if (const auto finish = std::exchange(this->pending, nullptr))
-            finish();
-    }
-
-    void finishRead()
-    {
-        if (const auto finish = std::exchange(this->pendingRead, nullptr))
-            finish();
-    }
-
-    std::map<RowKey, Row> rows;
-    bool unavailable = false;
-    bool holdsWrites = false;
-    bool holdsReads = false;
-    int reads = 0;
-    int writes = 0;
-    std::function<void()> pending;
-    std::function<void()> pendingRead;
-};
-
-// The upstream state of one process of a node.
-class Process
-{
-public:
-    explicit Process(FakeTable &table)
-        : record(this->context, table.port(), "node-1", this->recordHooks())
-    {
-        this->presence.awaitPersistedState();
-        this->record.load();
-    }
-
-    void announce(UpstreamState state, std::uint64_t sequence, std::uint64_t startedAt = 100,
-                  const char *instance = "i-1")
-    {
-        this->presence.announced(
-            this->now,
-            {"booking", "127.0.0.1:9101", 6, UpstreamCondition::NotReady, instance, startedAt, sequence},
-            state);
-    }
-
-    UpstreamRecordHooks recordHooks()
-    {
-        return {[this](const PersistedUpstream &upstream) {
-                    this->loadedCrashes = upstream.crashes;
-                    this->presence.persistedStateLoaded(this->now, upstream);
-                },
-                [](const Departure &) {}, [this](const Error &) { ++this->failures; }};
-    }
-
-    boost::asio::io_context context{1};
-    Instant now = Instant() + std::chrono::hours(1);
-    int failures = 0;
-    std::vector<CrashRecord> loadedCrashes;
-    UpstreamPresence presence{
-        {[](const std::string &) {}, [](const UpstreamAnnouncement &) {},
-         [](const UpstreamAnnouncement &, UpstreamState) {},
-         [this](const Departure &departure) { this->record.recordDeparture(departure); },
-         [this](const UpstreamAnnouncement &upstream) { this->record.recordServing(upstream); }}};
-    UpstreamRecord record;
-};
-
 const bool failingRows[] = {true, false};
 const bool unavailableRows[] = {true, false};
 
@@ -189,6 +83,19 @@
      UpstreamState::Ready},
 };
 
+struct EarlierVersionRow
+{
+    std::uint64_t startedAt; // In the row; the instance that announces itself started at 100.
+    UpstreamState expected;
+    UpstreamState expectedLater; // After `departedNameTimeout`.
+};
+
+const EarlierVersionRow earlierVersionRows[] = {
+    {100, UpstreamState::None, UpstreamState::None},
+    {0, UpstreamState::None, UpstreamState::Ready},
+    {99, UpstreamState::Ready, UpstreamState::Ready},
+};
+
 } // namespace
 
 // Guards against calls reaching an upstream that was promised none. The node confirms a drain and is killed;
@@ -216,7 +123,7 @@
     {
         Process killed(table);
         killed.announce(UpstreamState::Ready, 1);
-        killed.presence.left(killed.now, "i-1");
+        killed.leave("i-1");
     }
     Process next(table);
     next.announce(UpstreamState::Ready, 2);
@@ -231,7 +138,7 @@
     {
         Process killed(table);
         killed.announce(UpstreamState::Ready, 1);
-        killed.presence.leavingStated(killed.now, "i-1");
+        killed.presence.leavingStated(killed.now, killed.unixNow, "i-1");
         cr_assert(killed.presence.state() == UpstreamState::Draining);
         killed.now += std::chrono::minutes(1);
         killed.announce(UpstreamState::Ready, 2);
@@ -251,7 +158,7 @@
     Process node(table);
     node.announce(UpstreamState::Ready, 1, 100, "i-1");
     node.announce(UpstreamState::Ready, 1, 200, "i-2");
-    node.presence.leavingStated(node.now, "i-1");
+    node.presence.leavingStated(node.now, node.unixNow, "i-1");
     cr_assert(node.presence.state() == UpstreamState::Ready);
     cr_assert(table.writes == 0);
 }
@@ -364,11 +271,8 @@
     }
     table.unavailable = row;
     Process next(table);
-    if (row)
-        next.presence.left(next.now, "i-1");
-    else
-        next.presence.left(next.now, "i-2");
-    cr_assert(next.presence.isLeaving() == row);
+    next.leave(row ? "i-1" : "i-2");
+    cr_assert(next.isConfirmed() == !row, "not confirmed before the row holds it");
     table.unavailable = false;
     next.context.run_for(recordRetryDelay + Milliseconds(200));
     next.announce(UpstreamState::Ready, 2);
@@ -376,7 +280,7 @@
     if (!row)
         return;
     // The next process of the node knows it too, and a new instance with that name is accepted in the end.
-    next.presence.left(next.now, "i-1");
+    next.leave("i-1");
     Process third(table);
     third.announce(UpstreamState::Ready, 3);
     cr_assert(third.presence.state() == UpstreamState::None);
@@ -385,6 +289,47 @@
     cr_assert(third.presence.state() == UpstreamState::Ready);
 }
 
+// Guards against a confirmed departure that is forgotten when the next process of the node confirms one of
+// another instance before it has read the row.
+Test(upstreamRecord, departuresOfEarlierProcessesAreKept)
+{
+    FakeTable table;
+    {
+        Process killed(table);
+        killed.announce(UpstreamState::Ready, 1);
+        killed.leave("i-1");
+        cr_assert(killed.isConfirmed());
+    }
+    {
+        table.unavailable = true;
+        Process next(table);
+        next.leave("i-2");
+        table.unavailable = false;
+        cr_assert(!next.isConfirmed());
+        next.context.run_for(recordRetryDelay + Milliseconds(200));
+        cr_assert(next.isConfirmed());
+    }
+    for (const char *instance : {"i-1", "i-2"}) {
+        Process third(table);
+        third.announce(UpstreamState::Ready, 2, 100, instance);
+        cr_assert(third.presence.state() == UpstreamState::None, "%s", instance);
+    }
+}
+
+// An earlier version of the node wrote the row, with 0 for a departure without a start time.
+TABLE_TEST(upstreamRecord, readsRowsOfEarlierVersions, earlierVersionRows)
+{
+    FakeTable table;
+    const RowKey key{"upstream/node-1", "leaving"};
+    table.rows[key] = {key, {{"instance", std::string("i-1")}, {"started_at", row.startedAt}}};
+    Process node(table);
+    node.announce(UpstreamState::Ready, 2);
+    cr_assert(node.presence.state() == row.expected, "%d", static_cast<int>(row.startedAt));
+    node.now += departedNameTimeout;
+    node.announce(UpstreamState::Ready, 3);
+    cr_assert(node.presence.state() == row.expectedLater, "%d", static_cast<int>(row.startedAt));
+}
+
 // The upstream was replaced while the node was down: a later instance overrides the row.
 Test(upstreamRecord, laterInstanceOverridesTheRow)
 {
--- a/Tests/Platform/TestInstanceApi.cpp
+++ b/Tests/Platform/TestInstanceApi.cpp
@@ -19,7 +19,7 @@
             return this->presence.announced(this->now, announcement, state);
         };
         this->node.left = [this](const std::string &instance) {
-            return this->presence.left(this->now, instance);
+            return this->presence.left(this->now, this->unixNow, instance);
         };
         this->node.announcementRefused = [this](const Error &) { ++this->rejections; };
         this->node.ready = [this] { return this->isReady; };
@@ -47,6 +47,7 @@
     Platform::InstanceApi api{"10.0.0.9:80"};
     AdminHooks node;
     Instant now{};
+    std::uint64_t unixNow = 100; // In milliseconds, as the start times of the instances.
     bool isReady = false;
     int rejections = 0;
     std::string instance;
@@ -86,6 +87,18 @@
      R"({"service":"b","address":"10.0.0.8:80","slots":6,"state":"ready","callSeq":9,"born":9})"},
 };
 
+struct EarlyDepartureRow
+{
+    const char *what;
+    const char *id; // Of an instance that started after "i-1", and of which nothing has arrived.
+    UpstreamState expected;
+};
+
+const EarlyDepartureRow earlyDepartureRows[] = {
+    {"another name: the earlier instance expires by itself", "i-2", UpstreamState::Ready},
+    {"the name of the earlier instance", "i-1", UpstreamState::Gone},
+};
+
 } // namespace
 
 // A check-in is malformed or comes from another server than the one on this host. Accepting it would take a
@@ -130,6 +143,33 @@
     cr_assert(fixture.presence.state() == UpstreamState::Ready);
 }
 
+// Guards against calls reaching an instance whose departure was confirmed before anything else of it arrived:
+// its late announcement does not make it ready. The next run of its name is accepted at once.
+TABLE_TEST(instanceApi, departureBeforeTheFirstCheckInIsFinal, earlyDepartureRows)
+{
+    InstanceFixture fixture;
+    fixture.checkIn("i-1", "ready", 1, 90);
+    cr_assert(fixture.deregister(row.id) == 200);
+    fixture.checkIn(row.id, "ready", 1, 95);
+    cr_assert(fixture.presence.state() == row.expected, "%s", row.what);
+    cr_assert(fixture.instance == "i-1", "%s", row.what);
+    fixture.checkIn(row.id, "ready", 1, 101);
+    cr_assert(fixture.presence.state() == UpstreamState::Ready && fixture.instance == row.id, "%s", row.what);
+}
+
+// Guards against an instance that runs and gets no calls any more, since a departure of an earlier run of its
+// name arrived late.
+Test(instanceApi, lateDepartureOfAnEarlierRunIsOvercome)
+{
+    InstanceFixture fixture;
+    fixture.checkIn("i-1", "ready", 1, 90);
+    fixture.checkIn("i-1", "ready", 1, 95);
+    fixture.deregister("i-1");
+    fixture.now += departedNameTimeout;
+    fixture.checkIn("i-1", "ready", 9, 95);
+    cr_assert(fixture.presence.state() == UpstreamState::Ready);
+}
+
 Test(instanceApi, readinessProbeReportsNodeState)
 {
     InstanceFixture fixture;
