Node, platform: Trust only announcements sent since the start while the record is unread

Cause: a process that had not read the record yet believed the second announcement of an instance. Nothing in an announcement tells when it was sent.

Change: until the record is read, an instance takes calls only if it is proved that it announced itself since the process started. The response to an announcement may name the address for the next one; the node names a port of its range, drawn at random, on which no earlier process listened. What arrives there was sent after this process answered. The upstream then goes back to the fixed address. So a healthy upstream is back with its second announcement, as before. Without a port, or with an upstream that keeps to the fixed address, it waits for the record, or for 15 s, after which nothing sent before the start is still on its way. The proof also ends the rejection of a name whose departure an earlier process recorded without a start time.

acceptsTheSecondAnnouncementWhileTheTableIsUnavailable asserted the fault. In its place: unproven announcements are not accepted, however many; a proven one is; what the table says of the instance then overrides it.

--- a/Libraries/LibObserve/Events.h
+++ b/Libraries/LibObserve/Events.h
@@ -84,6 +84,8 @@
     UpstreamCrashed = 6011,
     UpstreamLimitChanged = 6012,
     UpstreamLimitMalformed = 6013,
+    UpstreamUnproven = 6014,
+    ProofUnavailable = 6015,
 
     PublishAccepted = 7001,
     PublishRefused = 7002,
@@ -226,6 +228,11 @@
      "The upstream beside this node named another limit on its calls per second, or names none any more."},
     {EventId::UpstreamLimitMalformed, "upstream.limit_malformed", LogLevel::Warning,
      "An answer of the upstream names a limit that is no number of calls; the limit stays as it was."},
+    {EventId::UpstreamUnproven, "upstream.unproven", LogLevel::Info,
+     "An announcement may be a delayed one of an upstream that left; it must be repeated at another "
+     "address."},
+    {EventId::ProofUnavailable, "upstream.proof_unavailable", LogLevel::Warning,
+     "The port at which an upstream proves that it runs could not be opened."},
 
     {EventId::PublishAccepted, "publish.accepted", LogLevel::Info,
      "A version was accepted: the head row names it."},
--- a/Services/Node/Admin/AdminFrontend.h
+++ b/Services/Node/Admin/AdminFrontend.h
@@ -24,6 +24,8 @@
     std::function<std::string()> status;  // JSON.
     std::function<std::string()> metrics; // Prometheus text.
     std::function<std::string()> spans;   // JSON.
+    // Where the upstream is to send its next announcement; empty: where it sent this one. May be empty.
+    std::function<std::string(AnnouncementResult)> nextAddress = {};
 };
 
 class AdminFrontend
--- a/Services/Node/Node.cpp
+++ b/Services/Node/Node.cpp
@@ -25,6 +25,9 @@
 // About 200 bytes each: 0.5 MB of the node's 32 MB.
 constexpr std::size_t spanCapacity = 2048;
 
+// Some of the ports may be in use.
+constexpr int maximumProofPortAttempts = 4;
+
 // The largest body that a configuration may allow must fit into a frame between nodes.
 static_assert(maximumBodyBytes == maximumBodySize);
 
@@ -114,11 +117,14 @@
                  this->history,     this->observer, this->refusedCallers, this->quarantine.requestHooks()}
     , callers(this->forwarding, this->settings.requests.maximumTimeout, this->adapter.headers,
               this->settings.platform.upstreamService, this->callerHooks())
-    , adminCommands(this->adminHooks())
+    , adminCommands(this->adminHooks(AnnouncementProof::None))
+    , provenCommands(this->adminHooks(AnnouncementProof::SentToThisProcess))
     , admin(this->adminCommands)
     , adminServer(this->control, adminServerSettings(this->observer), this->adminHandler())
-    , announcementServer(this->control, adminServerSettings(this->observer), this->adapterHandler())
-    , probeServer(this->control, adminServerSettings(this->observer), this->adapterHandler())
+    , announcementServer(this->control, adminServerSettings(this->observer),
+                         this->adapterHandler(this->adminCommands))
+    , probeServer(this->control, adminServerSettings(this->observer),
+                  this->adapterHandler(this->adminCommands))
     , plane(this->control, controlSettings(this->settings), this->adapter.table, this->adapter.versions,
             this->controlHooks())
     , drain(drainSettings(this->settings), this->drainHooks())
@@ -310,13 +316,41 @@
     };
 }
 
-HttpHandler Node::adapterHandler()
+HttpHandler Node::adapterHandler(const AdminHooks &commands)
 {
-    return [this](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
-        this->respond(exchange, [&] { return this->adapter.answer(request, this->adminCommands); });
+    return [this, &commands](const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange) {
+        this->respond(exchange, [&] { return this->adapter.answer(request, commands); });
     };
 }
 
+// An address that no earlier process of this node is likely to have given to its upstream. Empty if there is
+// none; announcements are then trusted once the persisted state is read, or `departedNameTimeout` after the
+// start.
+std::string Node::proofAddress()
+{
+    const std::optional<PortRange> &ports = this->settings.listen.proofPorts;
+    if (this->proofServer)
+        return this->proofServer->address();
+    if (!ports)
+        return {};
+    std::mt19937 random(std::random_device{}());
+    const std::string host =
+        this->settings.listen.announcements.substr(0, this->settings.listen.announcements.rfind(':') + 1);
+    for (int attempt = 0; attempt < maximumProofPortAttempts; ++attempt) {
+        const std::string port =
+            std::to_string(std::uniform_int_distribution<std::uint32_t>(ports->first, ports->last)(random));
+        auto server = std::make_unique<HttpServer>(this->control, adminServerSettings(this->observer),
+                                                   this->adapterHandler(this->provenCommands));
+        const Result<void> listening = server->listen(host + port);
+        if (listening) {
+            this->proofServer = std::move(server);
+            return this->proofServer->address();
+        }
+        this->nodeLog.proofUnavailable(listening.error());
+    }
+    return {};
+}
+
 // The queue limit is configured for each service, and the announcement of the upstream names its service.
 void Node::limitQueue()
 {
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -50,7 +50,7 @@
     RequestQuarantineHooks quarantineHooks();
     ControlHooks controlHooks();
     CallerFrontendHooks callerHooks();
-    AdminHooks adminHooks();
+    AdminHooks adminHooks(AnnouncementProof proof);
     NodeDrainHooks drainHooks();
     SettingsReloadHooks reloadHooks(ReadSettings readSettings);
     bool isIdle() const; // No call is waiting, running or unanswered.
@@ -60,7 +60,8 @@
     void respond(const std::shared_ptr<HttpExchange> &exchange,
                  const std::function<HttpResponse()> &handleRequest);
     HttpHandler adminHandler();
-    HttpHandler adapterHandler();
+    HttpHandler adapterHandler(const AdminHooks &commands);
+    std::string proofAddress();
     UpstreamHooks upstreamHooks();
     UpstreamPresenceHooks presenceHooks();
     UpstreamRecordHooks recordHooks();
@@ -111,11 +112,13 @@
     ForwardingContext forwarding;
     CallerFrontend callers;
     const AdminHooks adminCommands;
+    const AdminHooks provenCommands; // For announcements that `proofServer` receives.
     AdminFrontend admin;
     HttpServer adminServer;
     HttpServer announcementServer;
     HttpServer probeServer;
-    bool departureReported = false; // By the request that is being handled.
+    std::unique_ptr<HttpServer> proofServer; // Null until an announcement has to be proved.
+    bool departureReported = false;          // By the request that is being handled.
     ControlPlane plane;
     bool leaveAnnounced = false; // On the control thread.
     bool callersRefused = false; // Every worker refuses new requests; set at the end of a drain.
--- a/Services/Node/NodeHooks.cpp
+++ b/Services/Node/NodeHooks.cpp
@@ -220,15 +220,25 @@
     return hooks;
 }
 
-AdminHooks Node::adminHooks()
+AdminHooks Node::adminHooks(AnnouncementProof proof)
 {
     AdminHooks hooks;
-    hooks.announced = [this](const UpstreamAnnouncement &announcement, UpstreamState state) {
-        return this->presence.announced(SteadyClock::now(), announcement, state);
+    hooks.announced = [this, proof](const UpstreamAnnouncement &announcement, UpstreamState state) {
+        return this->presence.announced(SteadyClock::now(), announcement, state, proof);
     };
     hooks.left = [this](const std::string &instance) {
         return this->presence.left(SteadyClock::now(), unixMilliseconds(), instance);
     };
+    // An upstream that has proved that it runs goes back to the address that outlives this process.
+    hooks.nextAddress = [this, proof](AnnouncementResult result) {
+        if (proof == AnnouncementProof::SentToThisProcess)
+            return this->settings.listen.announcements;
+        if (result != AnnouncementResult::Unproven)
+            return std::string();
+        const std::string address = this->proofAddress();
+        this->nodeLog.upstreamUnproven(address);
+        return address;
+    };
     hooks.announcementRefused = [this](const Error &error) { this->nodeLog.announcementRefused(error); };
     hooks.drain = [this] { this->drain.begin(SteadyClock::now()); };
     hooks.inFlight = [this] { return this->gate.inFlight(); };
--- a/Services/Node/NodeLog.cpp
+++ b/Services/Node/NodeLog.cpp
@@ -166,6 +166,17 @@
                     {{"step", error.step}, {"peer", error.peer}, {"message", error.message}});
 }
 
+void NodeLog::upstreamUnproven(const std::string &proofAddress)
+{
+    this->log.write(EventId::UpstreamUnproven, {{"proof_address", proofAddress}});
+}
+
+void NodeLog::proofUnavailable(const Error &error)
+{
+    this->log.write(EventId::ProofUnavailable,
+                    {{"step", error.step}, {"peer", error.peer}, {"message", error.message}});
+}
+
 void NodeLog::upstreamSilent(const std::string &cluster)
 {
     this->log.write(EventId::UpstreamSilent, {{"cluster", cluster}});
--- a/Services/Node/NodeLog.h
+++ b/Services/Node/NodeLog.h
@@ -37,6 +37,8 @@
     void upstreamRecalled(const PersistedUpstream &upstream);
     void departuresPersisted(const std::vector<Departure> &departures);
     void upstreamRecordFailed(const Error &error);
+    void upstreamUnproven(const std::string &proofAddress);
+    void proofUnavailable(const Error &error);
     void upstreamSilent(const std::string &cluster);
     void upstreamChanged(const UpstreamAnnouncement &upstream, UpstreamState state);
     void requestQuarantined(RequestFingerprint request);
--- a/Services/Node/NodeSettings.cpp
+++ b/Services/Node/NodeSettings.cpp
@@ -125,6 +125,26 @@
         target = *value;
     }
 
+    // Takes the two ends in either order.
+    void readPortRange(const char *key, std::optional<PortRange> &target)
+    {
+        const toml::node *node = this->find(key, false);
+        if (node == nullptr)
+            return;
+        constexpr std::int64_t highestPort = 65535;
+        const toml::array *ends = node->as_array();
+        const auto end = [ends](std::size_t index) {
+            const auto port = ends == nullptr || ends->size() != 2
+                                  ? std::nullopt
+                                  : ends->get(index)->value_exact<std::int64_t>();
+            return port && *port >= 1 && *port <= highestPort ? port : std::nullopt;
+        };
+        if (!end(0) || !end(1))
+            return this->problem(*node, this->path(key), "must be an array of two ports");
+        const auto [first, last] = std::minmax(*end(0), *end(1));
+        target = PortRange{static_cast<std::uint16_t>(first), static_cast<std::uint16_t>(last)};
+    }
+
     void readFlag(const char *key, bool &target)
     {
         const toml::node *node = this->find(key, false);
@@ -261,6 +281,7 @@
                 table.readAddress("announcements", listen.announcements);
             if (table.has("probe"))
                 table.readAddress("probe", listen.probe);
+            table.readPortRange("proof_ports", listen.proofPorts);
         });
     }
 
--- a/Services/Node/NodeSettings.h
+++ b/Services/Node/NodeSettings.h
@@ -32,6 +32,15 @@
     {AdmissionRule::Targets, "targets"},
 }};
 
+// Both ends belong to it.
+struct PortRange
+{
+    std::uint16_t first = 0;
+    std::uint16_t last = 0;
+
+    bool operator==(const PortRange &) const = default;
+};
+
 struct NodeSettings
 {
     std::string id;
@@ -52,6 +61,9 @@
         // For a platform with its own requests for these; if empty, only the admin port serves them.
         std::string announcements; // HTTP from the upstream beside the node.
         std::string probe;         // HTTP of the platform's readiness probe.
+        // One of these ports, drawn at random, is given to an upstream that has to prove that it still runs.
+        // Not set: no such proof is asked for.
+        std::optional<PortRange> proofPorts;
 
         bool operator==(const Listen &) const = default;
     } listen;
--- a/Services/Node/Upstream/UpstreamPresence.cpp
+++ b/Services/Node/Upstream/UpstreamPresence.cpp
@@ -55,7 +55,7 @@
 }
 
 AnnouncementResult UpstreamPresence::announced(Instant now, UpstreamAnnouncement announcement,
-                                               UpstreamState state)
+                                               UpstreamState state, AnnouncementProof proof)
 {
     const std::lock_guard guard(this->mutex);
     const bool isNamed = !announcement.instance.empty();
@@ -65,26 +65,39 @@
     if (this->isStale(announcement))
         return AnnouncementResult::Stale;
     if (isNamed && takesCalls(state)) {
-        if (!this->isAllowed(now, announcement))
-            return AnnouncementResult::Stale;
-        if (this->holdBack(announcement, state))
-            return AnnouncementResult::Accepted;
+        const AnnouncementResult result = this->judge(now, announcement, proof);
+        if (result == AnnouncementResult::Unproven && this->awaitsPersistedState)
+            this->holdBack(announcement, state);
+        if (result != AnnouncementResult::Accepted)
+            return result;
     }
     this->apply(now, announcement, state);
     return AnnouncementResult::Accepted;
 }
 
-// Whether an instance that announces itself may take calls, by what is known of departures.
-bool UpstreamPresence::isAllowed(Instant now, const UpstreamAnnouncement &announcement) const
+bool UpstreamPresence::isProved(Instant now, AnnouncementProof proof) const
+{
+    return proof == AnnouncementProof::SentToThisProcess || now >= this->provedFrom;
+}
+
+// Whether an instance that announces itself may take calls. This is the only place that decides it, so that
+// no order of messages, restarts and answers of the table brings back an instance whose departure was
+// confirmed, and none keeps out one that runs.
+AnnouncementResult UpstreamPresence::judge(Instant now, const UpstreamAnnouncement &announcement,
+                                           AnnouncementProof proof) const
 {
     const Departure *departure = this->departures.find(announcement.instance);
-    if (departure == nullptr || !departure->covers(announcement.startedAt))
-        return true;
-    if (departure->startedAt && announcement.startedAt <= *departure->startedAt)
-        return false;
-    const auto rejected = this->namesRejectedUntil.find(announcement.instance);
-    return now >= (rejected == this->namesRejectedUntil.end() ? this->loadedNamesRejectedUntil
-                                                              : rejected->second);
+    if (departure != nullptr && departure->covers(announcement.startedAt)) {
+        if (departure->startedAt && announcement.startedAt <= *departure->startedAt)
+            return AnnouncementResult::Stale;
+        const auto rejected = this->namesRejectedUntil.find(announcement.instance);
+        if (rejected != this->namesRejectedUntil.end())
+            return now < rejected->second ? AnnouncementResult::Stale : AnnouncementResult::Accepted;
+        return this->isProved(now, proof) ? AnnouncementResult::Accepted : AnnouncementResult::Unproven;
+    }
+    const bool isServing = takesCalls(this->announcedState) && isSameInstance(this->last, announcement);
+    const bool mayHaveDeparted = this->awaitsPersistedState && !isServing && !this->isProved(now, proof);
+    return mayHaveDeparted ? AnnouncementResult::Unproven : AnnouncementResult::Accepted;
 }
 
 bool UpstreamPresence::hasDeparted(const UpstreamAnnouncement &announcement) const
@@ -104,23 +117,17 @@
     this->publish(announcement, state);
 }
 
-bool UpstreamPresence::holdBack(const UpstreamAnnouncement &announcement, UpstreamState state)
+void UpstreamPresence::holdBack(const UpstreamAnnouncement &announcement, UpstreamState state)
 {
-    if (!this->awaitsPersistedState || this->announcedState != UpstreamState::None)
-        return false;
-    if (this->held && isSameInstance(this->held->announcement, announcement)
-        && announcement.sequence > this->held->announcement.sequence)
-        return false;
     if (!this->held || announcement.startedAt >= this->held->announcement.startedAt)
         this->held = HeldAnnouncement{announcement, state};
-    return true;
 }
 
 void UpstreamPresence::awaitPersistedState(Instant now)
 {
     const std::lock_guard guard(this->mutex);
     this->awaitsPersistedState = true;
-    this->loadedNamesRejectedUntil = now + departedNameTimeout;
+    this->provedFrom = now + departedNameTimeout;
 }
 
 void UpstreamPresence::persistedStateLoaded(Instant now, const PersistedUpstream &upstream)
@@ -131,9 +138,10 @@
         this->departures.add(departure);
     const std::optional<HeldAnnouncement> announced = std::exchange(this->held, std::nullopt);
     if (takesCalls(this->announcedState)) {
-        if (this->hasDeparted(this->last))
-            this->publish(this->last, UpstreamState::Draining);
-        return;
+        const AnnouncementResult result = this->judge(now, this->last, AnnouncementProof::SentToThisProcess);
+        if (result == AnnouncementResult::Accepted)
+            return this->apply(this->renewedAt, UpstreamAnnouncement(this->last), this->announcedState);
+        return this->publish(this->last, UpstreamState::Draining);
     }
     if (this->announcedState != UpstreamState::None)
         return;
--- a/Services/Node/Upstream/UpstreamPresence.h
+++ b/Services/Node/Upstream/UpstreamPresence.h
@@ -33,6 +33,17 @@
 enum class AnnouncementResult : std::uint8_t {
     Accepted,
     Stale, // From an earlier instance, or older than an announcement already accepted.
+    // May have been delayed, and from an instance that left. Accepted once it is known that it has not; see
+    // AnnouncementProof.
+    Unproven,
+};
+
+// Whether an announcement may be from before this process started. An upstream sends announcements to an
+// address that it was given in the response to an earlier one; such an address of this process proves that
+// they were sent since it started.
+enum class AnnouncementProof : std::uint8_t {
+    None,
+    SentToThisProcess,
 };
 
 // What an earlier process of this node persisted.
@@ -61,16 +72,17 @@
 public:
     explicit UpstreamPresence(UpstreamPresenceHooks hooks, Duration lifetime = announcementLifetime);
 
-    AnnouncementResult announced(Instant now, UpstreamAnnouncement announcement, UpstreamState state);
+    AnnouncementResult announced(Instant now, UpstreamAnnouncement announcement, UpstreamState state,
+                                 AnnouncementProof proof = AnnouncementProof::None);
     // The named instance leaves. Its start time is not known. `unixNow` is in milliseconds.
     AnnouncementResult left(Instant now, std::uint64_t unixNow, const std::string &instance);
     // The named instance stated in an answer that it leaves. Nothing that it announces brings it back.
     void leavingStated(Instant now, std::uint64_t unixNow, const std::string &instance);
     void advance(Instant now); // Detects missing announcements.
 
-    // From now on a first "ready" is held back until `persistedStateLoaded` is called, or until the same
-    // instance announces it again: two delayed announcements are less likely than an unavailable table, and
-    // an upstream that is held back longer serves no calls.
+    // This process starts. Until `persistedStateLoaded` is called, an instance takes calls only if it is
+    // proved that it announced itself since: an earlier process may have confirmed that it leaves, and any
+    // number of its earlier announcements may arrive late.
     void awaitPersistedState(Instant now);
     void persistedStateLoaded(Instant now, const PersistedUpstream &upstream);
     void drain(); // The node leaves, so the upstream drains whatever it announces.
@@ -92,9 +104,11 @@
     void apply(Instant now, const UpstreamAnnouncement &announcement, UpstreamState state);
     void publish(const UpstreamAnnouncement &announcement, UpstreamState announced);
     UpstreamState effectiveState(UpstreamState announced) const;
-    bool isAllowed(Instant now, const UpstreamAnnouncement &announcement) const;
+    bool isProved(Instant now, AnnouncementProof proof) const;
+    AnnouncementResult judge(Instant now, const UpstreamAnnouncement &announcement,
+                             AnnouncementProof proof) const;
     bool hasDeparted(const UpstreamAnnouncement &announcement) const;
-    bool holdBack(const UpstreamAnnouncement &announcement, UpstreamState state);
+    void holdBack(const UpstreamAnnouncement &announcement, UpstreamState state);
     bool isStale(const UpstreamAnnouncement &announcement) const;
 
     const UpstreamPresenceHooks hooks;
@@ -107,8 +121,8 @@
     Instant renewedAt;
     bool draining = false; // Never reset.
     bool awaitsPersistedState = false;
-    Instant loadedNamesRejectedUntil;     // For departures that were reported to an earlier process.
-    std::optional<HeldAnnouncement> held; // Set only while `awaitsPersistedState`.
+    Instant provedFrom; // No announcement that arrives later was sent before this process started.
+    std::optional<HeldAnnouncement> held; // Unproven; set only while `awaitsPersistedState`.
     Departures departures;                // Reported to this process or an earlier one.
     // The end of `departedNameTimeout` for each name in `departures` whose departure was reported to this
     // process without a start time.
--- a/Tests/Node/TestNodeSettings.cpp
+++ b/Tests/Node/TestNodeSettings.cpp
@@ -68,6 +68,23 @@
     {"[advertise]\npeers = \"10.0.0.7:9101\"\n", "10.0.0.7:9101"},
 };
 
+struct PortRangeRow
+{
+    const char *value;
+    std::optional<PortRange> expected; // Empty: refused.
+};
+
+const PortRangeRow portRangeRows[] = {
+    {"[7380, 7395]", PortRange{7380, 7395}},
+    {"[7395, 7380]", PortRange{7380, 7395}},
+    {"[7380, 7380]", PortRange{7380, 7380}},
+    {"[7380]", std::nullopt},
+    {"[0, 7380]", std::nullopt},
+    {"[7380, 70000]", std::nullopt},
+    {"[7380, \"x\"]", std::nullopt},
+    {"7380", std::nullopt},
+};
+
 struct InvalidAddressRow
 {
     const char *address;
@@ -101,6 +118,22 @@
     cr_assert(settings.value().advertise.peers == row.peers);
 }
 
+TABLE_TEST(nodeSettings, readsPortRange, portRangeRows)
+{
+    std::string text = validSettings;
+    const std::string before = "[platform]";
+    text.insert(text.find(before), std::string("proof_ports = ") + row.value + "\n");
+    const Result<NodeSettings> settings = parseNodeSettings(text, "node.toml");
+    cr_assert(settings.has_value() == row.expected.has_value(), "%s", row.value);
+    if (settings) {
+        cr_assert(settings.value().listen.proofPorts == row.expected, "%s", row.value);
+        return;
+    }
+    const std::string message = settings.error().message;
+    cr_assert(message.find("listen.proof_ports: must be an array of two ports") != std::string::npos, "%s",
+              message.c_str());
+}
+
 TABLE_TEST(nodeSettings, errorNamesLineAndKey, invalidRows)
 {
     const Result<NodeSettings> settings = parseNodeSettings(validSettings + row.added, "node.toml");
--- a/Tests/Node/TestUpstreamRecord.cpp
+++ b/Tests/Node/TestUpstreamRecord.cpp
@@ -223,10 +223,11 @@
     cr_assert(table.reads == 3, "%d reads", table.reads);
 }
 
-// The table is unavailable while a node starts. A first announcement of the upstream may be a delayed one;
-// the second of the same instance is accepted, so that a healthy upstream is back within one announcement
-// interval. Once the table is available, a departure in the row overrides the announcements.
-Test(upstreamRecord, acceptsTheSecondAnnouncementWhileTheTableIsUnavailable)
+// Guards against calls reaching an upstream whose departure was confirmed, when several of its earlier
+// announcements arrive late at a process that cannot read the record. One that is sent to an address of this
+// process proves that the upstream runs, so a healthy upstream is back within one announcement interval. Once
+// the table is available, a departure in the row overrides the announcements.
+Test(upstreamRecord, acceptsOnlyProvenAnnouncementsWhileTheTableIsUnavailable)
 {
     FakeTable table;
     {
@@ -235,15 +236,32 @@
     }
     table.unavailable = true;
     Process next(table);
-    next.announce(UpstreamState::Ready, 1);
+    cr_assert(next.announce(UpstreamState::Ready, 1) == AnnouncementResult::Unproven);
     cr_assert(next.presence.state() == UpstreamState::None && next.failures == 1);
-    next.announce(UpstreamState::Ready, 2);
+    cr_assert(next.announce(UpstreamState::Ready, 2) == AnnouncementResult::Unproven);
+    cr_assert(next.presence.state() == UpstreamState::None);
+    next.announce(UpstreamState::Ready, 3, 100, "i-1", AnnouncementProof::SentToThisProcess);
     cr_assert(next.presence.state() == UpstreamState::Ready);
+    cr_assert(next.announce(UpstreamState::Ready, 4) == AnnouncementResult::Accepted, "it serves");
     table.unavailable = false;
     next.context.run_for(recordRetryDelay + Milliseconds(200));
     cr_assert(table.reads == 3 && next.presence.state() == UpstreamState::Draining);
 }
 
+// An upstream whose platform offers no second address is not kept out for as long as the table is away.
+Test(upstreamRecord, acceptsAnnouncementsThatCannotHaveBeenDelayed)
+{
+    FakeTable table;
+    table.unavailable = true;
+    Process node(table);
+    node.announce(UpstreamState::Ready, 1);
+    node.now += departedNameTimeout - Milliseconds(1);
+    cr_assert(node.announce(UpstreamState::Ready, 2) == AnnouncementResult::Unproven);
+    node.now += Milliseconds(1);
+    cr_assert(node.announce(UpstreamState::Ready, 3) == AnnouncementResult::Accepted);
+    cr_assert(node.presence.state() == UpstreamState::Ready);
+}
+
 // When a node restarts, its upstream, which keeps running, announces itself only every one or two seconds.
 // Until then each call to it was refused, which with three upstreams is a third of the service. The next
 // process must use the row of the serving instance.
@@ -316,6 +334,55 @@
     }
 }
 
+// The same when the row is writable before it was read.
+Test(upstreamRecord, theRowIsNotWrittenBeforeItWasRead)
+{
+    FakeTable table;
+    {
+        Process killed(table);
+        killed.announce(UpstreamState::Ready, 1);
+        killed.leave("i-1");
+    }
+    table.holdsReads = true;
+    {
+        Process next(table);
+        next.leave("i-2");
+        cr_assert(!next.isConfirmed());
+    }
+    table.holdsReads = false;
+    Process third(table);
+    third.announce(UpstreamState::Ready, 2);
+    cr_assert(third.presence.state() == UpstreamState::None);
+}
+
+// Guards against an upstream that is out of service after each restart of its node, since a departure of an
+// earlier run of its name arrived late once.
+Test(upstreamRecord, refutedDepartureIsDroppedFromTheRow)
+{
+    FakeTable table;
+    {
+        Process killed(table);
+        killed.announce(UpstreamState::Ready, 1);
+        killed.leave("i-1");
+        killed.now += departedNameTimeout;
+        killed.announce(UpstreamState::Ready, 2);
+        cr_assert(killed.presence.state() == UpstreamState::Ready);
+    }
+    cr_assert(Process(table).presence.state() == UpstreamState::Ready);
+}
+
+// A response confirms it, so it binds, whatever else is known of the instance.
+Test(upstreamRecord, departureOfAnEarlierInstanceIsRecorded)
+{
+    FakeTable table;
+    Process node(table);
+    node.announce(UpstreamState::Ready, 1, 200, "i-2");
+    node.announce(UpstreamState::Draining, 9, 100, "i-1");
+    cr_assert(node.presence.state() == UpstreamState::Ready && node.isConfirmed());
+    const std::string *instance = table.rows.at({"upstream/node-1", "leaving"}).text("instance");
+    cr_assert(instance != nullptr && *instance == "i-1");
+}
+
 // An earlier version of the node wrote the row, with 0 for a departure without a start time.
 TABLE_TEST(upstreamRecord, readsRowsOfEarlierVersions, earlierVersionRows)
 {
--- a/Tests/Node/UpstreamFixture.h
+++ b/Tests/Node/UpstreamFixture.h
@@ -111,12 +111,13 @@
     }
 
     AnnouncementResult announce(UpstreamState state, std::uint64_t sequence, std::uint64_t startedAt = 100,
-                                const char *instance = "i-1")
+                                const char *instance = "i-1",
+                                AnnouncementProof proof = AnnouncementProof::None)
     {
         return this->presence.announced(
             this->now,
             {"booking", "127.0.0.1:9101", 6, UpstreamCondition::NotReady, instance, startedAt, sequence},
-            state);
+            state, proof);
     }
 
     void leave(const char *instance) { this->presence.left(this->now, this->unixNow, instance); }
--- a/Tests/Platform/TestInstanceApi.cpp
+++ b/Tests/Platform/TestInstanceApi.cpp
@@ -99,6 +99,17 @@
     {"the name of the earlier instance", "i-1", UpstreamState::Gone},
 };
 
+struct NextAddressRow
+{
+    const char *address; // As the node names it.
+    const char *body;
+};
+
+const NextAddressRow nextAddressRows[] = {
+    {"", "{}"},
+    {"10.0.0.9:7383", R"({"beatAddr":"10.0.0.9:7383"})"},
+};
+
 } // namespace
 
 // A check-in is malformed or comes from another server than the one on this host. Accepting it would take a
@@ -178,6 +189,17 @@
     cr_assert(fixture.api.handle({"GET", "/api/readyz", {}, {}}, fixture.node).status == 200);
 }
 
+// The response to a check-in names the address for the next one.
+TABLE_TEST(instanceApi, responseNamesTheNextAddress, nextAddressRows)
+{
+    InstanceFixture fixture;
+    fixture.node.nextAddress = [&row](AnnouncementResult) { return std::string(row.address); };
+    const UpstreamAnnouncement announcement{"booking", "10.0.0.9:80", 6, UpstreamCondition::Ready, "i-9"};
+    const HttpResponse response =
+        fixture.api.handle(Platform::encodeCheckIn(announcement, UpstreamState::Ready), fixture.node);
+    cr_assert(response.status == 200 && response.body == row.body, "%s", response.body.c_str());
+}
+
 // The node decodes the check-ins that the emulated server encodes.
 Test(instanceApi, decodesEmulatedCheckIns)
 {
