Node: Take a stated departure only from the run that was called

An answer of the earlier run of a name, which arrives when the next run has announced itself, stopped calls to that one for good, and was kept in the table as its departure.

Change: a call keeps the start time of the instance that it is for, and its answer counts for that run only.

--- a/Services/Node/Gate/GateCall.h
+++ b/Services/Node/Gate/GateCall.h
@@ -77,7 +77,8 @@
     Instant startedAt;
     std::string upstreamAddress;
     std::string upstreamInstance;
-    std::string claimKey; // Empty without an idempotency key.
+    std::uint64_t upstreamStartedAt = 0; // As the instance announced it.
+    std::string claimKey;                // Empty without an idempotency key.
     Ticket ticket = 0;
     GateCallStage stage = GateCallStage::Claiming;
     bool usesLink = false;    // Counted as a call whose large response will cross the host's link.
--- a/Services/Node/Gate/LocalGate.cpp
+++ b/Services/Node/Gate/LocalGate.cpp
@@ -175,6 +175,7 @@
         call->ticket = decision.ticket;
         call->upstreamAddress = this->current.address;
         call->upstreamInstance = this->current.instance;
+        call->upstreamStartedAt = this->current.startedAt;
         if (decision.verdict == GateVerdict::Queue) {
             call->stage = GateCallStage::Queued;
             this->queuedCalls.emplace(decision.ticket, call);
--- a/Services/Node/Gate/LocalGate.h
+++ b/Services/Node/Gate/LocalGate.h
@@ -53,7 +53,7 @@
 {
     std::function<void(const UpstreamOutcome &)> callEnded;
     // The instance states in an answer that it leaves. Called once for each instance.
-    std::function<void(const std::string &instance)> leaving;
+    std::function<void(const std::string &instance, std::uint64_t startedAt)> leaving;
 };
 
 // Retry delay if it is not known when the upstream will be available.
--- a/Services/Node/Gate/LocalGateUpstream.cpp
+++ b/Services/Node/Gate/LocalGateUpstream.cpp
@@ -186,7 +186,8 @@
     std::vector<GateAction> actions;
     {
         const std::lock_guard guard(this->mutex);
-        if (call.upstreamInstance != this->current.instance)
+        if (call.upstreamInstance != this->current.instance
+            || call.upstreamStartedAt != this->current.startedAt)
             return;
         const Instant now = SteadyClock::now();
         changed = countsForLimit && this->namedLimit.recordAnswer(call.startedAt, now, call.signals.limit);
@@ -201,7 +202,7 @@
     }
     this->applyActions(std::move(actions));
     if (beginsToLeave && this->upstreamHooks.leaving)
-        this->upstreamHooks.leaving(call.upstreamInstance);
+        this->upstreamHooks.leaving(call.upstreamInstance, call.upstreamStartedAt);
     if (changed)
         this->observer.upstreamLimitChanged(call.upstreamInstance, limit);
     if (call.signals.limit.kind == LimitStatementKind::Malformed)
--- a/Services/Node/NodeHooks.cpp
+++ b/Services/Node/NodeHooks.cpp
@@ -175,9 +175,9 @@
     UpstreamHooks hooks;
     hooks.callEnded = [this](const UpstreamOutcome &outcome) { this->rollouts.recordOutcome(outcome); };
     // The record of departures is used on the control thread only.
-    hooks.leaving = [this](const std::string &instance) {
-        boost::asio::post(this->control, [this, instance] {
-            this->presence.leavingStated(SteadyClock::now(), unixMilliseconds(), instance);
+    hooks.leaving = [this](const std::string &instance, std::uint64_t startedAt) {
+        boost::asio::post(this->control, [this, instance, startedAt] {
+            this->presence.leavingStated(SteadyClock::now(), unixMilliseconds(), instance, startedAt);
         });
     };
     return hooks;
--- a/Services/Node/Upstream/UpstreamPresence.cpp
+++ b/Services/Node/Upstream/UpstreamPresence.cpp
@@ -189,13 +189,15 @@
     return AnnouncementResult::Accepted;
 }
 
-void UpstreamPresence::leavingStated(Instant now, std::uint64_t unixNow, const std::string &instance)
+void UpstreamPresence::leavingStated(Instant now, std::uint64_t unixNow, const std::string &instance,
+                                     std::uint64_t startedAt)
 {
     const std::lock_guard guard(this->mutex);
-    if (instance != this->last.instance || !takesCalls(this->announcedState))
+    const bool isCurrent = instance == this->last.instance && startedAt == this->last.startedAt;
+    if (!isCurrent || !takesCalls(this->announcedState))
         return;
     if (!instance.empty())
-        this->reportName(now, unixNow, instance, this->last.startedAt);
+        this->reportName(now, unixNow, instance, startedAt);
     this->apply(now, UpstreamAnnouncement(this->last), UpstreamState::Draining);
 }
 
--- a/Services/Node/Upstream/UpstreamPresence.h
+++ b/Services/Node/Upstream/UpstreamPresence.h
@@ -76,8 +76,9 @@
                                  AnnouncementProof proof = AnnouncementProof::None);
     // The named instance leaves. Its start time is not known. `unixNow` is in milliseconds.
     AnnouncementResult left(Instant now, std::uint64_t unixNow, const std::string &instance);
-    // The named instance stated in an answer that it leaves. Nothing that it announces brings it back.
-    void leavingStated(Instant now, std::uint64_t unixNow, const std::string &instance);
+    // The instance stated in an answer that it leaves. Nothing that it announces brings it back.
+    void leavingStated(Instant now, std::uint64_t unixNow, const std::string &instance,
+                       std::uint64_t startedAt);
     void advance(Instant now); // Detects missing announcements.
 
     // This process starts. Until `persistedStateLoaded` is called, an instance takes calls only if it is
--- a/Tests/Node/TestUpstreamLimit.cpp
+++ b/Tests/Node/TestUpstreamLimit.cpp
@@ -136,3 +136,26 @@
     cr_assert(upstream.received() > before + twiceTheSlots, "%s: %zu more", row.name,
               upstream.received() - before);
 }
+
+// Guards against an instance that gets no calls, since an answer of the earlier run of its name stated that
+// that one leaves.
+TABLE_TEST(upstreamLimit, statementOfAnEarlierRunOfTheNameIsIgnored, admissionRows)
+{
+    GateFixture fixture(row.make());
+    const auto announce = [&fixture](std::uint64_t startedAt) {
+        UpstreamAnnouncement announcement{
+            "booking", fixture.upstream.address(), slots, UpstreamCondition::Ready, "i-1", startedAt};
+        fixture.gate.announce(announcement);
+    };
+    announce(1);
+    fixture.submit("first", CallClass::Interactive, "");
+    cr_assert(fixture.runUntil([&] { return fixture.exchanges.size() == 1; }));
+    announce(2);
+    HttpResponse response = makeResponse(200, "text/plain", "done");
+    response.headers = {{CallHeaders{}.upstreamLeaving, "1"}};
+    fixture.exchanges[0]->respond(std::move(response));
+    cr_assert(fixture.runUntil([&] { return fixture.answered("first"); }));
+    fixture.submit("second", CallClass::Interactive, "");
+    fixture.runUntil([&] { return fixture.exchanges.size() == 2 || fixture.answered("second"); });
+    cr_assert(fixture.exchanges.size() == 2, "%s", row.name);
+}
--- a/Tests/Node/TestUpstreamRecord.cpp
+++ b/Tests/Node/TestUpstreamRecord.cpp
@@ -138,7 +138,7 @@
     {
         Process killed(table);
         killed.announce(UpstreamState::Ready, 1);
-        killed.presence.leavingStated(killed.now, killed.unixNow, "i-1");
+        killed.presence.leavingStated(killed.now, killed.unixNow, "i-1", 100);
         cr_assert(killed.presence.state() == UpstreamState::Draining);
         killed.now += std::chrono::minutes(1);
         killed.announce(UpstreamState::Ready, 2);
@@ -158,7 +158,10 @@
     Process node(table);
     node.announce(UpstreamState::Ready, 1, 100, "i-1");
     node.announce(UpstreamState::Ready, 1, 200, "i-2");
-    node.presence.leavingStated(node.now, node.unixNow, "i-1");
+    node.presence.leavingStated(node.now, node.unixNow, "i-1", 100);
+    cr_assert(node.presence.state() == UpstreamState::Ready);
+    node.announce(UpstreamState::Ready, 1, 300, "i-2");
+    node.presence.leavingStated(node.now, node.unixNow, "i-2", 200);
     cr_assert(node.presence.state() == UpstreamState::Ready);
     cr_assert(table.writes == 0);
 }
