--- a/Tests/LibNet/ScriptedServer.h
+++ b/Tests/LibNet/ScriptedServer.h
@@ -6,10 +6,14 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 
+#include <chrono>
+#include <cstdint>
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace Sagecrank {
 
@@ -45,6 +49,40 @@
     return header;
 }
 
+enum class StreamEnd : std::uint8_t {
+    Closed,
+    Reset,
+};
+
+// Responds to the requests of as many connections in turn, one each, and ends each connection after it.
+inline void respondInTurn(boost::asio::ip::tcp::acceptor &acceptor, const std::vector<std::string> &responses,
+                          StreamEnd end)
+{
+    constexpr auto untilReceived = std::chrono::milliseconds(5);
+    for (const std::string &response : responses) {
+        boost::asio::ip::tcp::socket socket = acceptor.accept();
+        std::string buffer;
+        readHeader(socket, buffer);
+        boost::system::error_code ignored;
+        boost::asio::write(socket, boost::asio::buffer(response), ignored);
+        if (end == StreamEnd::Closed)
+            continue;
+        // A reset discards what the other end has not received yet.
+        std::this_thread::sleep_for(untilReceived);
+        socket.set_option(boost::asio::ip::tcp::socket::linger(true, 0));
+        socket.close(); // The destructor would undo the option.
+    }
+}
+
+// The first 0 bytes of `whole`, the first byte of it, and so on. Without `whole` itself.
+inline std::vector<std::string> prefixesOf(const std::string &whole)
+{
+    std::vector<std::string> prefixes;
+    for (std::size_t size = 0; size < whole.size(); ++size)
+        prefixes.push_back(whole.substr(0, size));
+    return prefixes;
+}
+
 struct CallResult
 {
     bool failed = false;
--- a/Tests/Platform/TestRowsStore.cpp
+++ b/Tests/Platform/TestRowsStore.cpp
@@ -1,6 +1,7 @@
 // Tests the client of the row store and the configuration feed against the store's emulator on loopback.
 #include "StoreFixture.h"
 
+#include <LibNet/ScriptedServer.h>
 #include <platform/RowsTable.h>
 
 #include <boost/asio/post.hpp>
@@ -179,3 +180,98 @@
     fixture.setFaults("{}");
     cr_assert(writeBy(*rejectedClient).has_value(), "faults set at one server apply to all");
 }
+
+namespace {
+
+struct StoreShapeRow
+{
+    const char *what;
+    std::string bytes;
+    std::optional<ErrorKind> write; // Not set: the write took effect.
+    bool isRead;                    // Whether a read returns rows.
+};
+
+std::string storeResponse(const std::string &status, const std::string &body)
+{
+    return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: "
+           + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string noRows = R"({"rows":[],"ver":7,"now":"5ms"})";
+
+const StoreShapeRow storeShapeRows[] = {
+    {"rows and a version", storeResponse("200 OK", noRows), std::nullopt, true},
+    {"a version", storeResponse("200 OK", R"({"ver":7,"now":"5ms"})"), std::nullopt, false},
+    {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1f\r\n" + noRows + "\r\n0\r\n\r\n",
+     std::nullopt, true},
+    {"a conflict", storeResponse("412 Precondition Failed", noRows), ErrorKind::Conflict, false},
+    {"too many calls", storeResponse("429 Too Many Requests", "{}"), ErrorKind::Unavailable, false},
+    {"nothing was done", storeResponse("503 Service Unavailable", "{}"), ErrorKind::Unavailable, false},
+    {"a forbidden table", storeResponse("403 Forbidden", "{}"), ErrorKind::Refused, false},
+    {"a fault of the store", storeResponse("500 Internal Server Error", "{}"), ErrorKind::Timeout, false},
+    {"something in front gave up", storeResponse("504 Gateway Timeout", ""), ErrorKind::Timeout, false},
+    {"another success", storeResponse("202 Accepted", noRows), ErrorKind::Timeout, false},
+    {"the status 000", storeResponse("000 Broken", noRows), ErrorKind::Timeout, false},
+    {"no body", storeResponse("200 OK", ""), ErrorKind::Timeout, false},
+    {"no version", storeResponse("200 OK", "{}"), ErrorKind::Timeout, false},
+    {"a body that is no JSON", storeResponse("200 OK", "<html>"), ErrorKind::Timeout, false},
+    {"a part of a body", storeResponse("200 OK", R"({"rows":[],"ver":7)"), ErrorKind::Timeout, false},
+    {"bytes that are no response", "rows\r\n\r\n", ErrorKind::Timeout, false},
+    {"nothing", "", ErrorKind::Timeout, false},
+};
+
+// Sends each response in turn, to a write and to a read.
+struct StoreOutcome
+{
+    Result<void> written;
+    Result<Platform::RowsResponse> read;
+};
+
+std::vector<StoreOutcome> callStoreInTurn(const std::vector<std::string> &responses)
+{
+    std::vector<std::string> twice;
+    for (const std::string &response : responses)
+        twice.insert(twice.end(), 2, response);
+    const ScriptedServer server([&twice](boost::asio::ip::tcp::acceptor &acceptor) {
+        respondInTurn(acceptor, twice, StreamEnd::Closed);
+    });
+    StoreFixture fixture;
+    Platform::RowsClient client(fixture.context, server.address());
+    std::vector<StoreOutcome> outcomes;
+    for (std::size_t index = 0; index < responses.size(); ++index) {
+        const Platform::RowWrite row{"t", "p", "k", "v", false, std::nullopt};
+        Result<void> written = fixture.await<Result<void>>([&](auto done) { client.write(row, done); });
+        Result<Platform::RowsResponse> read = fixture.await<Result<Platform::RowsResponse>>([&](auto done) {
+            client.get({"t", "p", {}, {}, 10}, ConnectionReuse::Disallowed, done);
+        });
+        outcomes.push_back({std::move(written), std::move(read)});
+    }
+    return outcomes;
+}
+
+} // namespace
+
+// Guards against a departure that is confirmed, or a condition that is taken for held, by a response that
+// does not say that the store did the write, and against a write that is reported as not done when it may
+// have been.
+TABLE_TEST(rowsStore, eachShapeOfAResponseHasOneMeaning, storeShapeRows)
+{
+    const StoreOutcome outcome = callStoreInTurn({row.bytes}).front();
+    cr_assert(outcome.written.has_value() == !row.write, "%s", row.what);
+    cr_assert(!row.write || outcome.written.error().kind == *row.write, "%s: %s", row.what,
+              outcome.written.error().describe().c_str());
+    cr_assert(outcome.read.has_value() == row.isRead, "%s", row.what);
+}
+
+// The same when the store stops within its response, in the head or later, and closes.
+TABLE_TEST(rowsStore, aResponseThatStopsAtAnyByteTellsNothing, storeShapeRows)
+{
+    const std::vector<std::string> parts = prefixesOf(row.bytes);
+    const std::vector<StoreOutcome> outcomes = callStoreInTurn(parts);
+    for (std::size_t index = 0; index < parts.size(); ++index) {
+        const StoreOutcome &outcome = outcomes[index];
+        cr_assert(!outcome.written.has_value() && outcome.written.error().kind == ErrorKind::Timeout,
+                  "%s, %zu bytes", row.what, parts[index].size());
+        cr_assert(!outcome.read.has_value(), "%s, %zu bytes", row.what, parts[index].size());
+    }
+}
