Tests: Stop a server's response at every byte, and list the outcome of each shape

The users report from other systems that a server stopped in the middle of its answer's head and closed, and that clients got a 200 with an empty or short body; and that a status of 000 reached clients. Neither happens here. What was tried, at the client of all HTTP readers and at a gate with the platform's headers: ten sound responses of every framing, closed or reset after each byte; eighteen shapes at the gate, sound ones, rejections, statuses 000 and 999, missing or foreign stamps and ids, each whole and stopped after each byte. A part is never complete, but for a body without a length whose server closes after its head, and never proves that a call has not run, but for an intact head of a rejection.

--- a/Tests/LibNet/TestHttpResponses.cpp
+++ b/Tests/LibNet/TestHttpResponses.cpp
@@ -302,3 +302,56 @@
     cr_assert(incomplete && incomplete->status == 503 && incomplete->body.empty());
     cr_assert(findHeader(incomplete->headers, "Not-Run") == "1");
 }
+
+namespace {
+
+struct WholeRow
+{
+    const char *what;
+    std::string bytes;
+    std::size_t completeFrom; // A part of at least this size is complete if the server closes after it.
+};
+
+const std::string fields = "A: a\r\nB: b\r\n";
+const std::string unframedHead = statusOk + fields + "\r\n";
+
+const WholeRow wholeRows[] = {
+    {"a length", statusOk + fields + hello, std::string::npos},
+    {"a length of zero", statusOk + fields + "Content-Length: 0\r\n\r\n", std::string::npos},
+    {"the length first", statusOk + "Content-Length: 5\r\n" + fields + "\r\nhello", std::string::npos},
+    {"chunks", statusOk + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunkedHello, std::string::npos},
+    {"chunks and trailers",
+     statusOk + "Transfer-Encoding: chunked\r\n\r\n5;x\r\nhello\r\n0\r\n" + fields + "\r\n",
+     std::string::npos},
+    {"no content", "HTTP/1.1 204 No Content\r\n" + fields + "\r\n", std::string::npos},
+    {"an interim response ahead", "HTTP/1.1 103 Early Hints\r\nA: a\r\n\r\n" + statusOk + hello,
+     std::string::npos},
+    {"a rejection", "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", std::string::npos},
+    {"no length", unframedHead + "hello", unframedHead.size()},
+    {"no length, HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\nhello", std::string("HTTP/1.0 200 OK\r\n\r\n").size()},
+};
+
+} // namespace
+
+// Guards against a response whose server stops within it, in its head or later, passing for a whole one with
+// an empty or a short body.
+TABLE_TEST(httpResponse, aResponseThatStopsAtAnyByteIsIncomplete, wholeRows)
+{
+    for (const StreamEnd end : {StreamEnd::Closed, StreamEnd::Reset}) {
+        std::vector<std::string> responses = prefixesOf(row.bytes);
+        if (end == StreamEnd::Closed)
+            responses.push_back(row.bytes);
+        const ScriptedServer server(
+            [&responses, end](tcp::acceptor &acceptor) { respondInTurn(acceptor, responses, end); });
+        boost::asio::io_context context;
+        HttpClient client(context, {});
+        for (const std::string &bytes : responses) {
+            const bool isComplete = bytes.size() == row.bytes.size()
+                                    || (end == StreamEnd::Closed && bytes.size() >= row.completeFrom);
+            const CallResult result = sendAndWait(context, client, server.address(), "");
+            cr_assert(result.failed != isComplete && (isComplete || result.mayHaveBeenSent),
+                      "%s, %zu bytes: %u '%s'", row.what, bytes.size(), result.response.status,
+                      result.response.body.c_str());
+        }
+    }
+}
--- a/Tests/Platform/TestFaultyServer.cpp
+++ b/Tests/Platform/TestFaultyServer.cpp
@@ -168,3 +168,100 @@
     cr_assert(response.outcome == row.outcome && response.status == row.status, "%s: %u '%s'", row.what,
               response.status, response.body.c_str());
 }
+
+namespace {
+
+struct ShapeRow
+{
+    const char *what;
+    std::string bytes;
+    Outcome outcome;
+    std::uint32_t status;
+    const char *body;
+};
+
+const std::string stampAndId = "Server-Stamp: s\r\nAttempt-Id: a1\r\n";
+const std::string success = "HTTP/1.1 200 OK\r\n" + stampAndId;
+const std::string rejection = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nAttempt-Id: a1\r\n";
+const std::string done = "Content-Length: 4\r\n\r\ndone";
+
+const ShapeRow shapeRows[] = {
+    {"a success", success + done, Outcome::Done, 200, "done"},
+    {"a success in chunks", success + "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+     Outcome::Done, 200, "done"},
+    {"a success without a body", success + "Content-Length: 0\r\n\r\n", Outcome::Done, 200, ""},
+    {"a success without a length", success + "\r\ndone", Outcome::Done, 200, "done"},
+    {"a failure of the server's own", "HTTP/1.1 500 Error\r\n" + stampAndId + done, Outcome::Done, 500,
+     "done"},
+    {"an unregistered status", "HTTP/1.1 599 Odd\r\n" + stampAndId + done, Outcome::Done, 599, "done"},
+    {"a rejection", rejection + "Content-Length: 0\r\n\r\n", Outcome::NotRun, 503, ""},
+    {"another server", "HTTP/1.1 421 Other\r\nAttempt-Id: a1\r\nContent-Length: 0\r\n\r\n", Outcome::NotRun,
+     503, ""},
+    {"nothing", "", Outcome::Unknown, 502, ""},
+    {"the status 000", "HTTP/1.1 000 Broken\r\n" + stampAndId + done, Outcome::Unknown, 502, ""},
+    {"the status 000 of a rejection", "HTTP/1.1 000 Full\r\nNot-Executed: 1\r\nAttempt-Id: a1\r\n" + done,
+     Outcome::Unknown, 502, ""},
+    {"a status above all", "HTTP/1.1 999 Broken\r\n" + stampAndId + done, Outcome::Unknown, 502, ""},
+    {"no stamp", "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n" + done, Outcome::Unknown, 502, ""},
+    {"no id", "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n" + done, Outcome::Unknown, 502, ""},
+    {"another id", "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nAttempt-Id: a2\r\n" + done, Outcome::Unknown, 502,
+     ""},
+    {"a coded body", success + "Content-Encoding: gzip\r\n" + done, Outcome::Unknown, 502, ""},
+    {"a rejection without its proof", "HTTP/1.1 503 Full\r\n" + stampAndId + done, Outcome::Unknown, 502, ""},
+    {"bytes that are no response", "done, and more of it\r\n\r\n", Outcome::Unknown, 502, ""},
+};
+
+CallRequest shortCall()
+{
+    CallRequest request;
+    request.cluster = "booking";
+    request.remainingMicroseconds = 9'000'000;
+    request.callerCallId = "a1";
+    request.method = "POST";
+    request.target = "/pay";
+    return request;
+}
+
+// The outcome of a call to a server that sends these bytes and closes.
+CallResponse callAndReceive(const std::string &bytes)
+{
+    const ScriptedServer server([&bytes](boost::asio::ip::tcp::acceptor &acceptor) {
+        respondInTurn(acceptor, {bytes}, StreamEnd::Closed);
+    });
+    PlatformGate platform;
+    platform.gate.announce({"booking", server.address(), 2, UpstreamCondition::Ready, "i-1", 7, 1});
+    return platform.call(shortCall());
+}
+
+} // namespace
+
+// Guards against an answer of a server in trouble that reaches the caller, and against one that is sound and
+// does not.
+TABLE_TEST(faultyServer, eachShapeOfAResponseHasOneOutcome, shapeRows)
+{
+    const CallResponse response = callAndReceive(row.bytes);
+    cr_assert(response.outcome == row.outcome && response.status == row.status, "%s: %u %s", row.what,
+              response.status, response.reason.c_str());
+    cr_assert(response.body == row.body, "%s: '%s'", row.what, response.body.c_str());
+}
+
+// Guards against a server that stops within its response, in the head or later, and closes: the caller must
+// not get a success with an empty or a short body, and no promise that the call has not run.
+TABLE_TEST(faultyServer, aResponseThatStopsAtAnyByteIsUnknown, shapeRows)
+{
+    const bool endsWithConnection = row.bytes.find("\r\n\r\ndone") != std::string::npos
+                                    && row.bytes.find("Content-Length") == std::string::npos;
+    std::vector<std::string> parts = prefixesOf(row.bytes);
+    if (endsWithConnection)
+        std::erase_if(parts,
+                      [](const std::string &part) { return part.find("\r\n\r\n") != std::string::npos; });
+    // An intact head proves that the call has not run, also without the body.
+    const bool isProof = row.outcome == Outcome::NotRun;
+    for (const std::string &part : parts) {
+        const CallResponse response = callAndReceive(part);
+        const bool isWholeHead = part.find("\r\n\r\n") != std::string::npos;
+        cr_assert(response.outcome == Outcome::Unknown || (isProof && isWholeHead), "%s, %zu bytes: %u",
+                  row.what, part.size(), response.status);
+        cr_assert(response.body.empty() && response.status >= 500, "%s, %zu bytes", row.what, part.size());
+    }
+}
