LibPlatform: Take a write for done only if the table says so

The same as for the store of rows: a response with status 200 and a body that is not the table's, or none, counted as a write that took effect. It is of unknown effect now.

Measured: three of the new rows of tableProtocol/errorsTellWhetherWriteTookEffect failed before (no body, no JSON, a part of a body) and pass now; that of another success passed before. TestLibPlatform passes (30).

--- a/Libraries/LibPlatform/TableProtocol.cpp
+++ b/Libraries/LibPlatform/TableProtocol.cpp
@@ -167,6 +167,16 @@
     return PutOutcome::NotApplied;
 }
 
+// The table states a JSON object. Another body is that of something in front of it, which does not tell
+// whether the write took effect.
+Result<void> checkIsFromTable(const HttpResponse &response)
+{
+    const Result<json::object> body = parseObject(response.body);
+    if (!body)
+        return makeError(ErrorKind::Timeout, "use table", "table", body.error().message);
+    return success();
+}
+
 } // namespace
 
 std::string encodeGet(const std::string &table, const RowKey &key)
@@ -232,13 +242,15 @@
 {
     if (response.status != statusOk)
         return errorFromResponse(response, Access::Write);
-    return success();
+    return checkIsFromTable(response);
 }
 
 Result<TransactionResult> parseTransactionResponse(const HttpResponse &response, std::size_t count)
 {
-    if (response.status == statusOk)
+    if (response.status == statusOk) {
+        TRY_VOID(checkIsFromTable(response));
         return TransactionResult(count, PutOutcome::Applied);
+    }
     const Result<json::object> body = parseObject(response.body);
     if (response.status != statusBadRequest || !body
         || errorType(body.assume_value()) != "TransactionCanceledException")
--- a/Tests/LibPlatform/TestTableProtocol.cpp
+++ b/Tests/LibPlatform/TestTableProtocol.cpp
@@ -26,6 +26,11 @@
 
 const ResponseRow responseRows[] = {
     {"done", 200, "{}", std::nullopt, std::nullopt},
+    {"done, with more", 200, R"({"ConsumedCapacity":{}})", std::nullopt, std::nullopt},
+    {"no body", 200, "", Kind::Timeout, Kind::InvalidInput},
+    {"a body that is no JSON", 200, "<html>", Kind::Timeout, Kind::InvalidInput},
+    {"a part of a body", 200, R"({"ConsumedCapacity":{)", Kind::Timeout, Kind::InvalidInput},
+    {"another success", 202, "{}", Kind::Timeout, Kind::Unavailable},
     {"condition failed", 400, errorBody("ConditionalCheckFailedException"), Kind::Conflict, Kind::Conflict},
     {"type without a prefix", 400, R"({"__type":"ConditionalCheckFailedException"})", Kind::Conflict,
      Kind::Conflict},
