LibWire, LibSpread: Reject enumerations and flags out of range

Found by playing each shape of a response to the readers of links and of the control port, sound ones too.

What could be seen: an outcome that there is not, in a peer's response, reached the caller's side with its status and body; a call whose class is none was admitted, and a gate that admits by class indexes its tables by it; a pull's answer of no kind passed for a configuration; a flag of another value than 0 or 1 has no defined meaning.

Change: the archive rejects such flags, and transferEnum(), which membership messages used, is the archive's now and is used by calls, responses and pulls. The bytes on the wire are the same. Such a message closes its connection like other malformed ones, and its call has an unknown outcome.

--- a/Libraries/LibMembership/Datagram.cpp
+++ b/Libraries/LibMembership/Datagram.cpp
@@ -49,22 +49,6 @@
     archive(cereal::binary_data(payload.data(), length));
 }
 
-template <typename Enum>
-void transferEnum(Writer &archive, const Enum &value, Enum)
-{
-    archive(static_cast<std::uint8_t>(value));
-}
-
-template <typename Enum>
-void transferEnum(Reader &archive, Enum &value, Enum last)
-{
-    std::uint8_t raw = 0;
-    archive(raw);
-    if (raw > static_cast<std::uint8_t>(last))
-        throw cereal::Exception("enum value is out of range");
-    value = static_cast<Enum>(raw);
-}
-
 template <typename Archive, typename Update>
 void transferUpdate(Archive &archive, Update &update)
 {
--- a/Libraries/LibSpread/PullMessages.h
+++ b/Libraries/LibSpread/PullMessages.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <LibCore/EnumNames.h>
+#include <LibWire/Archive.h>
 
 #include <cereal/types/string.hpp>
 
@@ -55,7 +56,8 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->answer, this->retryAfterMilliseconds, this->version, this->payload);
+        transferEnum(archive, this->answer, PullAnswer::Busy);
+        archive(this->retryAfterMilliseconds, this->version, this->payload);
     }
 };
 
--- a/Libraries/LibWire/Archive.h
+++ b/Libraries/LibWire/Archive.h
@@ -11,6 +11,7 @@
 
 #include <bit>
 #include <cstddef>
+#include <cstdint>
 #include <cstring>
 #include <span>
 #include <string>
@@ -78,7 +79,33 @@
 requires std::is_arithmetic_v<T>
 void CEREAL_LOAD_FUNCTION_NAME(MemoryInputArchive &archive, T &value) // NOLINT(readability-identifier-naming)
 {
-    archive.loadBinary(std::addressof(value), sizeof(value));
+    if constexpr (std::is_same_v<T, bool>) {
+        std::uint8_t raw = 0;
+        archive.loadBinary(&raw, sizeof(raw));
+        if (raw > 1)
+            throw cereal::Exception("a flag is neither 0 nor 1");
+        value = raw == 1;
+    } else {
+        archive.loadBinary(std::addressof(value), sizeof(value));
+    }
+}
+
+// Transfers an enumeration with the values from 0 to `last`. Code that indexes tables by it or switches over
+// it relies on no other value being read.
+template <typename Enum>
+void transferEnum(MemoryOutputArchive &archive, const Enum &value, Enum)
+{
+    archive(static_cast<std::uint8_t>(value));
+}
+
+template <typename Enum>
+void transferEnum(MemoryInputArchive &archive, Enum &value, Enum last)
+{
+    std::uint8_t raw = 0;
+    archive(raw);
+    if (raw > static_cast<std::uint8_t>(last))
+        throw cereal::Exception("enum value is out of range");
+    value = static_cast<Enum>(raw);
 }
 
 template <typename T>
--- a/Libraries/LibWire/PeerMessages.h
+++ b/Libraries/LibWire/PeerMessages.h
@@ -81,10 +81,12 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->callId, this->cluster, this->callClass, this->idempotent, this->remainingMicroseconds,
-                this->priority, this->remainingTargetMicroseconds, this->kind, this->lateAccepted,
-                this->attemptId, this->idempotencyKey, this->callerCallId, this->traceParent, this->method,
-                this->target, this->headers, this->body);
+        archive(this->callId, this->cluster);
+        transferEnum(archive, this->callClass, CallClass::Batch);
+        archive(this->idempotent, this->remainingMicroseconds, this->priority,
+                this->remainingTargetMicroseconds, this->kind, this->lateAccepted, this->attemptId,
+                this->idempotencyKey, this->callerCallId, this->traceParent, this->method, this->target,
+                this->headers, this->body);
     }
 };
 
@@ -146,10 +148,11 @@
     template <typename Archive>
     void serialize(Archive &archive)
     {
-        archive(this->callId, this->outcome, this->reason, this->retryAfterMilliseconds, this->replayed,
-                this->claimHeld, this->reachedUpstream, this->status, this->headers, this->body,
-                this->freeSlots, this->queued, this->draining, this->executionMicroseconds,
-                this->expectedWaitMicroseconds);
+        archive(this->callId);
+        transferEnum(archive, this->outcome, Outcome::Unknown);
+        archive(this->reason, this->retryAfterMilliseconds, this->replayed, this->claimHeld,
+                this->reachedUpstream, this->status, this->headers, this->body, this->freeSlots, this->queued,
+                this->draining, this->executionMicroseconds, this->expectedWaitMicroseconds);
     }
 };
 
--- a/Tests/LibWire/TestFrame.cpp
+++ b/Tests/LibWire/TestFrame.cpp
@@ -114,6 +114,24 @@
     cr_assert(request.error().peer == "peer");
 }
 
+// Guards against a flag that is neither true nor false, which has no defined meaning, and against an index
+// beyond a table.
+Test(message, valuesOutOfRangeAreRejected)
+{
+    const CallRequest call = makeRequest();
+    const std::size_t classAt = encode(call.callId).size() + encode(call.cluster).size();
+    for (const std::size_t at : {classAt, classAt + 1}) {
+        for (const int value : {3, 7, 255}) {
+            Bytes changed = encode(call);
+            changed[at] = static_cast<char>(value);
+            cr_assert(!decode<CallRequest>(changed, "read call", "peer"), "%zu: %d", at, value);
+        }
+    }
+    CallResponse response;
+    response.outcome = static_cast<Outcome>(3);
+    cr_assert(!decode<CallResponse>(encode(response), "read response", "peer"));
+}
+
 // Every truncation of a valid message is rejected, and no random mutation crashes the process.
 Test(message, truncatedAndMutatedMessagesAreHandled)
 {
--- a/Tests/Node/TestPeerLink.cpp
+++ b/Tests/Node/TestPeerLink.cpp
@@ -370,3 +370,73 @@
     cr_assert(fixture.answers["next"].outcome == Outcome::NotRun);
     cr_assert(fixture.peer.calls.size() == 1 && !fixture.answers.contains("running"));
 }
+
+namespace {
+
+struct ResponseRow
+{
+    const char *what;
+    Outcome outcome;
+    std::uint32_t status;
+    Outcome expected;
+};
+
+const ResponseRow responseRows[] = {
+    {"a success", Outcome::Done, 200, Outcome::Done},
+    {"a failure of the upstream's own", Outcome::Done, 500, Outcome::Done},
+    {"a rejection", Outcome::NotRun, 503, Outcome::NotRun},
+    {"an unknown outcome", Outcome::Unknown, 504, Outcome::Unknown},
+    {"the status 000", Outcome::Done, 0, Outcome::Unknown},
+    {"a status below all", Outcome::Done, 99, Outcome::Unknown},
+    {"an interim status", Outcome::Done, 100, Outcome::Unknown},
+    {"a status above all", Outcome::Done, 999, Outcome::Unknown},
+    {"no outcome that there is", static_cast<Outcome>(9), 200, Outcome::Unknown},
+};
+
+Bytes responseFrame(const ResponseRow &row, std::uint64_t callId)
+{
+    CallResponse response;
+    response.callId = callId;
+    response.outcome = row.outcome;
+    response.status = row.status;
+    response.headers = {{"A", "a"}};
+    response.body = "done";
+    return encodeFrame(FrameType::CallResponse, response);
+}
+
+// The response to a call of which the peer sends so many bytes and closes the connection.
+CallResponse receive(const ResponseRow &row, std::size_t size)
+{
+    LinkFixture fixture;
+    fixture.call("0");
+    cr_assert(fixture.runUntil([&] { return !fixture.peer.calls.empty(); }));
+    Bytes frame = responseFrame(row, fixture.peer.calls[0].callId);
+    frame.resize(std::min(size, frame.size()));
+    if (!frame.empty())
+        fixture.peer.connections[0]->send(std::move(frame));
+    fixture.peer.connections[0]->shutdownSend();
+    cr_assert(fixture.runUntil([&] { return !fixture.answers.empty(); }));
+    return fixture.answers["0"];
+}
+
+} // namespace
+
+// Guards against an answer of a node in trouble that reaches the caller, and against one that is sound and
+// does not.
+TABLE_TEST(peerLink, eachShapeOfAResponseHasOneOutcome, responseRows)
+{
+    const CallResponse response = receive(row, std::string::npos);
+    cr_assert(response.outcome == row.expected, "%s: %u", row.what, response.status);
+    cr_assert(response.body == (row.expected == row.outcome ? "done" : ""), "%s", row.what);
+}
+
+// Guards against a part of a response passing for all of it when a node stops within it.
+TABLE_TEST(peerLink, aResponseThatStopsAtAnyByteIsUnknown, responseRows)
+{
+    const std::size_t whole = responseFrame(row, 1).size();
+    for (std::size_t size = 0; size < whole; ++size) {
+        const CallResponse response = receive(row, size);
+        cr_assert(response.outcome == Outcome::Unknown && response.body.empty(), "%s, %zu bytes", row.what,
+                  size);
+    }
+}
--- a/Tests/Node/TestPeerServer.cpp
+++ b/Tests/Node/TestPeerServer.cpp
@@ -16,6 +16,15 @@
 
 namespace {
 
+Bytes callOfNoClass()
+{
+    CallRequest call;
+    call.callId = 1;
+    call.cluster = "booking";
+    call.callClass = static_cast<CallClass>(200);
+    return encodeFrame(FrameType::CallRequest, call);
+}
+
 struct HostileRow
 {
     const char *what;
@@ -71,6 +80,7 @@
     {"an unknown type", makeFrame(static_cast<FrameType>(200), {1, 2, 3})},
     {"an answer where a call belongs", makeFrame(FrameType::CallResponse, {})},
     {"a call that ends too early", makeFrame(FrameType::CallRequest, {1, 2, 3})},
+    {"a call of no class", callOfNoClass()},
     {"a call with a string of two gigabytes",
      makeFrame(FrameType::CallRequest, {1, 0, 0, 0, 0, 0, 0, 0, 255, 255, 255, 127})},
     {"a call number that is used twice", callsWithDuplicateId()},
