Node: Name the decision on announcements by what it does

admit() and "proven" in place of judge() and a mix of "proved" and "proven"; what the start time in a hook is. No behaviour changes; TestNode passes (347).

--- a/Services/Node/Gate/LocalGate.h
+++ b/Services/Node/Gate/LocalGate.h
@@ -52,7 +52,8 @@
 struct UpstreamHooks
 {
     std::function<void(const UpstreamOutcome &)> callEnded;
-    // The instance states in an answer that it leaves. Called once for each instance.
+    // The instance states in an answer that it leaves. Called once for each instance. `startedAt` is in Unix
+    // milliseconds, as the instance announced it.
     std::function<void(const std::string &instance, std::uint64_t startedAt)> leaving;
 };
 
--- a/Services/Node/Node.h
+++ b/Services/Node/Node.h
@@ -117,7 +117,7 @@
     HttpServer adminServer;
     HttpServer announcementServer;
     HttpServer probeServer;
-    std::unique_ptr<HttpServer> proofServer; // Null until an announcement has to be proved.
+    std::unique_ptr<HttpServer> proofServer; // Null until an announcement has to be proven.
     bool departureReported = false;          // By the request that is being handled.
     ControlPlane plane;
     bool leaveAnnounced = false; // On the control thread.
--- a/Services/Node/NodeHooks.cpp
+++ b/Services/Node/NodeHooks.cpp
@@ -229,7 +229,7 @@
     hooks.left = [this](const std::string &instance) {
         return this->presence.left(SteadyClock::now(), unixMilliseconds(), instance);
     };
-    // An upstream that has proved that it runs goes back to the address that outlives this process.
+    // An upstream that has proven that it runs goes back to the address that outlives this process.
     hooks.nextAddress = [this, proof](AnnouncementResult result) {
         if (proof == AnnouncementProof::SentToThisProcess)
             return this->settings.listen.announcements;
--- a/Services/Node/Upstream/UpstreamPresence.cpp
+++ b/Services/Node/Upstream/UpstreamPresence.cpp
@@ -65,7 +65,7 @@
     if (this->isStale(announcement))
         return AnnouncementResult::Stale;
     if (isNamed && takesCalls(state)) {
-        const AnnouncementResult result = this->judge(now, announcement, proof);
+        const AnnouncementResult result = this->admit(now, announcement, proof);
         if (result == AnnouncementResult::Unproven && this->awaitsPersistedState)
             this->holdBack(announcement, state);
         if (result != AnnouncementResult::Accepted)
@@ -75,15 +75,15 @@
     return AnnouncementResult::Accepted;
 }
 
-bool UpstreamPresence::isProved(Instant now, AnnouncementProof proof) const
+bool UpstreamPresence::isProven(Instant now, AnnouncementProof proof) const
 {
-    return proof == AnnouncementProof::SentToThisProcess || now >= this->provedFrom;
+    return proof == AnnouncementProof::SentToThisProcess || now >= this->provenFrom;
 }
 
 // Whether an instance that announces itself may take calls. This is the only place that decides it, so that
 // no order of messages, restarts and answers of the table brings back an instance whose departure was
 // confirmed, and none keeps out one that runs.
-AnnouncementResult UpstreamPresence::judge(Instant now, const UpstreamAnnouncement &announcement,
+AnnouncementResult UpstreamPresence::admit(Instant now, const UpstreamAnnouncement &announcement,
                                            AnnouncementProof proof) const
 {
     const Departure *departure = this->departures.find(announcement.instance);
@@ -93,10 +93,10 @@
         const auto rejected = this->namesRejectedUntil.find(announcement.instance);
         if (rejected != this->namesRejectedUntil.end())
             return now < rejected->second ? AnnouncementResult::Stale : AnnouncementResult::Accepted;
-        return this->isProved(now, proof) ? AnnouncementResult::Accepted : AnnouncementResult::Unproven;
+        return this->isProven(now, proof) ? AnnouncementResult::Accepted : AnnouncementResult::Unproven;
     }
     const bool isServing = takesCalls(this->announcedState) && isSameInstance(this->last, announcement);
-    const bool mayHaveDeparted = this->awaitsPersistedState && !isServing && !this->isProved(now, proof);
+    const bool mayHaveDeparted = this->awaitsPersistedState && !isServing && !this->isProven(now, proof);
     return mayHaveDeparted ? AnnouncementResult::Unproven : AnnouncementResult::Accepted;
 }
 
@@ -127,7 +127,7 @@
 {
     const std::lock_guard guard(this->mutex);
     this->awaitsPersistedState = true;
-    this->provedFrom = now + departedNameTimeout;
+    this->provenFrom = now + departedNameTimeout;
 }
 
 void UpstreamPresence::persistedStateLoaded(Instant now, const PersistedUpstream &upstream)
@@ -138,7 +138,7 @@
         this->departures.add(departure);
     const std::optional<HeldAnnouncement> announced = std::exchange(this->held, std::nullopt);
     if (takesCalls(this->announcedState)) {
-        const AnnouncementResult result = this->judge(now, this->last, AnnouncementProof::SentToThisProcess);
+        const AnnouncementResult result = this->admit(now, this->last, AnnouncementProof::SentToThisProcess);
         if (result == AnnouncementResult::Accepted)
             return this->apply(this->renewedAt, UpstreamAnnouncement(this->last), this->announcedState);
         return this->publish(this->last, UpstreamState::Draining);
--- a/Services/Node/Upstream/UpstreamPresence.h
+++ b/Services/Node/Upstream/UpstreamPresence.h
@@ -60,7 +60,7 @@
     std::function<void(const std::string &cluster)> announcementExpired;
     std::function<void(const UpstreamAnnouncement &)> gate;                      // On every announcement.
     std::function<void(const UpstreamAnnouncement &, UpstreamState)> membership; // Only on changes.
-    // On every message from which an instance leaves, before it is confirmed. May be empty.
+    // On every message that says that an instance leaves, before it is confirmed. May be empty.
     std::function<void(const Departure &)> leaving = {};
     // On every announcement of an instance that takes calls. May be empty.
     std::function<void(const UpstreamAnnouncement &)> serving = {};
@@ -82,8 +82,8 @@
     void advance(Instant now); // Detects missing announcements.
 
     // This process starts. Until `persistedStateLoaded` is called, an instance takes calls only if it is
-    // proved that it announced itself since: an earlier process may have confirmed that it leaves, and any
-    // number of its earlier announcements may arrive late.
+    // proven that it has announced itself since: an earlier process may have confirmed that it leaves, and
+    // any number of its earlier announcements may arrive late.
     void awaitPersistedState(Instant now);
     void persistedStateLoaded(Instant now, const PersistedUpstream &upstream);
     void drain(); // The node leaves, so the upstream drains whatever it announces.
@@ -105,8 +105,8 @@
     void apply(Instant now, const UpstreamAnnouncement &announcement, UpstreamState state);
     void publish(const UpstreamAnnouncement &announcement, UpstreamState announced);
     UpstreamState effectiveState(UpstreamState announced) const;
-    bool isProved(Instant now, AnnouncementProof proof) const;
-    AnnouncementResult judge(Instant now, const UpstreamAnnouncement &announcement,
+    bool isProven(Instant now, AnnouncementProof proof) const;
+    AnnouncementResult admit(Instant now, const UpstreamAnnouncement &announcement,
                              AnnouncementProof proof) const;
     bool hasDeparted(const UpstreamAnnouncement &announcement) const;
     void holdBack(const UpstreamAnnouncement &announcement, UpstreamState state);
@@ -122,7 +122,7 @@
     Instant renewedAt;
     bool draining = false; // Never reset.
     bool awaitsPersistedState = false;
-    Instant provedFrom; // No announcement that arrives later was sent before this process started.
+    Instant provenFrom; // No announcement that arrives later was sent before this process started.
     std::optional<HeldAnnouncement> held; // Unproven; set only while `awaitsPersistedState`.
     Departures departures;                // Reported to this process or an earlier one.
     // The end of `departedNameTimeout` for each name in `departures` whose departure was reported to this
