--- a/Tests/EndToEnd/mesh_test.py
+++ b/Tests/EndToEnd/mesh_test.py
@@ -22,12 +22,16 @@
 
     CONFIGURATION = ""  # The base file.
 
-    def setUp(self):
+    def prepare(self):
+        """Makes a folder and reserves ports, which are all that tests on other platforms need of setUp()."""
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = folder.name
         base = choose_ports(random.Random(), PORTS)
         self.ports = iter(range(base, base + PORTS))
+
+    def setUp(self):
+        self.prepare()
         self.platform = self.address()
         self.run_program("sagecrank-platform-emulator", "--listen", self.platform)
         self.await_condition(lambda: get(self.platform, "/emulator/counters")[0] == 200, "the platform")
