--- a/Tests/Node/TestDepartureOrders.cpp
+++ b/Tests/Node/TestDepartureOrders.cpp
@@ -323,12 +323,11 @@
      {Step::LeaveLate, Step::RestartSameName, Step::Announce, Step::ArriveLate, Step::RestartNode}},
 };
 
-// Steps that the exhaustive play leaves to the rows and the random play.
-constexpr std::size_t exhaustiveLength = 5;
+constexpr std::size_t exhaustiveLength = 5; // All orders up to this length are played.
 constexpr std::size_t randomLength = 14;
 constexpr int randomOrders = 20'000;
 
-// Each failure of a prefix is reported with the prefix, so longer orders need not be played.
+// Plays all orders that begin with these steps.
 void playAllFrom(std::vector<Step> &steps, std::size_t &played)
 {
     for (const auto &[step, name] : stepNames.rows) {
