Node: Say what admit() decides and what it does not

The comment said that no other place decides whether an instance takes calls. The persisted serving row and an announcement that was held back are judged by the record of departures alone, without a proof. Only the comment changes; the formatter is clean.

--- a/Services/Node/Upstream/UpstreamPresence.cpp
+++ b/Services/Node/Upstream/UpstreamPresence.cpp
@@ -80,9 +80,10 @@
     return proof == AnnouncementProof::SentToThisProcess || now >= this->provenFrom;
 }
 
-// Whether an instance that announces itself may take calls. This is the only place that decides it, so that
-// no order of messages, restarts and answers of the table brings back an instance whose departure was
-// confirmed, and none keeps out one that runs.
+// Whether an instance that announces itself may take calls. All announcements are decided here, so that no
+// order of messages, restarts and answers of the table brings back an instance whose departure was confirmed,
+// and none keeps out one that runs. The persisted serving row and a held announcement prove nothing, so
+// `persistedStateLoaded` asks only whether the instance has departed.
 AnnouncementResult UpstreamPresence::admit(Instant now, const UpstreamAnnouncement &announcement,
                                            AnnouncementProof proof) const
 {
